--- /dev/null
+++ b/packages/admission/src/tallyhall_admission/jobs.py
@@ -0,0 +1,45 @@
+"""One request as its owner sees it, waiting or permitted."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from tallyhall_core.ids import RequestId
+from tallyhall_core.messages import Ask
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """A request that waits.
+
+    deadline: on the owner's clock. output: expected output tokens. rank: of
+    its tier, 0 the highest.
+    """
+
+    ask: Ask
+    rid: RequestId
+    rank: int
+    deadline: float
+    output: float
+    arrived: float
+
+    @property
+    def cost(self) -> float:
+        """Return the tokens that fairness charges for it."""
+        return max(1.0, self.ask.prompt_tokens + self.output)
+
+
+@dataclasses.dataclass(slots=True)
+class Grant:
+    """A permit in use, or not yet used."""
+
+    job: Job
+    upstream: str
+    granted: float
+    expected_cached: int = 0
+    revoked: bool = False
+
+    @property
+    def lost_tokens(self) -> int:
+        """Return the prompt work thrown away if it is stopped now."""
+        return max(0, self.job.ask.prompt_tokens - self.expected_cached)
--- /dev/null
+++ b/packages/admission/src/tallyhall_admission/policy.py
@@ -0,0 +1,142 @@
+"""How an upstream is chosen: the policies that the bench compares.
+
+`tallyhall` is the product's own. The others are baselines: they know only
+what a plain balancer knows, keep no queue and ignore limits.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from tallyhall_core.messages import Ask
+
+from .estimate import OutputLengths
+from .upstream import Upstream
+
+ROUND_ROBIN = 'round-robin'
+LEAST_LOAD = 'least-load'
+TALLYHALL = 'tallyhall'
+POLICIES = (ROUND_ROBIN, LEAST_LOAD, TALLYHALL)
+
+_LOST_WEIGHT = 1.0
+
+
+class Policy(Protocol):
+    """Choice of an upstream for one request."""
+
+    @property
+    def bounded(self) -> bool:
+        """Whether requests wait for a free slot and may be refused."""
+
+    def choose(
+        self,
+        ask: Ask,
+        upstreams: Sequence[Upstream],
+        output: float,
+    ) -> Upstream | None:
+        """Return the upstream to use now, or None to wait.
+
+        Only upstreams that are open are passed in.
+        """
+
+
+class RoundRobin:
+    """Each upstream in turn, whatever its load."""
+
+    bounded = False
+
+    def __init__(self) -> None:
+        """Start with the first upstream."""
+        self._turn = 0
+
+    def choose(
+        self,
+        ask: Ask,
+        upstreams: Sequence[Upstream],
+        output: float,
+    ) -> Upstream | None:
+        """Return the next upstream in order of name."""
+        if not upstreams:
+            return None
+        self._turn += 1
+        return upstreams[self._turn % len(upstreams)]
+
+
+class LeastLoad:
+    """The upstream with the least load in its last report."""
+
+    bounded = False
+
+    def choose(
+        self,
+        ask: Ask,
+        upstreams: Sequence[Upstream],
+        output: float,
+    ) -> Upstream | None:
+        """Return the least loaded; what was sent since then counts too."""
+        if not upstreams:
+            return None
+        return min(upstreams, key=_reported_load)
+
+
+class ExpectedTime:
+    """Least expected time, with prompt work thrown away counted as time.
+
+    Upstreams without a free slot are left out, so a request never queues in
+    an engine, where no tier order exists.
+    """
+
+    bounded = True
+
+    def choose(
+        self,
+        ask: Ask,
+        upstreams: Sequence[Upstream],
+        output: float,
+    ) -> Upstream | None:
+        """Return the free upstream of least cost in seconds."""
+        best: Upstream | None = None
+        best_cost: tuple[float, float] = (0, 0)
+        for upstream in upstreams:
+            if not upstream.free():
+                continue
+            cost = _cost(ask, upstream, output)
+            if best is None or cost < best_cost:
+                best = upstream
+                best_cost = cost
+        return best
+
+
+def make_policy(name: str) -> Policy:
+    """Return the policy of this name."""
+    if name == ROUND_ROBIN:
+        return RoundRobin()
+    if name == LEAST_LOAD:
+        return LeastLoad()
+    return ExpectedTime()
+
+
+def expected_output(
+    lengths: OutputLengths,
+    ask: Ask,
+) -> float:
+    """Return the output tokens to expect of a request; 0 for plain calls."""
+    if not ask.prompt_tokens:
+        return 0
+    return lengths.expect(ask.workspace, ask.max_tokens)
+
+
+def _reported_load(upstream: Upstream) -> float:
+    return upstream.reported + upstream.sent_since_report
+
+
+def _cost(ask: Ask, upstream: Upstream, output: float) -> tuple[float, float]:
+    cached = min(upstream.cache.cached_tokens(ask.prefixes), ask.prompt_tokens)
+    computed = ask.prompt_tokens - cached
+    lost = upstream.speed.prefill(computed)
+    run = upstream.speed.run(computed, output)
+    load = upstream.running / upstream.limit.slots
+    # Sharing an engine slows every stream on it by about its load.
+    seconds = run * (1 + load) + _LOST_WEIGHT * lost
+    return (seconds, load)
--- /dev/null
+++ b/packages/admission/src/tallyhall_admission/pool.py
@@ -0,0 +1,244 @@
+"""The owner's state of one service: every event answered with messages.
+
+The roster keeps the books, the shedder decides on refusals, the policy on
+upstreams; the pool ties them to the messages of the homes.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Set
+
+from tallyhall_core.ids import RequestId
+from tallyhall_core.messages import Ask, Done, Holding, Permit, Progress
+from tallyhall_core.refusals import Reason
+from tallyhall_table.model import ServiceRow, Table
+
+from .jobs import Grant, Job
+from .memory import FORGOTTEN, PERMITTED
+from .messages_out import Outgoing, refuse
+from .policy import Policy, expected_output
+from .roster import Roster
+from .settings import PoolSettings
+from .shedding import Shedder
+from .tiers import Tiers
+from .upstream import Upstream, UpstreamInfo
+from .waiting import WaitingJobs
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolCounts:
+    """Numbers for `status`."""
+
+    waiting: int
+    running: int
+    slots: int
+    upstreams: int
+    remembered: int
+
+
+class Pool:
+    """Admission to all upstreams of one service."""
+
+    def __init__(
+        self,
+        service: str,
+        policy: Policy,
+        cfg: PoolSettings,
+    ) -> None:
+        """Start without upstreams, not yet ready to permit."""
+        self.service = service
+        self.ready = False
+        self.roster = Roster(cfg)
+        self._cfg = cfg
+        self._policy = policy
+        self._waiting = WaitingJobs()
+        self._shedder = Shedder(self.roster, self._waiting, cfg)
+
+    def configure(self, table: Table, now: float) -> None:
+        """Take a new table."""
+        row = table.service(self.service) or ServiceRow(name=self.service)
+        limits = {
+            limit.workspace: limit
+            for limit in table.limits
+            if limit.service == self.service
+        }
+        self._shedder.tiers = Tiers(table.tiers)
+        self._shedder.max_queue = row.max_queue
+        gap_s = self._shedder.tiers.gap_s
+        self.roster.configure(row, limits, gap_s, now)
+
+    def take_instances(self, infos: tuple[UpstreamInfo, ...]) -> None:
+        """Take the instance list."""
+        self.roster.take_instances(infos)
+
+    def inherit_promises(self, now: float) -> None:
+        """Keep the promise that an earlier owner may have made."""
+        self._shedder.inherit_promises(now)
+
+    # -- what homes say
+
+    def ask(self, ask: Ask, now: float) -> list[Outgoing]:
+        """Take a request for a permit."""
+        rid = RequestId.parse(ask.id)
+        recall = self.roster.memory.recall(rid)
+        if recall.state == FORGOTTEN:
+            return [refuse(ask, Reason.bad_request_id, 0)]
+        if recall.state == PERMITTED and recall.holder != ask.holder:
+            return [refuse(ask, Reason.takeover_unknown, 0)]
+        grant = self.roster.grants.get(ask.id)
+        if grant is not None:
+            if grant.job.ask.attempt == ask.attempt:
+                return [self._permit(grant)]
+            self.roster.release(ask.id)
+        waiting = self._waiting.get(ask.id)
+        if waiting is not None:
+            waiting.ask = ask
+            return []
+        return self._enqueue(ask, rid, now)
+
+    def done(self, done: Done, now: float) -> list[Outgoing]:
+        """Take a permit back."""
+        self._waiting.remove(done.id)
+        grant = self.roster.release(done.id)
+        if grant is None:
+            return []
+        self.roster.learn(grant, done, now)
+        return self._start_jobs(now)
+
+    def withdraw(self, request_id: str, now: float) -> list[Outgoing]:
+        """Drop a waiting request, or a permit that was never used."""
+        self._waiting.remove(request_id)
+        self.roster.release(request_id)
+        return self._start_jobs(now)
+
+    def progress(self, report: Progress, now: float) -> list[Outgoing]:
+        """Take what a home saw of an upstream's open streams."""
+        self.roster.progress(report, now)
+        return self._start_jobs(now)
+
+    def holding(self, holding: Holding, now: float) -> None:
+        """Take a home's running requests after a change of owner."""
+        for running in holding.running:
+            if running.id in self.roster.grants:
+                continue
+            ask = Ask(
+                id=running.id,
+                service=self.service,
+                holder=holding.home,
+                workspace=running.workspace,
+                tier=running.tier,
+                idempotent=running.idempotent,
+                prompt_tokens=running.prompt_tokens,
+                max_tokens=running.max_tokens,
+                left_s=running.left_s,
+            )
+            job = self._job(ask, RequestId.parse(running.id), now)
+            self.roster.record(Grant(job, running.upstream, now))
+
+    def homes_gone(self, homes: Set[str], now: float) -> list[Outgoing]:
+        """Drop what dead or fenced incarnations wait for and run."""
+        for job in list(self._waiting):
+            if job.ask.holder in homes:
+                self._waiting.remove(job.ask.id)
+        self.roster.release_homes(homes)
+        return self._start_jobs(now)
+
+    # -- time
+
+    def tick(self, now: float) -> list[Outgoing]:
+        """Take back lost permits, give up late jobs, start others."""
+        self.roster.release_late(now)
+        if not self.ready:
+            return []
+        out = self._start_jobs(now)
+        if self._policy.bounded:
+            out += self._shedder.give_up_late(now)
+            out += self._shedder.make_room(now)
+        return out
+
+    # -- reading
+
+    def counts(self) -> PoolCounts:
+        """Return numbers for `status`."""
+        return PoolCounts(
+            len(self._waiting),
+            len(self.roster.grants),
+            self.roster.slots(),
+            len(self.roster),
+            len(self.roster.memory),
+        )
+
+    # -- internals
+
+    def _enqueue(
+        self,
+        ask: Ask,
+        rid: RequestId,
+        now: float,
+    ) -> list[Outgoing]:
+        job = self._job(ask, rid, now)
+        if ask.attempt == 0:
+            wait = self.roster.limits.admit(ask.workspace, job.cost, now)
+            if wait > 0:
+                return [refuse(ask, Reason.rate_limited, wait)]
+        if not (self._policy.bounded and self.ready):
+            self._waiting.push(job)
+            return self._start_jobs(now)
+        rejection = self._shedder.judge(job, now)
+        if rejection is not None:
+            out = self._shedder.bar_lower(job, rejection.reason, now)
+            out.append(refuse(ask, rejection.reason, rejection.wait_s))
+            return out
+        self._waiting.push(job)
+        return self._start_jobs(now) + self._shedder.make_room(now)
+
+    def _start_jobs(self, now: float) -> list[Outgoing]:
+        """Permit as many waiting jobs as there is room for."""
+        out: list[Outgoing] = []
+        if not self.ready:
+            return out
+        upstreams = self.roster.open_upstreams(now)
+        grant = self._next_grant(upstreams, now)
+        while grant is not None:
+            self._waiting.remove(grant.job.ask.id)
+            weight = self.roster.limits.weight(grant.job.ask.workspace)
+            self._waiting.charge(grant.job, weight)
+            self.roster.record(grant)
+            out.append(self._permit(grant))
+            grant = self._next_grant(upstreams, now)
+        return out
+
+    def _next_grant(
+        self,
+        upstreams: list[Upstream],
+        now: float,
+    ) -> Grant | None:
+        for job in self._waiting.heads(self.roster.limits.has_room):
+            if self._shedder.is_barred(job, now):
+                continue
+            ask = job.ask
+            usable = [up for up in upstreams if up.info.name != ask.avoid]
+            chosen = self._policy.choose(ask, usable or upstreams, job.output)
+            if chosen is None:
+                continue
+            cached = chosen.cache.cached_tokens(ask.prefixes)
+            return Grant(job, chosen.info.name, now, cached)
+        return None
+
+    def _job(self, ask: Ask, rid: RequestId, now: float) -> Job:
+        rank = self._shedder.tiers.rank_of(ask.tier)
+        output = expected_output(self.roster.lengths, ask)
+        return Job(ask, rid, rank, now + ask.left_s, output, now)
+
+    def _permit(self, grant: Grant) -> Outgoing:
+        ask = grant.job.ask
+        message = Permit(
+            ask.id,
+            self.service,
+            ask.attempt,
+            grant.upstream,
+            self.roster.address_of(grant.upstream),
+            self._cfg.permit_s,
+        )
+        return Outgoing(ask.holder, message)
--- /dev/null
+++ b/packages/admission/src/tallyhall_admission/tiers.py
@@ -0,0 +1,39 @@
+"""The tiers as the owner needs them: ranks and targets."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from tallyhall_table.model import TierRow
+
+_DEFAULT_GAP_S = 0.076
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tiers:
+    """The table's tiers; rank 0 is the highest."""
+
+    rows: tuple[TierRow, ...] = ()
+
+    @property
+    def top(self) -> int:
+        """Return the highest tier's rank."""
+        return min((row.rank for row in self.rows), default=0)
+
+    @property
+    def bottom(self) -> int:
+        """Return the lowest tier's rank."""
+        return max((row.rank for row in self.rows), default=0)
+
+    @property
+    def gap_s(self) -> float:
+        """Return the strictest target for the time between tokens."""
+        gaps = [row.gap_s for row in self.rows]
+        return min(gaps, default=_DEFAULT_GAP_S)
+
+    def rank_of(self, name: str) -> int:
+        """Return a tier's rank; an unknown one counts as the lowest."""
+        for row in self.rows:
+            if row.name == name:
+                return row.rank
+        return self.bottom
--- /dev/null
+++ b/packages/bench/src/tallyhall_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, faults, histograms and reports, against real processes."""
--- /dev/null
+++ b/packages/bench/src/tallyhall_bench/tables.py
@@ -0,0 +1,52 @@
+"""Tables for runs on one machine."""
+
+from __future__ import annotations
+
+import uuid
+from typing import Any
+
+from tallyhall_platform.kv import EtcdKeyValue
+from tallyhall_table.model import Table
+from tallyhall_table.store import TableStore
+
+_TIMEOUT_S = 2.0
+
+
+def put_table(address: str, fields: dict[str, Any]) -> None:
+    """Make the table in the KV equal to these fields, as an operator does."""
+    store = TableStore(EtcdKeyValue(f'http://{address}', _TIMEOUT_S))
+    wanted = Table.model_validate(fields)
+    store.replace(wanted, store.read(), f'bench-{uuid.uuid4().hex[:6]}')
+
+
+def usual_table(
+    workspaces: tuple[str, ...],
+    deadlines: tuple[float, float, float] = (6.0, 12.0, 20.0),
+) -> dict[str, Any]:
+    """Return three tiers, a model and a plain service, all rows open."""
+    tiers = ('audit', 'desk', 'batch')
+    weights = (8.0, 3.0, 1.0)
+    return {
+        'tiers': [
+            {
+                'name': name,
+                'rank': rank,
+                'deadline_s': deadlines[rank],
+                'goodput_weight': weights[rank],
+            }
+            for rank, name in enumerate(tiers)
+        ],
+        'services': [
+            {'name': 'ledger', 'kind': 'model', 'model': 'ledger'},
+            {'name': 'tags', 'kind': 'plain'},
+        ],
+        'limits': [
+            {
+                'workspace': workspace,
+                'service': service,
+                'tiers': list(tiers),
+            }
+            for workspace in workspaces
+            for service in ('ledger', 'tags')
+        ],
+    }
--- /dev/null
+++ b/packages/core/src/tallyhall_core/events.py
@@ -0,0 +1,44 @@
+"""Numbered log events; docs/EVENTS.md is their catalogue.
+
+A log record names one of these and adds fields; it has no free text.
+"""
+
+from __future__ import annotations
+
+import enum
+
+
+@enum.unique
+class Event(enum.IntEnum):
+    """Event numbers: 1xx process, 2xx platform, 3xx members, 4xx requests."""
+
+    started = 100
+    stopping = 101
+    stopped = 102
+    settings_rejected = 103
+    kv_down = 200
+    kv_up = 201
+    kv_conflict = 202
+    list_down = 203
+    list_up = 204
+    value_taken = 205
+    value_rejected = 206
+    peer_unreachable = 300
+    member_dead = 301
+    assignment_changed = 302
+    fenced = 303
+    owner_started = 304
+    owner_ready = 305
+    deputy_started = 306
+    admitted = 400
+    permitted = 401
+    dispatched = 402
+    finished = 403
+    refused = 404
+    revoked = 405
+    takeover = 406
+    resumed = 407
+    relayed = 408
+    internal_error = 500
+    order_sent = 600
+    order_refused = 601
--- /dev/null
+++ b/packages/core/src/tallyhall_core/refusals.py
@@ -0,0 +1,148 @@
+"""The catalogue of refusals: number, reason, HTTP status, text.
+
+Every answer that is not the upstream's own carries one of these. `Executed`
+says what is known about the upstream: NO only where nothing was dispatched
+and nothing ever can be.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+@enum.unique
+class Executed(enum.StrEnum):
+    """Whether the request reached an upstream."""
+
+    no = 'no'
+    unknown = 'unknown'
+    yes = 'yes'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """One row of the catalogue."""
+
+    number: int
+    status: int
+    executed: Executed
+    text: str
+
+
+@enum.unique
+class Reason(enum.StrEnum):
+    """Names of the refusals, also used as counter names."""
+
+    bad_request = 'bad_request'
+    unknown_workspace = 'unknown_workspace'
+    unknown_service = 'unknown_service'
+    unknown_tier = 'unknown_tier'
+    body_too_large = 'body_too_large'
+    deadline_past = 'deadline_past'
+    bad_request_id = 'bad_request_id'
+    not_ready = 'not_ready'
+    deadline_unreachable = 'deadline_unreachable'
+    rate_limited = 'rate_limited'
+    shed = 'shed'
+    queue_full = 'queue_full'
+    deadline_exceeded = 'deadline_exceeded'
+    no_upstream = 'no_upstream'
+    owner_unreachable = 'owner_unreachable'
+    revoked = 'revoked'
+    deadline_exceeded_running = 'deadline_exceeded_running'
+    upstream_broken = 'upstream_broken'
+    upstream_error = 'upstream_error'
+    takeover_unknown = 'takeover_unknown'
+    fenced = 'fenced'
+    cancelled = 'cancelled'
+    already_answered = 'already_answered'
+    stopping = 'stopping'
+
+
+_NOT_RUN = Executed.no
+_UNKNOWN = Executed.unknown
+_YES = Executed.yes
+
+CATALOGUE = {  # noqa: WPS407  (read only; a mapping proxy hides the types)
+    Reason.bad_request: Entry(1001, 400, _NOT_RUN, 'The request is malformed.'),
+    Reason.unknown_workspace: Entry(1002, 403, _NOT_RUN, 'Unknown workspace.'),
+    Reason.unknown_service: Entry(1003, 404, _NOT_RUN, 'Unknown service.'),
+    Reason.unknown_tier: Entry(
+        1004, 400, _NOT_RUN, 'Tier not open to this row.'
+    ),
+    Reason.body_too_large: Entry(1005, 413, _NOT_RUN, 'The body is too large.'),
+    Reason.deadline_past: Entry(
+        1006, 400, _NOT_RUN, 'The deadline has passed.'
+    ),
+    Reason.bad_request_id: Entry(
+        1007, 400, _NOT_RUN, 'Use a fresh locate answer.'
+    ),
+    Reason.not_ready: Entry(1101, 503, _NOT_RUN, 'No table is in force yet.'),
+    Reason.stopping: Entry(1102, 503, _NOT_RUN, 'The instance is stopping.'),
+    Reason.deadline_unreachable: Entry(
+        1201, 503, _NOT_RUN, 'The deadline cannot be met even without a queue.'
+    ),
+    Reason.rate_limited: Entry(
+        1202, 429, _NOT_RUN, 'The row is over its rate.'
+    ),
+    Reason.shed: Entry(1203, 503, _NOT_RUN, 'Load is being shed.'),
+    Reason.queue_full: Entry(1204, 503, _NOT_RUN, 'The queue is full.'),
+    Reason.deadline_exceeded: Entry(
+        1205, 504, _NOT_RUN, 'The deadline passed while the request waited.'
+    ),
+    Reason.no_upstream: Entry(
+        1206, 503, _NOT_RUN, 'No upstream takes new work.'
+    ),
+    Reason.owner_unreachable: Entry(
+        1207, 503, _NOT_RUN, 'The owner of the service cannot be reached.'
+    ),
+    Reason.revoked: Entry(
+        1301, 503, _YES, 'Stopped while running, for a higher tier.'
+    ),
+    Reason.deadline_exceeded_running: Entry(
+        1302, 504, _YES, 'The deadline passed while the request ran.'
+    ),
+    Reason.upstream_broken: Entry(
+        1303, 502, _UNKNOWN, 'The upstream broke off; it may have run.'
+    ),
+    Reason.upstream_error: Entry(
+        1304, 502, _YES, 'The upstream answered with an error.'
+    ),
+    Reason.takeover_unknown: Entry(
+        1401, 503, _UNKNOWN, 'The earlier instance may have dispatched it.'
+    ),
+    Reason.fenced: Entry(
+        1402, 503, _UNKNOWN, 'Another instance took over; ask with this id.'
+    ),
+    Reason.cancelled: Entry(1403, 499, _YES, 'The caller went away.'),
+    Reason.already_answered: Entry(
+        1404, 409, _UNKNOWN, 'This id was answered; the answer is not kept.'
+    ),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A final answer that is not the upstream's.
+
+    retry_after: seconds after which asking again may help; None where it
+    never will.
+    """
+
+    reason: Reason
+    executed: Executed
+    retry_after: float | None = None
+    detail: str = ''
+
+    @classmethod
+    def of(
+        cls,
+        reason: Reason,
+        *,
+        retry_after: float | None = None,
+        detail: str = '',
+    ) -> Refusal:
+        """Return the refusal with the catalogue's own `executed`."""
+        executed = CATALOGUE[reason].executed
+        return cls(reason, executed, retry_after, detail)
--- /dev/null
+++ b/packages/gateway/src/tallyhall_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers (waitress) and upstreams (urllib3)."""
--- /dev/null
+++ b/packages/gateway/src/tallyhall_gateway/upstream.py
@@ -0,0 +1,117 @@
+"""Connections to upstreams.
+
+Each dispatch has a connection of its own, made before anything is written:
+a reused one can be found dead only after the request went out, and then
+nobody knows whether it ran. What fails up to `connect` was not sent;
+whatever fails later may have run.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+
+import urllib3
+from urllib3.connection import HTTPConnection
+
+from .errors import NotSentError, StreamBrokenError
+
+_CONNECT_S = 1.0
+_CONTROL_S = 1.0
+MAX_PLAIN_BYTES = 16_000_000
+
+
+class UpstreamCall:
+    """One connection to one upstream, which another thread may cut."""
+
+    def __init__(self, address: str, read_s: float) -> None:
+        """Prepare; nothing is opened yet. Reads wait at most `read_s`."""
+        host, _, port = address.rpartition(':')
+        self._conn = HTTPConnection(
+            host,
+            int(port),
+            timeout=urllib3.Timeout(connect=_CONNECT_S).connect_timeout,
+        )
+        self._read_s = read_s
+        self._lock = threading.Lock()
+        self._cut = False
+
+    def connect(self) -> None:
+        """Open the connection; raise NotSentError."""
+        try:
+            self._conn.connect()
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            raise NotSentError(str(exc)) from exc
+        with self._lock:
+            if self._cut:
+                raise NotSentError('cancelled')
+        self._conn.timeout = self._read_s
+        if self._conn.sock is not None:
+            self._conn.sock.settimeout(self._read_s)
+
+    def exchange(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+    ) -> urllib3.BaseHTTPResponse:
+        """Write the request and read the head; raise StreamBrokenError."""
+        try:
+            self._conn.request(
+                method,
+                path,
+                body=body or None,
+                headers=headers,
+                preload_content=False,
+            )
+            return self._conn.getresponse()
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
+            raise StreamBrokenError(str(exc)) from exc
+
+    def cut(self) -> None:
+        """End the connection from another thread."""
+        with self._lock:
+            self._cut = True
+            sock = self._conn.sock
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Close the connection; nothing is kept for reuse."""
+        self._conn.close()
+
+
+def cancel_stream(address: str, request_id: str) -> None:
+    """Tell an engine to stop a stream; it does not matter if it fails."""
+    call = UpstreamCall(address, _CONTROL_S)
+    with contextlib.suppress(NotSentError, StreamBrokenError):
+        call.connect()
+        call.exchange('DELETE', f'/v1/streams/{request_id}', b'', {})
+    call.close()
+
+
+def read_whole(resp: urllib3.BaseHTTPResponse) -> bytes:
+    """Return a whole plain answer; raise StreamBrokenError if it is short."""
+    try:
+        raw = resp.read(MAX_PLAIN_BYTES + 1)
+        if len(raw) > MAX_PLAIN_BYTES:
+            raise StreamBrokenError('answer too large')
+        # A body of unknown length is whole only if the read reached its end.
+        rest = resp.read()
+    except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
+        raise StreamBrokenError(str(exc)) from exc
+    if _needs_length(resp):
+        raise StreamBrokenError('an answer without length or end marker')
+    return raw + rest
+
+
+def _needs_length(resp: urllib3.BaseHTTPResponse) -> bool:
+    # Without a length and without chunks, a cut looks like the end.
+    headers = resp.headers
+    if resp.status in {204, 304}:  # noqa: WPS432
+        return False
+    chunked = 'chunked' in headers.get('transfer-encoding', '').lower()
+    return not chunked and 'content-length' not in headers
--- /dev/null
+++ b/packages/node/src/tallyhall_node/owner.py
@@ -0,0 +1,299 @@
+"""The owner role: one pool for each service that the assignment gives us.
+
+A new owner first asks every live home what it has running, and permits
+nothing until all have answered or a short time has passed. It starts no
+lower tier for the promise that its predecessor may have given.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from tallyhall_admission import memory
+from tallyhall_admission.policy import make_policy
+from tallyhall_admission.messages_out import Outgoing
+from tallyhall_admission.pool import Pool, PoolCounts
+from tallyhall_core.events import Event
+from tallyhall_core.ids import RequestId
+from tallyhall_core.messages import (
+    Ask,
+    AskRefused,
+    Done,
+    Holding,
+    HoldingWanted,
+    NotOwner,
+    Progress,
+    Query,
+    QueryAnswer,
+    Withdraw,
+)
+from tallyhall_core.refusals import Reason
+
+from .actions import Action, LogEvent
+from .view import View
+
+_ASK_HOMES_S = 0.3
+
+
+@dataclasses.dataclass(slots=True)
+class _Owned:
+    pool: Pool
+    since: int
+    started: float
+    deputy: bool = False
+    wanted: float = 0
+    reported: set[str] = dataclasses.field(default_factory=set)
+
+
+class OwnerRole:
+    """The pools of this incarnation."""
+
+    def __init__(self, view: View) -> None:
+        """Start owning nothing."""
+        self._view = view
+        self._owned: dict[str, _Owned] = {}
+        self._absent: dict[str, float] = {}
+
+    def services(self) -> tuple[str, ...]:
+        """Return the services owned, deputies' included."""
+        return tuple(sorted(self._owned))
+
+    def counts(self) -> dict[str, PoolCounts]:
+        """Return numbers for `status` by service."""
+        return {name: own.pool.counts() for name, own in self._owned.items()}
+
+    def is_ready(self, service: str) -> bool:
+        """Return whether the service's pool permits."""
+        owned = self._owned.get(service)
+        return owned is not None and owned.pool.ready
+
+    # -- changes of the view
+
+    def on_assignment(self, now: float) -> list[Action]:
+        """Start and drop pools as the assignment says."""
+        out: list[Action] = []
+        view = self._view
+        for held, owned in list(self._owned.items()):
+            if not self._still_owns(held, owned):
+                self._owned.pop(held)
+        for service, tenure in view.assignment.owners.items():
+            if tenure.owner == view.me and service not in self._owned:
+                out += self._start(service, tenure.since, now)
+        fenced = view.assignment.fenced.keys()
+        for mine in self._owned.values():
+            out.extend(self._out(mine.pool.homes_gone(fenced, now)))
+        return out
+
+    def on_table(self, now: float) -> None:
+        """Hand a new table to every pool."""
+        for owned in self._owned.values():
+            owned.pool.configure(self._view.table, now)
+
+    def on_instances(self) -> None:
+        """Hand a new instance list to every pool."""
+        for service, owned in self._owned.items():
+            owned.pool.take_instances(self._view.instances.of(service))
+
+    # -- messages
+
+    def on_ask(self, sender: str, ask: Ask, now: float) -> list[Action]:
+        """Take an ask; refuse what is not ours or from a fenced home."""
+        rid = RequestId.parse(ask.id)
+        owned = self._owned.get(ask.service)
+        if owned is None and not rid.takeover:
+            owned = self._deputise(ask.service, now)
+        if owned is None or (owned.deputy and rid.takeover):
+            reply = NotOwner(
+                ask.id,
+                ask.service,
+                ask.attempt,
+                self._view.assignment.epoch,
+            )
+            return self._view.send(sender, reply)
+        holder = self._view.assignment.holder_of(str(rid.home))
+        if holder != ask.holder:
+            refused = AskRefused(
+                ask.id,
+                ask.service,
+                ask.attempt,
+                Reason.fenced,
+                0,
+            )
+            return self._view.send(sender, refused)
+        return self._out(owned.pool.ask(ask, now))
+
+    def on_done(self, done: Done, now: float) -> list[Action]:
+        """Take a permit back."""
+        owned = self._owned.get(done.service)
+        return self._out(owned.pool.done(done, now)) if owned else []
+
+    def on_withdraw(self, msg: Withdraw, now: float) -> list[Action]:
+        """Take that a home no longer wants a permit."""
+        owned = self._owned.get(msg.service)
+        return self._out(owned.pool.withdraw(msg.id, now)) if owned else []
+
+    def on_progress(self, report: Progress, now: float) -> list[Action]:
+        """Take a home's report of open streams."""
+        owned = self._owned.get(report.service)
+        return self._out(owned.pool.progress(report, now)) if owned else []
+
+    def on_holding(self, holding: Holding, now: float) -> list[Action]:
+        """Take a home's running requests; permit once all have reported."""
+        owned = self._owned.get(holding.service)
+        if owned is None or owned.since != holding.since:
+            return []
+        if holding.home not in owned.reported:
+            owned.reported.add(holding.home)
+            owned.pool.holding(holding, now)
+        return self._check_ready(holding.service, owned, now)
+
+    def on_query(self, sender: str, query: Query, now: float) -> list[Action]:
+        """Answer a taker; the node has applied the query's assignment."""
+        verdict = QueryAnswer(query.id, query.service, 'unknown')
+        rid = RequestId.parse(query.id)
+        owned = self._owned.get(query.service)
+        holder = self._view.assignment.holder_of(str(rid.home))
+        if owned is None or owned.deputy or holder != query.taker:
+            return self._view.send(sender, verdict)
+        recall = owned.pool.roster.memory.recall(rid)
+        # An owner whose tenure began after the id was minted may have had a
+        # predecessor that permitted it.
+        if recall.state == memory.PERMITTED:
+            verdict = QueryAnswer(
+                query.id,
+                query.service,
+                'permitted',
+                recall.upstream,
+                owned.pool.roster.address_of(recall.upstream),
+            )
+        elif recall.state == memory.NEVER and owned.since <= rid.epoch:
+            verdict = QueryAnswer(query.id, query.service, 'never')
+        return self._view.send(sender, verdict)
+
+    def on_load(
+        self,
+        service: str,
+        upstream: str,
+        requests: float,
+        cache_tokens: int,
+    ) -> None:
+        """Take an upstream's own load report."""
+        owned = self._owned.get(service)
+        if owned is not None:
+            owned.pool.roster.load_report(upstream, requests, cache_tokens)
+
+    # -- time
+
+    def tick(self, now: float) -> list[Action]:
+        """Run every pool's clock; ask homes that have not reported."""
+        out: list[Action] = []
+        for service, owned in list(self._owned.items()):
+            if not owned.pool.ready:
+                out += self._check_ready(service, owned, now)
+            if not owned.pool.ready:
+                out += self._ask_homes(service, owned, now)
+            if owned.deputy and not self._view.kv_down(now):
+                self._owned.pop(service)
+                continue
+            out += self._out(owned.pool.tick(now))
+        self._drop_absent(now)
+        return out
+
+    # -- internals
+
+    def _start(
+        self,
+        service: str,
+        since: int,
+        now: float,
+        *,
+        deputy: bool = False,
+    ) -> list[Action]:
+        cfg = self._view.cfg
+        pool = Pool(service, make_policy(cfg.policy), cfg.pool)
+        pool.configure(self._view.table, now)
+        pool.take_instances(self._view.instances.of(service))
+        pool.inherit_promises(now)
+        owned = _Owned(pool, since, now, deputy)
+        self._owned[service] = owned
+        event = Event.deputy_started if deputy else Event.owner_started
+        return [
+            LogEvent(event, {'service': service, 'since': since}),
+            *self._ask_homes(service, owned, now),
+        ]
+
+    def _still_owns(self, service: str, owned: _Owned) -> bool:
+        same = self._view.since(service) == owned.since
+        if owned.deputy:
+            return same
+        return same and self._view.owner_of(service) == self._view.me
+
+    def _deputise(self, service: str, now: float) -> _Owned | None:
+        view = self._view
+        owner = view.owner_of(service)
+        if not view.kv_down(now) or view.is_home_live(owner, now):
+            return None
+        if view.deputy_of(service, now) != view.me:
+            return None
+        self._start(service, view.since(service), now, deputy=True)
+        return self._owned[service]
+
+    def _ask_homes(
+        self,
+        service: str,
+        owned: _Owned,
+        now: float,
+    ) -> list[Action]:
+        if now - owned.wanted < _ASK_HOMES_S:
+            return []
+        owned.wanted = now
+        out: list[Action] = []
+        wanted = HoldingWanted(service, owned.since)
+        for instance, entry in self._view.members.live(now).items():
+            home = f'{instance}.{entry.incarnation}'
+            if home not in owned.reported:
+                out += self._view.send(home, wanted)
+        return out
+
+    def _check_ready(
+        self,
+        service: str,
+        owned: _Owned,
+        now: float,
+    ) -> list[Action]:
+        if owned.pool.ready:
+            return []
+        homes = {
+            f'{instance}.{entry.incarnation}'
+            for instance, entry in self._view.members.live(now).items()
+        }
+        late = now - owned.started >= self._view.cfg.rebuild_s
+        if not late and not homes <= owned.reported:
+            return []
+        owned.pool.ready = True
+        log = LogEvent(
+            Event.owner_ready,
+            {'service': service, 'complete': homes <= owned.reported},
+        )
+        return [log, *self._out(owned.pool.tick(now))]
+
+    def _drop_absent(self, now: float) -> None:
+        # Homes gone for longer than any deadline are forgotten; their ids
+        # stay barred, so this never allows a second dispatch.
+        live = self._view.members.live(now)
+        homes = {f'{name}.{entry.incarnation}' for name, entry in live.items()}
+        for owned in self._owned.values():
+            for home in owned.pool.roster.memory.homes() - homes:
+                since = self._absent.setdefault(home, now)
+                if now - since > self._view.cfg.members.dead_after:
+                    owned.pool.homes_gone({home}, now)
+                if now - since > self._view.cfg.forget_home_s:
+                    owned.pool.roster.memory.drop(home)
+        for home in homes & self._absent.keys():
+            self._absent.pop(home)
+
+    def _out(self, messages: list[Outgoing]) -> list[Action]:
+        out: list[Action] = []
+        for outgoing in messages:
+            out.extend(self._view.send(outgoing.to, outgoing.message))
+        return out
--- /dev/null
+++ b/packages/node/src/tallyhall_node/view.py
@@ -0,0 +1,126 @@
+"""What this instance knows: members, shared values, assignment and table.
+
+Every role reads the view; only the node changes it. A newer value replaces
+an older one, never the other way round.
+"""
+
+from __future__ import annotations
+
+from tallyhall_core.ids import Home
+from tallyhall_core.messages import MemberEntry, Message, SharedValue
+from tallyhall_membership import assignment as assignments
+from tallyhall_membership import rendezvous
+from tallyhall_membership.members import Members
+from tallyhall_membership.shared import (
+    ASSIGNMENT,
+    INSTANCES,
+    TABLE,
+    SharedValues,
+)
+from tallyhall_table.edits import parse_table
+from tallyhall_table.errors import TableError
+from tallyhall_table.model import Table
+
+from . import instances as lists
+from .actions import Action, Send
+from .settings import NodeSettings
+
+
+class View:
+    """The newest knowledge of one instance."""
+
+    def __init__(self, own: MemberEntry, cfg: NodeSettings) -> None:
+        """Start knowing only itself."""
+        self.cfg = cfg
+        self.members = Members(own, cfg.members)
+        self.shared = SharedValues()
+        self.table = Table()
+        self.assignment = assignments.Assignment()
+        self.instances = lists.InstanceList()
+
+    @property
+    def me(self) -> str:
+        """Return this incarnation's text form."""
+        return str(self.members.home)
+
+    @property
+    def home(self) -> Home:
+        """Return this incarnation."""
+        return self.members.home
+
+    @property
+    def ready(self) -> bool:
+        """Return whether a table and an assignment are in force."""
+        return self.table.revision > 0 and self.assignment.epoch > 0
+
+    def take(self, offered: SharedValue) -> bool:
+        """Take a shared value if it is newer and valid."""
+        if not self.shared.is_newer(offered):
+            return False
+        try:
+            self._parse(offered)
+        except (
+            TableError,
+            assignments.BadAssignmentError,
+            lists.BadInstanceListError,
+        ):
+            return False
+        return self.shared.take(offered)
+
+    def owner_of(self, service: str) -> str:
+        """Return the incarnation that owns the service, empty if none."""
+        tenure = self.assignment.owners.get(service)
+        return tenure.owner if tenure else ''
+
+    def since(self, service: str) -> int:
+        """Return the epoch since when the service has its owner."""
+        tenure = self.assignment.owners.get(service)
+        return tenure.since if tenure else 0
+
+    def candidates(self, now: float) -> dict[str, MemberEntry]:
+        """Return the live instances that are not leaving."""
+        return {
+            name: entry
+            for name, entry in self.members.live(now).items()
+            if entry.state == 'live'
+        }
+
+    def is_home_live(self, home: str, now: float) -> bool:
+        """Return whether this very incarnation counts as alive."""
+        return self.members.is_live(home, now)
+
+    def kv_down(self, now: float) -> bool:
+        """Return whether no poller reaches the KV."""
+        live = self.members.live(now)
+        pollers = rendezvous.rank('poll', live)[: self.cfg.pollers]
+        return not any(live[name].kv_up for name in pollers)
+
+    def polls(self, now: float) -> bool:
+        """Return whether this instance is among those that poll."""
+        live = self.members.live(now)
+        pollers = rendezvous.rank('poll', live)[: self.cfg.pollers]
+        return self.home.instance in pollers
+
+    def deputy_of(self, service: str, now: float) -> str:
+        """Return who serves marked ids of a service with a dead owner."""
+        candidates = self.candidates(now)
+        if not candidates:
+            return ''
+        first = rendezvous.rank(service, candidates)[0]
+        return f'{first}.{candidates[first].incarnation}'
+
+    def send(self, home: str, message: Message) -> list[Action]:
+        """Return the action that sends to one incarnation, if it is known."""
+        instance, _, incarnation = home.partition('.')
+        entry = self.members.known(instance)
+        if entry is None or entry.incarnation != incarnation:
+            return []
+        return [Send(entry.rpc, home, message)]
+
+    def _parse(self, offered: SharedValue) -> None:
+        if offered.name == TABLE:
+            self.table = parse_table(offered.text)
+        elif offered.name == ASSIGNMENT:
+            self.assignment = assignments.decode(offered.text)
+        elif offered.name == INSTANCES:
+            self.instances = lists.decode(offered.text)
--- /dev/null
+++ b/packages/platform/src/tallyhall_platform/http.py
@@ -0,0 +1,83 @@
+"""One JSON call over urllib3, with its errors turned into the platform's."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import urllib3
+
+from .errors import BadAnswerError, RateLimitedError, UnavailableError
+
+_OK = 200
+_TOO_MANY = 429
+_FIRST_SERVER_ERROR = 500
+
+
+class JsonCaller:
+    """Calls to one base address; each waits at most `timeout_s`."""
+
+    def __init__(self, base: str, timeout_s: float) -> None:
+        """Keep connections alive between calls."""
+        self._base = base.rstrip('/')
+        self._pool = urllib3.PoolManager(
+            retries=False,
+            timeout=urllib3.Timeout(total=timeout_s),
+            maxsize=4,
+        )
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+    ) -> dict[str, Any]:
+        """Return the JSON answer; raise a PlatformError."""
+        try:
+            resp = self._pool.request(
+                method,
+                f'{self._base}{path}',
+                body=None if body is None else json.dumps(body),
+                headers={'content-type': 'application/json'},
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            raise UnavailableError(f'{self._base}: {exc}') from exc
+        _check_status(resp.status)
+        try:
+            answer = json.loads(resp.data)
+        except ValueError as exc:
+            raise BadAnswerError(f'{self._base}{path}: no JSON') from exc
+        if not isinstance(answer, dict):
+            raise BadAnswerError(f'{self._base}{path}: no JSON object')
+        return answer
+
+    def stream(
+        self,
+        path: str,
+        body: dict[str, Any],
+        read_s: float,
+    ) -> urllib3.BaseHTTPResponse:
+        """Return an open answer whose reads wait at most `read_s`."""
+        try:
+            resp = self._pool.request(
+                'POST',
+                f'{self._base}{path}',
+                body=json.dumps(body),
+                timeout=urllib3.Timeout(connect=read_s, read=read_s),
+                preload_content=False,
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            raise UnavailableError(f'{self._base}: {exc}') from exc
+        if resp.status != _OK:
+            resp.close()
+            _check_status(resp.status)
+        return resp
+
+
+def _check_status(status: int) -> None:
+    if status == _TOO_MANY:
+        raise RateLimitedError('too many calls')
+    if status >= _FIRST_SERVER_ERROR:
+        raise UnavailableError(f'status {status}')
+    if status != _OK:
+        raise BadAnswerError(f'status {status}')
--- /dev/null
+++ b/packages/platform/src/tallyhall_platform/weights.py
@@ -0,0 +1,57 @@
+"""The weight store: plain HTTP GET with a rate limit.
+
+Only metadata is read here (HEAD): whether a model's weights exist and their
+size, before an engine is ordered to load them.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Protocol
+
+import urllib3
+
+from .errors import RateLimitedError, UnavailableError
+
+_OK = 200
+_NOT_FOUND = 404
+_TOO_MANY = 429
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Weights:
+    """Size of a model's weights in bytes; 0 where there are none."""
+
+    model: str
+    size: int
+
+
+class WeightStore(Protocol):
+    """What the product needs of a weight store."""
+
+    def stat(self, model: str) -> Weights:
+        """Return what is known of a model's weights."""
+
+
+class HttpWeightStore:
+    """A WeightStore over plain HTTP."""
+
+    def __init__(self, base: str, timeout_s: float) -> None:
+        """Speak to the store at this base address."""
+        self._base = base.rstrip('/')
+        self._pool = urllib3.PoolManager(retries=False, timeout=timeout_s)
+
+    def stat(self, model: str) -> Weights:
+        """Return what is known of a model's weights."""
+        try:
+            resp = self._pool.request('HEAD', f'{self._base}/{model}')
+        except urllib3.exceptions.HTTPError as exc:
+            raise UnavailableError(f'{self._base}: {exc}') from exc
+        if resp.status == _TOO_MANY:
+            wait = resp.headers.get('retry-after', '1')
+            raise RateLimitedError(f'come back in {wait} s')
+        if resp.status == _NOT_FOUND:
+            return Weights(model, 0)
+        if resp.status != _OK:
+            raise UnavailableError(f'status {resp.status}')
+        return Weights(model, int(resp.headers.get('content-length', 0)))
--- /dev/null
+++ b/packages/table/src/tallyhall_table/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' table: its rows, its checks and its edits."""
--- /dev/null
+++ b/packages/table/src/tallyhall_table/model.py
@@ -0,0 +1,133 @@
+"""Rows of the table, checked by pydantic, and the table that holds them.
+
+The table is one value in the KV. All rows are frozen: an edit makes a new
+table. Rates are per second over the whole fleet; None means no limit.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import pydantic
+
+Name = Annotated[
+    str,
+    pydantic.Field(pattern=r'^[a-z0-9][a-z0-9-]{0,39}$'),
+]
+Positive = Annotated[float, pydantic.Field(gt=0, le=1e9)]
+Count = Annotated[int, pydantic.Field(ge=1, le=1_000_000)]
+
+HISTORY_KEPT = 20
+MAX_DEADLINE_S = 3600
+MAX_RANK = 99
+
+
+class Row(pydantic.BaseModel):
+    """What all rows have in common: frozen, no unknown keys."""
+
+    model_config = pydantic.ConfigDict(frozen=True, extra='forbid')
+
+
+class TierRow(Row):
+    """One tier; rank 0 is the highest and is shed last.
+
+    deadline_s: the whole answer is due within this unless a request asks
+    for less. gap_s: the longest acceptable time between two tokens.
+    """
+
+    name: Name
+    rank: Annotated[int, pydantic.Field(ge=0, le=MAX_RANK)]
+    deadline_s: Annotated[float, pydantic.Field(gt=0, le=MAX_DEADLINE_S)]
+    first_token_s: Positive = 0.45
+    gap_s: Positive = 0.076
+    goodput_weight: Positive = 1
+
+
+class ServiceRow(Row):
+    """One service; its upstreams come from the platform's instance list.
+
+    checks_fencing: whether its engines refuse an order with an old fencing
+    number. max_running: the most requests at once on one upstream.
+    """
+
+    name: Name
+    kind: Literal['model', 'plain'] = 'model'
+    model: str = ''
+    checks_fencing: bool = False
+    max_running: Count = 64
+    max_queue: Count = 10_000
+
+
+class LimitRow(Row):
+    """Weight and limits of one workspace at one service."""
+
+    workspace: Name
+    service: Name
+    tiers: tuple[Name, ...]
+    weight: Positive = 1
+    rate: Positive | None = None
+    concurrency: Count | None = None
+    tokens_per_s: Positive | None = None
+
+
+class Change(Row):
+    """One entry of the history."""
+
+    revision: int
+    change_id: str
+    author: str
+    at: str
+    summary: str
+
+
+class Table(Row):
+    """One revision of the whole table."""
+
+    revision: int = 0
+    tiers: tuple[TierRow, ...] = ()
+    services: tuple[ServiceRow, ...] = ()
+    limits: tuple[LimitRow, ...] = ()
+    history: tuple[Change, ...] = ()
+
+    @pydantic.model_validator(mode='after')
+    def check_references(self) -> Table:
+        """Check that names are unique and that limits name known rows."""
+        _check_unique('tiers', [row.name for row in self.tiers])
+        _check_unique('tier ranks', [str(row.rank) for row in self.tiers])
+        _check_unique('services', [row.name for row in self.services])
+        keys = [f'{row.workspace}/{row.service}' for row in self.limits]
+        _check_unique('limits', keys)
+        tiers = {row.name for row in self.tiers}
+        services = {row.name for row in self.services}
+        for limit in self.limits:
+            if limit.service not in services:
+                raise ValueError(f'no service named {limit.service!r}')
+            unknown = set(limit.tiers) - tiers
+            if unknown:
+                raise ValueError(f'no tier named {sorted(unknown)}')
+        return self
+
+    def tier(self, name: str) -> TierRow | None:
+        """Return the tier of this name."""
+        return next((row for row in self.tiers if row.name == name), None)
+
+    def service(self, name: str) -> ServiceRow | None:
+        """Return the service of this name."""
+        return next((row for row in self.services if row.name == name), None)
+
+    def limit(self, workspace: str, service: str) -> LimitRow | None:
+        """Return the row of this workspace at this service."""
+        for row in self.limits:
+            if row.workspace == workspace and row.service == service:
+                return row
+        return None
+
+    def has_workspace(self, workspace: str) -> bool:
+        """Return whether any row names the workspace."""
+        return any(row.workspace == workspace for row in self.limits)
+
+
+def _check_unique(what: str, names: list[str]) -> None:
+    repeated = sorted({name for name in names if names.count(name) > 1})
+    if repeated:
+        raise ValueError(f'{what} are not unique: {repeated}')
--- /dev/null
+++ b/packages/transport/src/tallyhall_transport/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances: batches over unary gRPC calls."""
--- /dev/null
+++ b/packages/transport/src/tallyhall_transport/server.py
@@ -0,0 +1,65 @@
+"""The receiving end: a gRPC server that hands messages to the instance."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent import futures
+
+import grpc
+from tallyhall_core.messages import BadMessageError, Message, decode
+
+from .errors import TransportError
+from .generated import link_pb2, link_pb2_grpc
+
+_THREADS = 8
+
+
+class Receiver(link_pb2_grpc.LinkServicer):
+    """Decodes batches; a message that cannot be read is counted, not fatal."""
+
+    def __init__(
+        self,
+        on_message: Callable[[str, str, str, Message], None],
+        on_bad: Callable[[], None],
+    ) -> None:
+        """Call `on_message(sender, sender address, to, message)` for each."""
+        self._on_message = on_message
+        self._on_bad = on_bad
+
+    def Deliver(  # noqa: N802  (the name is the protocol's)
+        self,
+        request: link_pb2.Batch,
+        context: grpc.ServicerContext,
+    ) -> link_pb2.Ack:
+        """Take one batch."""
+        for parcel in request.parcels:
+            try:
+                message = decode(parcel.message)
+            except BadMessageError:
+                self._on_bad()
+                continue
+            self._on_message(
+                parcel.sender,
+                request.sender_address,
+                parcel.to,
+                message,
+            )
+        return link_pb2.Ack()
+
+
+def start_server(address: str, receiver: Receiver) -> grpc.Server:
+    """Return a started server; raise TransportError if it cannot listen."""
+    server = grpc.server(
+        futures.ThreadPoolExecutor(_THREADS, 'link'),
+        options=[('grpc.so_reuseport', 0)],
+    )
+    link_pb2_grpc.add_LinkServicer_to_server(  # type: ignore[no-untyped-call]
+        receiver,
+        server,
+    )
+    try:
+        server.add_insecure_port(address)
+    except RuntimeError as exc:
+        raise TransportError(f'cannot listen at {address}') from exc
+    server.start()
+    return server
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of tallyhall."""
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes on this machine."""
--- /dev/null
+++ b/tests/unit/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of plain classes, without processes."""
--- /dev/null
+++ b/tests/unit/test_pool.py
@@ -0,0 +1,151 @@
+"""Admission: limits, order, fairness, permits and their memory."""
+
+from tallyhall_admission.pool import Pool
+from tallyhall_admission.upstream import UpstreamInfo
+from tallyhall_core.refusals import Reason
+
+from tests.unit import admission as build
+
+
+def _teach(pool: Pool, seconds: float) -> None:
+    """Let the pool learn that a request takes this long."""
+    for number in range(900, 904):
+        request = build.ask(number)
+        pool.ask(request, 0)
+        pool.done(build.done(request, total_s=seconds), 0)
+
+
+def test_no_more_than_the_slots() -> None:
+    pool = build.pool(slots=2)
+    out = [
+        message
+        for number in range(5)
+        for message in pool.ask(build.ask(number), 0)
+    ]
+    assert build.kinds(out) == ['permit', 'permit']
+    out = pool.done(build.done(build.ask(0)), 1)
+    assert build.ids(out, 'permit') == [build.ask(2).id]
+
+
+def test_higher_tier_goes_first() -> None:
+    pool = build.pool(slots=1)
+    pool.ask(build.ask(0, 'batch'), 0)
+    for number, tier in enumerate(('batch', 'desk', 'audit'), 1):
+        pool.ask(build.ask(number, tier), 0)
+    order = []
+    for number in (0, 3, 2):
+        out = pool.done(build.done(build.ask(number)), 1)
+        order += build.ids(out, 'permit')
+    assert order == [build.ask(number).id for number in (3, 2, 1)]
+
+
+def test_workspaces_share_by_tokens() -> None:
+    pool = build.pool(slots=1)
+    pool.ask(build.ask(0), 0)
+    for number in range(1, 7):
+        workspace = 'kitchen' if number == 6 else 'foundry'
+        pool.ask(build.ask(number, workspace=workspace), 0)
+    out = pool.done(build.done(build.ask(0)), 1)
+    first = build.ids(out, 'permit')
+    out = pool.done(build.done(build.ask(int(first[0][-8:], 16))), 1)
+    granted = first + build.ids(out, 'permit')
+    # The one request of `kitchen` does not wait behind five of `foundry`.
+    assert build.ask(6).id in granted
+
+
+def test_repeated_ask_gets_the_same_permit() -> None:
+    pool = build.pool(upstreams=2)
+    first = pool.ask(build.ask(0), 0)
+    again = pool.ask(build.ask(0), 0.5)
+    assert again == first
+    assert pool.counts().running == 1
+
+
+def test_another_holder_never_gets_a_permit() -> None:
+    pool = build.pool()
+    pool.ask(build.ask(0), 0)
+    other = build.ask(0)
+    object.__setattr__(other, 'holder', 'entry-2.ffffffffffff')
+    out = pool.ask(other, 1)
+    assert [getattr(one.message, 'reason', '') for one in out] == [
+        Reason.takeover_unknown,
+    ]
+
+
+def test_leaving_upstream_gets_nothing_new() -> None:
+    pool = build.pool(upstreams=2)
+    pool.take_instances(
+        (
+            UpstreamInfo('engine-0', '127.0.0.1:1', leaving=True),
+            UpstreamInfo('engine-1', '127.0.0.1:2'),
+        ),
+    )
+    out = [
+        message
+        for number in range(4)
+        for message in pool.ask(build.ask(number), 0)
+    ]
+    used = {getattr(one.message, 'upstream', '') for one in out}
+    assert used == {'engine-1'}
+
+
+def test_rate_is_refused_with_a_time_to_come_back() -> None:
+    pool = build.pool(slots=50, rate=2)
+    out = [
+        message
+        for number in range(4)
+        for message in pool.ask(build.ask(number), 0)
+    ]
+    assert build.kinds(out) == ['permit', 'permit', 'refused', 'refused']
+    assert build.kinds(pool.ask(build.ask(9), 0.6)) == ['permit']
+
+
+def test_concurrency_of_a_row_does_not_block_others() -> None:
+    pool = build.pool(slots=50, concurrency=1)
+    assert build.kinds(pool.ask(build.ask(0), 0)) == ['permit']
+    assert not pool.ask(build.ask(1), 0)
+    other = build.ask(2, workspace='kitchen')
+    assert build.kinds(pool.ask(other, 0)) == ['permit']
+    out = pool.done(build.done(build.ask(0)), 1)
+    assert build.ids(out, 'permit') == [build.ask(1).id]
+
+
+def test_hopeless_deadline_is_refused_at_once() -> None:
+    pool = build.pool()
+    _teach(pool, 4)
+    out = pool.ask(build.ask(0, left_s=1), 0)
+    assert [getattr(one.message, 'reason', '') for one in out] == [
+        Reason.deadline_unreachable,
+    ]
+
+
+def test_lower_tier_is_stopped_for_a_higher_one() -> None:
+    pool = build.pool(slots=2)
+    _teach(pool, 4)
+    pool.roster.open_upstreams(0)[0].limit.limit = 2
+    low = [build.ask(number, 'batch', left_s=20) for number in (0, 1)]
+    for asked in low:
+        pool.ask(asked, 0)
+    out = pool.ask(build.ask(2, 'audit', left_s=4.5), 0)
+    assert build.kinds(out) == ['revoke']
+    victim = build.ids(out, 'revoke')[0]
+    stopped = next(request for request in low if request.id == victim)
+    out = pool.done(build.done(stopped), 0.1)
+    assert build.ids(out, 'permit') == [build.ask(2).id]
+
+
+def test_top_tier_is_shed_only_when_no_lower_runs() -> None:
+    pool = build.pool(slots=1)
+    _teach(pool, 4)
+    pool.roster.open_upstreams(0)[0].limit.limit = 1
+    pool.ask(build.ask(0, 'batch', left_s=20), 0)
+    refused = []
+    for number in range(1, 6):
+        out = pool.ask(build.ask(number, 'audit', left_s=6), 0)
+        refused += build.ids(out, 'refused')
+    assert not refused
+    pool.done(build.done(build.ask(0, 'batch')), 0.1)
+    out = pool.ask(build.ask(7, 'audit', left_s=6), 0.2)
+    assert build.kinds(out)[-1] == 'refused'
+    late = pool.ask(build.ask(8, 'batch', left_s=20), 0.3)
+    assert build.kinds(late) == ['refused']
