--- a/packages/admission/src/tallyhall_admission/roster.py
+++ b/packages/admission/src/tallyhall_admission/roster.py
@@ -130,7 +130,7 @@
         upstream = self._upstreams.get(grant.upstream)
         if upstream is None:
             return
-        if not done.ran:
+        if done.broken or not done.ran:
             upstream.broken_until = now + self._cfg.broken_s
         elif done.ok and grant.job.ask.prompt_tokens:
             self._learn_model(grant, upstream, done)
--- a/packages/bench/src/tallyhall_bench/fleet.py
+++ b/packages/bench/src/tallyhall_bench/fleet.py
@@ -109,6 +109,9 @@
         self.instances: dict[str, Member] = {}
         self.upstreams: dict[str, Member] = {}
         self.platform: dict[str, Member] = {}
+        # upstream name -> address of a proxy to announce in its place
+        self.routes: dict[str, str] = {}
+        self.list_revision = 0
         self.http = urllib3.PoolManager(retries=False, timeout=5, num_pools=64)
         self._dir = tempfile.TemporaryDirectory(prefix='tallyhall-')
         self.folder = pathlib.Path(self._dir.name)
@@ -252,12 +255,28 @@
             {
                 'service': member.service,
                 'name': member.name,
-                'address': member.address,
+                'address': self.routes.get(member.name, member.address),
                 'leaving': member.leaving,
             }
             for member in self.upstreams.values()
         ]
-        self.post('list', '/standin/endpoints', {'endpoints': endpoints})
+        answer = self.post(
+            'list',
+            '/standin/endpoints',
+            {'endpoints': endpoints},
+        )
+        self.list_revision = int(answer['revision'])
+
+    def settle_list(self) -> None:
+        """Wait until every instance has taken the newest instance list."""
+        revision = self.list_revision
+        until = time.monotonic() + _START_S
+        for member in self.instances.values():
+            while time.monotonic() < until:
+                state = self.status(member)
+                if state and state['list_revision'] >= revision:
+                    break
+                time.sleep(_POLL_S)
 
     def put_table(self, fields: dict[str, Any]) -> None:
         """Write a whole table through the product's own store."""
@@ -280,15 +299,17 @@
         """Return the counts of every upstream."""
         return {name: self.counts(name) for name in self.upstreams}
 
-    def post(self, name: str, path: str, body: object) -> None:
-        """Send a control call to a stand-in."""
+    def post(self, name: str, path: str, body: object) -> dict[str, Any]:
+        """Send a control call to a stand-in and return its answer."""
         address = self._member(name).address
-        self.http.request(
+        resp = self.http.request(
             'POST',
             f'http://{address}{path}',
             body=json.dumps(body),
             headers={'content-type': 'application/json'},
         )
+        answer: dict[str, Any] = json.loads(resp.data)
+        return answer
 
     # -- internals
 
--- a/packages/core/src/tallyhall_core/messages.py
+++ b/packages/core/src/tallyhall_core/messages.py
@@ -95,7 +95,8 @@
     """A permit comes back.
 
     ran: whether any byte was written to the upstream. ok: whether the answer
-    was complete. first_s: seconds from dispatch to the first token.
+    was complete. broken: whether the upstream failed to answer whole.
+    first_s: seconds from dispatch to the first token.
     """
 
     id: str
@@ -103,6 +104,7 @@
     upstream: str
     ran: bool
     ok: bool = False
+    broken: bool = False
     first_s: float = 0
     total_s: float = 0
     prompt_tokens: int = 0
--- a/packages/daemon/src/tallyhall_daemon/effects.py
+++ b/packages/daemon/src/tallyhall_daemon/effects.py
@@ -17,7 +17,13 @@
 from tallyhall_gateway.ticket import Relay, Ticket
 from tallyhall_gateway.tickets import Tickets
 from tallyhall_membership.assignment import Edit
-from tallyhall_node.actions import RelayTo, RunResult, Send, StartRun
+from tallyhall_node.actions import (
+    Outcome,
+    RelayTo,
+    RunResult,
+    Send,
+    StartRun,
+)
 from tallyhall_transport.sender import Sender
 
 from .telemetry import Telemetry
@@ -123,8 +129,10 @@
         try:
             outcome = run.execute(self._sent)
         except Exception:
+            # Whatever went wrong, the request may have reached the upstream.
             self._telemetry.failure('run')
-            raise
+            start = run.start
+            outcome = RunResult(start.id, start.upstream, Outcome.broken)
         with self._lock:
             self._runs.pop(run.start.id, None)
             if run.ticket.is_final:
--- a/packages/daemon/src/tallyhall_daemon/instance.py
+++ b/packages/daemon/src/tallyhall_daemon/instance.py
@@ -20,7 +20,7 @@
 from tallyhall_core.messages import MemberEntry, Message, Progress, SharedValue
 from tallyhall_core.refusals import Refusal
 from tallyhall_membership.assignment import Edit
-from tallyhall_membership.shared import NAMES
+from tallyhall_membership.shared import INSTANCES, NAMES
 from tallyhall_node.actions import (
     Action,
     CancelRun,
@@ -283,6 +283,7 @@
             'leaving': self._node.leaving,
             'table_revision': view.table.revision,
             'assignment_epoch': view.assignment.epoch,
+            'list_revision': view.shared.revision(INSTANCES),
             'owners': {
                 name: tenure.owner
                 for name, tenure in view.assignment.owners.items()
--- a/packages/gateway/src/tallyhall_gateway/relay.py
+++ b/packages/gateway/src/tallyhall_gateway/relay.py
@@ -9,7 +9,7 @@
 from .calls import Call
 from .errors import CutOffError, NotSentError, StreamBrokenError
 from .replies import Reply
-from .upstream import UpstreamCall
+from .upstream import BROKEN_ERRORS, UpstreamCall
 
 MAX_HOPS = 3
 _PASSED_HEADERS = frozenset(
@@ -79,7 +79,7 @@
             if not part:
                 return
             yield part
-    except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
+    except BROKEN_ERRORS as exc:
         raise CutOffError('relay') from exc
     finally:
         conn.close()
--- a/packages/gateway/src/tallyhall_gateway/runner.py
+++ b/packages/gateway/src/tallyhall_gateway/runner.py
@@ -59,6 +59,7 @@
         self._timing = _Timing(time.monotonic())
         self._check = OrderCheck(start.id)
         self._usage = Usage(0, 0, 0)
+        self._has_last = False
 
     def execute(self, on_sent: Callable[[StartRun], None]) -> RunResult:
         """Run to the end and return how it ended; never raises.
@@ -169,13 +170,13 @@
 
     def _read_stream(self, events: Iterator[StreamEvent]) -> None:
         """Pass events on until the end marker; raise StreamBrokenError."""
-        is_last = False
         for event in events:
             if not self._check.accept(event):
                 continue
-            is_last = event.is_last
+            # The end marker may come in a later connection than this event.
+            self._has_last = event.is_last
             self._pass_on(event)
-        if not is_last:
+        if not self._has_last:
             raise StreamBrokenError('no last event before the end marker')
         self.ticket.complete(self._usage, time.monotonic())
 
--- a/packages/gateway/src/tallyhall_gateway/sse.py
+++ b/packages/gateway/src/tallyhall_gateway/sse.py
@@ -14,6 +14,7 @@
 import urllib3
 
 from .errors import StreamBrokenError
+from .upstream import BROKEN_ERRORS
 
 _DATA_LINE = b'data: '
 _DONE = b'[DONE]'
@@ -111,7 +112,7 @@
 def _read(resp: urllib3.BaseHTTPResponse) -> bytes:
     try:
         return resp.read1(_READ_BYTES)
-    except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
+    except BROKEN_ERRORS as exc:
         raise StreamBrokenError(str(exc)) from exc
 
 
--- a/packages/gateway/src/tallyhall_gateway/upstream.py
+++ b/packages/gateway/src/tallyhall_gateway/upstream.py
@@ -11,6 +11,7 @@
 import contextlib
 import socket
 import threading
+from http.client import HTTPException
 
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -19,8 +20,17 @@
 
 _CONNECT_S = 1.0
 _CONTROL_S = 1.0
+_NO_BODY = frozenset((204, 304))
 MAX_PLAIN_BYTES = 16_000_000
 
+# A connection outside a pool lets the standard library's errors through.
+BROKEN_ERRORS = (
+    urllib3.exceptions.HTTPError,
+    HTTPException,
+    OSError,
+    ValueError,
+)
+
 
 class UpstreamCall:
     """One connection to one upstream, which another thread may cut."""
@@ -67,7 +77,7 @@
                 preload_content=False,
             )
             return self._conn.getresponse()
-        except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
+        except BROKEN_ERRORS as exc:
             raise StreamBrokenError(str(exc)) from exc
 
     def cut(self) -> None:
@@ -101,17 +111,20 @@
             raise StreamBrokenError('answer too large')
         # A body of unknown length is whole only if the read reached its end.
         rest = resp.read()
-    except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
+    except BROKEN_ERRORS as exc:
         raise StreamBrokenError(str(exc)) from exc
-    if _needs_length(resp):
+    whole = raw + rest
+    if not _is_delimited(resp, len(whole)):
         raise StreamBrokenError('an answer without length or end marker')
-    return raw + rest
+    return whole
 
 
-def _needs_length(resp: urllib3.BaseHTTPResponse) -> bool:
-    # Without a length and without chunks, a cut looks like the end.
+def _is_delimited(resp: urllib3.BaseHTTPResponse, length: int) -> bool:
+    # Without a length and without chunks, a cut looks like the end; and a cut
+    # within the headers leaves a length that is empty or too small.
+    if resp.status in _NO_BODY:
+        return True
     headers = resp.headers
-    if resp.status in {204, 304}:  # noqa: WPS432
-        return False
-    chunked = 'chunked' in headers.get('transfer-encoding', '').lower()
-    return not chunked and 'content-length' not in headers
+    if 'chunked' in headers.get('transfer-encoding', '').lower():
+        return True
+    return headers.get('content-length', '') == str(length)
--- a/packages/node/src/tallyhall_node/home.py
+++ b/packages/node/src/tallyhall_node/home.py
@@ -328,6 +328,7 @@
             run.upstream,
             ran=run.outcome != Outcome.not_sent,
             ok=run.outcome == Outcome.complete and not req.resumed,
+            broken=run.outcome in {Outcome.broken, Outcome.failed},
             first_s=run.first_s,
             total_s=run.total_s,
             prompt_tokens=run.prompt_tokens,
--- a/packages/node/src/tallyhall_node/owner.py
+++ b/packages/node/src/tallyhall_node/owner.py
@@ -156,8 +156,6 @@
         if owned is None or owned.deputy or holder != query.taker:
             return self._view.send(sender, verdict)
         recall = owned.pool.roster.memory.recall(rid)
-        # An owner whose tenure began after the id was minted may have had a
-        # predecessor that permitted it.
         if recall.state == memory.PERMITTED:
             verdict = QueryAnswer(
                 query.id,
@@ -166,10 +164,22 @@
                 recall.upstream,
                 owned.pool.roster.address_of(recall.upstream),
             )
-        elif recall.state == memory.NEVER and owned.since <= rid.epoch:
+        elif recall.state == memory.NEVER and self.knows_all_since(
+            query.service,
+            rid.epoch,
+        ):
             verdict = QueryAnswer(query.id, query.service, 'never')
         return self._view.send(sender, verdict)
 
+    def knows_all_since(self, service: str, epoch: int) -> bool:
+        """Return whether every permit of ids minted from `epoch` on is ours.
+
+        An owner whose tenure began after an id was minted may have had a
+        predecessor that permitted it.
+        """
+        owned = self._owned.get(service)
+        return owned is not None and owned.since <= epoch
+
     def on_load(
         self,
         service: str,
--- a/packages/standins/src/tallyhall_standins/web.py
+++ b/packages/standins/src/tallyhall_standins/web.py
@@ -19,6 +19,9 @@
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
 
+WsgiApp = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
+
+
 class CutError(Exception):
     """Raised to end an answer in the middle."""
 
@@ -68,6 +71,11 @@
     return json_response({'error': 'not found'}, _NOT_FOUND)
 
 
+def wsgi(answer: RequestHandler) -> WsgiApp:
+    """Return a handler as a WSGI application."""
+    return _Wsgi(answer)
+
+
 def serve(answer: RequestHandler, port: int) -> None:
     """Serve on the loopback address until the process is ended."""
     logging.getLogger('waitress').setLevel(logging.CRITICAL)
--- a/tests/unit/admission.py
+++ b/tests/unit/admission.py
@@ -61,7 +61,7 @@
     attempt: int = 0,
 ) -> Ask:
     """Return the ask of request `number`."""
-    rid = RequestId(HOME, 1, 0, True, f'{number:08x}')  # noqa: FBT003
+    rid = RequestId(HOME, 1, 0, True, f'{number:08x}')
     return Ask(
         id=str(rid),
         service=SERVICE,
--- /dev/null
+++ b/tests/unit/gateway.py
@@ -0,0 +1,74 @@
+"""A run of the gateway against a stand-in engine in this process."""
+
+import threading
+import time
+
+from waitress.server import create_server
+from tallyhall_bench.checks import expected_answer
+from tallyhall_bench.fleet import free_ports
+from tallyhall_gateway.calls import CallerHeaders, model_call
+from tallyhall_gateway.meter import StreamMeter
+from tallyhall_gateway.runner import Run
+from tallyhall_gateway.sse import StreamEvent
+from tallyhall_gateway.ticket import Ticket
+from tallyhall_node.actions import Outcome, StartRun
+from tallyhall_standins.batch import EngineSpeed
+from tallyhall_standins.engine import EngineConfig, EngineStandIn
+from tallyhall_standins.web import wsgi
+
+from tests.unit import admission as build
+
+PROMPT = 'a batch summary ' * 20
+MAX_TOKENS = 24
+_FAST = EngineSpeed(0.0004, 0.00001, 0.000001)
+_DEADLINE_S = 20
+
+
+def start_engine() -> tuple[EngineStandIn, str]:
+    """Serve an engine from threads of this process; return its address."""
+    engine = EngineStandIn(EngineConfig('engine-1', _FAST))
+    port = free_ports(1)[0]
+    server = create_server(
+        wsgi(engine.handle),
+        listen=f'127.0.0.1:{port}',
+        threads=64,
+        asyncore_use_poll=True,
+    )
+    threading.Thread(target=server.run, daemon=True).start()
+    return engine, f'127.0.0.1:{port}'
+
+
+def run_once(number: int, address: str) -> tuple[Outcome, Ticket]:
+    """Dispatch one request and return how it ended, with its answer."""
+    rid = build.ask(number).id
+    raw = (
+        f'{{"model": "ledger", "prompt": "{PROMPT}", '
+        f'"max_tokens": {MAX_TOKENS}}}'
+    ).encode()
+    headers = CallerHeaders('foundry', 'desk', '', '', '', '', 0)
+    call = model_call('/v1/completions', raw, headers, build.table())
+    now = time.monotonic()
+    ticket = Ticket(rid, now)
+    run = Run(
+        StartRun(rid, 'engine-1', address, now + 1),
+        call,
+        ticket,
+        StreamMeter(),
+        now + _DEADLINE_S,
+    )
+    return run.execute(lambda start: None).outcome, ticket
+
+
+def text_of(ticket: Ticket) -> str:
+    """Return the text that a caller would get."""
+    texts = []
+    part = ticket.part(0, 0)
+    while part is not None:
+        texts.append(StreamEvent.model_validate_json(part.content).text)
+        part = ticket.part(len(texts), 0)
+    return ''.join(texts)
+
+
+def whole_text() -> str:
+    """Return the only right answer."""
+    return expected_answer(PROMPT, MAX_TOKENS)
--- a/tests/unit/test_ids.py
+++ b/tests/unit/test_ids.py
@@ -22,7 +22,7 @@
     home: Home,
     epoch: int,
     window: int,
-    takeover: bool,  # noqa: FBT001
+    takeover: bool,
 ) -> None:
     rid = RequestId.mint(home, epoch, window, takeover=takeover)
     assert RequestId.parse(str(rid)) == rid
