--- a/packages/admission/src/tallyhall_admission/messages_out.py
+++ b/packages/admission/src/tallyhall_admission/messages_out.py
@@ -36,4 +36,5 @@
         ask.prompt_tokens,
         ask.max_tokens,
         left_s,
+        ask.attempt,
     )
--- a/packages/admission/src/tallyhall_admission/pool.py
+++ b/packages/admission/src/tallyhall_admission/pool.py
@@ -98,8 +98,10 @@
         return self._enqueue(ask, rid, now)
 
     def done(self, done: Done, now: float) -> list[Outgoing]:
-        """Take a permit back."""
-        self._waiting.remove(done.id)
+        """Take a permit back; one repeated for an earlier attempt is old."""
+        held = self.roster.grants.get(done.id)
+        if held is None or held.job.ask.attempt != done.attempt:
+            return []
         grant = self.roster.release(done.id)
         if grant is None:
             return []
@@ -132,6 +134,7 @@
                 prompt_tokens=running.prompt_tokens,
                 max_tokens=running.max_tokens,
                 left_s=running.left_s,
+                attempt=running.attempt,
             )
             job = self._job(ask, RequestId.parse(running.id), now)
             self.roster.record(Grant(job, running.upstream, now))
--- a/packages/admission/src/tallyhall_admission/shedding.py
+++ b/packages/admission/src/tallyhall_admission/shedding.py
@@ -65,11 +65,11 @@
         run = forecast.run_seconds(job, upstreams)
         if run > left:
             return Rejection(Reason.deadline_unreachable, 0)
+        if self._roster.runs_below(job.rank):
+            return None
         held = self._holds.left(job.rank, now)
         if held > 0:
             return Rejection(Reason.shed, held)
-        if self._roster.runs_below(job.rank):
-            return None
         if len(self._waiting) >= self.max_queue:
             return Rejection(Reason.queue_full, 0)
         late = self._wait(job, now) + run - left
--- a/packages/bench/src/tallyhall_bench/checks.py
+++ b/packages/bench/src/tallyhall_bench/checks.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Mapping
 from typing import Any
 
 from tallyhall_client.outcome import Verdict
@@ -13,6 +14,18 @@
 
 from .load import DoneCall
 
+_SHED_REASONS = frozenset(('shed', 'queue_full'))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RunInterval:
+    id: str
+    service: str
+    rank: int
+    start: float
+    end: float
+
+
 Counts = dict[str, dict[str, Any]]
 
 
@@ -92,6 +105,63 @@
     return ''.join(f' {tag}-{number}' for number in range(length))
 
 
+def tier_order(
+    events: list[dict[str, Any]],
+    ranks: Mapping[str, int],
+) -> list[Violation]:
+    """Find requests shed while a lower tier ran anywhere in the service.
+
+    `events` are the instances' logs; a run lasts from `dispatched` to the
+    request's end. All clocks are this machine's.
+    """
+    runs = _run_intervals(events, ranks)
+    found = []
+    for event in events:
+        if event.get('event') != 'refused':
+            continue
+        if event.get('reason') not in _SHED_REASONS:
+            continue
+        rank = ranks[event['tier']]
+        lower = [
+            run
+            for run in runs
+            if run.service == event['service']
+            and run.rank > rank
+            and run.start < event['at'] < run.end
+        ]
+        if lower:
+            found.append(
+                Violation('tier order', f'{event["id"]} shed, {lower[0].id}'),
+            )
+    return found
+
+
+def _run_intervals(
+    events: list[dict[str, Any]],
+    ranks: Mapping[str, int],
+) -> list[_RunInterval]:
+    started = {
+        event['id']: event['at']
+        for event in events
+        if event.get('event') == 'dispatched'
+    }
+    runs = []
+    for event in events:
+        ended = event.get('event') in {'finished', 'refused'}
+        if not ended or event['id'] not in started or 'tier' not in event:
+            continue
+        runs.append(
+            _RunInterval(
+                event['id'],
+                event['service'],
+                ranks[event['tier']],
+                started[event['id']],
+                event['at'],
+            ),
+        )
+    return runs
+
+
 def without_end(done: list[DoneCall], planned: int) -> list[Violation]:
     """Find requests that did not end exactly once."""
     if len(done) == planned:
--- a/packages/bench/src/tallyhall_bench/fleet.py
+++ b/packages/bench/src/tallyhall_bench/fleet.py
@@ -12,7 +12,7 @@
 import pathlib
 import signal
 import socket
-import subprocess  # noqa: S404
+import subprocess
 import sys
 import tempfile
 import time
@@ -175,7 +175,7 @@
         path = self.folder / f'{name}-{http_port}.toml'
         path.write_text(text, encoding='utf-8')
         log = (self.folder / f'{name}.log').open('ab')
-        process = subprocess.Popen(  # noqa: S603
+        process = subprocess.Popen(
             [
                 sys.executable,
                 '-m',
@@ -280,7 +280,7 @@
 
     def put_table(self, fields: dict[str, Any]) -> None:
         """Write a whole table through the product's own store."""
-        from tallyhall_bench import tables  # noqa: PLC0415
+        from tallyhall_bench import tables
 
         tables.put_table(self.platform['kv'].address, fields)
 
@@ -353,7 +353,7 @@
     options: dict[str, float],
 ) -> Member:
     spec = StandInSpec(kind, name, port, options)
-    process = subprocess.Popen(  # noqa: S603
+    process = subprocess.Popen(
         [sys.executable, '-m', 'tallyhall_standins.main', spec.to_json()],
     )
     return Member(name, f'{_HOST}:{port}', process)
--- a/packages/bench/src/tallyhall_bench/load.py
+++ b/packages/bench/src/tallyhall_bench/load.py
@@ -18,7 +18,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlannedCall:
-    """One request of a plan. at: seconds from the start of the run."""
+    """One request of a plan. at: seconds from the start of the run.
+
+    own_tokens: prompt tokens that it shares with no other request.
+    """
 
     at: float
     service: str
@@ -29,6 +32,7 @@
     max_tokens: int
     deadline_s: float
     idempotent: bool = True
+    own_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,7 +51,7 @@
 
 def text_of(seed: str, tokens: int) -> str:
     """Return a prompt of about this many tokens, the same for each seed."""
-    rng = random.Random(seed)  # noqa: S311
+    rng = random.Random(seed)
     words = max(1, tokens * _CHARS_A_TOKEN // _WORD_CHARS)
     return ''.join(f'{rng.getrandbits(28):07x} ' for _ in range(words))
 
--- a/packages/bench/src/tallyhall_bench/summary.py
+++ b/packages/bench/src/tallyhall_bench/summary.py
@@ -8,6 +8,8 @@
 from hdrh.histogram import HdrHistogram
 from pydantic.dataclasses import dataclass
 
+from tallyhall_standins.batch import BLOCK_TOKENS
+
 from .load import DoneCall
 
 _MICRO = 1_000_000
@@ -95,10 +97,30 @@
     if not computed:
         return 0
     wasted = _sum_counts(counts, 'prefill_wasted')
-    repeated = _sum_counts(counts, 'prefill_repeated')
+    repeated = repeated_tokens(counts)
     return round(min(1.0, (wasted + repeated) / computed), 4)
 
 
+def repeated_tokens(counts: dict[str, dict[str, Any]]) -> int:
+    """Return prompt tokens computed while another engine kept them."""
+    events = sorted(
+        (at, kind == 'add', block, name)
+        for name, upstream in counts.items()
+        for at, kind, block in upstream.get('cache_events', ())
+    )
+    keepers: dict[str, set[str]] = {}
+    repeated = 0
+    for _, added, block, name in events:
+        kept_by = keepers.setdefault(block, set())
+        if not added:
+            kept_by.discard(name)
+            continue
+        if kept_by - {name}:
+            repeated += BLOCK_TOKENS
+        kept_by.add(name)
+    return repeated
+
+
 def quantiles(seconds: list[float]) -> Quantiles:
     """Return the points of a distribution, by an HDR histogram."""
     histogram = HdrHistogram(1, _HIGHEST_S * _MICRO, _DIGITS)
--- a/packages/bench/src/tallyhall_bench/workloads.py
+++ b/packages/bench/src/tallyhall_bench/workloads.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 from .load import PlannedCall, text_of
@@ -14,22 +15,35 @@
 _TIERS = ('audit', 'desk', 'batch')
 
 
-def mixed_burst(seed: int, requests: int, over_s: float) -> list[PlannedCall]:
-    """Return tags, weekly drafts and service calls of several workspaces."""
-    rng = random.Random(seed)  # noqa: S311
+def mixed_burst(
+    seed: int,
+    requests: int,
+    over_s: float,
+    drafts: int = 1,
+    patience: float = 1,
+) -> list[PlannedCall]:
+    """Return tags, weekly drafts and service calls of several workspaces.
+
+    drafts: weight of weekly drafts against 5 of tags and 4 of calls.
+    patience: factor on all deadlines.
+    """
+    rng = random.Random(seed)
     plan = []
     for number in range(requests):
         at = rng.uniform(0, over_s)
         workspace = rng.choice(WORKSPACES)
         tier = rng.choices(_TIERS, (1, 2, 2))[0]
-        kind = rng.choices(('tag', 'draft', 'service'), (5, 1, 4))[0]
+        kind = rng.choices(('tag', 'draft', 'service'), (5, drafts, 4))[0]
         if kind == 'service':
             plan.append(_service_call(at, workspace, tier, rng))
         elif kind == 'draft':
             plan.append(_draft(at, workspace, tier, rng, number))
         else:
             plan.append(_tag(at, workspace, tier, number))
-    return plan
+    return [
+        dataclasses.replace(call, deadline_s=call.deadline_s * patience)
+        for call in plan
+    ]
 
 
 def _tag(at: float, workspace: str, tier: str, number: int) -> PlannedCall:
--- a/packages/client/src/tallyhall_client/locating.py
+++ b/packages/client/src/tallyhall_client/locating.py
@@ -67,11 +67,11 @@
             and now - self._failed.get(entry.http, 0) > answer.keep_s
         ]
         if usable:
-            return random.choice(usable[:_SPREAD])  # noqa: S311
+            return random.choice(usable[:_SPREAD])
         others = [entry for entry in answer.entries if entry.http != avoid]
         if not others and not answer.entries:
             raise NoEntryError('no entry instance is live')
-        return random.choice(others or list(answer.entries))  # noqa: S311
+        return random.choice(others or list(answer.entries))
 
     def failed(self, entry: Entry) -> None:
         """Take that an entry could not be reached; ask anew soon."""
--- a/packages/core/src/tallyhall_core/events.py
+++ b/packages/core/src/tallyhall_core/events.py
@@ -15,17 +15,10 @@
     started = 100
     stopping = 101
     stopped = 102
-    settings_rejected = 103
     kv_down = 200
     kv_up = 201
-    kv_conflict = 202
-    list_down = 203
-    list_up = 204
     value_taken = 205
     value_rejected = 206
-    peer_unreachable = 300
-    member_dead = 301
-    assignment_changed = 302
     fenced = 303
     owner_started = 304
     owner_ready = 305
@@ -38,7 +31,4 @@
     revoked = 405
     takeover = 406
     resumed = 407
-    relayed = 408
     internal_error = 500
-    order_sent = 600
-    order_refused = 601
--- a/packages/core/src/tallyhall_core/messages.py
+++ b/packages/core/src/tallyhall_core/messages.py
@@ -102,6 +102,7 @@
     id: str
     service: str
     upstream: str
+    attempt: int
     ran: bool
     ok: bool = False
     broken: bool = False
@@ -149,6 +150,7 @@
     prompt_tokens: int
     max_tokens: int
     left_s: float
+    attempt: int = 0
 
 
 @dataclass(frozen=True, config=_FROZEN)
--- a/packages/daemon/src/tallyhall_daemon/command_serve.py
+++ b/packages/daemon/src/tallyhall_daemon/command_serve.py
@@ -15,7 +15,7 @@
 
     name = 'serve'
     description = 'Run one entry instance until SIGTERM.'
-    arguments = [argument('settings', _SETTINGS_HELP)]  # noqa: RUF012
+    arguments = [argument('settings', _SETTINGS_HELP)]
 
     def execute_command(self) -> int:
         """Serve."""
@@ -28,7 +28,7 @@
 
     name = 'check'
     description = 'Check a settings file.'
-    arguments = [argument('settings', _SETTINGS_HELP)]  # noqa: RUF012
+    arguments = [argument('settings', _SETTINGS_HELP)]
 
     def execute_command(self) -> int:
         """Check and say so."""
--- a/packages/daemon/src/tallyhall_daemon/commands.py
+++ b/packages/daemon/src/tallyhall_daemon/commands.py
@@ -4,6 +4,28 @@
 
 from cleo.commands.command import Command
 
+from .command_bench import BenchCommand
+from .command_request import RequestCommand, StatusCommand
 from .command_serve import CheckCommand, ServeCommand
+from .command_table import (
+    ApplyCommand,
+    EditCommand,
+    HistoryCommand,
+    SetCommand,
+    ShowCommand,
+    TableStatusCommand,
+)
 
-COMMANDS: tuple[type[Command], ...] = (ServeCommand, CheckCommand)
+COMMANDS: tuple[type[Command], ...] = (
+    ServeCommand,
+    CheckCommand,
+    ShowCommand,
+    SetCommand,
+    ApplyCommand,
+    EditCommand,
+    HistoryCommand,
+    TableStatusCommand,
+    RequestCommand,
+    StatusCommand,
+    BenchCommand,
+)
--- a/packages/daemon/src/tallyhall_daemon/telemetry.py
+++ b/packages/daemon/src/tallyhall_daemon/telemetry.py
@@ -6,6 +6,7 @@
 import logging
 import sys
 import threading
+import time
 
 import statsd
 from pythonjsonlogger.json import JsonFormatter
@@ -66,12 +67,16 @@
     def event(self, event: Event, **fields: object) -> None:
         """Write a numbered event."""
         level = logging.INFO
-        if event in {Event.internal_error, Event.settings_rejected}:
+        if event == Event.internal_error:
             level = logging.ERROR
         self._log.log(
             level,
             event.name,
-            extra={'number': int(event), **fields},
+            extra={
+                'number': int(event),
+                'at': round(time.monotonic(), 4),
+                **fields,
+            },
         )
 
     def failure(self, where: str) -> None:
--- a/packages/membership/src/tallyhall_membership/members.py
+++ b/packages/membership/src/tallyhall_membership/members.py
@@ -82,6 +82,18 @@
         if record is not None:
             record.suspected = True
 
+    def is_silent(self, instance: str, now: float) -> bool:
+        """Return whether an instance says nothing though it may be alive.
+
+        One that refuses connections, has left or has a newer incarnation is
+        not silent but gone.
+        """
+        record = self._records.get(instance)
+        if record is None or record.suspected:
+            return False
+        late = now - record.changed > self._cfg.dead_after
+        return late and record.entry.state != 'gone'
+
     def suspect_address(self, rpc: str) -> None:
         """Count whoever is at this rpc address as dead, likewise."""
         for record in self._records.values():
--- a/packages/node/src/tallyhall_node/home.py
+++ b/packages/node/src/tallyhall_node/home.py
@@ -67,7 +67,7 @@
     asked_owner: str = ''
     upstream: str = ''
     avoid: str = ''
-    stopping: bool = False
+    stopping: Refusal | None = None
     resumed: bool = False
     ended: float = 0
 
@@ -230,16 +230,9 @@
             req.avoid = run.upstream
             out.append(Count(f'retry.{run.outcome}'))
             return [*out, *self._ask(req, now)]
-        if run.outcome == Outcome.not_sent:
-            reason = Reason.no_upstream
-            if now >= req.deadline:
-                reason = Reason.deadline_exceeded
-        elif run.outcome == Outcome.failed:
-            reason = Reason.upstream_error
-        else:
-            reason = Reason.upstream_broken
+        reason = _reason_of(run.outcome, late=now >= req.deadline)
         refusal = Refusal.of(reason, retry_after=_DRAIN_RETRY_S)
-        return [*out, *self._finish(req, refusal, now)]
+        return [*out, *self._finish(req, req.stopping or refusal, now)]
 
     # -- time and changes
 
@@ -326,6 +319,7 @@
             run.id,
             req.spec.service,
             run.upstream,
+            req.attempt,
             ran=run.outcome != Outcome.not_sent,
             ok=run.outcome == Outcome.complete and not req.resumed,
             broken=run.outcome in {Outcome.broken, Outcome.failed},
@@ -386,7 +380,7 @@
             ]
         if req.stopping:
             return []
-        req.stopping = True
+        req.stopping = refusal
         return [
             _log(Event.revoked, req, reason=refusal.reason),
             Count(f'refused.{refusal.reason}'),
@@ -446,6 +440,14 @@
                 self._requests.pop(request_id)
 
 
+def _reason_of(outcome: Outcome, *, late: bool) -> Reason:
+    if outcome == Outcome.not_sent:
+        return Reason.deadline_exceeded if late else Reason.no_upstream
+    if outcome == Outcome.failed:
+        return Reason.upstream_error
+    return Reason.upstream_broken
+
+
 def _log(
     event: Event,
     req: HomeRequest,
--- a/packages/node/src/tallyhall_node/owner.py
+++ b/packages/node/src/tallyhall_node/owner.py
@@ -200,8 +200,7 @@
         for service, owned in list(self._owned.items()):
             if not owned.pool.ready:
                 out += self._check_ready(service, owned, now)
-            if not owned.pool.ready:
-                out += self._ask_homes(service, owned, now)
+            out += self._ask_homes(service, owned, now)
             if owned.deputy and not self._view.kv_down(now):
                 self._owned.pop(service)
                 continue
@@ -295,12 +294,24 @@
         for owned in self._owned.values():
             for home in owned.pool.roster.memory.homes() - homes:
                 since = self._absent.setdefault(home, now)
-                if now - since > self._view.cfg.members.dead_after:
+                if now - since > self._patience(home, now):
                     owned.pool.homes_gone({home}, now)
+                    owned.reported.discard(home)
                 if now - since > self._view.cfg.forget_home_s:
                     owned.pool.roster.memory.drop(home)
-        for home in homes & self._absent.keys():
-            self._absent.pop(home)
+        for back in homes & self._absent.keys():
+            self._absent.pop(back)
+
+    def _patience(self, home: str, now: float) -> float:
+        # What a silent home runs may go on running, so its permits count for
+        # longer than those of one that is surely gone.
+        cfg = self._view.cfg
+        instance, _, incarnation = home.partition('.')
+        known = self._view.members.known(instance)
+        same = known is not None and known.incarnation == incarnation
+        if same and self._view.members.is_silent(instance, now):
+            return cfg.silent_s
+        return cfg.members.dead_after
 
     def _out(self, messages: list[Outgoing]) -> list[Action]:
         out: list[Action] = []
--- a/packages/node/src/tallyhall_node/settings.py
+++ b/packages/node/src/tallyhall_node/settings.py
@@ -18,6 +18,7 @@
     duty_s: delay between instances that would take up the same duty.
     window_s: length of a minting window. locate_s: how long callers keep a
     locate answer. query_s: period of takeover queries; tries: their number.
+    silent_s: how long the permits of a silent home still count.
     """
 
     policy: str = TALLYHALL
@@ -29,7 +30,7 @@
     locate_s: float = 5.0
     query_s: float = 0.5
     query_tries: int = 4
-    kv_down_s: float = 3.0
+    silent_s: float = 10
     pollers: int = 3
     retry_share: float = 0.1
     retry_floor: float = 2.0
--- a/packages/standins/src/tallyhall_standins/batch.py
+++ b/packages/standins/src/tallyhall_standins/batch.py
@@ -11,6 +11,8 @@
 import dataclasses
 import hashlib
 import random
+import time
+from typing import NamedTuple
 
 BLOCK_CHARS = 256
 BLOCK_TOKENS = 64
@@ -76,17 +78,25 @@
 def answer_tokens(text: str, max_tokens: int) -> int:
     """Return the length of the answer to this prompt: it varies by half."""
     seed = int(hashlib.sha256(text.encode()).hexdigest()[8:16], 16)
-    share = random.Random(seed).uniform(0.5, 1)  # noqa: S311
+    share = random.Random(seed).uniform(0.5, 1)
     return max(1, int(max_tokens * share))
 
 
+class CacheEvent(NamedTuple):
+    """A block kept or dropped; `at` is this machine's monotonic clock."""
+
+    at: float
+    kind: str
+    block: str
+
+
 class BlockCache:
     """Prompt blocks kept, least recently used first out."""
 
     def __init__(self, capacity_tokens: int) -> None:
         """Keep this many tokens."""
         self.capacity = capacity_tokens // BLOCK_TOKENS
-        self.events: list[tuple[str, str]] = []
+        self.events: list[CacheEvent] = []
         self._blocks: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
@@ -105,12 +115,14 @@
         """Keep the blocks of a computed prompt."""
         for block in reversed(blocks):
             if block not in self._blocks:
-                self.events.append(('add', block))
+                self.events.append(CacheEvent(time.monotonic(), 'add', block))
             self._blocks[block] = None
             self._blocks.move_to_end(block)
         while len(self._blocks) > self.capacity:
             dropped, _ = self._blocks.popitem(last=False)
-            self.events.append(('drop', dropped))
+            self.events.append(
+                CacheEvent(time.monotonic(), 'drop', dropped),
+            )
 
 
 class Batch:
--- a/packages/standins/src/tallyhall_standins/engine.py
+++ b/packages/standins/src/tallyhall_standins/engine.py
@@ -283,9 +283,9 @@
             # Late: the newest are held back; with gaps: some are left out.
             events = self._batch.cache.events[start:-64]
         shown = [
-            {'seq': start + place, 'kind': kind, 'block': block}
-            for place, (kind, block) in enumerate(events)
-            if random.randrange(_GAP_EVERY)  # noqa: S311
+            {'seq': start + place, 'kind': event.kind, 'block': event.block}
+            for place, event in enumerate(events)
+            if random.randrange(_GAP_EVERY)
         ]
         return json_response({'events': shown})
 
--- a/packages/standins/src/tallyhall_standins/plain.py
+++ b/packages/standins/src/tallyhall_standins/plain.py
@@ -72,7 +72,7 @@
         if cut == 'before':
             return Response(200, _cut())
         with self._slots, self._running.track_inprogress():
-            spread = random.uniform(0.8, 1.2)  # noqa: S311
+            spread = random.uniform(0.8, 1.2)
             time.sleep(self._call_s * spread + self._faults.slow_s)
             with self._lock:
                 self._runs[request_id] += 1
--- a/packages/table/src/tallyhall_table/store.py
+++ b/packages/table/src/tallyhall_table/store.py
@@ -14,7 +14,7 @@
 from .model import Table
 
 
-class _ConflictFound(Exception):  # noqa: N818  (carries a result, no fault)
+class _ConflictFound(Exception):
     def __init__(self, conflict: Conflict) -> None:
         super().__init__(str(conflict))
         self.conflict = conflict
--- a/packages/transport/src/tallyhall_transport/server.py
+++ b/packages/transport/src/tallyhall_transport/server.py
@@ -26,7 +26,7 @@
         self._on_message = on_message
         self._on_bad = on_bad
 
-    def Deliver(  # noqa: N802  (the name is the protocol's)
+    def Deliver(
         self,
         request: link_pb2.Batch,
         context: grpc.ServicerContext,
--- a/tests/processes/fleets.py
+++ b/tests/processes/fleets.py
@@ -60,3 +60,8 @@
 def count_answered(done: list[DoneCall]) -> int:
     """Return how many requests got a whole answer."""
     return sum(one.outcome.verdict == 'answered' for one in done)
+
+
+def reasons(done: list[DoneCall]) -> set[str]:
+    """Return the ends that requests came to."""
+    return {one.outcome.reason for one in done}
--- /dev/null
+++ b/tests/processes/test_tier_order.py
@@ -0,0 +1,60 @@
+"""No tier is shed while a lower one runs, under three times the load."""
+
+import signal
+import time
+import types
+from collections.abc import Iterator
+
+import pytest
+from tallyhall_bench.checks import tier_order
+from tallyhall_bench.first_run import usual_upstreams
+from tallyhall_bench.fleet import Fleet, FleetSpec
+from tallyhall_bench.tables import usual_table
+from tallyhall_bench.workloads import WORKSPACES, mixed_burst
+
+from tests.processes.fleets import FAST, loaded, violations
+
+pytestmark = pytest.mark.processes
+
+_RANKS = types.MappingProxyType({'audit': 0, 'desk': 1, 'batch': 2})
+_REQUESTS = 540
+_OVER_S = 6.0
+
+
+@pytest.fixture(scope='module')
+def fleet() -> Iterator[Fleet]:
+    """Start three instances before today's upstreams."""
+    spec = FleetSpec(
+        3,
+        usual_upstreams(),
+        usual_table(WORKSPACES),
+        settings=FAST,
+    )
+    with Fleet(spec) as started:
+        yield started
+
+
+@pytest.mark.parametrize('fault', ['none', 'slow engine', 'frozen owner'])
+def test_no_higher_tier_is_shed_first(fleet: Fleet, fault: str) -> None:
+    plan = mixed_burst(
+        len(fault),
+        _REQUESTS,
+        _OVER_S,
+        drafts=10,
+        patience=0.4,
+    )
+    state = fleet.status(next(iter(fleet.instances.values()))) or {}
+    name = str(state['owners']['ledger']).partition('.')[0]
+    owner = fleet.instances[name].process
+    with loaded(fleet, plan) as done:
+        time.sleep(_OVER_S / 3)
+        if fault == 'slow engine':
+            fleet.faults('engine-1', slow=5)
+        if fault == 'frozen owner':
+            owner.send_signal(signal.SIGSTOP)
+            time.sleep(_OVER_S / 2)
+            owner.send_signal(signal.SIGCONT)
+    fleet.faults('engine-1', slow=1)
+    assert not violations(fleet, done, plan)
+    assert not tier_order(fleet.events(), _RANKS)
+    assert any(one.outcome.reason == 'shed' for one in done)
--- a/tests/unit/admission.py
+++ b/tests/unit/admission.py
@@ -82,6 +82,7 @@
         request.id,
         SERVICE,
         upstream,
+        request.attempt,
         ran=True,
         ok=True,
         first_s=total_s / 10,
--- a/tests/unit/cluster.py
+++ b/tests/unit/cluster.py
@@ -160,11 +160,11 @@
         now_and_then: let time pass as well, for a few seconds.
         """
         for _ in range(20 if now_and_then else 1):
+            self._meet()
             if now_and_then:
                 self.now += 0.3
                 for node in self.nodes.values():
                     self._perform(node, node.tick(self.now))
-            self._meet()
             self._drain()
 
     def _drain(self) -> None:
--- a/tests/unit/test_pool.py
+++ b/tests/unit/test_pool.py
@@ -1,5 +1,7 @@
 """Admission: limits, order, fairness, permits and their memory."""
 
+import dataclasses
+
 from tallyhall_admission.pool import Pool
 from tallyhall_admission.upstream import UpstreamInfo
 from tallyhall_core.refusals import Reason
@@ -149,3 +151,13 @@
     assert build.kinds(out)[-1] == 'refused'
     late = pool.ask(build.ask(8, 'batch', left_s=20), 0.3)
     assert build.kinds(late) == ['refused']
+
+
+def test_a_repeated_return_does_not_free_the_next_attempt() -> None:
+    pool = build.pool(upstreams=2)
+    pool.ask(build.ask(0), 0)
+    unsent = dataclasses.replace(build.done(build.ask(0)), ran=False, ok=False)
+    pool.done(unsent, 0.1)
+    assert build.kinds(pool.ask(build.ask(0, attempt=1), 0.1)) == ['permit']
+    pool.done(unsent, 0.2)
+    assert pool.counts().running == 1
--- /dev/null
+++ b/tests/unit/test_table.py
@@ -0,0 +1,140 @@
+"""The table: checks, operators in a race, lost answers, only upwards."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from tallyhall_core.messages import SharedValue
+from tallyhall_membership.shared import TABLE, SharedValues
+from tallyhall_platform.errors import PlatformError
+from tallyhall_table.edits import RowEdit, parse_row, rows_of
+from tallyhall_table.errors import TableError
+from tallyhall_table.model import Row, Table, TierRow
+from tallyhall_table.store import TableStore
+
+from tests.unit import admission as build
+from tests.unit.fake_kv import FakeKv
+
+
+def _tier(name: str, rank: int, deadline_s: float = 5) -> TierRow:
+    return TierRow(name=name, rank=rank, deadline_s=deadline_s)
+
+
+def _set(store: TableStore, row: TierRow, before: Row | None) -> bool:
+    edit = RowEdit('tiers', row.name, before, row)
+    return store.change((edit,), 'operator').is_ok()
+
+
+def _row(store: TableStore, name: str) -> Row | None:
+    return rows_of(store.read(), 'tiers').get(name)
+
+
+def test_two_operators_on_different_rows_both_stand() -> None:
+    kv = FakeKv()
+    store = TableStore(kv)
+    kv.before_write.append(lambda: _assert(_set(store, _tier('b', 1), None)))
+    assert _set(store, _tier('a', 0), None)
+    assert set(rows_of(store.read(), 'tiers')) == {'a', 'b'}
+    assert store.read().revision == 2
+
+
+def test_two_operators_on_one_row_the_second_hears_of_it() -> None:
+    kv = FakeKv()
+    store = TableStore(kv)
+    kv.before_write.append(
+        lambda: _assert(_set(store, _tier('a', 0, 7), None)),
+    )
+    edit = RowEdit('tiers', 'a', None, _tier('a', 0, 9))
+    outcome = store.change((edit,), 'second')
+    assert outcome.is_error()
+    text = str(outcome.error)
+    assert '7.0' in text
+    assert '9.0' in text
+    assert _row(store, 'a') == _tier('a', 0, 7)
+
+
+@pytest.mark.parametrize('lost', [1, 3])
+def test_lost_answers_do_not_double_a_change(lost: int) -> None:
+    kv = FakeKv()
+    kv.lose_answers = lost
+    store = TableStore(kv)
+    assert _set(store, _tier('a', 0), None)
+    assert store.read().revision == 1
+    assert len(store.read().history) == 1
+
+
+def test_down_is_reported_not_guessed() -> None:
+    kv = FakeKv()
+    kv.is_down = True
+    with pytest.raises(PlatformError):
+        TableStore(kv).read()
+
+
+@settings(max_examples=200)
+@given(
+    steps=st.lists(
+        st.tuples(
+            st.integers(0, 1),
+            st.sampled_from('ab'),
+            st.integers(1, 50),
+            st.booleans(),
+        ),
+        max_size=12,
+    ),
+)
+def test_accepted_changes_never_revert(
+    steps: list[tuple[int, str, int, bool]],
+) -> None:
+    """Operators who read earlier or later, with answers lost now and then."""
+    kv = FakeKv()
+    store = TableStore(kv)
+    model: dict[str, TierRow] = {}
+    read: list[dict[str, Row]] = [{}, {}]
+    for operator, name, deadline, lose in steps:
+        kv.lose_answers = int(lose)
+        row = _tier(name, 'ab'.index(name), deadline)
+        if _set(store, row, read[operator].get(name)):
+            model[name] = row
+            read[operator] = rows_of(store.read(), 'tiers')
+        else:
+            read[operator] = rows_of(store.read(), 'tiers')
+        assert rows_of(store.read(), 'tiers') == model
+
+
+@given(revisions=st.lists(st.integers(1, 20), max_size=20))
+def test_only_a_higher_revision_is_taken(revisions: list[int]) -> None:
+    shared = SharedValues()
+    highest = 0
+    for revision in revisions:
+        taken = shared.take(SharedValue(TABLE, revision, str(revision)))
+        assert taken == (revision > highest)
+        highest = max(highest, revision)
+        assert shared.revision(TABLE) == highest
+
+
+@pytest.mark.parametrize(
+    ('change', 'message'),
+    [
+        ({'deadline_s': -1}, 'greater than 0'),
+        ({'rank': 'x'}, 'integer'),
+        ({'name': 'Über'}, 'pattern'),
+        ({'nmae': 'a'}, 'Extra inputs'),
+    ],
+)
+def test_a_bad_row_names_key_and_value(
+    change: dict[str, object],
+    message: str,
+) -> None:
+    fields = {'name': 'a', 'rank': 0, 'deadline_s': 1, **change}
+    with pytest.raises(TableError, match=message):
+        parse_row('tiers', fields)
+
+
+def test_a_limit_needs_its_service_and_tiers() -> None:
+    good = build.table().model_dump()
+    good['services'] = []
+    with pytest.raises(ValueError, match='no service'):
+        Table.model_validate(good)
+
+
+def _assert(truth: bool) -> None:
+    assert truth
