--- a/packages/admission/src/tallyhall_admission/shedding.py
+++ b/packages/admission/src/tallyhall_admission/shedding.py
@@ -49,13 +49,18 @@
         self._waiting = waiting
         self._cfg = cfg
         self._holds = Holds()
+        self._inherited_until: float = 0
 
     def inherit_promises(self, now: float) -> None:
         """Keep the promise that an earlier owner may have made."""
-        self._holds.bar_below(self.tiers.top, now + self._cfg.hold_s)
+        self._inherited_until = now + self._cfg.hold_s
 
     def is_barred(self, job: Job, now: float) -> bool:
         """Return whether the job's tier may not start now."""
+        # Jobs wait out an inherited promise, which may never have been made;
+        # only our own sheds refuse them.
+        if job.rank > self.tiers.top and now < self._inherited_until:
+            return True
         return self._holds.left(job.rank, now) > 0
 
     def judge(self, job: Job, now: float) -> Rejection | None:
--- a/tests/unit/test_pool.py
+++ b/tests/unit/test_pool.py
@@ -161,3 +161,11 @@
     assert build.kinds(pool.ask(build.ask(0, attempt=1), 0.1)) == ['permit']
     pool.done(unsent, 0.2)
     assert pool.counts().running == 1
+
+
+def test_a_new_owner_holds_lower_tiers_back_but_refuses_none() -> None:
+    pool = build.pool()
+    pool.inherit_promises(0)
+    assert build.kinds(pool.ask(build.ask(0, 'audit'), 0.1)) == ['permit']
+    assert not pool.ask(build.ask(1, 'batch'), 0.1)
+    assert build.ids(pool.tick(2.1), 'permit') == [build.ask(1).id]
