Forecasts from running streams, limits from deadlines

Cause: at three times capacity 137 of 1,200 requests were stopped at their deadline, their prompt work lost. Time between tokens was learned from answers that ended in time only, and engines were filled up to the table's 76 ms between tokens, at which a 120-token answer cannot end within 6 s.

--- a/packages/admission/src/tallyhall_admission/concurrency.py
+++ b/packages/admission/src/tallyhall_admission/concurrency.py
@@ -41,12 +41,22 @@
         """Return the whole number of requests allowed now."""
         return max(1, min(self.ceiling, int(self.limit)))
 
-    def on_gap(self, gap_s: float, running: int, now: float) -> None:
-        """Take a measured time between tokens with `running` streams."""
+    def on_gap(
+        self,
+        gap_s: float,
+        needed_s: float,
+        running: int,
+        now: float,
+    ) -> None:
+        """Take a measured time between tokens with `running` streams.
+
+        needed_s: what the tightest of the streams needs to end in time.
+        """
         self.stalled = False
-        if gap_s > self.gap_s:
+        target = min(self.gap_s, needed_s)
+        if gap_s > target:
             self._lower(_DECREASE, running, now)
-        elif gap_s < self.gap_s * _HEADROOM:
+        elif gap_s < target * _HEADROOM:
             self._raise(running, now)
 
     def on_stall(self, running: int, now: float) -> None:
--- a/packages/admission/src/tallyhall_admission/estimate.py
+++ b/packages/admission/src/tallyhall_admission/estimate.py
@@ -14,6 +14,7 @@
 _DEFAULT_OUTPUT = 64.0
 _FLOOR_S = 1e-6
 _FLOOR_SPREAD = 0.01
+_BEST_DRIFT = 1.002
 
 
 @dataclasses.dataclass(slots=True)
@@ -99,6 +100,7 @@
         """Start optimistic: unknown work is expected to take no time."""
         self.first_s = Line()
         self.token_s = Mean(0)
+        self.best_token_s: float = 0
         self.call_s = Mean(0)
 
     def prefill(self, tokens: float) -> float:
@@ -106,10 +108,22 @@
         return max(tokens, 0) * self.first_s.slope
 
     def run(self, prompt_tokens: float, output_tokens: float) -> float:
-        """Return the expected seconds for a whole answer."""
-        decode = output_tokens * self.token_s.value
-        first = self.first_s.at(max(prompt_tokens, 0))
-        return first + decode + self.call_s.value
+        """Return the expected seconds for a whole answer at today's load."""
+        return self._at(prompt_tokens, output_tokens * self.token_s.value)
+
+    def idle_run(self, prompt_tokens: float, output_tokens: float) -> float:
+        """Return the expected seconds if the upstream had little else."""
+        return self._at(prompt_tokens, output_tokens * self.best_token_s)
+
+    def learn_gap(self, gap_s: float) -> None:
+        """Take a measured time between tokens.
+
+        Running streams count as well as finished ones: those that end in
+        time are the lucky ones and would make every forecast too good.
+        """
+        self.token_s.add(gap_s)
+        best = self.best_token_s or gap_s
+        self.best_token_s = min(best * _BEST_DRIFT, gap_s)
 
     def learn_model(
         self,
@@ -122,12 +136,16 @@
         self.first_s.add(max(computed_tokens, 0), max(first_s, _FLOOR_S))
         if output_tokens > 1:
             decode = max(total_s - first_s, _FLOOR_S)
-            self.token_s.add(decode / (output_tokens - 1))
+            self.learn_gap(decode / (output_tokens - 1))
 
     def learn_plain(self, total_s: float) -> None:
         """Take the time of one complete plain call."""
         self.call_s.add(total_s)
 
+    def _at(self, prompt_tokens: float, decode: float) -> float:
+        first = self.first_s.at(max(prompt_tokens, 0))
+        return first + decode + self.call_s.value
+
 
 def _size_class(max_tokens: int) -> int:
     # Requests of one workspace fall into classes of a factor of four.
--- a/packages/admission/src/tallyhall_admission/forecast.py
+++ b/packages/admission/src/tallyhall_admission/forecast.py
@@ -31,6 +31,21 @@
     return best
 
 
+def idle_run_seconds(job: Job, upstreams: list[Upstream]) -> float:
+    """Return the run time on the fastest upstream if it had little else."""
+    ask = job.ask
+    return min(
+        (
+            up.speed.idle_run(
+                ask.prompt_tokens - up.cache.cached_tokens(ask.prefixes),
+                job.output,
+            )
+            for up in upstreams
+        ),
+        default=0,
+    )
+
+
 def mean_run_seconds(job: Job, upstreams: list[Upstream]) -> float:
     """Return the expected run time of a job on a middling upstream."""
     total = sum(
--- a/packages/admission/src/tallyhall_admission/jobs.py
+++ b/packages/admission/src/tallyhall_admission/jobs.py
@@ -7,6 +7,9 @@
 from tallyhall_core.ids import RequestId
 from tallyhall_core.messages import Ask
 
+# Share of a job's remaining time that may go into decoding.
+_DECODE_SHARE = 0.8
+
 
 @dataclasses.dataclass(slots=True)
 class Job:
@@ -39,6 +42,12 @@
     expected_cached: int = 0
     revoked: bool = False
 
+    @property
+    def needed_gap_s(self) -> float:
+        """Return the time between tokens that still ends in time."""
+        left = self.job.deadline - self.granted
+        return _DECODE_SHARE * left / max(self.job.output, 1)
+
     @property
     def lost_tokens(self) -> int:
         """Return the prompt work thrown away if it is stopped now."""
--- a/packages/admission/src/tallyhall_admission/policy.py
+++ b/packages/admission/src/tallyhall_admission/policy.py
@@ -34,6 +34,7 @@
         ask: Ask,
         upstreams: Sequence[Upstream],
         output: float,
+        left_s: float,
     ) -> Upstream | None:
         """Return the upstream to use now, or None to wait.
 
@@ -55,6 +56,7 @@
         ask: Ask,
         upstreams: Sequence[Upstream],
         output: float,
+        left_s: float,
     ) -> Upstream | None:
         """Return the next upstream in order of name."""
         if not upstreams:
@@ -73,6 +75,7 @@
         ask: Ask,
         upstreams: Sequence[Upstream],
         output: float,
+        left_s: float,
     ) -> Upstream | None:
         """Return the least loaded; what was sent since then counts too."""
         if not upstreams:
@@ -84,7 +87,8 @@
     """Least expected time, with prompt work thrown away counted as time.
 
     Upstreams without a free slot are left out, so a request never queues in
-    an engine, where no tier order exists.
+    an engine, where no tier order exists; so are those on which it would end
+    too late.
     """
 
     bounded = True
@@ -94,6 +98,7 @@
         ask: Ask,
         upstreams: Sequence[Upstream],
         output: float,
+        left_s: float,
     ) -> Upstream | None:
         """Return the free upstream of least cost in seconds."""
         best: Upstream | None = None
@@ -101,6 +106,8 @@
         for upstream in upstreams:
             if not upstream.free():
                 continue
+            if _run_seconds(ask, upstream, output) > left_s:
+                continue
             cost = _cost(ask, upstream, output)
             if best is None or cost < best_cost:
                 best = upstream
@@ -127,6 +134,11 @@
     return lengths.expect(ask.workspace, ask.max_tokens)
 
 
+def _run_seconds(ask: Ask, upstream: Upstream, output: float) -> float:
+    cached = upstream.cache.cached_tokens(ask.prefixes)
+    return upstream.speed.run(ask.prompt_tokens - cached, output)
+
+
 def _reported_load(upstream: Upstream) -> float:
     return upstream.reported + upstream.sent_since_report
 
--- a/packages/admission/src/tallyhall_admission/pool.py
+++ b/packages/admission/src/tallyhall_admission/pool.py
@@ -222,7 +222,12 @@
                 continue
             ask = job.ask
             usable = [up for up in upstreams if up.info.name != ask.avoid]
-            chosen = self._policy.choose(ask, usable or upstreams, job.output)
+            chosen = self._policy.choose(
+                ask,
+                usable or upstreams,
+                job.output,
+                job.deadline - now,
+            )
             if chosen is None:
                 continue
             cached = chosen.cache.cached_tokens(ask.prefixes)
--- a/packages/admission/src/tallyhall_admission/roster.py
+++ b/packages/admission/src/tallyhall_admission/roster.py
@@ -147,7 +147,16 @@
             upstream.limit.on_stall(upstream.running, now)
             return
         gap = report.elapsed_s * report.streams / report.tokens
-        upstream.limit.on_gap(gap, upstream.running, now)
+        upstream.speed.learn_gap(gap)
+        needed = min(
+            (
+                grant.needed_gap_s
+                for grant in self.grants.values()
+                if grant.upstream == report.upstream
+            ),
+            default=gap,
+        )
+        upstream.limit.on_gap(gap, needed, upstream.running, now)
 
     def load_report(
         self,
--- a/packages/admission/src/tallyhall_admission/shedding.py
+++ b/packages/admission/src/tallyhall_admission/shedding.py
@@ -67,8 +67,7 @@
         """Return why an arriving job is refused, None if it may wait."""
         upstreams = self._roster.open_upstreams(now)
         left = job.deadline - now
-        run = forecast.run_seconds(job, upstreams)
-        if run > left:
+        if forecast.idle_run_seconds(job, upstreams) > left:
             return Rejection(Reason.deadline_unreachable, 0)
         if self._roster.runs_below(job.rank):
             return None
@@ -77,6 +76,7 @@
             return Rejection(Reason.shed, held)
         if len(self._waiting) >= self.max_queue:
             return Rejection(Reason.queue_full, 0)
+        run = forecast.run_seconds(job, upstreams)
         late = self._wait(job, now) + run - left
         return Rejection(Reason.shed, late) if late > 0 else None
 
--- a/packages/bench/src/tallyhall_bench/summary.py
+++ b/packages/bench/src/tallyhall_bench/summary.py
@@ -36,6 +36,7 @@
     goodput_by_tier: dict[str, float]
     goodput_weighted: float
     refusals: dict[str, int]
+    refusals_by_tier: dict[str, dict[str, int]]
     wasted_prefill: float
     prefill_tokens: int
     first_token_s: dict[str, Quantiles]
@@ -67,7 +68,11 @@
         requests=len(done),
         goodput_by_tier=by_tier,
         goodput_weighted=round(scored / max(possible, 1), 4),
-        refusals=dict(refusals),
+        refusals=_refusals(done),
+        refusals_by_tier={
+            tier: _refusals([one for one in done if one.call.tier == tier])
+            for tier in tiers
+        },
         wasted_prefill=wasted_share(counts),
         prefill_tokens=computed,
         first_token_s={
@@ -150,6 +155,13 @@
     ]
 
 
+def _refusals(done: list[DoneCall]) -> dict[str, int]:
+    counted = collections.Counter(
+        one.outcome.reason for one in done if one.outcome.verdict != 'answered'
+    )
+    return dict(counted)
+
+
 def _share(done: list[DoneCall]) -> float:
     in_time = sum(one.in_time for one in done)
     return round(in_time / max(len(done), 1), 4)
