--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 SEED ?= 1
 SECONDS ?= 120
 
-.PHONY: run test check fmt faults bench slopes proto
+.PHONY: run test check fmt faults bench slopes overhead
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -39,6 +39,10 @@
 
 slopes: $(STAMP)
 	$(BIN)/python -m tallyhall_bench.slopes
+	$(BIN)/python -m tallyhall_bench.idle
+
+overhead: $(STAMP)
+	$(BIN)/python -m tallyhall_bench.overhead
 
 bench: $(STAMP)
 	$(BIN)/tallyhall bench scenarios/smoke.toml --policy tallyhall \
--- a/packages/admission/src/tallyhall_admission/policy.py
+++ b/packages/admission/src/tallyhall_admission/policy.py
@@ -19,7 +19,10 @@
 TALLYHALL = 'tallyhall'
 POLICIES = (ROUND_ROBIN, LEAST_LOAD, TALLYHALL)
 
-_LOST_WEIGHT = 1.0
+# Prompt work thrown away counts this many times its seconds, and at least as
+# if a prompt token took this long.
+_LOST_WEIGHT = 3.0
+_LEAST_PROMPT_S = 0.0002
 
 
 class Policy(Protocol):
@@ -146,7 +149,11 @@
 
 def _cost(ask: Ask, upstream: Upstream, run: float) -> tuple[float, float]:
     cached = min(upstream.cache.cached_tokens(ask.prefixes), ask.prompt_tokens)
-    lost = upstream.speed.prefill(ask.prompt_tokens - cached)
+    lost_tokens = ask.prompt_tokens - cached
+    lost = max(
+        upstream.speed.prefill(lost_tokens),
+        lost_tokens * _LEAST_PROMPT_S,
+    )
     load = upstream.running / upstream.limit.slots
     # Sharing an engine slows every stream on it by about its load.
     seconds = run * (1 + load) + _LOST_WEIGHT * lost
--- a/packages/bench/src/tallyhall_bench/fleet.py
+++ b/packages/bench/src/tallyhall_bench/fleet.py
@@ -22,6 +22,8 @@
 import urllib3
 from tallyhall_standins.main import StandInSpec
 
+from . import tables
+
 _HOST = '127.0.0.1'
 _START_S = 30.0
 _STOP_S = 20.0
@@ -280,10 +282,12 @@
 
     def put_table(self, fields: dict[str, Any]) -> None:
         """Write a whole table through the product's own store."""
-        from tallyhall_bench import tables
-
         tables.put_table(self.platform['kv'].address, fields)
 
+    def edit_weight(self, workspace: str, weight: float) -> None:
+        """Change one row as an operator; a platform fault is passed over."""
+        tables.set_weight(self.platform['kv'].address, workspace, weight)
+
     def faults(self, name: str, **settings: object) -> None:
         """Set the faults of a stand-in."""
         self.post(name, '/standin/faults', settings)
--- a/packages/bench/src/tallyhall_bench/overhead.py
+++ b/packages/bench/src/tallyhall_bench/overhead.py
@@ -47,9 +47,9 @@
         targets = [up.address for up in fleet.upstreams.values()]
         direct = _direct(plan, targets)
         pid = next(iter(fleet.instances.values())).process.pid
-        before = _cpu_s(pid)
+        before = cpu_s(pid)
         done = run_plan(plan, Client(fleet.seeds, 'cost'))
-        spent = _cpu_s(pid) - before
+        spent = cpu_s(pid) - before
     answered = [one for one in done if one.outcome.verdict == 'answered']
     _print_case(
         rate,
@@ -128,7 +128,8 @@
         return quantiles([fut.result() for fut in futs])
 
 
-def _cpu_s(pid: int) -> float:
+def cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used, in seconds."""
     fields = pathlib.Path(f'/proc/{pid}/stat').read_text().rsplit(')', 1)[1]
     user, system = fields.split()[11:13]
     return (int(user) + int(system)) / os.sysconf('SC_CLK_TCK')
--- a/packages/bench/src/tallyhall_bench/tables.py
+++ b/packages/bench/src/tallyhall_bench/tables.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import uuid
 from typing import Any
 
 from tallyhall_platform.kv import EtcdKeyValue
+from tallyhall_platform.errors import PlatformError
+from tallyhall_table.edits import RowEdit, rows_of
 from tallyhall_table.model import Table
 from tallyhall_table.store import TableStore
 
@@ -19,6 +22,16 @@
     store.replace(wanted, store.read(), f'bench-{uuid.uuid4().hex[:6]}')
 
 
+def set_weight(address: str, workspace: str, weight: float) -> None:
+    """Set one row's weight, as an operator does who gives up on a fault."""
+    store = TableStore(EtcdKeyValue(f'http://{address}', _TIMEOUT_S))
+    key = f'{workspace}/ledger'
+    with contextlib.suppress(PlatformError):
+        before = rows_of(store.read(), 'limits')[key]
+        after = before.model_copy(update={'weight': weight})
+        store.change((RowEdit('limits', key, before, after),), 'faults')
+
+
 def usual_table(
     workspaces: tuple[str, ...],
     deadlines: tuple[float, float, float] = (6.0, 12.0, 20.0),
