The controller role: orders to engines, with fencing number or lease

The owner of a service orders engines that report another model than the table names; the order carries its tenure's epoch.

--- a/packages/admission/src/tallyhall_admission/pool.py
+++ b/packages/admission/src/tallyhall_admission/pool.py
@@ -16,7 +16,7 @@
 
 from .jobs import Grant, Job
 from .memory import FORGOTTEN, PERMITTED
-from .messages_out import Outgoing, refuse
+from .outgoing import Outgoing, refuse
 from .policy import Policy, expected_output
 from .roster import Roster
 from .settings import PoolSettings
--- a/packages/admission/src/tallyhall_admission/shedding.py
+++ b/packages/admission/src/tallyhall_admission/shedding.py
@@ -16,7 +16,7 @@
 from . import forecast
 from .holds import Holds
 from .jobs import Job
-from .messages_out import Outgoing, refuse
+from .outgoing import Outgoing, refuse
 from .pace import Paces
 from .roster import Roster
 from .settings import PoolSettings
--- a/packages/bench/src/tallyhall_bench/tables.py
+++ b/packages/bench/src/tallyhall_bench/tables.py
@@ -32,6 +32,21 @@
         store.change((RowEdit('limits', key, before, after),), 'faults')
 
 
+def set_model(
+    address: str,
+    service: str,
+    model: str,
+    checks_fencing: bool,
+) -> None:
+    """Name the model that a service's engines are to load."""
+    store = TableStore(EtcdKeyValue(f'http://{address}', _TIMEOUT_S))
+    before = rows_of(store.read(), 'services')[service]
+    after = before.model_copy(
+        update={'model': model, 'checks_fencing': checks_fencing},
+    )
+    store.change((RowEdit('services', service, before, after),), 'bench')
+
+
 def usual_table(
     workspaces: tuple[str, ...],
     deadlines: tuple[float, float, float] = (6.0, 12.0, 20.0),
@@ -50,7 +65,7 @@
             for rank, name in enumerate(tiers)
         ],
         'services': [
-            {'name': 'ledger', 'kind': 'model', 'model': 'ledger'},
+            {'name': 'ledger', 'kind': 'model'},
             {'name': 'tags', 'kind': 'plain'},
         ],
         'limits': [
--- a/packages/core/src/tallyhall_core/events.py
+++ b/packages/core/src/tallyhall_core/events.py
@@ -32,3 +32,5 @@
     takeover = 406
     resumed = 407
     internal_error = 500
+    order_sent = 600
+    order_refused = 601
--- a/packages/daemon/src/tallyhall_daemon/command_table.py
+++ b/packages/daemon/src/tallyhall_daemon/command_table.py
@@ -208,7 +208,8 @@
         else:
             for address, revision in revisions.items():
                 self.line(f'{address} {revision or "does not answer"}')
-        return 0 if len(set(revisions.values())) == 1 else 1
+        agreed = len(set(revisions.values())) == 1
+        return 0 if agreed and None not in revisions.values() else 1
 
 
 def instance_status(address: str) -> dict[str, object] | None:
--- a/packages/daemon/src/tallyhall_daemon/instance.py
+++ b/packages/daemon/src/tallyhall_daemon/instance.py
@@ -35,6 +35,7 @@
     StartRun,
 )
 from tallyhall_node.node import LocatedEntry, Node
+from tallyhall_node.orders import Order
 from tallyhall_table.model import Table
 
 from tallyhall_gateway.calls import Call
@@ -99,6 +100,15 @@
         """Log the exception being handled, and count it."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What an upstream's metrics say; empty where they say nothing."""
+
+    requests: float = 0
+    cache_tokens: int = 0
+    model: str = ''
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PollPlan:
     """What the pollers should do now: watch the platform, read loads."""
@@ -216,11 +226,17 @@
         self,
         service: str,
         upstream: str,
-        requests: float,
-        cache_tokens: int,
+        report: LoadReport,
     ) -> None:
         """Take an upstream's load report."""
-        self._node.on_load(service, upstream, requests, cache_tokens)
+        node = self._node
+        node.on_load(service, upstream, report.requests, report.cache_tokens)
+        if report.model:
+            node.controller.on_model(upstream, report.model)
+
+    def orders_due(self) -> tuple[Order, ...]:
+        """Return the orders to engines that are due."""
+        return self._node.orders_due(time.monotonic())
 
     @_told
     def peer_down(self, address: str) -> None:
--- a/packages/daemon/src/tallyhall_daemon/pollers.py
+++ b/packages/daemon/src/tallyhall_daemon/pollers.py
@@ -27,17 +27,22 @@
     change_text,
     read_text,
 )
+from tallyhall_platform.weights import HttpWeightStore
 from tallyhall_table.edits import parse_table
 from tallyhall_table.errors import TableError
 
+from .instance import LoadReport
+from .orders import OrderSender
 from .settings import Settings
 from .telemetry import Telemetry
 
 ENTRY_SERVICE = 'tallyhall'
 _IDLE_S = 0.5
 _WATCH_S = 2.0
+_ORDERS_S = 1.0
 _LOAD_TIMEOUT_S = 0.5
 _POOLS = 64
+_LOAD_SAMPLES = frozenset(('requests_running', 'requests_waiting'))
 
 
 class Pollers:
@@ -57,6 +62,15 @@
         self._lister = lister
         self._cfg = cfg
         self._telemetry = telemetry
+        weights = cfg.platform.weights
+        self._orders = OrderSender(
+            kv,
+            HttpWeightStore(weights, cfg.platform.timeout_s)
+            if weights
+            else None,
+            telemetry,
+            cfg.instance.name,
+        )
         self._stop = threading.Event()
         self._http = urllib3.PoolManager(
             retries=False,
@@ -69,6 +83,7 @@
         self._spawn('kv', self._watch_kv)
         self._spawn('list', self._poll_list)
         self._spawn('load', self._poll_loads)
+        self._spawn('orders', self._send_orders)
         self._spawn('edits', lambda: self._write_edits(proposals))
 
     def stop(self) -> None:
@@ -140,8 +155,11 @@
             report = self._load_of(address)
             if report is None:
                 continue
-            requests, cache_tokens = report
-            self._actor.load(service, name, requests, int(cache_tokens))
+            self._actor.load(service, name, report)
+
+    def _send_orders(self) -> None:
+        self._stop.wait(_ORDERS_S)
+        self._orders.send_all(self._actor.orders_due().get())
 
     def _write_edits(
         self,
@@ -183,22 +201,29 @@
             return
         self._actor.value(SharedValue(ASSIGNMENT, epoch, text)).get()
 
-    def _load_of(self, address: str) -> tuple[float, float] | None:
+    def _load_of(self, address: str) -> LoadReport | None:
         try:
             resp = self._http.request('GET', f'http://{address}/metrics')
         except urllib3.exceptions.HTTPError:
             self._telemetry.count('load_report_missing')
             return None
-        requests: float = 0
-        cache: float = 0
-        text = resp.data.decode(errors='replace')
-        for family in text_string_to_metric_families(text):
-            for sample in family.samples:
-                if sample.name in {'requests_running', 'requests_waiting'}:
-                    requests += sample.value
-                elif sample.name == 'cache_capacity_tokens':
-                    cache = sample.value
-        return (requests, cache)
+        return parse_load(resp.data.decode(errors='replace'))
+
+
+def parse_load(text: str) -> LoadReport:
+    """Return what Prometheus text says of an upstream's load."""
+    requests: float = 0
+    cache: float = 0
+    model = ''
+    for family in text_string_to_metric_families(text):
+        for sample in family.samples:
+            if sample.name in _LOAD_SAMPLES:
+                requests += sample.value
+            elif sample.name == 'cache_capacity_tokens':
+                cache = sample.value
+            elif sample.name == 'model_info':
+                model = sample.labels.get('model', '')
+    return LoadReport(requests, int(cache), model)
 
 
 def _edited(old: str, edits: tuple[Edit, ...]) -> str:
--- a/packages/node/src/tallyhall_node/home.py
+++ b/packages/node/src/tallyhall_node/home.py
@@ -12,7 +12,7 @@
 import dataclasses
 import enum
 
-from tallyhall_admission.messages_out import running_of
+from tallyhall_admission.outgoing import running_of
 from tallyhall_core.events import Event
 from tallyhall_core.ids import RequestId
 from tallyhall_core.messages import (
--- a/packages/node/src/tallyhall_node/node.py
+++ b/packages/node/src/tallyhall_node/node.py
@@ -46,6 +46,7 @@
 )
 from .duties import MemberRole
 from .home import HomeRole, State
+from .orders import ControllerRole, Order
 from .owner import OwnerRole
 from .settings import NodeSettings
 from .takeover import TakerRole
@@ -85,6 +86,7 @@
         self.home = HomeRole(self.view)
         self.owner = OwnerRole(self.view)
         self.taker = TakerRole(self.view, self.home)
+        self.controller = ControllerRole(self.view)
         self.member = MemberRole(self.view, now)
         self.leaving = False
         self.fenced = False
@@ -226,6 +228,10 @@
         """Take an upstream's own load report."""
         self.owner.on_load(service, upstream, requests, cache_tokens)
 
+    def orders_due(self, now: float) -> tuple[Order, ...]:
+        """Return the orders to engines that are due."""
+        return self.controller.due(self.owner.services(), now)
+
     def on_peer_down(self, address: str) -> list[Action]:
         """Take that nothing listens at a peer's address."""
         self.view.members.suspect_address(address)
--- a/packages/node/src/tallyhall_node/orders.py
+++ b/packages/node/src/tallyhall_node/orders.py
@@ -9,6 +9,8 @@
 
 import dataclasses
 
+from tallyhall_table.model import ServiceRow
+
 from .view import View
 
 
@@ -43,29 +45,36 @@
 
     def due(self, services: tuple[str, ...], now: float) -> tuple[Order, ...]:
         """Return the orders to send now; each is repeated only slowly."""
-        orders = []
+        orders: list[Order] = []
         for service in services:
             row = self._view.table.service(service)
-            if row is None or row.kind != 'model' or not row.model:
-                continue
-            for info in self._view.instances.of(service):
-                reported = self._models.get(info.name)
-                if info.leaving or reported in {None, row.model}:
-                    continue
-                key = (info.name, row.model)
-                last = self._ordered.get(key)
-                repeat_s = self._view.cfg.order_repeat_s
-                if last is not None and now - last < repeat_s:
-                    continue
-                self._ordered[key] = now
-                orders.append(
-                    Order(
-                        service,
-                        info.name,
-                        info.address,
-                        row.model,
-                        self._view.since(service),
-                        row.checks_fencing,
-                    ),
-                )
+            if row is not None and row.kind == 'model' and row.model:
+                orders += self._due_in(row, now)
         return tuple(orders)
+
+    def _due_in(self, row: ServiceRow, now: float) -> list[Order]:
+        orders = []
+        for info in self._view.instances.of(row.name):
+            reported = self._models.get(info.name)
+            if info.leaving or reported in {None, row.model}:
+                continue
+            if not self._may_order(info.name, row.model, now):
+                continue
+            orders.append(
+                Order(
+                    row.name,
+                    info.name,
+                    info.address,
+                    row.model,
+                    self._view.since(row.name),
+                    row.checks_fencing,
+                ),
+            )
+        return orders
+
+    def _may_order(self, upstream: str, model: str, now: float) -> bool:
+        last = self._ordered.get((upstream, model))
+        if last is not None and now - last < self._view.cfg.order_repeat_s:
+            return False
+        self._ordered[(upstream, model)] = now
+        return True
--- a/packages/node/src/tallyhall_node/owner.py
+++ b/packages/node/src/tallyhall_node/owner.py
@@ -11,7 +11,7 @@
 
 from tallyhall_admission import memory
 from tallyhall_admission.policy import make_policy
-from tallyhall_admission.messages_out import Outgoing
+from tallyhall_admission.outgoing import Outgoing
 from tallyhall_admission.pool import Pool, PoolCounts
 from tallyhall_core.events import Event
 from tallyhall_core.ids import RequestId
--- a/packages/node/src/tallyhall_node/settings.py
+++ b/packages/node/src/tallyhall_node/settings.py
@@ -19,6 +19,7 @@
     window_s: length of a minting window. locate_s: how long callers keep a
     locate answer. query_s: period of takeover queries; tries: their number.
     silent_s: how long the permits of a silent home still count.
+    order_repeat_s: when an order that shows no effect is sent again.
     """
 
     policy: str = TALLYHALL
@@ -31,6 +32,7 @@
     query_s: float = 0.5
     query_tries: int = 4
     silent_s: float = 10
+    order_repeat_s: float = 5
     pollers: int = 3
     retry_share: float = 0.1
     retry_floor: float = 2.0
--- a/packages/standins/src/tallyhall_standins/engine.py
+++ b/packages/standins/src/tallyhall_standins/engine.py
@@ -51,7 +51,7 @@
     cache_tokens: int = 32_768
     lag_s: float = 1.0
     checks_fencing: bool = True
-    model: str = ''
+    model: str = 'none'
 
 
 @dataclasses.dataclass(slots=True)
@@ -275,6 +275,8 @@
             'Prompt tokens kept',
             registry=registry,
         ).set(self._cfg.cache_tokens)
+        info = Gauge('model_info', 'Model', ['model'], registry=registry)
+        info.labels(self._model).set(1)
         return Response(200, [generate_latest(registry)])
 
     def _cache_events(self, req: Request) -> Response:
--- a/tests/processes/test_takeover.py
+++ b/tests/processes/test_takeover.py
@@ -61,7 +61,7 @@
     _restore(fleet)
     owner = _owner(fleet)
     entry = _other(fleet, owner)
-    plan = mixed_burst(hash(victims) % 7, _REQUESTS, _OVER_S)
+    plan = mixed_burst(len(victims), _REQUESTS, _OVER_S)
     with loaded(fleet, plan) as done:
         time.sleep(_OVER_S / 2)
         if victims != 'owner':
--- a/tests/unit/admission.py
+++ b/tests/unit/admission.py
@@ -1,6 +1,6 @@
 """Builders for admission tests."""
 
-from tallyhall_admission.messages_out import Outgoing
+from tallyhall_admission.outgoing import Outgoing
 from tallyhall_admission.policy import make_policy
 from tallyhall_admission.pool import Pool
 from tallyhall_admission.settings import PoolSettings
