--- a/packages/daemon/src/tallyhall_daemon/serve.py
+++ b/packages/daemon/src/tallyhall_daemon/serve.py
@@ -11,6 +11,7 @@
 import pykka
 from waitress.server import create_server
 from tallyhall_core.events import Event
+from tallyhall_core.refusals import Reason
 from tallyhall_gateway.app import Application, AppSettings
 from tallyhall_gateway.calls import Call
 from tallyhall_gateway.meter import StreamMeter
@@ -38,6 +39,7 @@
 _SOCKET_BACKLOG = 1024
 _LAST_WORD_S = 0.3
 _CLEAN_S = 1.0
+_OUTBUF_BYTES = 64_000_000
 # Most threads wait for I/O and have little to do when they wake up; with the
 # interpreter's usual 5 ms each would wait that long for a busy one.
 _SWITCH_S = 0.0005
@@ -71,7 +73,7 @@
         with self._key_lock:
             bound = self._tickets.aliased(workspace, call.idempotency_key)
             known = self._tickets.get(bound)
-            if known is not None:
+            if known is not None and not known.may_run_again:
                 return known
             ticket = self._submit(call)
             self._tickets.alias(workspace, call.idempotency_key, ticket.id)
@@ -90,6 +92,10 @@
         found: list[LocatedEntry] = self._actor.locate(key).get()
         return found
 
+    def count_refusal(self, reason: Reason) -> None:
+        """Count a refusal made before the request was submitted."""
+        self._telemetry.count(f'refused.{reason}')
+
     def status(self) -> dict[str, Any]:
         """Return the instance's state for operators."""
         state: dict[str, Any] = self._actor.status().get()
@@ -178,6 +184,11 @@
             connection_limit=self._cfg.http.threads * 4,
             backlog=_SOCKET_BACKLOG,
             channel_timeout=60,
+            # Instances have no disks: nothing is ever spooled to a file.
+            max_request_body_size=2 * self._cfg.http.max_body_bytes,
+            inbuf_overflow=4 * self._cfg.http.max_body_bytes,
+            outbuf_overflow=_OUTBUF_BYTES,
+            outbuf_high_watermark=_OUTBUF_BYTES // 2,
             ident='tallyhall',
             clear_untrusted_proxy_headers=True,
             asyncore_use_poll=True,
--- a/packages/gateway/src/tallyhall_gateway/app.py
+++ b/packages/gateway/src/tallyhall_gateway/app.py
@@ -53,6 +53,9 @@
     def locate(self, key: str) -> list[LocatedEntry]:
         """Return the entries that a caller may use, best first."""
 
+    def count_refusal(self, reason: Reason) -> None:
+        """Count a refusal made before the request was submitted."""
+
     def status(self) -> dict[str, Any]:
         """Return the instance's state for operators."""
 
@@ -82,6 +85,7 @@
         try:
             reply = self._route(environ)
         except RefusedError as exc:
+            self._scheduler.count_refusal(exc.refusal.reason)
             reply = refusal_reply(exc.refusal, '')
         start_response(reply.status_line, list(reply.headers))
         return reply.body
--- a/packages/gateway/src/tallyhall_gateway/ticket.py
+++ b/packages/gateway/src/tallyhall_gateway/ticket.py
@@ -10,7 +10,7 @@
 import dataclasses
 import threading
 
-from tallyhall_core.refusals import Refusal
+from tallyhall_core.refusals import Executed, Refusal
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,6 +67,12 @@
         """Return whether nothing more will come."""
         return self.is_complete or self.refusal is not None
 
+    @property
+    def may_run_again(self) -> bool:
+        """Return whether the request surely has not run and will not."""
+        refusal = self.refusal
+        return refusal is not None and refusal.executed == Executed.no
+
     @property
     def is_shown(self) -> bool:
         """Return whether any of the answer may have reached a caller."""
--- a/packages/gateway/src/tallyhall_gateway/tickets.py
+++ b/packages/gateway/src/tallyhall_gateway/tickets.py
@@ -40,10 +40,10 @@
             self._tickets[request_id] = ticket
             return ticket
 
-    def alias(self, workspace: str, key: str, request_id: str) -> str:
-        """Bind a caller's own key to an id; return the id bound first."""
+    def alias(self, workspace: str, key: str, request_id: str) -> None:
+        """Bind a caller's own key to an id."""
         with self._lock:
-            return self._aliases.setdefault((workspace, key), request_id)
+            self._aliases[(workspace, key)] = request_id
 
     def aliased(self, workspace: str, key: str) -> str:
         """Return the id that a caller's own key is bound to, or nothing."""
--- a/packages/membership/src/tallyhall_membership/members.py
+++ b/packages/membership/src/tallyhall_membership/members.py
@@ -70,7 +70,8 @@
             if record is None:
                 self._records[entry.instance] = _Record(entry, now)
                 continue
-            if not _newer(entry, record.entry):
+            silent = now - record.changed > self._cfg.dead_after
+            if not _newer(entry, record.entry, silent=silent):
                 continue
             record.entry = entry
             record.changed = now
@@ -167,7 +168,15 @@
         return tuple(rendezvous.rank(key, addresses)[: self._cfg.fanout])
 
 
-def _newer(offered: MemberEntry, held: MemberEntry) -> bool:
+def _newer(
+    offered: MemberEntry,
+    held: MemberEntry,
+    *,
+    silent: bool,
+) -> bool:
     # Counters start at the wall clock in milliseconds of the process start,
-    # so a restarted instance always stands above its earlier incarnations.
+    # so a restarted instance usually stands above its earlier incarnations.
+    # Where its clock was set back, it takes over once the earlier is silent.
+    if offered.incarnation != held.incarnation and silent:
+        return True
     return offered.counter > held.counter
--- a/packages/node/src/tallyhall_node/node.py
+++ b/packages/node/src/tallyhall_node/node.py
@@ -140,7 +140,11 @@
 
     def locate(self, key: str, now: float) -> list[LocatedEntry]:
         """Return the entries that a caller may use, best first."""
-        candidates = self.view.candidates(now)
+        candidates = {
+            name: entry
+            for name, entry in self.view.candidates(now).items()
+            if entry.table
+        }
         loads = [entry.load for entry in candidates.values()]
         busy = 2 * sum(loads) / max(len(loads), 1) + 8
         order = rendezvous.rank(key, candidates)
--- a/packages/node/src/tallyhall_node/owner.py
+++ b/packages/node/src/tallyhall_node/owner.py
@@ -99,9 +99,10 @@
     def on_ask(self, sender: str, ask: Ask, now: float) -> list[Action]:
         """Take an ask; refuse what is not ours or from a fenced home."""
         rid = RequestId.parse(ask.id)
+        out: list[Action] = []
+        if ask.service not in self._owned and not rid.takeover:
+            out += self._deputise(ask.service, now)
         owned = self._owned.get(ask.service)
-        if owned is None and not rid.takeover:
-            owned = self._deputise(ask.service, now)
         if owned is None or (owned.deputy and rid.takeover):
             reply = NotOwner(
                 ask.id,
@@ -120,7 +121,7 @@
                 0,
             )
             return self._view.send(sender, refused)
-        return self._out(owned.pool.ask(ask, now))
+        return [*out, *self._out(owned.pool.ask(ask, now))]
 
     def on_done(self, done: Done, now: float) -> list[Action]:
         """Take a permit back."""
@@ -237,15 +238,14 @@
             return same
         return same and self._view.owner_of(service) == self._view.me
 
-    def _deputise(self, service: str, now: float) -> _Owned | None:
+    def _deputise(self, service: str, now: float) -> list[Action]:
         view = self._view
         owner = view.owner_of(service)
         if not view.kv_down(now) or view.is_home_live(owner, now):
-            return None
+            return []
         if view.deputy_of(service, now) != view.me:
-            return None
-        self._start(service, view.since(service), now, deputy=True)
-        return self._owned[service]
+            return []
+        return self._start(service, view.since(service), now, deputy=True)
 
     def _ask_homes(
         self,
