--- a/packages/daemon/src/tallyhall_daemon/command_base.py
+++ b/packages/daemon/src/tallyhall_daemon/command_base.py
@@ -49,6 +49,19 @@
         """Return the checked settings file."""
         return load_settings(pathlib.Path(path))
 
+    def number(self, name: str, default: float) -> float:
+        """Return a numeric option; raise OperatorError on anything else."""
+        text = self.option(name)
+        if not text:
+            return default
+        try:
+            return float(text)
+        except ValueError as exc:
+            raise OperatorError(
+                f'--{name} {text!r}: use a number.',
+                EXIT_USAGE,
+            ) from exc
+
     def print_json(self, content: object) -> None:
         """Write one JSON document."""
         self.line(json.dumps(content, indent=2, default=str))
--- a/packages/daemon/src/tallyhall_daemon/command_bench.py
+++ b/packages/daemon/src/tallyhall_daemon/command_bench.py
@@ -45,10 +45,10 @@
             scenario = load_scenario(pathlib.Path(self.argument('scenario')))
         except ScenarioError as exc:
             raise OperatorError(str(exc), EXIT_USAGE) from exc
-        if self.option('load'):
-            factor = float(self.option('load'))
+        factor = self.number('load', scenario.load)
+        if factor != scenario.load:
             scenario = scenario.model_copy(update={'load': factor})
-        repeats = int(self.option('repeats') or scenario.repeats)
+        repeats = int(self.number('repeats', scenario.repeats))
         outcome = run_bench(scenario, policies, repeats)
         if self.option('json'):
             pathlib.Path(self.option('json')).write_bytes(result_json(outcome))
--- a/packages/daemon/src/tallyhall_daemon/command_request.py
+++ b/packages/daemon/src/tallyhall_daemon/command_request.py
@@ -8,8 +8,14 @@
 from tallyhall_client.client import Client
 from tallyhall_client.outcome import CallOptions
 
-from .command_base import EXIT_PLATFORM, EXIT_REFUSED, OperatorCommand
+from .command_base import (
+    EXIT_PLATFORM,
+    EXIT_REFUSED,
+    EXIT_USAGE,
+    OperatorCommand,
+)
 from .command_table import instance_status
+from .errors import OperatorError
 
 _DEADLINE_S = 30.0
 _MAX_TOKENS = 128
@@ -39,9 +45,14 @@
         options = CallOptions(
             self.option('workspace') or '',
             self.option('tier'),
-            float(self.option('deadline') or _DEADLINE_S),
+            self.number('deadline', _DEADLINE_S),
         )
-        client = Client((self.option('entry') or '',), 'cli')
+        if not self.option('entry') or not options.workspace:
+            raise OperatorError(
+                'Say --entry IP:PORT and --workspace NAME.',
+                EXIT_USAGE,
+            )
+        client = Client((self.option('entry'),), 'cli')
         service = self.argument('service')
         prompt = self.argument('prompt')
         if self.option('plain'):
@@ -53,7 +64,7 @@
                 options,
             )
         else:
-            limit = int(self.option('max-tokens') or _MAX_TOKENS)
+            limit = int(self.number('max-tokens', _MAX_TOKENS))
             outcome = client.complete(service, prompt, limit, options)
         refusal = outcome.refusal
         if self.option('json'):
--- a/tests/unit/test_command_line.py
+++ b/tests/unit/test_command_line.py
@@ -76,6 +76,17 @@
         ('table status', '127.0.0.1:1', 1),
         ('status', '127.0.0.1:1', 3),
         ('bench', '/nowhere.toml', 2),
+        ('request', 'ledger hello', 2),
+        (
+            'request',
+            'ledger hello --entry 127.0.0.1:1 --workspace a --deadline x',
+            2,
+        ),
+        (
+            'request',
+            'ledger hello --entry 127.0.0.1:1 --workspace a --deadline 0.5',
+            5,
+        ),
         ('bench', '/nowhere.toml --policy gold', 2),
     ],
 )
