Dead code out; a prompt's cached tokens looked up once an engine

Found by reading the whole change: Speed.idle_run, HomeRole.state_of, Node.waits_for_permit and OwnerRole.is_ready had no caller left, and the choice of an engine walked the prompt's blocks twice for each engine. Behaviour is the same.

--- a/packages/admission/src/tallyhall_admission/estimate.py
+++ b/packages/admission/src/tallyhall_admission/estimate.py
@@ -109,11 +109,9 @@
 
     def run(self, prompt_tokens: float, output_tokens: float) -> float:
         """Return the expected seconds for a whole answer at today's load."""
-        return self._at(prompt_tokens, output_tokens * self.token_s.value)
-
-    def idle_run(self, prompt_tokens: float, output_tokens: float) -> float:
-        """Return the expected seconds if the upstream had little else."""
-        return self._at(prompt_tokens, output_tokens * self.best_token_s)
+        first = self.first_s.at(max(prompt_tokens, 0))
+        decode = output_tokens * self.token_s.value
+        return first + decode + self.call_s.value
 
     def learn_gap(self, gap_s: float) -> None:
         """Take a measured time between tokens.
@@ -142,10 +140,6 @@
         """Take the time of one complete plain call."""
         self.call_s.add(total_s)
 
-    def _at(self, prompt_tokens: float, decode: float) -> float:
-        first = self.first_s.at(max(prompt_tokens, 0))
-        return first + decode + self.call_s.value
-
 
 def _size_class(max_tokens: int) -> int:
     # Requests of one workspace fall into classes of a factor of four.
--- a/packages/admission/src/tallyhall_admission/policy.py
+++ b/packages/admission/src/tallyhall_admission/policy.py
@@ -109,10 +109,12 @@
         for upstream in upstreams:
             if not upstream.free():
                 continue
-            run = _run_seconds(ask, upstream, output)
+            cached = upstream.cache.cached_tokens(ask.prefixes)
+            computed = ask.prompt_tokens - cached
+            run = upstream.speed.run(computed, output)
             if run > left_s:
                 continue
-            cost = _cost(ask, upstream, run)
+            cost = _cost(upstream, run, max(computed, 0))
             if best is None or cost < best_cost:
                 best = upstream
                 best_cost = cost
@@ -138,18 +140,15 @@
     return lengths.expect(ask.workspace, ask.max_tokens)
 
 
-def _run_seconds(ask: Ask, upstream: Upstream, output: float) -> float:
-    cached = upstream.cache.cached_tokens(ask.prefixes)
-    return upstream.speed.run(ask.prompt_tokens - cached, output)
-
-
 def _reported_load(upstream: Upstream) -> float:
     return upstream.reported + upstream.sent_since_report
 
 
-def _cost(ask: Ask, upstream: Upstream, run: float) -> tuple[float, float]:
-    cached = min(upstream.cache.cached_tokens(ask.prefixes), ask.prompt_tokens)
-    lost_tokens = ask.prompt_tokens - cached
+def _cost(
+    upstream: Upstream,
+    run: float,
+    lost_tokens: int,
+) -> tuple[float, float]:
     lost = max(
         upstream.speed.prefill(lost_tokens),
         lost_tokens * _LEAST_PROMPT_S,
--- a/packages/node/src/tallyhall_node/home.py
+++ b/packages/node/src/tallyhall_node/home.py
@@ -94,11 +94,6 @@
         """Return whether the id was submitted here and is remembered."""
         return request_id in self._requests
 
-    def state_of(self, request_id: str) -> State | None:
-        """Return the state of a remembered request."""
-        req = self._requests.get(request_id)
-        return req.state if req else None
-
     # -- from callers
 
     def submit(
--- a/packages/node/src/tallyhall_node/node.py
+++ b/packages/node/src/tallyhall_node/node.py
@@ -45,7 +45,7 @@
     RunResult,
 )
 from .duties import MemberRole
-from .home import HomeRole, State
+from .home import HomeRole
 from .orders import ControllerRole, Order
 from .owner import OwnerRole
 from .settings import NodeSettings
@@ -319,10 +319,6 @@
         """Return the number of the present minting window."""
         return int((now - self._born) / self.view.cfg.window_s)
 
-    def waits_for_permit(self, request_id: str) -> bool:
-        """Return whether the request has not been dispatched."""
-        return self.home.state_of(request_id) == State.waiting
-
     # -- internals
 
     def _mint(self, now: float) -> RequestId:
--- a/packages/node/src/tallyhall_node/owner.py
+++ b/packages/node/src/tallyhall_node/owner.py
@@ -62,11 +62,6 @@
         """Return numbers for `status` by service."""
         return {name: own.pool.counts() for name, own in self._owned.items()}
 
-    def is_ready(self, service: str) -> bool:
-        """Return whether the service's pool permits."""
-        owned = self._owned.get(service)
-        return owned is not None and owned.pool.ready
-
     # -- changes of the view
 
     def on_assignment(self, now: float) -> list[Action]:
