A revoked run ends at once: the cut reaches the socket of a running stream

Cause: the standard library's connection gives its socket away once the head of an answer that ends with the connection has come, which every engine stream does (chunked, Connection: close). `cut` then found no socket and did nothing, so every revocation after the first event took effect only when the engine had finished. Seen directly: sock None, run ended 1.9 s after the cancel, at its natural end.

Change: the connection keeps its own reference to the socket; cut and close shut it down.

The proxy now cuts the answer when its first byte comes. A resume that overtakes its request is a product fault of the same family: a "not found" before any event is now asked again.

--- a/packages/bench/src/tallyhall_bench/proxy.py
+++ b/packages/bench/src/tallyhall_bench/proxy.py
@@ -25,10 +25,10 @@
 class ProxyFaults:
     """What goes wrong now; -1 means no cut.
 
-    cut_down_after: bytes towards the caller. cut_up_after: bytes towards the
-    target; 0 cuts before the first. half_open: drop answers but keep the
-    connection. hold: connections whose answers wait until as many are
-    complete, and then go out in reverse order.
+    cut_down_after: bytes towards the caller; 0 cuts when the first one comes.
+    cut_up_after: bytes towards the target; 0 cuts before the first.
+    half_open: drop answers but keep the connection. hold: connections whose
+    answers wait until as many are complete, and then go out in reverse order.
     """
 
     delay_s: float = 0
@@ -142,6 +142,9 @@
     ) -> None:
         left = cut_after
         with contextlib.suppress(OSError):
+            if answers and not left:
+                # Cut the answer, not the request that is still on its way.
+                source.recv(1)
             while left:
                 part = source.recv(_READ_BYTES)
                 self._running.wait()
--- a/packages/gateway/src/tallyhall_gateway/runner.py
+++ b/packages/gateway/src/tallyhall_gateway/runner.py
@@ -139,7 +139,11 @@
         return Outcome.complete
 
     def _resume(self) -> Outcome:
-        """Read on from the last good event, on the same upstream."""
+        """Read on from the last good event, on the same upstream.
+
+        An engine that has sent nothing yet may hear of the resume before it
+        has read the request itself, so its "not found" is asked again.
+        """
         for _ in range(_RESUMES):
             if self._cancelled.is_set():
                 return Outcome.stopped
@@ -157,7 +161,7 @@
         try:
             conn.connect()
             resp = conn.exchange('GET', path, b'', {})
-            if resp.status == _NOT_FOUND:
+            if resp.status == _NOT_FOUND and self._check.expected:
                 return Outcome.broken
             if resp.status != _OK:
                 return None
--- a/packages/gateway/src/tallyhall_gateway/upstream.py
+++ b/packages/gateway/src/tallyhall_gateway/upstream.py
@@ -46,6 +46,7 @@
         self._read_s = read_s
         self._lock = threading.Lock()
         self._cut = False
+        self._sock: socket.socket | None = None
 
     def connect(self) -> None:
         """Open the connection; raise NotSentError."""
@@ -54,11 +55,15 @@
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             raise NotSentError(str(exc)) from exc
         with self._lock:
+            # The standard library's connection gives its socket away to an
+            # answer that ends with the connection, as every stream does; a
+            # cut must still reach it.
+            self._sock = self._conn.sock
             if self._cut:
                 raise NotSentError('cancelled')
         self._conn.timeout = self._read_s
-        if self._conn.sock is not None:
-            self._conn.sock.settimeout(self._read_s)
+        if self._sock is not None:
+            self._sock.settimeout(self._read_s)
 
     def exchange(
         self,
@@ -84,15 +89,21 @@
         """End the connection from another thread."""
         with self._lock:
             self._cut = True
-            sock = self._conn.sock
-        if sock is not None:
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
+        self._shut()
 
     def close(self) -> None:
         """Close the connection; nothing is kept for reuse."""
+        self._shut()
         self._conn.close()
 
+    def _shut(self) -> None:
+        with self._lock:
+            sock = self._sock
+        if sock is None:
+            return
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
+
 
 def cancel_stream(address: str, request_id: str) -> None:
     """Tell an engine to stop a stream; it does not matter if it fails."""
--- a/tests/unit/gateway.py
+++ b/tests/unit/gateway.py
@@ -14,7 +14,7 @@
 from tallyhall_node.actions import Outcome, StartRun
 from tallyhall_standins.batch import EngineSpeed
 from tallyhall_standins.engine import EngineConfig, EngineStandIn
-from tallyhall_standins.web import wsgi
+from tallyhall_standins.web import RequestHandler, wsgi
 
 from tests.unit import admission as build
 
@@ -24,22 +24,35 @@
 _DEADLINE_S = 20
 
 
-def start_engine() -> tuple[EngineStandIn, str]:
+def start_engine(
+    speed: EngineSpeed = _FAST,
+) -> tuple[EngineStandIn, str]:
     """Serve an engine from threads of this process; return its address."""
-    engine = EngineStandIn(EngineConfig('engine-1', _FAST))
+    engine = EngineStandIn(EngineConfig('engine-1', speed))
+    return engine, serve(engine.handle)
+
+
+def serve(respond: RequestHandler) -> str:
+    """Serve from threads of this process; return its address."""
     port = free_ports(1)[0]
     server = create_server(
-        wsgi(engine.handle),
+        wsgi(respond),
         listen=f'127.0.0.1:{port}',
         threads=64,
         asyncore_use_poll=True,
     )
     threading.Thread(target=server.run, daemon=True).start()
-    return engine, f'127.0.0.1:{port}'
+    return f'127.0.0.1:{port}'
 
 
 def run_once(number: int, address: str) -> tuple[Outcome, Ticket]:
     """Dispatch one request and return how it ended, with its answer."""
+    run = make_run(number, address)
+    return run.execute(lambda start: None).outcome, run.ticket
+
+
+def make_run(number: int, address: str) -> Run:
+    """Return the dispatch of one request, not yet begun."""
     rid = build.ask(number).id
     raw = (
         f'{{"model": "ledger", "prompt": "{PROMPT}", '
@@ -49,14 +62,13 @@
     call = model_call('/v1/completions', raw, headers, build.table())
     now = time.monotonic()
     ticket = Ticket(rid, now)
-    run = Run(
+    return Run(
         StartRun(rid, 'engine-1', address, now + 1),
         call,
         ticket,
         StreamMeter(),
         now + _DEADLINE_S,
     )
-    return run.execute(lambda start: None).outcome, ticket
 
 
 def text_of(ticket: Ticket) -> str:
