Tier order when the owner stood still: only the newest owner is listened to

An earlier owner that wakes up still refuses and permits; homes took its word whoever they had asked last. 2. A new owner counted itself ready when all live homes had reported. The frozen one was silent, so its runs were unknown, and lower work was thought not to run. Once it was back it was live but had not reported. 3. An owner that stood still sees only itself alive, so a fresh report of "all live homes" is complete at once. 4. A fence released the permits of a home that may still run.

Tests first failing, then passing: an earlier owner permits and refuses nothing; an owner that stood still asks before it permits; nothing but the lowest tier is shed while a home is silent.

--- a/packages/admission/src/tallyhall_admission/pool.py
+++ b/packages/admission/src/tallyhall_admission/pool.py
@@ -76,6 +76,10 @@
         """Keep the promise that an earlier owner may have made."""
         self._shedder.inherit_promises(now)
 
+    def set_blind(self, *, blind: bool) -> None:
+        """Say whether some home's running work is unknown."""
+        self._shedder.blind = blind
+
     # -- what homes say
 
     def ask(self, ask: Ask, now: float) -> list[Outgoing]:
@@ -142,11 +146,15 @@
             job = self._job(ask, RequestId.parse(running.id), now)
             self.roster.record(Grant(job, running.upstream, now))
 
-    def homes_gone(self, homes: Set[str], now: float) -> list[Outgoing]:
-        """Drop what dead or fenced incarnations wait for and run."""
+    def drop_waiting(self, homes: Set[str]) -> None:
+        """Drop what fenced incarnations wait for; they may run on."""
         for job in list(self._waiting):
             if job.ask.holder in homes:
                 self._waiting.remove(job.ask.id)
+
+    def homes_gone(self, homes: Set[str], now: float) -> list[Outgoing]:
+        """Drop what dead incarnations wait for and run."""
+        self.drop_waiting(homes)
         self.roster.release_homes(homes)
         return self._start_jobs(now)
 
--- a/packages/admission/src/tallyhall_admission/shedding.py
+++ b/packages/admission/src/tallyhall_admission/shedding.py
@@ -47,6 +47,8 @@
         """Look at these permits and these waiting jobs."""
         self.tiers = Tiers()
         self.max_queue = 1
+        # Whether lower work may run that no home has reported yet.
+        self.blind = False
         self._roster = roster
         self._waiting = waiting
         self._cfg = cfg
@@ -71,7 +73,7 @@
         left = job.deadline - now
         if paces.idle.run(job) > left:
             return Rejection(Reason.deadline_unreachable, 0)
-        if self._roster.runs_below(job.rank):
+        if self._runs_below(job):
             return None
         held = self._holds.left(job.rank, now)
         if held > 0:
@@ -147,7 +149,12 @@
             return Reason.deadline_exceeded
         if now + paces.fastest.run(job) <= job.deadline:
             return None
-        return None if self._roster.runs_below(job.rank) else Reason.shed
+        return None if self._runs_below(job) else Reason.shed
+
+    def _runs_below(self, job: Job) -> bool:
+        if self.blind and job.rank < self.tiers.bottom:
+            return True
+        return self._roster.runs_below(job.rank)
 
     def _wait(self, job: Job, paces: Paces) -> float:
         return forecast.wait_seconds(
--- a/packages/daemon/src/tallyhall_daemon/settings.py
+++ b/packages/daemon/src/tallyhall_daemon/settings.py
@@ -118,6 +118,7 @@
             duty_s=times.duty_s,
             window_s=times.window_s,
             locate_s=times.locate_s,
+            pause_s=times.dead_after_s / 2,
             pool=PoolSettings(permit_s=times.permit_s, hold_s=times.hold_s),
             members=MemberSettings(dead_after=times.dead_after_s),
         )
--- a/packages/membership/src/tallyhall_membership/members.py
+++ b/packages/membership/src/tallyhall_membership/members.py
@@ -95,6 +95,14 @@
         late = now - record.changed > self._cfg.dead_after
         return late and record.entry.state != 'gone'
 
+    def silent(self, now: float) -> set[str]:
+        """Return the incarnations that say nothing but may be alive."""
+        return {
+            f'{instance}.{record.entry.incarnation}'
+            for instance, record in self._records.items()
+            if self.is_silent(instance, now)
+        }
+
     def suspect_address(self, rpc: str) -> None:
         """Count whoever is at this rpc address as dead, likewise."""
         for record in self._records.values():
--- a/packages/node/src/tallyhall_node/home.py
+++ b/packages/node/src/tallyhall_node/home.py
@@ -83,6 +83,8 @@
         self._active: dict[str, HomeRequest] = {}
         cfg = view.cfg
         self._cleaned: float = 0
+        # service -> epoch of the newest owner that has asked for a report
+        self._reported: dict[str, int] = {}
         self._budget = RetryBudget(cfg.retry_share, cfg.retry_floor)
 
     @property
@@ -140,8 +142,17 @@
 
     # -- from owners
 
-    def on_permit(self, msg: Permit, now: float) -> list[Action]:
-        """Take a permit; the request is running from here on."""
+    def on_permit(
+        self,
+        sender: str,
+        msg: Permit,
+        now: float,
+    ) -> list[Action]:
+        """Take a permit; the request is running from here on.
+
+        Only the owner that was asked last may permit: an earlier one does
+        not know what its successor has started and shed.
+        """
         req = self._requests.get(msg.id)
         if req is None or req.state == State.finished:
             withdraw = Withdraw(msg.id, msg.service)
@@ -149,6 +160,12 @@
             return self._view.send(owner, withdraw)
         if req.state != State.waiting or msg.attempt != req.attempt:
             return []
+        if sender != req.asked_owner:
+            withdraw = Withdraw(msg.id, msg.service)
+            return [
+                Count('retry.stale_owner'),
+                *self._view.send(sender, withdraw),
+            ]
         req.state = State.running
         req.upstream = msg.upstream
         until = min(now + msg.valid_s, req.deadline)
@@ -157,13 +174,20 @@
             StartRun(msg.id, msg.upstream, msg.address, until),
         ]
 
-    def on_refused(self, msg: AskRefused, now: float) -> list[Action]:
+    def on_refused(
+        self,
+        sender: str,
+        msg: AskRefused,
+        now: float,
+    ) -> list[Action]:
         """Take the owner's refusal; it is final for a waiting request."""
         req = self._active.get(msg.id)
         if req is None or req.state != State.waiting:
             return []
         if msg.attempt != req.attempt:
             return []
+        if sender != req.asked_owner:
+            return [Count('retry.stale_owner')]
         refusal = Refusal.of(msg.reason, retry_after=msg.retry_after_s)
         return self._finish(req, refusal, now)
 
@@ -193,7 +217,19 @@
         msg: HoldingWanted,
         now: float,
     ) -> list[Action]:
-        """Report everything running in the service to its new owner."""
+        """Report everything running in the service to its new owner.
+
+        From here on earlier owners are not listened to, else one of them
+        could start what the new owner never hears of.
+        """
+        if msg.since < self._reported.get(msg.service, 0):
+            return []
+        self._reported[msg.service] = msg.since
+        for waiting in self._active.values():
+            if waiting.spec.service != msg.service:
+                continue
+            if waiting.asked_owner != sender:
+                waiting.asked_owner = ''
         running = [
             running_of(
                 self._make_ask(req, now),
@@ -299,6 +335,9 @@
         return self._owner(req.spec.service, takeover=req.rid.takeover, now=now)
 
     def _owner(self, service: str, *, takeover: bool, now: float) -> str:
+        if self._view.since(service) < self._reported.get(service, 0):
+            # The newest owner is known, its assignment is on its way.
+            return ''
         owner = self._view.owner_of(service)
         if owner and self._view.is_home_live(owner, now):
             return owner
--- a/packages/node/src/tallyhall_node/node.py
+++ b/packages/node/src/tallyhall_node/node.py
@@ -91,6 +91,7 @@
         self.leaving = False
         self.fenced = False
         self._born = now
+        self._ticked = now
 
     # -- from callers
 
@@ -102,6 +103,7 @@
     ) -> Submission:
         """Take a caller's request, new or sent again."""
         view = self.view
+        self._note_time(now)
         if not view.ready:
             return _refused(
                 str(request_id or self._mint(now)),
@@ -251,13 +253,14 @@
         now: float,
     ) -> list[Action]:
         """Take a message; one branch a kind, so that mypy sees them all."""
+        self._note_time(now)
         match message:  # noqa: WPS242
             case Ask():
                 return self.owner.on_ask(sender, message, now)
             case Permit():
-                return self.home.on_permit(message, now)
+                return self.home.on_permit(sender, message, now)
             case AskRefused():
-                return self.home.on_refused(message, now)
+                return self.home.on_refused(sender, message, now)
             case NotOwner():
                 return self.home.on_not_owner(message, now)
             case Withdraw():
@@ -287,6 +290,8 @@
 
     def tick(self, now: float) -> list[Action]:
         """Run all clocks; call it a few times a second."""
+        self._note_time(now)
+        self._ticked = now
         window = self.window(now)
         return [
             *self.member.tick(now, window, self.home.load),
@@ -321,6 +326,13 @@
 
     # -- internals
 
+    def _note_time(self, now: float) -> None:
+        # A process that stood still for a while may have been replaced as an
+        # owner, and what it knows of the running work is old.
+        if now - self._ticked > self.view.cfg.pause_s:
+            self._ticked = now
+            self.owner.suspend(now)
+
     def _mint(self, now: float) -> RequestId:
         return RequestId.mint(
             self.view.home,
--- a/packages/node/src/tallyhall_node/owner.py
+++ b/packages/node/src/tallyhall_node/owner.py
@@ -42,6 +42,7 @@
     started: float
     deputy: bool = False
     wanted: float = 0
+    suspended: bool = False
     reported: set[str] = dataclasses.field(default_factory=set)
 
 
@@ -62,6 +63,15 @@
         """Return numbers for `status` by service."""
         return {name: own.pool.counts() for name, own in self._owned.items()}
 
+    def suspend(self, now: float) -> None:
+        """Ask all homes anew before permitting or refusing any more."""
+        for owned in self._owned.values():
+            owned.pool.ready = False
+            owned.suspended = True
+            owned.started = now
+            owned.wanted = 0
+            owned.reported.clear()
+
     # -- changes of the view
 
     def on_assignment(self, now: float) -> list[Action]:
@@ -76,7 +86,7 @@
                 out += self._start(service, tenure.since, now)
         fenced = view.assignment.fenced.keys()
         for mine in self._owned.values():
-            out.extend(self._out(mine.pool.homes_gone(fenced, now)))
+            mine.pool.drop_waiting(fenced)
         return out
 
     def on_table(self, now: float) -> None:
@@ -197,6 +207,7 @@
             if not owned.pool.ready:
                 out += self._check_ready(service, owned, now)
             out += self._ask_homes(service, owned, now)
+            owned.pool.set_blind(blind=self._is_blind(owned, now))
             if owned.deputy and not self._view.kv_down(now):
                 self._owned.pop(service)
                 continue
@@ -267,25 +278,38 @@
     ) -> list[Action]:
         if owned.pool.ready:
             return []
-        homes = {
-            f'{instance}.{entry.incarnation}'
-            for instance, entry in self._view.members.live(now).items()
-        }
+        homes = self._live_homes(now)
         late = now - owned.started >= self._view.cfg.rebuild_s
-        if not late and not homes <= owned.reported:
+        # One that stood still has yet to hear who is alive, and whether it
+        # still owns anything, so it waits the whole time.
+        complete = homes <= owned.reported and not owned.suspended
+        if not late and not complete:
             return []
+        owned.suspended = False
         owned.pool.ready = True
+        owned.pool.set_blind(blind=self._is_blind(owned, now))
         log = LogEvent(
             Event.owner_ready,
-            {'service': service, 'complete': homes <= owned.reported},
+            {'service': service, 'complete': complete},
         )
         return [log, *self._out(owned.pool.tick(now))]
 
+    def _is_blind(self, owned: _Owned, now: float) -> bool:
+        # A home that has not reported may run what an earlier owner
+        # permitted, also one that is silent now or was until a moment ago.
+        homes = self._live_homes(now)
+        if now - owned.started <= self._view.cfg.silent_s:
+            homes |= self._view.members.silent(now)
+        return not homes <= owned.reported
+
+    def _live_homes(self, now: float) -> set[str]:
+        live = self._view.members.live(now)
+        return {f'{name}.{entry.incarnation}' for name, entry in live.items()}
+
     def _drop_absent(self, now: float) -> None:
         # Homes gone for longer than any deadline are forgotten; their ids
         # stay barred, so this never allows a second dispatch.
-        live = self._view.members.live(now)
-        homes = {f'{name}.{entry.incarnation}' for name, entry in live.items()}
+        homes = self._live_homes(now)
         for owned in self._owned.values():
             for home in owned.pool.roster.memory.homes() - homes:
                 since = self._absent.setdefault(home, now)
--- a/packages/node/src/tallyhall_node/settings.py
+++ b/packages/node/src/tallyhall_node/settings.py
@@ -19,6 +19,8 @@
     window_s: length of a minting window. locate_s: how long callers keep a
     locate answer. query_s: period of takeover queries; tries: their number.
     silent_s: how long the permits of a silent home still count.
+    pause_s: after standing still for this long an owner asks all homes anew;
+    less than the time after which others may call it dead.
     order_repeat_s: when an order that shows no effect is sent again.
     """
 
@@ -32,6 +34,7 @@
     query_s: float = 0.5
     query_tries: int = 4
     silent_s: float = 10
+    pause_s: float = 1.25
     order_repeat_s: float = 5
     pollers: int = 3
     retry_share: float = 0.1
--- a/tests/unit/cluster.py
+++ b/tests/unit/cluster.py
@@ -38,6 +38,9 @@
 _CFG = NodeSettings(
     window_s=8,
     query_s=1,
+    # Steps go to one node at a time; the usual 1.25 would suspend all owners
+    # all the time, and hardly any request would be dispatched.
+    pause_s=8,
     pool=PoolSettings(windows_kept=2),
     members=MemberSettings(dead_after=2.5),
 )
--- a/tests/unit/test_owner.py
+++ b/tests/unit/test_owner.py
@@ -2,6 +2,10 @@
 
 import random
 
+from tallyhall_core.messages import AskRefused
+from tallyhall_core.refusals import Reason
+from tallyhall_membership.assignment import OwnerEdit
+
 from tests.unit import admission as build
 from tests.unit.cluster import NAMES_OF_NODES, Cluster
 
@@ -50,3 +54,53 @@
     assert not _running(cluster, owner)
     cluster.settle(now_and_then=True)
     assert _running(cluster, owner) == 1
+
+
+def _hand_over(cluster: Cluster) -> tuple[str, str, str]:
+    """Move the service to another owner; return home, old and new owner."""
+    old = cluster.assignment.owners[build.SERVICE].owner
+    old_name = old.partition('.')[0]
+    home, new_name = (name for name in NAMES_OF_NODES if name != old_name)
+    new = cluster.nodes[new_name].view.me
+    cluster.change((OwnerEdit(build.SERVICE, old, new),))
+    return home, old, new
+
+
+def test_an_earlier_owner_permits_and_refuses_nothing() -> None:
+    """It wakes up with old asks, and knows nothing of what runs by now."""
+    cluster = Cluster(random.Random(3))
+    cluster.settle(now_and_then=True)
+    home = _other_than_owner(cluster)
+    rid = cluster.submit_new(home)
+    cluster.release(cluster.hold('ask'))
+    late_permit = cluster.hold('permit')
+    cluster.stop_asks = True
+    _, old, _ = _hand_over(cluster)
+    cluster.settle(now_and_then=True)
+    cluster.release(late_permit)
+    refused = AskRefused(rid, build.SERVICE, 0, Reason.shed, 1)
+    cluster.nodes[home].on_message(old, '', refused, cluster.now)
+    assert not cluster.runs
+    assert cluster.nodes[home].home.load == 1
+    cluster.stop_asks = False
+    cluster.settle(now_and_then=True)
+    assert cluster.dispatches[rid] == 1
+
+
+def test_an_owner_that_stood_still_asks_before_it_permits() -> None:
+    cluster = Cluster(random.Random(4))
+    cluster.settle(now_and_then=True)
+    home = _other_than_owner(cluster)
+    rid = cluster.submit_new(home)
+    ask = cluster.hold('ask')
+    cluster.now += 9
+    cluster.release(ask)
+    kinds = {one.message.kind for one in cluster.flights}
+    assert 'permit' not in kinds
+    cluster.settle(now_and_then=True)
+    assert cluster.dispatches[rid] == 1
+
+
+def _other_than_owner(cluster: Cluster) -> str:
+    owner = cluster.assignment.owners[build.SERVICE].owner.partition('.')[0]
+    return next(name for name in NAMES_OF_NODES if name != owner)
--- a/tests/unit/test_pool.py
+++ b/tests/unit/test_pool.py
@@ -190,3 +190,17 @@
     assert build.kinds(out) == ['revoke']
     assert not build.ids(pool.tick(0.2), 'revoke')
     assert build.ids(pool.tick(0.6), 'revoke') == [build.ask(0).id]
+
+
+def test_nothing_but_the_lowest_tier_is_shed_while_a_home_is_silent() -> None:
+    pool = build.pool(slots=1)
+    _teach(pool, 4)
+    pool.roster.open_upstreams(0)[0].limit.limit = 1
+    pool.ask(build.ask(0, 'audit', left_s=20), 0)
+    pool.set_blind(blind=True)
+    assert not pool.ask(build.ask(1, 'desk', left_s=6), 0)
+    out = pool.ask(build.ask(2, 'batch', left_s=6), 0)
+    assert build.kinds(out) == ['refused']
+    pool.set_blind(blind=False)
+    out = pool.ask(build.ask(3, 'desk', left_s=6), 0)
+    assert build.kinds(out) == ['refused']
