Prompt prefixes are kept together: wait a little for the upstream that has one

The engine with the prefix was nearly always full (running = limit, limits of 1 to 5), so the job took whichever slot came free first. Limits were that low because one draft of the lowest tier (needs 18 ms a token) set its engine's limit, and since a limit starts at 4; seven such drafts were then stopped for want of room. An engine of which nothing was learned counted as instant and got the long drafts.

With no slot free nothing is looked at (3,009 of 3,156 choices were in vain). Also: only a gap without any input counts as having stood still, not a late tick of a busy owner (seen once: 1.6 s without a dispatch).

Five tests of the pool, failing before.

--- a/packages/admission/src/tallyhall_admission/estimate.py
+++ b/packages/admission/src/tallyhall_admission/estimate.py
@@ -103,6 +103,11 @@
         self.best_token_s: float = 0
         self.call_s = Mean(0)
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether anything was learned yet."""
+        return bool(self.token_s.samples or self.call_s.samples)
+
     def prefill(self, tokens: float) -> float:
         """Return the expected seconds to compute this many prompt tokens."""
         return max(tokens, 0) * self.first_s.slope
--- a/packages/admission/src/tallyhall_admission/jobs.py
+++ b/packages/admission/src/tallyhall_admission/jobs.py
@@ -9,6 +9,10 @@
 
 # Share of a job's remaining time that may go into decoding.
 _DECODE_SHARE = 0.8
+# How long a job waits for an upstream that has its prefix, at the most, and
+# as a share of the time to its deadline.
+_PATIENT_S = 3.0
+_PATIENT_SHARE = 0.15
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,6 +32,12 @@
     arrived: float
     cached: int = 0
 
+    @property
+    def patient_until(self) -> float:
+        """Return until when it waits for an upstream that has its prefix."""
+        span = self.deadline - self.arrived
+        return self.arrived + min(_PATIENT_S, _PATIENT_SHARE * span)
+
     @property
     def cost(self) -> float:
         """Return the tokens that fairness charges for it."""
--- a/packages/admission/src/tallyhall_admission/policy.py
+++ b/packages/admission/src/tallyhall_admission/policy.py
@@ -106,15 +106,17 @@
         """Return the free upstream of least cost in seconds."""
         best: Upstream | None = None
         best_cost: tuple[float, float] = (0, 0)
+        usual = _usual_run(ask, upstreams, output)
         for upstream in upstreams:
             if not upstream.free():
                 continue
-            cached = upstream.cache.cached_tokens(ask.prefixes)
-            computed = ask.prompt_tokens - cached
-            run = upstream.speed.run(computed, output)
+            computed = _computed(ask, upstream)
+            run = usual
+            if upstream.speed.is_known:
+                run = upstream.speed.run(computed, output)
             if run > left_s:
                 continue
-            cost = _cost(upstream, run, max(computed, 0))
+            cost = _cost(upstream, run, computed)
             if best is None or cost < best_cost:
                 best = upstream
                 best_cost = cost
@@ -140,6 +142,30 @@
     return lengths.expect(ask.workspace, ask.max_tokens)
 
 
+def _computed(ask: Ask, upstream: Upstream) -> int:
+    cached = upstream.cache.cached_tokens(ask.prefixes)
+    return max(0, ask.prompt_tokens - cached)
+
+
+def _usual_run(
+    ask: Ask,
+    upstreams: Sequence[Upstream],
+    output: float,
+) -> float:
+    """Return the mean run of the known upstreams, 0 if none is known.
+
+    An upstream of which nothing is known is expected to be like the others;
+    taken for instant, it would get the work of which most is lost if it
+    turns out to be slow.
+    """
+    runs = [
+        upstream.speed.run(_computed(ask, upstream), output)
+        for upstream in upstreams
+        if upstream.speed.is_known
+    ]
+    return sum(runs) / max(len(runs), 1)
+
+
 def _reported_load(upstream: Upstream) -> float:
     return upstream.reported + upstream.sent_since_report
 
--- a/packages/admission/src/tallyhall_admission/pool.py
+++ b/packages/admission/src/tallyhall_admission/pool.py
@@ -25,6 +25,9 @@
 from .upstream import Upstream, UpstreamInfo
 from .waiting import WaitingJobs
 
+# Jobs of a workspace that are looked at for an upstream with their prefix.
+_LOOK_AHEAD = 4
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolCounts:
@@ -65,8 +68,7 @@
         }
         self._shedder.tiers = Tiers(table.tiers)
         self._shedder.max_queue = row.max_queue
-        gap_s = self._shedder.tiers.gap_s
-        self.roster.configure(row, limits, gap_s, now)
+        self.roster.configure(row, limits, self._shedder.tiers, now)
 
     def take_instances(self, infos: tuple[UpstreamInfo, ...]) -> None:
         """Take the instance list."""
@@ -214,6 +216,8 @@
         if not self.ready:
             return out
         upstreams = self.roster.open_upstreams(now)
+        if self._policy.bounded and not any(up.free() for up in upstreams):
+            return out
         grant = self._next_grant(upstreams, now)
         while grant is not None:
             self._waiting.remove(grant.job.ask.id)
@@ -229,22 +233,57 @@
         upstreams: list[Upstream],
         now: float,
     ) -> Grant | None:
-        for job in self._waiting.heads(self.roster.limits.has_room):
+        has_room = self.roster.limits.has_room
+        for jobs in self._waiting.turns(has_room, _LOOK_AHEAD):
+            grant = self._best_of(jobs, upstreams, now)
+            if grant is not None:
+                return grant
+        return None
+
+    def _best_of(
+        self,
+        jobs: list[Job],
+        upstreams: list[Upstream],
+        now: float,
+    ) -> Grant | None:
+        """Return a grant for one of a workspace's next jobs.
+
+        The first that finds an upstream with its prefix free; without one,
+        the first that need not wait for such an upstream, or no longer.
+        """
+        fallback: Job | None = None
+        for job in jobs:
             if self._shedder.is_barred(job, now):
                 continue
-            ask = job.ask
-            usable = [up for up in upstreams if up.info.name != ask.avoid]
-            chosen = self._policy.choose(
-                ask,
-                usable or upstreams,
-                job.output,
-                job.deadline - now,
-            )
-            if chosen is None:
-                continue
-            cached = chosen.cache.cached_tokens(ask.prefixes)
-            return Grant(job, chosen.info.name, now, cached)
-        return None
+            usable = _usable(job, upstreams)
+            warm = _with_prefix(job, usable) if self._policy.bounded else usable
+            grant = self._grant(job, warm, now)
+            if grant is not None:
+                return grant
+            full = any(not upstream.free() for upstream in warm)
+            waits = full and now < job.patient_until
+            if fallback is None and not waits:
+                fallback = job
+        if fallback is None:
+            return None
+        return self._grant(fallback, _usable(fallback, upstreams), now)
+
+    def _grant(
+        self,
+        job: Job,
+        upstreams: list[Upstream],
+        now: float,
+    ) -> Grant | None:
+        chosen = self._policy.choose(
+            job.ask,
+            upstreams,
+            job.output,
+            job.deadline - now,
+        )
+        if chosen is None:
+            return None
+        cached = chosen.cache.cached_tokens(job.ask.prefixes)
+        return Grant(job, chosen.info.name, now, cached)
 
     def _job(self, ask: Ask, rid: RequestId, now: float) -> Job:
         rank = self._shedder.tiers.rank_of(ask.tier)
@@ -263,3 +302,24 @@
             self._cfg.permit_s,
         )
         return Outgoing(ask.holder, message)
+
+
+def _usable(job: Job, upstreams: list[Upstream]) -> list[Upstream]:
+    """Return the upstreams but the one to avoid, unless it is the only one."""
+    avoid = job.ask.avoid
+    usable = [up for up in upstreams if up.info.name != avoid]
+    return usable or upstreams
+
+
+def _with_prefix(job: Job, upstreams: list[Upstream]) -> list[Upstream]:
+    """Return the upstreams that keep most of the job's prefix, if any does."""
+    prefixes = job.ask.prefixes
+    kept = [up.cache.cached_tokens(prefixes) for up in upstreams]
+    most = max(kept, default=0)
+    if not most:
+        return []
+    return [
+        upstream
+        for upstream, tokens in zip(upstreams, kept, strict=True)
+        if tokens == most
+    ]
--- a/packages/admission/src/tallyhall_admission/roster.py
+++ b/packages/admission/src/tallyhall_admission/roster.py
@@ -17,6 +17,7 @@
 from .limits import RowLimits
 from .memory import PermitMemory
 from .settings import PoolSettings
+from .tiers import Tiers
 from .upstream import Upstream, UpstreamInfo
 
 
@@ -32,16 +33,19 @@
         self._cfg = cfg
         self._ceiling = 1
         self._gap_s: float = 0
+        self._bottom = 0
         self._upstreams: dict[str, Upstream] = {}
 
     def configure(
         self,
         row: ServiceRow,
         limits: dict[str, LimitRow],
-        gap_s: float,
+        tiers: Tiers,
         now: float,
     ) -> None:
         """Take the table's rows for this service."""
+        gap_s = tiers.gap_s
+        self._bottom = tiers.bottom
         self._ceiling = row.max_running
         self._gap_s = gap_s
         self.limits.configure(limits, now)
@@ -158,14 +162,7 @@
             return
         gap = report.elapsed_s * report.streams / report.tokens
         upstream.speed.learn_gap(gap)
-        needed = min(
-            (
-                grant.needed_gap_s
-                for grant in self.grants.values()
-                if grant.upstream == report.upstream
-            ),
-            default=gap,
-        )
+        needed = self._needed_gap(report.upstream, gap)
         upstream.limit.on_gap(gap, needed, upstream.running, now)
 
     def load_report(
@@ -183,6 +180,20 @@
         if cache_tokens:
             known.cache.resize(cache_tokens)
 
+    def _needed_gap(self, upstream: str, usual: float) -> float:
+        # The lowest tier holds nobody off: a long draft would else keep the
+        # whole upstream to itself, and be stopped for it in the end.
+        running = [
+            grant
+            for grant in self.grants.values()
+            if grant.upstream == upstream
+        ]
+        higher = [one for one in running if one.job.rank < self._bottom]
+        return min(
+            (grant.needed_gap_s for grant in higher or running),
+            default=usual,
+        )
+
     def _learn_model(
         self,
         grant: Grant,
--- a/packages/admission/src/tallyhall_admission/waiting.py
+++ b/packages/admission/src/tallyhall_admission/waiting.py
@@ -67,14 +67,18 @@
             self._ranks.pop(job.rank)
         return job
 
-    def heads(self, has_room: Callable[[str], bool]) -> Iterator[Job]:
-        """Yield the next job of each workspace in the order to serve."""
+    def turns(
+        self,
+        has_room: Callable[[str], bool],
+        most: int,
+    ) -> Iterator[list[Job]]:
+        """Yield each workspace's next jobs, `most` of them, in their order."""
         for rank in sorted(self._ranks):
             queues = self._ranks[rank]
             order = sorted(queues, key=self._spent.__getitem__)
             for workspace in order:
                 if has_room(workspace):
-                    yield queues[workspace][0]
+                    yield queues[workspace][:most]
 
     def charge(self, job: Job, weight: float) -> None:
         """Charge a permitted job to its workspace."""
--- a/packages/node/src/tallyhall_node/node.py
+++ b/packages/node/src/tallyhall_node/node.py
@@ -91,7 +91,7 @@
         self.leaving = False
         self.fenced = False
         self._born = now
-        self._ticked = now
+        self._last_input = now
 
     # -- from callers
 
@@ -291,7 +291,6 @@
     def tick(self, now: float) -> list[Action]:
         """Run all clocks; call it a few times a second."""
         self._note_time(now)
-        self._ticked = now
         window = self.window(now)
         return [
             *self.member.tick(now, window, self.home.load),
@@ -328,10 +327,11 @@
 
     def _note_time(self, now: float) -> None:
         # A process that stood still for a while may have been replaced as an
-        # owner, and what it knows of the running work is old.
-        if now - self._ticked > self.view.cfg.pause_s:
-            self._ticked = now
+        # owner, and what it knows of the running work is old. One that is
+        # only busy gets its inputs late but without such a gap.
+        if now - self._last_input > self.view.cfg.pause_s:
             self.owner.suspend(now)
+        self._last_input = now
 
     def _mint(self, now: float) -> RequestId:
         return RequestId.mint(
--- a/tests/unit/admission.py
+++ b/tests/unit/admission.py
@@ -59,6 +59,7 @@
     workspace: str = 'foundry',
     left_s: float = 10,
     attempt: int = 0,
+    prefixes: tuple[str, ...] = (),
 ) -> Ask:
     """Return the ask of request `number`."""
     rid = RequestId(HOME, 1, 0, True, f'{number:08x}')
@@ -73,6 +74,7 @@
         max_tokens=100,
         left_s=left_s,
         attempt=attempt,
+        prefixes=prefixes,
     )
 
 
--- a/tests/unit/test_pool.py
+++ b/tests/unit/test_pool.py
@@ -2,8 +2,11 @@
 
 import dataclasses
 
+import pytest
+
 from tallyhall_admission.pool import Pool
 from tallyhall_admission.upstream import UpstreamInfo
+from tallyhall_core.messages import Progress
 from tallyhall_core.refusals import Reason
 
 from tests.unit import admission as build
@@ -204,3 +207,53 @@
     pool.set_blind(blind=False)
     out = pool.ask(build.ask(3, 'desk', left_s=6), 0)
     assert build.kinds(out) == ['refused']
+
+
+def _warm(pool: Pool) -> str:
+    """Let one upstream get a prefix and be full; return its name."""
+    shared = build.ask(0, prefixes=('weekly', 'draft'))
+    out = pool.ask(shared, 0)
+    return str(getattr(out[0].message, 'upstream', ''))
+
+
+def test_a_job_waits_for_the_upstream_that_has_its_prefix() -> None:
+    pool = build.pool(upstreams=2, slots=1)
+    warm = _warm(pool)
+    again = build.ask(1, prefixes=('weekly', 'draft'))
+    assert not pool.ask(again, 0.1)
+    out = pool.done(build.done(build.ask(0), upstream=warm), 0.2)
+    assert [getattr(one.message, 'upstream', '') for one in out] == [warm]
+
+
+def test_it_does_not_wait_for_long() -> None:
+    pool = build.pool(upstreams=2, slots=1)
+    warm = _warm(pool)
+    pool.ask(build.ask(1, prefixes=('weekly', 'draft'), left_s=10), 0.1)
+    assert not pool.tick(1.5)
+    out = pool.tick(1.7)
+    assert build.ids(out, 'permit') == [build.ask(1).id]
+    assert getattr(out[0].message, 'upstream', '') != warm
+
+
+def test_others_go_past_a_job_that_waits_for_its_prefix() -> None:
+    pool = build.pool(upstreams=2, slots=1)
+    _warm(pool)
+    pool.ask(build.ask(1, prefixes=('weekly', 'draft')), 0.1)
+    out = pool.ask(build.ask(2), 0.2)
+    assert build.ids(out, 'permit') == [build.ask(2).id]
+
+
+@pytest.mark.parametrize(
+    ('tier', 'slots'),
+    [('batch', 4), ('desk', 2)],
+    ids=['a lower tier holds nobody off', 'its own tier does'],
+)
+def test_the_tightest_stream_but_of_the_lowest_tier_sets_the_limit(
+    tier: str,
+    slots: int,
+) -> None:
+    pool = build.pool(slots=4)
+    pool.ask(build.ask(0, 'desk', left_s=100), 0)
+    pool.ask(build.ask(1, tier, left_s=2), 0)
+    pool.progress(Progress(build.SERVICE, 'engine-0', 2, 50, 1), 1)
+    assert pool.counts().slots == slots
