Reading: a request's state and messages apart from the home role; tiers named once

The usual tiers and their weights stood in four places; Fleet.put_table only passed on. Behaviour unchanged, no test changed but for the imported names.

--- a/packages/bench/src/tallyhall_bench/fault_run.py
+++ b/packages/bench/src/tallyhall_bench/fault_run.py
@@ -23,10 +23,9 @@
 from .first_run import usual_upstreams
 from .fleet import Fleet, FleetSpec, Member
 from .load import DoneCall, PlannedCall, run_plan
-from .tables import usual_table
+from .tables import TIER_RANKS, usual_table
 from .workloads import WORKSPACES, mixed_burst
 
-_RANKS = {'audit': 0, 'desk': 1, 'batch': 2}  # noqa: WPS407
 _SETTINGS = '[times]\nlocate_s = 1.0\n'
 _INSTANCES = 4
 _RATE = 12
@@ -183,7 +182,7 @@
         drawer = FaultDrawer(fleet, seed, seconds)
         done = _run(fleet, plan, drawer)
         found = all_checks(done, fleet.all_counts(), len(plan))
-        found += tier_order(fleet.events(), _RANKS)
+        found += tier_order(fleet.events(), TIER_RANKS)
     return FaultReport(tuple(done), drawer.faults, tuple(found))
 
 
--- a/packages/bench/src/tallyhall_bench/first_run.py
+++ b/packages/bench/src/tallyhall_bench/first_run.py
@@ -15,13 +15,12 @@
 from .fleet import Fleet, FleetSpec, UpstreamSpec
 from .load import run_plan
 from .summary import summarise, summary_lines
-from .tables import usual_table
+from .tables import TIER_WEIGHTS, usual_table
 from .workloads import WORKSPACES, mixed_burst
 
 _REQUESTS = 240
 _OVER_S = 8.0
 _SEED = 7
-_WEIGHTS = {'audit': 8.0, 'desk': 3.0, 'batch': 1.0}  # noqa: WPS407
 
 
 def usual_upstreams() -> tuple[UpstreamSpec, ...]:
@@ -45,7 +44,7 @@
     with Fleet(spec) as fleet:
         done = run_plan(plan, Client(fleet.seeds, 'first-run'))
         counts = fleet.all_counts()
-    for line in summary_lines(summarise(done, _WEIGHTS, counts)):
+    for line in summary_lines(summarise(done, dict(TIER_WEIGHTS), counts)):
         sys.stdout.write(f'{line}\n')
     violations = all_checks(done, counts, len(plan))
     for violation in violations:
--- a/packages/bench/src/tallyhall_bench/fleet.py
+++ b/packages/bench/src/tallyhall_bench/fleet.py
@@ -139,7 +139,7 @@
     def start(self) -> None:
         """Start all processes and wait until they are ready."""
         self._start_standins()
-        self.put_table(self.spec.table)
+        tables.put_table(self.platform['kv'].address, self.spec.table)
         for number in range(self.spec.instances):
             self.start_instance(f'entry-{number + 1}', announce=False)
         self.announce()
@@ -280,10 +280,6 @@
                     break
                 time.sleep(_POLL_S)
 
-    def put_table(self, fields: dict[str, Any]) -> None:
-        """Write a whole table through the product's own store."""
-        tables.put_table(self.platform['kv'].address, fields)
-
     def edit_weight(self, workspace: str, weight: float) -> None:
         """Change one row as an operator; a platform fault is passed over."""
         tables.set_weight(self.platform['kv'].address, workspace, weight)
--- a/packages/bench/src/tallyhall_bench/tables.py
+++ b/packages/bench/src/tallyhall_bench/tables.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import types
 import uuid
 from typing import Any
 
@@ -13,6 +14,11 @@
 from tallyhall_table.store import TableStore
 
 _TIMEOUT_S = 2.0
+# The usual three tiers: rank and weight in the goodput over all tiers.
+TIER_RANKS = types.MappingProxyType({'audit': 0, 'desk': 1, 'batch': 2})
+TIER_WEIGHTS = types.MappingProxyType(
+    {'audit': 8.0, 'desk': 3.0, 'batch': 1.0},
+)
 
 
 def put_table(address: str, fields: dict[str, Any]) -> None:
@@ -52,17 +58,15 @@
     deadlines: tuple[float, float, float] = (6.0, 12.0, 20.0),
 ) -> dict[str, Any]:
     """Return three tiers, a model and a plain service, all rows open."""
-    tiers = ('audit', 'desk', 'batch')
-    weights = (8.0, 3.0, 1.0)
     return {
         'tiers': [
             {
                 'name': name,
                 'rank': rank,
                 'deadline_s': deadlines[rank],
-                'goodput_weight': weights[rank],
+                'goodput_weight': TIER_WEIGHTS[name],
             }
-            for rank, name in enumerate(tiers)
+            for name, rank in TIER_RANKS.items()
         ],
         'services': [
             {'name': 'ledger', 'kind': 'model'},
@@ -72,7 +76,7 @@
             {
                 'workspace': workspace,
                 'service': service,
-                'tiers': list(tiers),
+                'tiers': list(TIER_RANKS),
             }
             for workspace in workspaces
             for service in ('ledger', 'tags')
--- a/packages/node/src/tallyhall_node/home.py
+++ b/packages/node/src/tallyhall_node/home.py
@@ -9,16 +9,11 @@
 
 from __future__ import annotations
 
-import dataclasses
-import enum
-
 from tallyhall_admission.outgoing import running_of
 from tallyhall_core.events import Event
 from tallyhall_core.ids import RequestId
 from tallyhall_core.messages import (
-    Ask,
     AskRefused,
-    Done,
     Holding,
     HoldingWanted,
     NotOwner,
@@ -33,12 +28,12 @@
     CancelRun,
     Count,
     Finish,
-    LogEvent,
     Outcome,
     RequestSpec,
     RunResult,
     StartRun,
 )
+from .request import HomeRequest, State, log_of, reason_of
 from .retries import RetryBudget
 from .view import View
 
@@ -46,33 +41,6 @@
 _CLEAN_S = 1.0
 
 
-@enum.unique
-class State(enum.StrEnum):
-    """The states of a request, in their only order."""
-
-    waiting = 'waiting'
-    running = 'running'
-    finished = 'finished'
-
-
-@dataclasses.dataclass(slots=True)
-class HomeRequest:
-    """One request of this home."""
-
-    rid: RequestId
-    spec: RequestSpec
-    deadline: float
-    state: State = State.waiting
-    attempt: int = 0
-    asked: float = 0
-    asked_owner: str = ''
-    upstream: str = ''
-    avoid: str = ''
-    stopping: Refusal | None = None
-    resumed: bool = False
-    ended: float = 0
-
-
 class HomeRole:
     """All requests whose home, or successor, is this incarnation."""
 
@@ -110,7 +78,7 @@
         self._active[str(rid)] = req
         self._budget.earn()
         return [
-            _log(Event.admitted, req),
+            log_of(Event.admitted, req),
             *self._ask(req, now),
         ]
 
@@ -129,7 +97,7 @@
         self._requests[str(rid)] = req
         self._active[str(rid)] = req
         return [
-            _log(Event.resumed, req),
+            log_of(Event.resumed, req),
             StartRun(str(rid), upstream, address, req.deadline, resume=True),
         ]
 
@@ -170,7 +138,7 @@
         req.upstream = msg.upstream
         until = min(now + msg.valid_s, req.deadline)
         return [
-            _log(Event.permitted, req),
+            log_of(Event.permitted, req),
             StartRun(msg.id, msg.upstream, msg.address, until),
         ]
 
@@ -232,7 +200,7 @@
                 waiting.asked_owner = ''
         running = [
             running_of(
-                self._make_ask(req, now),
+                req.ask(self._view.me, now),
                 req.upstream,
                 max(0, req.deadline - now),
             )
@@ -263,7 +231,7 @@
             req.avoid = run.upstream
             out.append(Count(f'retry.{run.outcome}'))
             return [*out, *self._ask(req, now)]
-        reason = _reason_of(run.outcome, late=now >= req.deadline)
+        reason = reason_of(run.outcome, late=now >= req.deadline)
         refusal = Refusal.of(reason, retry_after=_DRAIN_RETRY_S)
         return [*out, *self._finish(req, req.stopping or refusal, now)]
 
@@ -298,7 +266,7 @@
         req.asked_owner = owner
         if not owner:
             return []
-        return self._view.send(owner, self._make_ask(req, now))
+        return self._view.send(owner, req.ask(self._view.me, now))
 
     def _ask_again(self, req: HomeRequest, now: float) -> list[Action]:
         owner = self._owner_for(req, now)
@@ -314,23 +282,6 @@
             return []
         return [Count('retry.reask'), *self._ask(req, now)]
 
-    def _make_ask(self, req: HomeRequest, now: float) -> Ask:
-        spec = req.spec
-        return Ask(
-            id=str(req.rid),
-            service=spec.service,
-            holder=self._view.me,
-            workspace=spec.workspace,
-            tier=spec.tier,
-            idempotent=spec.idempotent,
-            prompt_tokens=spec.prompt_tokens,
-            max_tokens=spec.max_tokens,
-            left_s=max(0, req.deadline - now),
-            prefixes=spec.prefixes,
-            attempt=req.attempt,
-            avoid=req.avoid,
-        )
-
     def _owner_for(self, req: HomeRequest, now: float) -> str:
         return self._owner(req.spec.service, takeover=req.rid.takeover, now=now)
 
@@ -351,21 +302,7 @@
         run: RunResult,
         now: float,
     ) -> list[Action]:
-        done = Done(
-            run.id,
-            req.spec.service,
-            run.upstream,
-            req.attempt,
-            ran=run.outcome != Outcome.not_sent,
-            ok=run.outcome == Outcome.complete and not req.resumed,
-            broken=run.outcome in {Outcome.broken, Outcome.failed},
-            first_s=run.first_s,
-            total_s=run.total_s,
-            prompt_tokens=run.prompt_tokens,
-            cached_tokens=run.cached_tokens,
-            output_tokens=run.output_tokens,
-        )
-        return self._view.send(self._owner_for(req, now), done)
+        return self._view.send(self._owner_for(req, now), req.done(run))
 
     def _may_retry(
         self,
@@ -418,7 +355,7 @@
             return []
         req.stopping = refusal
         return [
-            _log(Event.revoked, req, reason=refusal.reason),
+            log_of(Event.revoked, req, reason=refusal.reason),
             Count(f'refused.{refusal.reason}'),
             CancelRun(str(req.rid), refusal),
         ]
@@ -431,7 +368,7 @@
     ) -> list[Action]:
         self._end(req, now)
         return [
-            _log(
+            log_of(
                 Event.finished,
                 req,
                 output_tokens=run.output_tokens,
@@ -449,7 +386,7 @@
     ) -> list[Action]:
         self._end(req, now)
         out: list[Action] = [
-            _log(
+            log_of(
                 Event.refused,
                 req,
                 reason=refusal.reason,
@@ -477,29 +414,3 @@
             own = req.rid.home == self._view.home
             if not own or req.rid.window < window - 1:
                 self._requests.pop(request_id)
-
-
-def _reason_of(outcome: Outcome, *, late: bool) -> Reason:
-    if outcome == Outcome.not_sent:
-        return Reason.deadline_exceeded if late else Reason.no_upstream
-    if outcome == Outcome.failed:
-        return Reason.upstream_error
-    return Reason.upstream_broken
-
-
-def _log(
-    event: Event,
-    req: HomeRequest,
-    **fields: str | float | bool,
-) -> LogEvent:
-    return LogEvent(
-        event,
-        {
-            'id': str(req.rid),
-            'service': req.spec.service,
-            'workspace': req.spec.workspace,
-            'tier': req.spec.tier,
-            'upstream': req.upstream,
-            **fields,
-        },
-    )
--- a/tests/processes/test_tier_order.py
+++ b/tests/processes/test_tier_order.py
@@ -2,21 +2,19 @@
 
 import signal
 import time
-import types
 from collections.abc import Iterator
 
 import pytest
 from tallyhall_bench.checks import tier_order
 from tallyhall_bench.first_run import usual_upstreams
 from tallyhall_bench.fleet import Fleet, FleetSpec
-from tallyhall_bench.tables import usual_table
+from tallyhall_bench.tables import TIER_RANKS, usual_table
 from tallyhall_bench.workloads import WORKSPACES, mixed_burst
 
 from tests.processes.fleets import FAST, loaded, violations
 
 pytestmark = pytest.mark.processes
 
-_RANKS = types.MappingProxyType({'audit': 0, 'desk': 1, 'batch': 2})
 _REQUESTS = 540
 _OVER_S = 6.0
 
@@ -56,5 +54,5 @@
             owner.send_signal(signal.SIGCONT)
     fleet.faults('engine-1', slow=1)
     assert not violations(fleet, done, plan)
-    assert not tier_order(fleet.events(), _RANKS)
+    assert not tier_order(fleet.events(), TIER_RANKS)
     assert any(one.outcome.reason == 'shed' for one in done)
