Wasted prefill counts no token twice

Change: the engine stand-in tells which blocks it threw away, and those are left out of the repeated ones.

--- a/packages/bench/src/tallyhall_bench/summary.py
+++ b/packages/bench/src/tallyhall_bench/summary.py
@@ -104,7 +104,15 @@
 
 
 def repeated_tokens(counts: dict[str, dict[str, Any]]) -> int:
-    """Return prompt tokens computed while another engine kept them."""
+    """Return prompt tokens computed while another engine kept them.
+
+    Those that were thrown away as well are left out, so that none counts
+    twice.
+    """
+    thrown = {
+        name: collections.Counter(upstream.get('wasted_blocks', ()))
+        for name, upstream in counts.items()
+    }
     events = sorted(
         (at, kind == 'add', block, name)
         for name, upstream in counts.items()
@@ -117,7 +125,9 @@
         if not added:
             kept_by.discard(name)
             continue
-        if kept_by - {name}:
+        if kept_by - {name} and thrown[name][block] > 0:
+            thrown[name][block] -= 1
+        elif kept_by - {name}:
             repeated += BLOCK_TOKENS
         kept_by.add(name)
     return repeated
--- a/packages/standins/src/tallyhall_standins/batch.py
+++ b/packages/standins/src/tallyhall_standins/batch.py
@@ -134,6 +134,8 @@
         self.cache = cache
         self.prefill_computed = 0
         self.prefill_wasted = 0
+        # Blocks whose prompt work was thrown away with a cancelled request.
+        self.wasted_blocks: list[str] = []
         self._waiting: collections.deque[Stream] = collections.deque()
         self._running: list[Stream] = []
 
@@ -152,6 +154,9 @@
             return
         stream.cancelled = True
         self.prefill_wasted += stream.computed
+        if stream.prompt_left <= 0:
+            kept = stream.cached // BLOCK_TOKENS
+            self.wasted_blocks.extend(stream.blocks[kept:])
         if stream in self._waiting:
             self._waiting.remove(stream)
         if stream in self._running:
--- a/packages/standins/src/tallyhall_standins/engine.py
+++ b/packages/standins/src/tallyhall_standins/engine.py
@@ -310,6 +310,7 @@
                     'finished': sorted(self._finished),
                     'prefill_computed': self._batch.prefill_computed,
                     'prefill_wasted': self._batch.prefill_wasted,
+                    'wasted_blocks': self._batch.wasted_blocks,
                     'cache_events': self._batch.cache.events,
                     'running': self._batch.counts[0],
                     'waiting': self._batch.counts[1],
