--- a/packages/admission/src/tallyhall_admission/pool.py
+++ b/packages/admission/src/tallyhall_admission/pool.py
@@ -248,8 +248,8 @@
     ) -> Grant | None:
         """Return a grant for one of a workspace's next jobs.
 
-        The first that finds an upstream with its prefix free; without one,
-        the first that need not wait for such an upstream, or no longer.
+        The first that finds an upstream with its prefix free, or has waited
+        for one long enough; without one, the first that need not wait.
         """
         fallback: Job | None = None
         for job in jobs:
@@ -257,17 +257,28 @@
                 continue
             usable = _usable(job, upstreams)
             warm = _with_prefix(job, usable) if self._policy.bounded else usable
-            grant = self._grant(job, warm, now)
+            grant = self._grant_in_turn(job, warm, usable, now)
             if grant is not None:
                 return grant
-            full = any(not upstream.free() for upstream in warm)
-            waits = full and now < job.patient_until
-            if fallback is None and not waits:
+            if fallback is None and all(up.free() for up in warm):
                 fallback = job
         if fallback is None:
             return None
         return self._grant(fallback, _usable(fallback, upstreams), now)
 
+    def _grant_in_turn(
+        self,
+        job: Job,
+        warm: list[Upstream],
+        usable: list[Upstream],
+        now: float,
+    ) -> Grant | None:
+        grant = self._grant(job, warm, now)
+        if grant is None and now >= job.patient_until:
+            # Else those with warm prefixes could go past it for ever.
+            return self._grant(job, usable, now)
+        return grant
+
     def _grant(
         self,
         job: Job,
--- a/tests/unit/test_pool.py
+++ b/tests/unit/test_pool.py
@@ -257,3 +257,21 @@
     pool.ask(build.ask(1, tier, left_s=2), 0)
     pool.progress(Progress(build.SERVICE, 'engine-0', 2, 50, 1), 1)
     assert pool.counts().slots == slots
+
+
+def test_jobs_with_warm_prefixes_do_not_go_past_one_for_ever() -> None:
+    pool = build.pool(upstreams=1, slots=1)
+    warm = ('weekly', 'draft')
+    pool.ask(build.ask(0, prefixes=warm), 0)
+    pool.ask(build.ask(1, prefixes=('another',), left_s=10), 0.1)
+    granted = []
+    for number in range(2, 8):
+        pool.ask(build.ask(number, prefixes=warm, left_s=20), 0.1)
+    running = build.ask(0)
+    for step in range(1, 8):
+        done = build.done(running, total_s=0.5)
+        out = pool.done(done, step / 2)
+        permitted = build.ids(out, 'permit')[0]
+        granted.append(int(permitted[-8:], 16))
+        running = build.ask(granted[-1])
+    assert granted.index(1) == 3
