A leaving instance keeps its clocks running while callers read

Cause, found by reading: the wait for slow readers ran no ticks and did not look again at late requests. Change: it steps on and waits for both. The slow reader test passes as before.

--- a/packages/daemon/src/tallyhall_daemon/serve.py
+++ b/packages/daemon/src/tallyhall_daemon/serve.py
@@ -233,16 +233,20 @@
 
     def _let_callers_read(self) -> None:
         # A request has ended here once its answer is complete, but a slow
-        # caller may still be reading it.
+        # caller may still be reading it, and a late one may still come.
         until = time.monotonic() + _READ_OUT_S
-        while time.monotonic() < until:
-            channels = tuple(self._http.active_channels.values())
-            if not any(
-                one.requests or one.total_outbufs_len for one in channels
-            ):
+        while self._is_sending() or not self._actor.is_drained().get():
+            if time.monotonic() >= until:
+                self._telemetry.count('drain.reading_cut_off')
                 return
+            self._step()
             time.sleep(_CHECK_S)
-        self._telemetry.count('drain.reading_cut_off')
+
+    def _is_sending(self) -> bool:
+        return any(
+            channel.requests or channel.total_outbufs_len
+            for channel in tuple(self._http.active_channels.values())
+        )
 
     def _message(self, *received: object) -> None:
         self._tell('message', *received)
