Reading: live homes named once, the usual run only where one is unknown

owner._ask_homes built the names of live homes that _live_homes gives; the choice of an upstream worked out the mean run on every call though it is used only for an upstream of which nothing is known, and looked each prefix up twice for it. Behaviour unchanged.

--- a/packages/admission/src/tallyhall_admission/policy.py
+++ b/packages/admission/src/tallyhall_admission/policy.py
@@ -106,7 +106,9 @@
         """Return the free upstream of least cost in seconds."""
         best: Upstream | None = None
         best_cost: tuple[float, float] = (0, 0)
-        usual = _usual_run(ask, upstreams, output)
+        usual: float = 0
+        if not all(upstream.speed.is_known for upstream in upstreams):
+            usual = _usual_run(ask, upstreams, output)
         for upstream in upstreams:
             if not upstream.free():
                 continue
--- a/packages/node/src/tallyhall_node/owner.py
+++ b/packages/node/src/tallyhall_node/owner.py
@@ -264,10 +264,8 @@
         owned.wanted = now
         out: list[Action] = []
         wanted = HoldingWanted(service, owned.since)
-        for instance, entry in self._view.members.live(now).items():
-            home = f'{instance}.{entry.incarnation}'
-            if home not in owned.reported:
-                out += self._view.send(home, wanted)
+        for home in sorted(self._live_homes(now) - owned.reported):
+            out.extend(self._view.send(home, wanted))
         return out
 
     def _check_ready(
