--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-PACKAGES := core platform table membership admission node transport gateway \
+PACKAGES := core sources table membership admission node transport gateway \
 	client standins bench daemon
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 SOURCES := packages tests
--- a/packages/core/src/tallyhall_core/refusals.py
+++ b/packages/core/src/tallyhall_core/refusals.py
@@ -58,6 +58,11 @@
     cancelled = 'cancelled'
     already_answered = 'already_answered'
     stopping = 'stopping'
+    unknown_key = 'unknown_key'
+    unknown_route = 'unknown_route'
+    state_not_confirmed = 'state_not_confirmed'
+    upstream_full = 'upstream_full'
+    timed_out = 'timed_out'
 
 
 _NOT_RUN = Executed.no
@@ -80,6 +85,17 @@
     ),
     Reason.not_ready: Entry(1101, 503, _NOT_RUN, 'No table is in force yet.'),
     Reason.stopping: Entry(1102, 503, _NOT_RUN, 'The instance is stopping.'),
+    Reason.unknown_key: Entry(1008, 401, _NOT_RUN, 'No workspace has the key.'),
+    Reason.unknown_route: Entry(1009, 404, _NOT_RUN, 'No route has the path.'),
+    Reason.state_not_confirmed: Entry(
+        1103, 503, _NOT_RUN, 'The API keys in force cannot be confirmed now.'
+    ),
+    Reason.upstream_full: Entry(
+        1208, 503, _NOT_RUN, 'The upstreams took no more requests.'
+    ),
+    Reason.timed_out: Entry(
+        1305, 504, _UNKNOWN, 'The time was over before the answer came.'
+    ),
     Reason.deadline_unreachable: Entry(
         1201, 503, _NOT_RUN, 'The deadline cannot be met even without a queue.'
     ),
@@ -146,3 +162,12 @@
         """Return the refusal with the catalogue's own `executed`."""
         executed = CATALOGUE[reason].executed
         return cls(reason, executed, retry_after, detail)
+
+
+class RefusedError(Exception):
+    """A request is answered with a refusal."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        """Keep the refusal."""
+        super().__init__(refusal.reason)
+        self.refusal = refusal
--- a/packages/daemon/src/tallyhall_daemon/command_base.py
+++ b/packages/daemon/src/tallyhall_daemon/command_base.py
@@ -6,7 +6,7 @@
 import pathlib
 
 from cleo.commands.command import Command
-from tallyhall_platform.errors import PlatformError
+from tallyhall_sources.errors import PlatformError
 from tallyhall_table.errors import TableError
 
 from .errors import OperatorError
--- a/packages/daemon/src/tallyhall_daemon/command_table.py
+++ b/packages/daemon/src/tallyhall_daemon/command_table.py
@@ -13,7 +13,7 @@
 import urllib3
 from cleo.helpers import argument, option
 from expression import Result
-from tallyhall_platform.kv import EtcdKeyValue
+from tallyhall_sources.kv import EtcdKeyValue
 from tallyhall_table.edits import (
     SECTIONS,
     RowEdit,
--- a/packages/daemon/src/tallyhall_daemon/orders.py
+++ b/packages/daemon/src/tallyhall_daemon/orders.py
@@ -15,9 +15,9 @@
 import urllib3
 from tallyhall_core.events import Event
 from tallyhall_node.orders import Order
-from tallyhall_platform.errors import PlatformError
-from tallyhall_platform.kv import KeyValue
-from tallyhall_platform.weights import WeightStore
+from tallyhall_sources.errors import PlatformError
+from tallyhall_sources.kv import KeyValue
+from tallyhall_sources.weights import WeightStore
 
 from .telemetry import Telemetry
 
--- a/packages/daemon/src/tallyhall_daemon/pollers.py
+++ b/packages/daemon/src/tallyhall_daemon/pollers.py
@@ -17,17 +17,17 @@
 from tallyhall_membership.assignment import Edit
 from tallyhall_membership.shared import ASSIGNMENT, INSTANCES, TABLE
 from tallyhall_node import instances as lists
-from tallyhall_platform.errors import PlatformError
-from tallyhall_platform.instance_list import EndpointList, InstanceLister
-from tallyhall_platform.kv import KeyValue
-from tallyhall_platform.stored import (
+from tallyhall_sources.errors import PlatformError
+from tallyhall_sources.instance_list import EndpointList, InstanceLister
+from tallyhall_sources.kv import KeyValue
+from tallyhall_sources.stored import (
     ASSIGNMENT_KEY,
     PREFIX,
     TABLE_KEY,
     change_text,
     read_text,
 )
-from tallyhall_platform.weights import HttpWeightStore
+from tallyhall_sources.weights import HttpWeightStore
 from tallyhall_table.edits import parse_table
 from tallyhall_table.errors import TableError
 
--- a/packages/daemon/src/tallyhall_daemon/serve.py
+++ b/packages/daemon/src/tallyhall_daemon/serve.py
@@ -18,8 +18,8 @@
 from tallyhall_gateway.ticket import Ticket
 from tallyhall_gateway.tickets import Tickets
 from tallyhall_node.node import LocatedEntry
-from tallyhall_platform.instance_list import EndpointSliceLister
-from tallyhall_platform.kv import EtcdKeyValue
+from tallyhall_sources.instance_list import EndpointSliceLister
+from tallyhall_sources.kv import EtcdKeyValue
 from tallyhall_table.model import Table
 from tallyhall_transport.errors import TransportError
 from tallyhall_transport.sender import Sender
--- /dev/null
+++ b/packages/dispatch/src/tallyhall_dispatch/engines.py
@@ -0,0 +1,139 @@
+"""What is known of one upstream: its load, its speed, its recent failures.
+
+Upstreams of one service differ in speed by a factor of five and slow down
+as their batch fills. Both are learned from the requests that run there.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from .desired import Upstream
+from .jobs import Ending, Job, RunReport
+
+# Weight of the newest observation in a mean; ten observations, about a
+# second of traffic on one engine, replace four fifths of it.
+_NEWEST = 0.15
+# Guesses until the first observation: seconds an event, seconds a prompt
+# token, seconds to answer a plain request.
+FIRST_PACE_S = 0.03
+FIRST_TOKEN_S = 0.00003
+FIRST_PLAIN_S = 0.05
+# Shortest prompt, in tokens, from which the speed of reading is learned:
+# below it, fixed costs hide it.
+_LEARNING_TOKENS = 400
+# Fixed part of the time to the first event, in seconds.
+_FIRST_FIXED_S = 0.03
+# An upstream that failed is left out for this long, in seconds; each
+# further failure in a row doubles it up to the longest.
+_ASIDE_S = 0.5
+_LONGEST_ASIDE_S = 4.0
+# Failures in a row after which an upstream is left out; single lost answers
+# and single errors happen on sound ones.
+_FAILURES_BORNE = 3
+
+_FAILURES = frozenset(
+    (Ending.failed, Ending.unknown, Ending.broken, Ending.unsent),
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """A job that was granted to an upstream."""
+
+    job: Job
+    granted_at: float
+    ahead_tokens: int
+    reading: bool = True
+
+
+class EngineView:
+    """One incarnation of an upstream as seen from here."""
+
+    def __init__(self, upstream: Upstream) -> None:
+        """Start with nothing observed."""
+        self.upstream = upstream
+        self.runs: dict[str, Run] = {}
+        self.pace_s = FIRST_PACE_S
+        self.token_s = FIRST_TOKEN_S
+        self.plain_s = FIRST_PLAIN_S
+        self._aside_until: float = 0
+        self._failures = 0
+
+    @property
+    def free(self) -> int:
+        """Return how many more requests would run at once."""
+        return self.upstream.slots - len(self.runs)
+
+    @property
+    def reading_tokens(self) -> int:
+        """Return the prompt tokens that wait to be read."""
+        return sum(
+            run.job.prompt_tokens for run in self.runs.values() if run.reading
+        )
+
+    def is_aside(self, now: float) -> bool:
+        """Return whether recent failures keep this upstream out of use."""
+        return now < self._aside_until
+
+    def first_s(self, job: Job) -> float:
+        """Return the expected time to the first event of a job."""
+        if not job.output_tokens:
+            return self.plain_s
+        tokens = self.reading_tokens + job.prompt_tokens
+        return _FIRST_FIXED_S + tokens * self.token_s
+
+    def total_s(self, job: Job, event_tokens: int) -> float:
+        """Return the expected time to the last event of a job."""
+        if not job.output_tokens:
+            return self.plain_s * (1 + len(self.runs) / self.upstream.slots)
+        events = job.output_tokens / max(1, event_tokens)
+        return self.first_s(job) + events * self.pace_s
+
+    def grant(self, job: Job, now: float) -> None:
+        """Take a job as running here."""
+        self.runs[job.key] = Run(job, now, self.reading_tokens)
+
+    def first_byte(self, key: str) -> None:
+        """Take that a job's prompt has been read."""
+        run = self.runs.get(key)
+        if run is not None:
+            run.reading = False
+
+    def finish(self, key: str, report: RunReport, now: float) -> None:
+        """Take how a job ended, and learn from it."""
+        run = self.runs.pop(key, None)
+        if run is None:
+            return
+        self._note_failure(report.ending, now)
+        if report.ending is not Ending.answered:
+            return
+        if not run.job.output_tokens:
+            self.plain_s = _mean(self.plain_s, report.total_s)
+            return
+        if report.events > 1:
+            pace_s = report.stream_s / (report.events - 1)
+            self.pace_s = _mean(self.pace_s, pace_s)
+        tokens = run.ahead_tokens + run.job.prompt_tokens
+        if report.first_s is not None and tokens >= _LEARNING_TOKENS:
+            reading_s = max(0, report.first_s - _FIRST_FIXED_S)
+            self.token_s = _mean(self.token_s, reading_s / tokens)
+
+    def _note_failure(self, ending: Ending, now: float) -> None:
+        if ending is Ending.answered:
+            self._failures = 0
+            self._aside_until = 0
+            return
+        if ending not in _FAILURES:
+            return
+        self._failures += 1
+        # Nothing listens there: one refused connection says enough.
+        borne = 1 if ending is Ending.unsent else _FAILURES_BORNE
+        over = self._failures - borne
+        if over >= 0:
+            aside_s = min(_LONGEST_ASIDE_S, _ASIDE_S * 2**over)
+            self._aside_until = now + aside_s
+
+
+def _mean(old: float, newest: float) -> float:
+    return old + _NEWEST * (newest - old)
--- /dev/null
+++ b/packages/dispatch/src/tallyhall_dispatch/gate.py
@@ -0,0 +1,156 @@
+"""Whether a request may enter: route, API key, freshness, quota.
+
+Everything is decided from this instance's own state. The order matters to
+callers: without a desired state nothing is known, so nobody is told that a
+path or key does not exist.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from tallyhall_core.refusals import Reason, Refusal, RefusedError
+
+from .desired import DesiredState, Limits, Route, Workspace
+from .freshness import Freshness
+from .quota import Quotas
+from .retries import RetryBudget, RetryLimits
+from .routing import Router, pick_service
+
+# Told to callers where only time helps: until a restarted instance has read
+# the desired state, or a lost store is back. Seconds.
+_STATE_RETRY_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request that may run, and on what grounds."""
+
+    route: Route
+    service: str
+    workspace: Workspace | None
+    key: str
+    charged: float
+    version: int
+
+
+class Gate:
+    """Lets requests in, by the newest desired state."""
+
+    def __init__(
+        self,
+        freshness: Freshness,
+        retry_limits: RetryLimits,
+        rng: random.Random,
+    ) -> None:
+        """Start without a desired state."""
+        self.freshness = freshness
+        self.quotas = Quotas()
+        self.instances = 1
+        self._retry_limits = retry_limits
+        self._rng = rng
+        self._router: Router | None = None
+        self._budgets: dict[str, RetryBudget] = {}
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, -1 before the first."""
+        return -1 if self._router is None else self._router.state.version
+
+    @property
+    def limits(self) -> Limits:
+        """Return what callers may send."""
+        return Limits() if self._router is None else self._router.state.limits
+
+    def take_state(self, state: DesiredState, now: float) -> None:
+        """Put a newer desired state in force."""
+        self._router = Router(state)
+        self.quotas.configure(state.workspaces, now)
+
+    def admit(
+        self,
+        host: str,
+        path: str,
+        key: str,
+        tokens: int,
+        now: float,
+    ) -> Admitted:
+        """Return the grounds on which a request enters; raise RefusedError."""
+        router = self._router
+        if router is None:
+            raise _refused(Reason.not_ready, _STATE_RETRY_S)
+        route = router.route(host, path)
+        if route is None:
+            self._check_fresh(now)
+            raise _refused(Reason.unknown_route)
+        workspace = None
+        if router.state.checks_keys and not route.public:
+            self._check_fresh(now)
+            workspace = router.workspace(key)
+            if workspace is None:
+                raise _refused(Reason.unknown_key)
+        charged = self._charge(workspace, tokens, now)
+        service = pick_service(route, self._rng)
+        self.budget(service).request(now)
+        return Admitted(
+            route,
+            service,
+            workspace,
+            key,
+            charged,
+            router.state.version,
+        )
+
+    def still_holds(self, admitted: Admitted, now: float) -> bool:
+        """Return whether a request may still be sent after its wait."""
+        if admitted.workspace is None or self._router is None:
+            return True
+        if not self.freshness.holds(now):
+            return False
+        return self._router.workspace(admitted.key) is not None
+
+    def give_back(self, admitted: Admitted, now: float) -> None:
+        """Return the quota of a request that did not run."""
+        if admitted.workspace is not None:
+            self.quotas.give_back(
+                admitted.workspace.name,
+                admitted.charged,
+                now,
+            )
+
+    def may_repeat(self, service: str, now: float) -> bool:
+        """Spend one further send; return whether the budget allows it."""
+        return self.budget(service).take(now, self.instances)
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(self._retry_limits)
+            self._budgets[service] = budget
+        return budget
+
+    def _check_fresh(self, now: float) -> None:
+        if not self.freshness.holds(now):
+            raise _refused(Reason.state_not_confirmed, _STATE_RETRY_S)
+
+    def _charge(
+        self,
+        workspace: Workspace | None,
+        tokens: int,
+        now: float,
+    ) -> float:
+        if workspace is None:
+            return 0
+        amount: float = 1
+        if workspace.in_tokens:
+            amount = tokens or workspace.plain_tokens
+        wait_s = self.quotas.take(workspace.name, amount, now)
+        if wait_s:
+            raise _refused(Reason.rate_limited, wait_s)
+        return amount
+
+
+def _refused(reason: Reason, retry_after: float | None = None) -> RefusedError:
+    return RefusedError(Refusal.of(reason, retry_after=retry_after))
--- /dev/null
+++ b/packages/dispatch/src/tallyhall_dispatch/jobs.py
@@ -0,0 +1,73 @@
+"""A request as the queue sees it, and what becomes of it."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt that other requests may share."""
+
+    key: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Job:
+    """What a request needs of an upstream.
+
+    key: unique among all jobs of all instances. urgency: sorts jobs, least
+    first. due_at: when the first byte should reach the caller. give_up_at:
+    after this an upstream could no longer answer in time. excluded:
+    incarnations that must not be used again for this request.
+    """
+
+    key: str
+    service: str
+    urgency: int
+    prompt_tokens: int
+    output_tokens: int
+    parts: tuple[PromptPart, ...]
+    asked_at: float
+    due_at: float
+    give_up_at: float
+    excluded: frozenset[str] = frozenset()
+
+
+@enum.unique
+class Ending(enum.Enum):
+    """How one send to an upstream ended.
+
+    answered: a whole answer. failed: a whole answer with a server error.
+    rejected: the upstream says that it did not run the request. misplaced:
+    another incarnation has the address. unsent: nothing was written.
+    unknown: no answer, it may have run. broken: the answer broke off.
+    left: the caller went away. late: the time was over.
+    """
+
+    answered = 'answered'
+    failed = 'failed'
+    rejected = 'rejected'
+    misplaced = 'misplaced'
+    unsent = 'unsent'
+    unknown = 'unknown'
+    broken = 'broken'
+    left = 'left'
+    late = 'late'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunReport:
+    """What one send showed about its upstream.
+
+    first_s: time to the first byte of the answer, None without one. events:
+    events that came. stream_s: time between the first and the last of them.
+    """
+
+    ending: Ending
+    total_s: float
+    first_s: float | None = None
+    events: int = 0
+    stream_s: float = 0
--- /dev/null
+++ b/packages/dispatch/src/tallyhall_dispatch/options.py
@@ -0,0 +1,63 @@
+"""Everything an entry instance is told when it starts, in one typed object."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listening:
+    """A host and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return HOST:PORT."""
+        return f'{self.host}:{self.port}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreOptions:
+    """Where the store is and how long its shortest lease lasts."""
+
+    address: Listening
+    least_lease_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Times and shares that the operators promise to callers.
+
+    revoke_s: longest time that a revoked key may work. grace_s: time between
+    the signal to stop and the end by force. locate_keep_s: longest time for
+    which callers keep an answer about where to connect.
+    """
+
+    revoke_s: float
+    grace_s: float
+    locate_keep_s: float
+    retry_ratio: float
+    retry_allowance: float
+    retry_window_s: float
+    quota_window_s: float
+    quota_overshoot: float
+    quota_slack: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """One instance's settings."""
+
+    instance: str
+    zone: str
+    region: str
+    front: Listening
+    ready: Listening
+    locate: Listening
+    peer: Listening
+    metrics: Listening
+    store: StoreOptions
+    bounds: Bounds
+    memory_bytes: int
+    descriptors: int
--- /dev/null
+++ b/packages/dispatch/src/tallyhall_dispatch/windows.py
@@ -0,0 +1,44 @@
+"""Sums over a sliding window of time, in constant memory."""
+
+from __future__ import annotations
+
+import collections
+
+
+class SlidingSum:
+    """A sum of amounts over the last `window_s` seconds.
+
+    Amounts are kept in buckets of `window_s / parts`; an amount counts for
+    up to one bucket longer than the window, never shorter.
+    """
+
+    def __init__(self, window_s: float, parts: int = 20) -> None:
+        """Start empty."""
+        self._window = window_s
+        self._bucket = window_s / parts
+        self._buckets: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
+        self._total: float = 0
+
+    def add(self, amount: float, now: float) -> None:
+        """Add an amount at this time."""
+        self._expire(now)
+        self._total += amount
+        if self._buckets and now - self._buckets[-1][0] < self._bucket:
+            start, held = self._buckets.pop()
+            self._buckets.append((start, held + amount))
+            return
+        self._buckets.append((now, amount))
+
+    def total(self, now: float) -> float:
+        """Return the sum over the window that ends now."""
+        self._expire(now)
+        return self._total
+
+    def _expire(self, now: float) -> None:
+        oldest = now - self._window - self._bucket
+        while self._buckets and self._buckets[0][0] <= oldest:
+            self._total -= self._buckets.popleft()[1]
+        if not self._buckets:
+            self._total = 0
--- /dev/null
+++ b/packages/edge/src/tallyhall_edge/dialect.py
@@ -0,0 +1,96 @@
+"""What a request's way needs to know of the headers on the wire.
+
+Names of headers and the form of refusals differ between interfaces; the
+steps of a request do not. Each interface implements `Dialect`.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Protocol
+
+from tallyhall_core.refusals import Refusal
+from tallyhall_dispatch.jobs import PromptPart
+
+from .messages import Headers, RequestHead, ResponseHead
+
+
+class BadCallError(Exception):
+    """A header of a request has no valid value."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallInfo:
+    """What a caller's headers say.
+
+    deadline_s: how long the caller waits, counted from its first byte; None
+    if it does not say. output_tokens: the most tokens of the answer, 0 for
+    requests that state no tokens. last_event: the event after which a
+    resumed stream goes on.
+    """
+
+    request_id: bytes
+    host: str
+    key: str
+    deadline_s: float | None
+    prompt_tokens: int
+    output_tokens: int
+    parts: tuple[PromptPart, ...]
+    last_event: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendInfo:
+    """What is added to a request on its way to one upstream."""
+
+    left_s: float
+    incarnation: str
+    workspace: str | None
+    last_event: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerInfo:
+    """What the head of an upstream's answer says.
+
+    proven: it carries the upstream's signature. not_executed: the upstream
+    states that it did not run the request.
+    """
+
+    proven: bool
+    not_executed: bool
+    misplaced: bool
+    streams: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnAnswer:
+    """An answer of this instance."""
+
+    status: int
+    reason: bytes
+    headers: Headers
+    body: bytes
+
+
+class Dialect(Protocol):
+    """Reads and writes the headers of one interface."""
+
+    id_header: bytes
+
+    def call(self, head: RequestHead) -> CallInfo:
+        """Return what a request says; raise BadCallError."""
+
+    def upstream_headers(
+        self,
+        head: RequestHead,
+        body_size: int,
+        info: SendInfo,
+    ) -> Headers:
+        """Return the headers of a request for one upstream."""
+
+    def answer(self, head: ResponseHead) -> AnswerInfo:
+        """Return what the head of an answer says."""
+
+    def refusal(self, refusal: Refusal) -> OwnAnswer:
+        """Return a refusal as this interface sends it."""
--- /dev/null
+++ b/packages/edge/src/tallyhall_edge/errors.py
@@ -0,0 +1,19 @@
+"""Errors of connections; what is known about the request is in the type."""
+
+from __future__ import annotations
+
+
+class EdgeError(Exception):
+    """Base of this package's errors."""
+
+
+class NotSentError(EdgeError):
+    """The request did not leave: no upstream can have read it."""
+
+
+class BrokenError(EdgeError):
+    """The connection failed after the request was written."""
+
+
+class BadMessageError(BrokenError):
+    """The upstream sent bytes that are no answer."""
--- /dev/null
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -0,0 +1,393 @@
+"""A request's way: admitted, queued, sent, relayed, answered.
+
+Only the instance that holds the caller's connection knows the request, so
+it alone keeps the promises: what must not run twice is written to one
+upstream, and written again only if that upstream says that it did not run
+it or nothing was written at all.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import Protocol
+
+from tallyhall_core.events import Event
+from tallyhall_core.refusals import Reason, Refusal, RefusedError
+from tallyhall_dispatch.desired import RouteKind, Upstream
+from tallyhall_dispatch.gate import Admitted, Gate
+from tallyhall_dispatch.jobs import Ending, Job, RunReport
+
+from .connections import ConnectionPool
+from .dialect import BadCallError, CallInfo, Dialect, SendInfo
+from .errors import NotSentError
+from .messages import head_bytes
+from .relay import Relay
+from .scheduling import Scheduler
+from .server import Exchange
+
+# A kept connection may have died unnoticed. What may be sent again uses any
+# that is kept; what may not uses only one that worked a moment ago. Seconds.
+_IDLE_REPEATABLE_S = 10.0
+_IDLE_ONCE_S = 1.0
+# Sends of one request at the most, with those that upstreams rejected.
+_MOST_SENDS = 4
+# Callers leave a stream after this long without an event: the longest of
+# 2 s, four objectives and eight of its longest pauses.
+_PATIENCE_S = 2.0
+_PATIENCE_OBJECTIVES = 4
+_PATIENCE_GAPS = 8
+# Part of a caller's patience after which a waiting request is given up: it
+# leaves the upstream time for the first event.
+_WAIT_PART = 0.7
+# Told to callers whose request an upstream turned away, in seconds.
+_FULL_RETRY_S = 0.3
+
+_SAFE_TO_RESEND = frozenset(
+    (Ending.rejected, Ending.misplaced, Ending.unsent),
+)
+
+
+class Telemetry(Protocol):
+    """Takes numbered events and what a request came to."""
+
+    def event(self, event: Event, **fields: object) -> None:
+        """Log an event."""
+
+    def ended(self, outcome: str, total_s: float, route_kind: str) -> None:
+        """Count a request that has ended."""
+
+
+@dataclasses.dataclass(slots=True)
+class Visit:
+    """One request under way."""
+
+    exchange: Exchange
+    call: CallInfo
+    admitted: Admitted
+    end_at: float
+    last_event: int | None
+    excluded: set[str] = dataclasses.field(default_factory=set)
+    sends: int = 0
+    may_have_run: int = 0
+    outcome: str = ''
+
+    @property
+    def request_id(self) -> str:
+        """Return the caller's id."""
+        return self.call.request_id.decode('latin-1')
+
+
+class Runner:
+    """Handles the requests of all callers."""
+
+    def __init__(
+        self,
+        gate: Gate,
+        scheduler: Scheduler,
+        conns: ConnectionPool,
+        dialect: Dialect,
+        telemetry: Telemetry,
+    ) -> None:
+        """Work with these parts of the instance."""
+        self._gate = gate
+        self._scheduler = scheduler
+        self._conns = conns
+        self._dialect = dialect
+        self._telemetry = telemetry
+        self._loop = asyncio.get_running_loop()
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        try:
+            visit = self._enter(exchange)
+        except RefusedError as exc:
+            self._refuse(exchange, exc.refusal, '')
+            return
+        try:
+            async with asyncio.timeout_at(visit.end_at):
+                await self._serve(visit)
+        except RefusedError as exc:
+            self._give_up(visit, exc.refusal)
+        except TimeoutError:
+            self._time_over(visit)
+        except asyncio.CancelledError:
+            visit.outcome = visit.outcome or 'caller_left'
+            self._telemetry.event(
+                Event.caller_left,
+                request=visit.request_id,
+                sends=visit.sends,
+                begun=exchange.started,
+            )
+            raise
+        finally:
+            self._end(visit)
+
+    # -- steps
+
+    def _enter(self, exchange: Exchange) -> Visit:
+        try:
+            call = self._dialect.call(exchange.head)
+        except BadCallError as exc:
+            refusal = Refusal.of(Reason.bad_request, detail=str(exc))
+            raise RefusedError(refusal) from exc
+        admitted = self._gate.admit(
+            call.host,
+            exchange.head.path,
+            call.key,
+            call.prompt_tokens + call.output_tokens,
+            self._loop.time(),
+        )
+        limit_s = admitted.route.timeout_s
+        if call.deadline_s is not None:
+            limit_s = min(limit_s, call.deadline_s)
+        return Visit(
+            exchange,
+            call,
+            admitted,
+            exchange.received_at + limit_s,
+            call.last_event,
+        )
+
+    async def _serve(self, visit: Visit) -> None:
+        while True:
+            job = self._job(visit)
+            upstream = await self._scheduler.acquire(job)
+            visit.sends += 1
+            ending, relay = await self._send(visit, job, upstream)
+            if ending is Ending.answered:
+                visit.outcome = 'answered'
+                if not visit.exchange.ended:
+                    relay.deliver()
+                return
+            visit.last_event = relay.last_event
+            visit.excluded.add(upstream.incarnation)
+            if not self._may_send_again(visit, ending):
+                self._fail(visit, ending, relay)
+                return
+
+    async def _send(
+        self,
+        visit: Visit,
+        job: Job,
+        upstream: Upstream,
+    ) -> tuple[Ending, Relay]:
+        route = visit.admitted.route
+        relay = Relay(
+            visit.exchange,
+            self._dialect,
+            visit.last_event,
+            streaming=route.kind is RouteKind.streaming,
+        )
+        relay.on_first = lambda: self._scheduler.first_byte(job)
+        ending = Ending.left
+        try:
+            ending = await self._exchange(visit, upstream, relay)
+        except NotSentError:
+            ending = Ending.unsent
+        finally:
+            report = relay.report(ending)
+            self._scheduler.finish(job, upstream, report)
+            self._log_send(visit, upstream, report)
+        return ending, relay
+
+    async def _exchange(
+        self,
+        visit: Visit,
+        upstream: Upstream,
+        relay: Relay,
+    ) -> Ending:
+        repeatable = visit.admitted.route.repeatable
+        address = (upstream.host, upstream.port)
+        idle_s = _IDLE_REPEATABLE_S if repeatable else _IDLE_ONCE_S
+        conn = await self._conns.take(address, idle_s)
+        try:
+            if not self._gate.still_holds(visit.admitted, self._loop.time()):
+                refusal = Refusal.of(Reason.state_not_confirmed, retry_after=1)
+                raise RefusedError(refusal)
+            relay.bind(conn)
+            conn.send(
+                self._request(visit, upstream),
+                relay,
+                visit.call.request_id,
+            )
+            visit.may_have_run += 1
+            ending = await relay.done
+        finally:
+            visit.exchange.on_writable = None
+            self._conns.give_back(address, conn)
+        if ending in _SAFE_TO_RESEND:
+            visit.may_have_run -= 1
+        return ending
+
+    def _request(self, visit: Visit, upstream: Upstream) -> bytes:
+        exchange = visit.exchange
+        workspace = visit.admitted.workspace
+        resumes = visit.last_event != visit.call.last_event
+        info = SendInfo(
+            visit.end_at - self._loop.time(),
+            upstream.incarnation,
+            None if workspace is None else workspace.name,
+            visit.last_event if resumes else None,
+        )
+        head = exchange.head
+        headers = self._dialect.upstream_headers(
+            head,
+            len(exchange.body),
+            info,
+        )
+        line = b'%b %b HTTP/1.1' % (head.method, head.target)
+        return head_bytes(line, headers) + exchange.body
+
+    def _job(self, visit: Visit) -> Job:
+        route = visit.admitted.route
+        call = visit.call
+        received_at = visit.exchange.received_at
+        wait_s = _WAIT_PART * (visit.end_at - received_at)
+        if route.kind is RouteKind.streaming:
+            patience_s = max(
+                _PATIENCE_S,
+                _PATIENCE_OBJECTIVES * route.objective_s,
+                _PATIENCE_GAPS * route.gap_s,
+            )
+            wait_s = min(wait_s, _WAIT_PART * patience_s)
+        if visit.sends:
+            received_at = self._loop.time()
+        return Job(
+            key=f'{visit.request_id}/{visit.sends}',
+            service=visit.admitted.service,
+            urgency=route.priority,
+            prompt_tokens=call.prompt_tokens,
+            output_tokens=call.output_tokens,
+            parts=call.parts,
+            asked_at=self._loop.time(),
+            due_at=visit.exchange.received_at + route.objective_s,
+            give_up_at=min(visit.end_at, received_at + wait_s),
+            excluded=frozenset(visit.excluded),
+        )
+
+    def _may_send_again(self, visit: Visit, ending: Ending) -> bool:
+        if visit.sends >= _MOST_SENDS:
+            return False
+        now = self._loop.time()
+        if ending in _SAFE_TO_RESEND:
+            # What did not arrive anywhere costs no budget.
+            if ending is Ending.unsent:
+                return True
+            return self._spend(visit, now)
+        route = visit.admitted.route
+        if not route.repeatable or visit.may_have_run >= route.attempts:
+            return False
+        if visit.exchange.started and not route.resumable:
+            return False
+        return self._spend(visit, now)
+
+    def _spend(self, visit: Visit, now: float) -> bool:
+        allowed = self._gate.may_repeat(visit.admitted.service, now)
+        if not allowed:
+            self._telemetry.event(
+                Event.budget_binds,
+                request=visit.request_id,
+                service=visit.admitted.service,
+            )
+        return allowed
+
+    # -- ends
+
+    def _fail(self, visit: Visit, ending: Ending, relay: Relay) -> None:
+        if visit.exchange.started:
+            visit.outcome = 'broken'
+            visit.exchange.abort()
+            return
+        if ending is Ending.failed:
+            visit.outcome = 'upstream_error'
+            relay.deliver()
+            return
+        if visit.may_have_run:
+            refusal = Refusal.of(Reason.upstream_broken)
+        elif ending is Ending.rejected:
+            refusal = Refusal.of(
+                Reason.upstream_full,
+                retry_after=_FULL_RETRY_S,
+            )
+        else:
+            refusal = Refusal.of(
+                Reason.no_upstream,
+                retry_after=_FULL_RETRY_S,
+            )
+        self._give_up(visit, refusal)
+
+    def _time_over(self, visit: Visit) -> None:
+        if visit.exchange.started:
+            visit.outcome = 'timed_out'
+            visit.exchange.abort()
+            return
+        reason = Reason.deadline_unreachable
+        if visit.may_have_run:
+            reason = Reason.timed_out
+        self._give_up(visit, Refusal.of(reason))
+
+    def _give_up(self, visit: Visit, refusal: Refusal) -> None:
+        if visit.exchange.started:
+            visit.outcome = 'broken'
+            visit.exchange.abort()
+            return
+        if visit.may_have_run and refusal.executed.value == 'no':
+            refusal = Refusal.of(Reason.upstream_broken)
+        if not visit.may_have_run:
+            self._gate.give_back(visit.admitted, self._loop.time())
+        visit.outcome = refusal.reason.value
+        self._refuse(visit.exchange, refusal, visit.request_id)
+
+    def _refuse(
+        self,
+        exchange: Exchange,
+        refusal: Refusal,
+        request_id: str,
+    ) -> None:
+        self._telemetry.event(
+            Event.refused,
+            request=request_id,
+            reason=refusal.reason.value,
+            detail=refusal.detail,
+            retry_after=refusal.retry_after,
+        )
+        answer = self._dialect.refusal(refusal)
+        exchange.answer(
+            answer.status,
+            answer.reason,
+            answer.headers,
+            answer.body,
+        )
+
+    def _end(self, visit: Visit) -> None:
+        total_s = self._loop.time() - visit.exchange.received_at
+        kind = visit.admitted.route.kind.value
+        self._telemetry.ended(visit.outcome, total_s, kind)
+        self._telemetry.event(
+            Event.finished,
+            request=visit.request_id,
+            outcome=visit.outcome,
+            route=visit.admitted.route.name,
+            total_ms=round(total_s * 1000),
+            sends=visit.sends,
+        )
+
+    def _log_send(
+        self,
+        visit: Visit,
+        upstream: Upstream,
+        report: RunReport,
+    ) -> None:
+        first_ms = None
+        if report.first_s is not None:
+            first_ms = round(report.first_s * 1000)
+        self._telemetry.event(
+            Event.send_ended,
+            request=visit.request_id,
+            upstream=upstream.incarnation,
+            ending=report.ending.value,
+            first_ms=first_ms,
+            events=report.events,
+            total_ms=round(report.total_s * 1000),
+        )
--- /dev/null
+++ b/packages/edge/src/tallyhall_edge/server.py
@@ -0,0 +1,439 @@
+"""HTTP/1.1 towards callers: one protocol object for each connection.
+
+A connection carries one request at a time; requests that a caller sends
+ahead wait in the connection. The handler of a request is a task that is
+cancelled as soon as its caller leaves, so that no upstream goes on working
+for nobody. Reading therefore never stops while a request is being handled:
+the end of the connection would not be seen.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import socket
+from collections.abc import Awaitable, Callable
+
+import httptools
+
+from .messages import (
+    LAST_CHUNK,
+    Headers,
+    RequestHead,
+    chunk,
+    find,
+    head_bytes,
+)
+
+# Requests that a caller may send ahead before it is no longer read from.
+_MOST_AHEAD = 8
+# Bytes of unsent answer in the process at which an upstream is paused.
+_WRITE_HIGH_BYTES = 65_536
+# Listen queue; a full one costs a caller seconds, as its opening packet is
+# dropped and sent again.
+_BACKLOG = 1024
+# A peer that acknowledges nothing for this long is gone, in milliseconds.
+_USER_TIMEOUT_MS = 5000
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_HTTP_10 = '1.0'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """Bounds on one connection, in bytes and seconds.
+
+    body_s: longest time between the head of a request and its last byte.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_s: float = 3
+    body_s: float = 10
+    idle_s: float = 15
+
+
+class Exchange:
+    """One request and the way to answer it."""
+
+    def __init__(
+        self,
+        conn: ServerConnection,
+        head: RequestHead,
+        body: bytes,
+        received_at: float,
+    ) -> None:
+        """Belong to a connection; `received_at` is the first byte's time."""
+        self.head = head
+        self.body = body
+        self.received_at = received_at
+        self.started = False
+        self.ended = False
+        self.keep_alive = True
+        self.on_writable: Callable[[bool], None] | None = None
+        self._conn = conn
+        self._chunked = False
+
+    @property
+    def peer(self) -> str:
+        """Return the caller's address."""
+        return self._conn.peer
+
+    def start(
+        self,
+        status: int,
+        reason: bytes,
+        headers: Headers,
+        length: int | None,
+    ) -> None:
+        """Send the head; a length of None means that it is not known."""
+        self.started = True
+        framing: list[tuple[bytes, bytes]] = []
+        if length is not None:
+            framing.append((b'Content-Length', b'%d' % length))
+        elif self._conn.speaks_chunks:
+            self._chunked = True
+            framing.append((b'Transfer-Encoding', b'chunked'))
+        else:
+            self.keep_alive = False
+        if not (self.keep_alive and self._conn.may_keep()):
+            self.keep_alive = False
+            framing.append((b'Connection', b'close'))
+        line = b'HTTP/1.1 %d %b' % (status, reason)
+        self._conn.write(head_bytes(line, (*headers, *framing)))
+
+    def write(self, payload: bytes) -> None:
+        """Send a part of the body."""
+        if payload:
+            self._conn.write(chunk(payload) if self._chunked else payload)
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+        if self._chunked:
+            self._conn.write(LAST_CHUNK)
+        self.ended = True
+        self._conn.finished(keep=self.keep_alive)
+
+    def answer(
+        self,
+        status: int,
+        reason: bytes,
+        headers: Headers,
+        body: bytes,
+    ) -> None:
+        """Send a whole answer."""
+        self.start(status, reason, headers, len(body))
+        self.write(body)
+        self.finish()
+
+    def abort(self) -> None:
+        """Break the connection off, so that the answer looks incomplete."""
+        self.ended = True
+        self._conn.abort()
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class ServerConnection(asyncio.Protocol):
+    """One caller's connection."""
+
+    def __init__(self, server: HttpServer) -> None:
+        """Belong to a server."""
+        self.peer = ''
+        self.speaks_chunks = True
+        self._server = server
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._ahead: collections.deque[Exchange] = collections.deque()
+        self._current: Exchange | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._keeps = True
+        self._refused: tuple[int, bytes] | None = None
+        self._reset_message()
+
+    # -- transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to wait for a request."""
+        assert isinstance(transport, asyncio.Transport)  # noqa: S101
+        self._transport = transport
+        transport.set_write_buffer_limits(_WRITE_HIGH_BYTES)
+        peer = transport.get_extra_info('peername')
+        self.peer = str(peer[0]) if peer else ''
+        sock = transport.get_extra_info('socket')
+        if sock is not None:
+            _limit_silence(sock)
+        self._server.add(self)
+        self._wait_idle()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End whatever was done for this caller."""
+        self._stop_timer()
+        self._server.discard(self)
+        self._transport = None
+        self._ahead.clear()
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """Take that the caller closed its side: it has left."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Hold the upstream back while the caller does not read."""
+        self._tell_writable(writable=False)
+
+    def resume_writing(self) -> None:
+        """Let the upstream go on."""
+        self._tell_writable(writable=True)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came."""
+        if not self._keeps and self._current is None:
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._refuse(400, b'Bad Request')
+        if len(self._ahead) > _MOST_AHEAD and self._transport is not None:
+            self._transport.pause_reading()
+
+    # -- parser
+
+    def on_message_begin(self) -> None:
+        """Start the time that a caller has for its head."""
+        self._reset_message()
+        self._began_at = self._loop.time()
+        if self._current is None:
+            self._arm(self._server.limits.header_s, self._too_slow)
+
+    def on_url(self, url: bytes) -> None:
+        """Add to the target."""
+        self._target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header."""
+        self._headers.append((name, value))
+        self._count_head(len(name) + len(value))
+
+    def on_headers_complete(self) -> None:
+        """Give the caller time for the body."""
+        if self._current is None:
+            self._arm(self._server.limits.body_s, self._too_slow)
+        headers = tuple(self._headers)
+        expects = find(headers, b'expect')
+        if expects is not None and expects.lower() == b'100-continue':
+            self.write(_CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        """Add to the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._server.limits.body_bytes:
+            self._refuse(413, b'Content Too Large')
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Take the whole request."""
+        if self._refused is not None:
+            return
+        parser = self._parser
+        self.speaks_chunks = parser.get_http_version() != _HTTP_10
+        head = RequestHead(
+            parser.get_method(),
+            self._target,
+            tuple(self._headers),
+        )
+        exchange = Exchange(self, head, b''.join(self._body), self._began_at)
+        exchange.keep_alive = parser.should_keep_alive()
+        self._reset_message()
+        self._ahead.append(exchange)
+        self._next()
+
+    # -- for exchanges
+
+    def write(self, payload: bytes) -> None:
+        """Send bytes, or drop them if the caller has left."""
+        if self._transport is not None:
+            self._transport.write(payload)
+
+    def may_keep(self) -> bool:
+        """Return whether the connection may carry another request."""
+        return self._keeps and not self._server.stopping
+
+    def finished(self, *, keep: bool) -> None:
+        """Go on with the next request, or close."""
+        self._current = None
+        self._task = None
+        if not keep:
+            self._keeps = False
+            self._ahead.clear()
+            self.close()
+            return
+        if self._transport is not None:
+            self._transport.resume_reading()
+        if self._ahead:
+            self._next()
+            return
+        self._wait_idle()
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._keeps = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """Close after what was written has been sent."""
+        self._keeps = False
+        self._stop_timer()
+        if self._transport is not None:
+            self._transport.close()
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is being read or handled."""
+        return self._current is not None or bool(self._began_at)
+
+    # -- inner steps
+
+    def _next(self) -> None:
+        if self._current is not None or not self._ahead:
+            return
+        self._stop_timer()
+        self._current = self._ahead.popleft()
+        self._task = self._loop.create_task(self._run(self._current))
+
+    async def _run(self, exchange: Exchange) -> None:
+        try:
+            await self._server.handler(exchange)
+        except asyncio.CancelledError:
+            raise
+        except Exception as exc:  # noqa: BLE001
+            self._server.failed(exc)
+            if not exchange.ended:
+                exchange.abort()
+        if not exchange.ended:
+            exchange.abort()
+
+    def _reset_message(self) -> None:
+        self._target = b''
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._began_at: float = 0
+
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > self._server.limits.header_bytes:
+            self._refuse(431, b'Request Header Fields Too Large')
+
+    def _refuse(self, status: int, reason: bytes) -> None:
+        """Answer a request that was not read whole, and close."""
+        if self._refused is not None:
+            return
+        self._refused = (status, reason)
+        self._keeps = False
+        if self._current is not None:
+            return
+        exchange = Exchange(self, RequestHead(b'', b'', ()), b'', 0)
+        exchange.keep_alive = False
+        exchange.answer(status, reason, (), b'')
+
+    def _too_slow(self) -> None:
+        self._refuse(408, b'Request Timeout')
+
+    def _wait_idle(self) -> None:
+        if self._server.stopping:
+            self.close()
+            return
+        self._arm(self._server.limits.idle_s, self.close)
+
+    def _arm(self, delay: float, action: Callable[[], None]) -> None:
+        self._stop_timer()
+        self._timer = self._loop.call_later(delay, action)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _tell_writable(self, *, writable: bool) -> None:
+        current = self._current
+        if current is not None and current.on_writable is not None:
+            current.on_writable(writable)
+
+
+class HttpServer:
+    """Accepts connections on one address."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        failed: Callable[[Exception], None],
+        limits: ServerLimits,
+    ) -> None:
+        """Call `handler` for each request, `failed` for what it raises."""
+        self.handler = handler
+        self.failed = failed
+        self.limits = limits
+        self.stopping = False
+        self._conns: set[ServerConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> None:
+        """Open the address; raise OSError where it is taken."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ServerConnection(self),
+            host,
+            port,
+            backlog=_BACKLOG,
+            reuse_address=True,
+        )
+
+    @property
+    def open_connections(self) -> int:
+        """Return how many connections are open."""
+        return len(self._conns)
+
+    @property
+    def busy(self) -> int:
+        """Return how many connections have a request in hand."""
+        return sum(conn.busy for conn in self._conns)
+
+    def stop_keeping(self) -> None:
+        """End each connection after the request that it carries."""
+        self.stopping = True
+
+    def close_idle(self) -> None:
+        """Close the connections that carry no request."""
+        for conn in tuple(self._conns):
+            if not conn.busy:
+                conn.close()
+
+    def close(self) -> None:
+        """Stop to accept."""
+        if self._server is not None:
+            self._server.close()
+
+    def add(self, conn: ServerConnection) -> None:
+        """Know a new connection."""
+        self._conns.add(conn)
+
+    def discard(self, conn: ServerConnection) -> None:
+        """Forget a connection."""
+        self._conns.discard(conn)
+
+
+def _limit_silence(sock: socket.socket) -> None:
+    sock.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        _USER_TIMEOUT_MS,
+    )
--- /dev/null
+++ b/packages/edge/src/tallyhall_edge/whole.py
@@ -0,0 +1,55 @@
+"""Small answers read as a whole, for calls that are not relayed."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from .client import ClientConnection
+from .errors import BadMessageError, BrokenError
+from .messages import ResponseHead
+
+# Largest answer that is read as a whole: a page of a store, in bytes.
+MAX_WHOLE_BYTES = 8_000_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """An answer with its whole body."""
+
+    status: int
+    body: bytes
+
+
+class _WholeSink:
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.done: asyncio.Future[WholeAnswer] = loop.create_future()
+        self._status = 0
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    def on_head(self, head: ResponseHead) -> None:
+        self._status = head.status
+
+    def on_data(self, payload: bytes) -> None:
+        self._size += len(payload)
+        if self._size > MAX_WHOLE_BYTES:
+            self.on_end(BadMessageError('the answer is too large'))
+            return
+        self._parts.append(payload)
+
+    def on_end(self, exc: BrokenError | None) -> None:
+        if self.done.done():
+            return
+        if exc is not None:
+            self.done.set_exception(exc)
+            return
+        self.done.set_result(WholeAnswer(self._status, b''.join(self._parts)))
+
+
+async def read_whole(conn: ClientConnection, raw: bytes) -> WholeAnswer:
+    """Send a request and return its answer; raise an EdgeError."""
+    sink = _WholeSink()
+    conn.send(raw, sink, b'')
+    return await sink.done
--- /dev/null
+++ b/packages/entry/src/tallyhall_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The process of an entry instance: wiring, logs, metrics, signals."""
--- a/packages/gateway/src/tallyhall_gateway/app.py
+++ b/packages/gateway/src/tallyhall_gateway/app.py
@@ -9,12 +9,12 @@
 from typing import Any, Protocol
 from urllib.parse import parse_qs
 
-from tallyhall_core.refusals import Reason, Refusal
+from tallyhall_core.refusals import Reason, Refusal, RefusedError
 from tallyhall_node.node import LocatedEntry
 from tallyhall_table.model import Table
 
 from .calls import Call, CallerHeaders, model_call, plain_call
-from .errors import NotSentError, RefusedError
+from .errors import NotSentError
 from .relay import MAX_HOPS, relay
 from .replies import (
     Reply,
--- a/packages/gateway/src/tallyhall_gateway/calls.py
+++ b/packages/gateway/src/tallyhall_gateway/calls.py
@@ -14,11 +14,10 @@
 
 import pydantic
 from tallyhall_core.ids import BadRequestIdError, RequestId
-from tallyhall_core.refusals import Reason, Refusal
+from tallyhall_core.refusals import Reason, Refusal, RefusedError
 from tallyhall_node.actions import RequestSpec
 from tallyhall_table.model import MAX_DEADLINE_S, LimitRow, Table
 
-from .errors import RefusedError
 
 BLOCK_CHARS = 256
 CHARS_A_TOKEN = 4
--- a/packages/platform/src/tallyhall_platform/__init__.py
+++ b/packages/platform/src/tallyhall_platform/__init__.py
@@ -1,5 +1,5 @@
-"""Clients of the platform: key-value service, instance list, weight store.
+"""Adapter to the users' platform.
 
-Each stands behind a `Protocol`, since the users' own may differ from the
-published interfaces spoken here.
+Nothing outside this package knows the platform's names: each is decoded
+here, once, into a typed field of the product.
 """
--- /dev/null
+++ b/packages/platform/src/tallyhall_platform/dialect.py
@@ -0,0 +1,161 @@
+"""The platform's HTTP headers: read from callers, written to upstreams."""
+
+from __future__ import annotations
+
+import http
+import json
+
+from tallyhall_core.refusals import CATALOGUE, Refusal
+from tallyhall_dispatch.jobs import PromptPart
+from tallyhall_edge.dialect import (
+    AnswerInfo,
+    BadCallError,
+    CallInfo,
+    OwnAnswer,
+    SendInfo,
+)
+from tallyhall_edge.messages import (
+    Headers,
+    RequestHead,
+    ResponseHead,
+    count,
+    find,
+    forwarded,
+)
+
+_REQUEST_ID = b'x-tallyhall-request-id'
+_DEADLINE = b'x-tallyhall-deadline-ms'
+# Prompt tokens and the most output tokens, separated by a comma.
+_TOKENS = b'x-tallyhall-token-counts'
+# All parts of the prompt in order, not only a prefix of it.
+_PARTS = b'x-tallyhall-prompt-prefix'
+_LAST_EVENT = b'last-event-id'
+_AUTHORIZATION = b'authorization'
+_EXPECTED = b'x-tallyhall-expect-instance'
+_WORKSPACE = b'x-tallyhall-tenant'
+# Proof that the answer is the upstream's own.
+_SIGNATURE = b'x-tallyhall-response-signature'
+_NOT_EXECUTED = b'x-tallyhall-not-executed'
+_SCHEME = 'bearer '
+_MILLI = 1000
+_MISDIRECTED = 421
+# Headers that this system sets itself, whatever the caller sent.
+_SET_HERE = (_DEADLINE, _EXPECTED, _WORKSPACE, _AUTHORIZATION)
+
+
+class PlatformDialect:
+    """The platform's headers as the product's types."""
+
+    id_header = _REQUEST_ID
+
+    def call(self, head: RequestHead) -> CallInfo:
+        """Return what a request says; raise BadCallError."""
+        headers = head.headers
+        if count(headers, b'host') != 1:
+            raise BadCallError('exactly one Host header is needed')
+        request_id = find(headers, _REQUEST_ID)
+        if not request_id or count(headers, _REQUEST_ID) != 1:
+            raise BadCallError('exactly one request id is needed')
+        tokens = _numbers(headers, _TOKENS)
+        if tokens and len(tokens) != 2:
+            raise BadCallError('two token counts are needed')
+        deadline = _numbers(headers, _DEADLINE)
+        last_event = _numbers(headers, _LAST_EVENT)
+        return CallInfo(
+            request_id=request_id,
+            host=_host(headers),
+            key=_key(headers),
+            deadline_s=deadline[0] / _MILLI if deadline else None,
+            prompt_tokens=tokens[0] if tokens else 0,
+            output_tokens=tokens[1] if tokens else 0,
+            parts=_parts(headers),
+            last_event=last_event[0] if last_event else None,
+        )
+
+    def upstream_headers(
+        self,
+        head: RequestHead,
+        body_size: int,
+        info: SendInfo,
+    ) -> Headers:
+        """Return the headers of a request for one upstream."""
+        without = _SET_HERE
+        if info.last_event is not None:
+            without = (*_SET_HERE, _LAST_EVENT)
+        headers = list(forwarded(head.headers, without))
+        left_ms = max(1, int(info.left_s * _MILLI))
+        headers.append((b'X-Tallyhall-Deadline-Ms', b'%d' % left_ms))
+        headers.append(
+            (b'X-Tallyhall-Expect-Instance', info.incarnation.encode()),
+        )
+        if info.workspace is not None:
+            headers.append((b'X-Tallyhall-Tenant', info.workspace.encode()))
+        if info.last_event is not None:
+            headers.append((b'Last-Event-Id', b'%d' % info.last_event))
+        if body_size or head.method not in {b'GET', b'HEAD', b'DELETE'}:
+            headers.append((b'Content-Length', b'%d' % body_size))
+        return tuple(headers)
+
+    def answer(self, head: ResponseHead) -> AnswerInfo:
+        """Return what the head of an answer says."""
+        media = find(head.headers, b'content-type') or b''
+        misplaced = head.status == _MISDIRECTED
+        return AnswerInfo(
+            proven=find(head.headers, _SIGNATURE) is not None,
+            not_executed=(
+                misplaced or find(head.headers, _NOT_EXECUTED) is not None
+            ),
+            misplaced=misplaced,
+            streams=media.lower().startswith(b'text/event-stream'),
+        )
+
+    def refusal(self, refusal: Refusal) -> OwnAnswer:
+        """Return a refusal as the platform's callers read it."""
+        entry = CATALOGUE[refusal.reason]
+        headers = [(b'Content-Type', b'application/json')]
+        if refusal.retry_after is not None:
+            wait = f'{refusal.retry_after:.2f}'.encode()
+            headers.append((b'Retry-After', wait))
+        body = {
+            'error': entry.number,
+            'reason': refusal.reason.value,
+            'text': entry.text,
+        }
+        phrase = http.HTTPStatus(entry.status).phrase.encode()
+        raw = json.dumps(body).encode()
+        return OwnAnswer(entry.status, phrase, tuple(headers), raw)
+
+
+def _host(headers: Headers) -> str:
+    text = (find(headers, b'host') or b'').decode('latin-1').lower()
+    return text.partition(':')[0]
+
+
+def _key(headers: Headers) -> str:
+    text = (find(headers, _AUTHORIZATION) or b'').decode('latin-1')
+    if text.lower().startswith(_SCHEME):
+        return text[len(_SCHEME) :].strip()
+    return ''
+
+
+def _numbers(headers: Headers, name: bytes) -> tuple[int, ...]:
+    text = find(headers, name)
+    if text is None:
+        return ()
+    try:
+        return tuple(max(0, int(part)) for part in text.split(b','))
+    except ValueError as exc:
+        raise BadCallError(f'{name.decode()}: {text!r}') from exc
+
+
+def _parts(headers: Headers) -> tuple[PromptPart, ...]:
+    text = find(headers, _PARTS)
+    if not text:
+        return ()
+    parts = []
+    for entry in text.split(b','):
+        key, _, tokens = entry.strip().partition(b':')
+        if not tokens.isdigit():
+            raise BadCallError(f'prompt part {entry!r}')
+        parts.append(PromptPart(key.decode('latin-1'), int(tokens)))
+    return tuple(parts)
--- a/packages/platform/src/tallyhall_platform/errors.py
+++ b/packages/platform/src/tallyhall_platform/errors.py
@@ -1,19 +1,35 @@
-"""Errors of the platform layer; urllib3's never leave it."""
+"""Errors of the adapter."""
 
 from __future__ import annotations
 
 
-class PlatformError(Exception):
-    """The platform did not answer, or answered with nonsense."""
+class SettingsError(Exception):
+    """The settings file is missing or wrong; the text names the key."""
 
 
-class UnavailableError(PlatformError):
-    """No answer in time; a write may or may not have taken effect."""
+class DecodeError(Exception):
+    """A value in the store does not have the published form."""
 
 
-class RateLimitedError(PlatformError):
-    """The platform refused the call for its rate; nothing was done."""
+class StoreError(Exception):
+    """Base of the store client's errors."""
 
 
-class BadAnswerError(PlatformError):
-    """The answer does not have the published form."""
+class StoreUnavailableError(StoreError):
+    """No usable answer; a write may or may not have been done."""
+
+
+class StoreRefusedError(StoreUnavailableError):
+    """The store refused the call (429, 503); nothing was done."""
+
+
+class HistoryGoneError(StoreError):
+    """The store no longer holds the changes asked for; read all again."""
+
+
+class ConditionFailedError(StoreError):
+    """A condition of a transaction did not hold; nothing was written."""
+
+
+class LeaseEndedError(StoreError):
+    """The lease has ended; its keys are gone."""
--- /dev/null
+++ b/packages/platform/src/tallyhall_platform/store.py
@@ -0,0 +1,242 @@
+"""Client of the platform's metadata store, the only one there is.
+
+Every call has a time limit; a connection on which an answer is missing is
+closed, since nothing more comes on it. Nothing is retried here: only the
+caller knows whether a call may be made twice.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import binascii
+import dataclasses
+import json
+from typing import Any
+from urllib.parse import quote, urlencode
+
+from tallyhall_dispatch.options import Listening
+from tallyhall_edge.client import ClientConnection
+from tallyhall_edge.errors import EdgeError
+from tallyhall_edge.messages import head_bytes
+from tallyhall_edge.whole import WholeAnswer, read_whole
+
+from .errors import (
+    ConditionFailedError,
+    HistoryGoneError,
+    LeaseEndedError,
+    StoreRefusedError,
+    StoreUnavailableError,
+)
+
+# A store that works answers in milliseconds; one that is slow by design of
+# its operators answers within a second.
+_CALL_S = 1.0
+_CONNECT_S = 0.5
+# What a watch may take beyond the time that it was asked to wait.
+_WATCH_EXTRA_S = 0.5
+_MILLI = 1000
+_OK = 200
+_NOT_FOUND = 404
+_GONE = 410
+_CONDITION_FAILED = 412
+_REFUSALS = frozenset((429, 503))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """A key with its value; the revision is that of its last change."""
+
+    key: str
+    content: bytes
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """A change of one key; `content` is None where it was deleted."""
+
+    key: str
+    content: bytes | None
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """All items below a prefix; nothing before `revision` is missing."""
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """Changes after a revision, and where to go on from."""
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+class StoreClient:
+    """Calls on one kept connection, one at a time."""
+
+    def __init__(self, address: Listening) -> None:
+        """Connect at the first call."""
+        self._address = address
+        self._conn: ClientConnection | None = None
+        self._turn = asyncio.Lock()
+        self.calls = 0
+
+    async def snapshot(self, prefix: str) -> Snapshot:
+        """Return all items below a prefix, page by page."""
+        items: list[Item] = []
+        revision = 0
+        after = ''
+        while True:
+            query = {'prefix': prefix}
+            if after:
+                query['after'] = after
+            page = await self._read(f'/kv-range?{urlencode(query)}')
+            items.extend(_item(raw) for raw in page['items'])
+            # Pages are read one after another: only what stood at the first
+            # one is certain to be in all of them.
+            revision = revision or int(page['as-of'])
+            if not page.get('more-pages') or not page['items']:
+                return Snapshot(tuple(items), revision)
+            after = items[-1].key
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Return changes after a revision, or none after `wait_s`.
+
+        Raises HistoryGoneError where the store no longer holds them.
+        """
+        wait_ms = str(int(wait_s * _MILLI))
+        query = urlencode(
+            {'prefix': prefix, 'after': after, 'wait-ms': wait_ms},
+        )
+        answer = await self._read(
+            f'/kv-watch?{query}',
+            wait_s + _WATCH_EXTRA_S,
+        )
+        changes = tuple(_change(raw) for raw in answer['events'])
+        return Changes(changes, int(answer['as-of']))
+
+    async def put(self, key: str, content: bytes, lease: int) -> None:
+        """Write a key under a lease, whatever it holds now."""
+        text = base64.b64encode(content).decode()
+        write = {'key': key, 'value': text, 'lease': lease}
+        await self._write({'expected-rev': [], 'writes': [write], 'delete': []})
+
+    async def grant_lease(self, ttl_s: float) -> int:
+        """Return a new lease."""
+        answer = await self._call(
+            'POST',
+            '/kv-lease',
+            {'ttl-ms': int(ttl_s * _MILLI)},
+        )
+        return int(_checked(answer)['lease'])
+
+    async def keep_lease(self, lease: int) -> None:
+        """Renew a lease; raise LeaseEndedError."""
+        answer = await self._call('POST', f'/kv-keep/{lease}', {})
+        if answer.status == _NOT_FOUND:
+            raise LeaseEndedError(str(lease))
+        _checked(answer)
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease and remove its keys."""
+        await self._call('DELETE', f'/kv-lease-end/{lease}', None)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
+
+    async def _read(self, path: str, wait_s: float = _CALL_S) -> dict[str, Any]:
+        answer = await self._call('GET', path, None, wait_s)
+        if answer.status == _GONE:
+            raise HistoryGoneError(path)
+        return _checked(answer)
+
+    async def _write(self, body: dict[str, Any]) -> None:
+        answer = await self._call('POST', '/kv-txn', body)
+        if answer.status == _CONDITION_FAILED:
+            raise ConditionFailedError('the keys have changed')
+        if answer.status == _NOT_FOUND:
+            raise LeaseEndedError('the lease of a write has ended')
+        _checked(answer)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None,
+        wait_s: float = _CALL_S,
+    ) -> WholeAnswer:
+        raw = b'' if body is None else json.dumps(body).encode()
+        headers = (
+            (b'Host', str(self._address).encode()),
+            (b'Content-Type', b'application/json'),
+            (b'Content-Length', b'%d' % len(raw)),
+        )
+        line = f'{method} {quote(path, safe="/?=&%-_.")} HTTP/1.1'.encode()
+        async with self._turn:
+            self.calls += 1
+            return await self._exchange(head_bytes(line, headers) + raw, wait_s)
+
+    async def _exchange(self, raw: bytes, wait_s: float) -> WholeAnswer:
+        try:
+            async with asyncio.timeout(wait_s):
+                conn = await self._connected()
+                answer = await read_whole(conn, raw)
+        except (EdgeError, TimeoutError) as exc:
+            self.close()
+            raise StoreUnavailableError(repr(exc)) from exc
+        except BaseException:
+            self.close()
+            raise
+        if not conn.reusable:
+            self.close()
+        return answer
+
+    async def _connected(self) -> ClientConnection:
+        conn = self._conn
+        if conn is None or not conn.is_open:
+            conn = await ClientConnection.open(
+                self._address.host,
+                self._address.port,
+                _CONNECT_S,
+            )
+            self._conn = conn
+        return conn
+
+
+def _checked(answer: WholeAnswer) -> dict[str, Any]:
+    if answer.status in _REFUSALS:
+        raise StoreRefusedError(f'status {answer.status}')
+    if answer.status != _OK:
+        raise StoreUnavailableError(f'status {answer.status}')
+    try:
+        fields = json.loads(answer.body)
+    except ValueError as exc:
+        raise StoreUnavailableError('the answer is no JSON') from exc
+    if not isinstance(fields, dict):
+        raise StoreUnavailableError('the answer is no JSON object')
+    return fields
+
+
+def _item(raw: dict[str, Any]) -> Item:
+    return Item(str(raw['key']), _content(raw), int(raw['revision']))
+
+
+def _change(raw: dict[str, Any]) -> Change:
+    content = None if raw.get('deleted') else _content(raw)
+    return Change(str(raw['key']), content, int(raw['revision']))
+
+
+def _content(raw: dict[str, Any]) -> bytes:
+    try:
+        return base64.b64decode(raw['value'])
+    except binascii.Error as exc:
+        raise StoreUnavailableError('a value is no base64') from exc
--- a/packages/table/src/tallyhall_table/store.py
+++ b/packages/table/src/tallyhall_table/store.py
@@ -6,8 +6,8 @@
 import uuid
 
 from expression import Error, Ok, Result
-from tallyhall_platform.kv import KeyValue
-from tallyhall_platform.stored import TABLE_KEY, change_text, read_text
+from tallyhall_sources.kv import KeyValue
+from tallyhall_sources.stored import TABLE_KEY, change_text, read_text
 
 from .edits import Author, RowEdit, edits_between, parse_table, rebase
 from .errors import Conflict
--- a/tests/processes/test_table.py
+++ b/tests/processes/test_table.py
@@ -5,8 +5,8 @@
 
 import pytest
 from tallyhall_bench.fleet import Fleet
-from tallyhall_platform.errors import PlatformError
-from tallyhall_platform.kv import EtcdKeyValue
+from tallyhall_sources.errors import PlatformError
+from tallyhall_sources.kv import EtcdKeyValue
 from tallyhall_table.edits import RowEdit, rows_of
 from tallyhall_table.model import LimitRow
 from tallyhall_table.store import TableStore
--- a/tests/unit/fake_kv.py
+++ b/tests/unit/fake_kv.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
-from tallyhall_platform.errors import UnavailableError
-from tallyhall_platform.kv import Versioned
+from tallyhall_sources.errors import UnavailableError
+from tallyhall_sources.kv import Versioned
 
 
 class FakeKv:
--- a/tests/unit/test_calls.py
+++ b/tests/unit/test_calls.py
@@ -10,7 +10,6 @@
     plain_call,
     prefix_hashes,
 )
-from tallyhall_gateway.errors import RefusedError
 
 from tests.unit import admission as build
 
--- a/tests/unit/test_orders.py
+++ b/tests/unit/test_orders.py
@@ -8,7 +8,7 @@
 from tallyhall_node import instances as lists
 from tallyhall_node.node import Node
 from tallyhall_node.settings import NodeSettings
-from tallyhall_platform.errors import UnavailableError
+from tallyhall_sources.errors import UnavailableError
 
 from tests.unit import admission as build
 
--- a/tests/unit/test_table.py
+++ b/tests/unit/test_table.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from tallyhall_core.messages import Revision, SharedValue
 from tallyhall_membership.shared import TABLE, SharedValues
-from tallyhall_platform.errors import PlatformError
+from tallyhall_sources.errors import PlatformError
 from tallyhall_table.edits import RowEdit, parse_row, rows_of
 from tallyhall_table.errors import TableError
 from tallyhall_table.model import Row, Table, TierRow
