One queue a service at a soft owner, quotas over a sliding window

Cause: with own counts only, every instance filled the fastest engines up to their places, so six instances overran them six times; and quotas were not shared at all. Change: instances keep one gRPC stream an ordered pair; jobs of model services are queued at the service's owner (rendezvous over the instances heard from), with the instance's own pool as the way out; use of quotas is reported with each beat and summed over the window that the operators measure.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 PACKAGES := core sources table membership admission node transport gateway \
+	dispatch edge platform entry \
 	client standins bench daemon
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 SOURCES := packages tests
--- a/packages/dispatch/src/tallyhall_dispatch/engines.py
+++ b/packages/dispatch/src/tallyhall_dispatch/engines.py
@@ -94,6 +94,10 @@
         """Take a job as running here."""
         self.runs[job.key] = Run(job, now, self.reading_tokens)
 
+    def drop(self, key: str) -> None:
+        """Forget a job without learning from it."""
+        self.runs.pop(key, None)
+
     def first_byte(self, key: str) -> None:
         """Take that a job's prompt has been read."""
         run = self.runs.get(key)
--- a/packages/dispatch/src/tallyhall_dispatch/gate.py
+++ b/packages/dispatch/src/tallyhall_dispatch/gate.py
@@ -14,7 +14,7 @@
 
 from .desired import DesiredState, Limits, Route, Workspace
 from .freshness import Freshness
-from .quota import Quotas
+from .quota import QuotaBounds, Quotas
 from .retries import RetryBudget, RetryLimits
 from .routing import Router, pick_service
 
@@ -42,11 +42,12 @@
         self,
         freshness: Freshness,
         retry_limits: RetryLimits,
+        quota_bounds: QuotaBounds,
         rng: random.Random,
     ) -> None:
         """Start without a desired state."""
         self.freshness = freshness
-        self.quotas = Quotas()
+        self.quotas = Quotas(quota_bounds)
         self.instances = 1
         self._retry_limits = retry_limits
         self._rng = rng
@@ -63,10 +64,10 @@
         """Return what callers may send."""
         return Limits() if self._router is None else self._router.state.limits
 
-    def take_state(self, state: DesiredState, now: float) -> None:
+    def take_state(self, state: DesiredState) -> None:
         """Put a newer desired state in force."""
         self._router = Router(state)
-        self.quotas.configure(state.workspaces, now)
+        self.quotas.configure(state.workspaces)
 
     def admit(
         self,
--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -50,6 +50,11 @@
         self._waiting: dict[str, Job] = {}
         self._places: dict[str, EngineView] = {}
 
+    @property
+    def is_model(self) -> bool:
+        """Return whether the upstreams are model engines."""
+        return self._event_tokens > 0
+
     @property
     def waiting(self) -> int:
         """Return how many jobs wait."""
@@ -96,6 +101,20 @@
         if view is not None:
             view.finish(key, report, now)
 
+    def note_running(self, job: Job, incarnation: str, now: float) -> None:
+        """Take that a job runs that was not granted here."""
+        view = self._views.get(incarnation)
+        if view is not None and job.key not in self._places:
+            view.grant(job, now)
+            self._places[job.key] = view
+
+    def drop_jobs(self, prefix: str) -> None:
+        """Forget all jobs whose key has this prefix."""
+        for key in [key for key in self._waiting if key.startswith(prefix)]:
+            self._waiting.pop(key)
+        for key in [key for key in self._places if key.startswith(prefix)]:
+            self._places.pop(key).drop(key)
+
     def decide(self, now: float) -> list[Decision]:
         """Grant what can be granted, give up what has become too late."""
         decisions: list[Decision] = []
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 from typing import Protocol
 
 from tallyhall_core.events import Event
@@ -88,6 +89,7 @@
         conns: ConnectionPool,
         dialect: Dialect,
         telemetry: Telemetry,
+        instance: str,
     ) -> None:
         """Work with these parts of the instance."""
         self._gate = gate
@@ -95,6 +97,9 @@
         self._conns = conns
         self._dialect = dialect
         self._telemetry = telemetry
+        # Job keys begin with the instance, which makes them unique.
+        self._instance = instance
+        self._jobs = itertools.count()
         self._loop = asyncio.get_running_loop()
 
     async def handle(self, exchange: Exchange) -> None:
@@ -254,7 +259,7 @@
         if visit.sends:
             received_at = self._loop.time()
         return Job(
-            key=f'{visit.request_id}/{visit.sends}',
+            key=f'{self._instance}/{next(self._jobs)}',
             service=visit.admitted.service,
             urgency=route.priority,
             prompt_tokens=call.prompt_tokens,
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -1,9 +1,15 @@
-"""Waiting for an upstream: futures around the pools of this instance."""
+"""The pools of this instance, and who hears of their decisions.
+
+Jobs come from requests of this instance and, where it owns a service, from
+other instances. Both are asked for in the same way; an `Origin` hears what
+became of a job.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import collections
+from collections.abc import Iterable
 from typing import Protocol
 
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
@@ -12,12 +18,12 @@
 from tallyhall_dispatch.pool import GivenUp, Granted, ServicePool
 
 # How often waiting jobs are looked at when nothing else happens, seconds: a
-# tenth of the shortest objective.
+# fifth of the shortest objective.
 _LOOK_S = 0.02
 
 
 class Scheduler(Protocol):
-    """Grants upstreams to jobs."""
+    """Grants upstreams to requests."""
 
     async def acquire(self, job: Job) -> Upstream:
         """Return an upstream for one send; raise RefusedError."""
@@ -29,16 +35,46 @@
         """Take that a send has ended."""
 
 
-class LocalScheduler:
-    """Grants from the pools of this instance alone."""
+class Origin(Protocol):
+    """Where a job came from."""
+
+    def granted(self, key: str, upstream: Upstream) -> None:
+        """Hear that a job may be sent."""
+
+    def given_up(self, key: str, retry_after_s: float) -> None:
+        """Hear that a job cannot be answered in time."""
+
+
+class Dispatcher:
+    """The pools of all services on this instance."""
 
     def __init__(self) -> None:
         """Start without services."""
         self._loop = asyncio.get_running_loop()
         self._pools: dict[str, ServicePool] = {}
-        self._futs: dict[str, asyncio.Future[Upstream]] = {}
+        self._origins: dict[str, Origin] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._upstreams: tuple[Upstream, ...] = ()
+        self._by_id: dict[str, Upstream] = {}
+
+    @property
+    def pools(self) -> Iterable[ServicePool]:
+        """Return all pools."""
+        return self._pools.values()
+
+    @property
+    def waiting(self) -> int:
+        """Return how many jobs wait."""
+        return sum(pool.waiting for pool in self._pools.values())
+
+    def is_model(self, service: str) -> bool:
+        """Return whether a service has model engines."""
+        pool = self._pools.get(service)
+        return pool is not None and pool.is_model
+
+    def upstream(self, incarnation: str) -> Upstream | None:
+        """Return a known upstream."""
+        return self._by_id.get(incarnation)
 
     def take_state(self, state: DesiredState) -> None:
         """Have a pool for each service of the desired state."""
@@ -50,6 +86,9 @@
     def take_upstreams(self, upstreams: tuple[Upstream, ...]) -> None:
         """Take all upstreams as they stand now."""
         self._upstreams = upstreams
+        self._by_id = {
+            upstream.incarnation: upstream for upstream in upstreams
+        }
         grouped: dict[str, list[Upstream]] = collections.defaultdict(list)
         for upstream in upstreams:
             grouped[upstream.service].append(upstream)
@@ -57,62 +96,79 @@
             pool.set_upstreams(grouped[name])
             self._pump(pool)
 
-    async def acquire(self, job: Job) -> Upstream:
-        """Return an upstream for one send; raise RefusedError."""
+    def ask(self, job: Job, origin: Origin) -> None:
+        """Queue a job; the origin hears of it, maybe before this returns."""
         pool = self._pools.get(job.service)
         if pool is None:
-            raise RefusedError(Refusal.of(Reason.no_upstream, retry_after=1))
-        fut: asyncio.Future[Upstream] = self._loop.create_future()
-        self._futs[job.key] = fut
+            origin.given_up(job.key, 1)
+            return
+        self._origins[job.key] = origin
         pool.ask(job)
         self._pump(pool)
-        try:
-            return await fut
-        except asyncio.CancelledError:
-            self._withdraw(pool, job, fut)
-            raise
-        finally:
-            self._futs.pop(job.key, None)
 
-    def first_byte(self, job: Job) -> None:
-        """Take that the answer of a job has begun."""
+    def withdraw(self, key: str) -> None:
+        """Forget a waiting job."""
+        self._origins.pop(key, None)
+        for pool in self._pools.values():
+            pool.withdraw(key)
+
+    def note_running(self, job: Job, incarnation: str) -> None:
+        """Take that a job runs that was not granted here."""
         pool = self._pools.get(job.service)
         if pool is not None:
-            pool.first_byte(job.key)
+            pool.note_running(job, incarnation, self._loop.time())
 
-    def finish(self, job: Job, upstream: Upstream, report: RunReport) -> None:
+    def first_byte(self, key: str, service: str) -> None:
+        """Take that the answer of a job has begun."""
+        pool = self._pools.get(service)
+        if pool is not None:
+            pool.first_byte(key)
+
+    def first_byte_of(self, key: str) -> None:
+        """Take that the answer of a job of some service has begun."""
+        for pool in self._pools.values():
+            pool.first_byte(key)
+
+    def is_waiting(self, key: str) -> bool:
+        """Return whether a job waits here."""
+        return key in self._origins
+
+    def service_of(self, incarnation: str) -> str:
+        """Return the service of an upstream, empty for an unknown one."""
+        upstream = self._by_id.get(incarnation)
+        return '' if upstream is None else upstream.service
+
+    def finish(
+        self,
+        key: str,
+        service: str,
+        incarnation: str,
+        report: RunReport,
+    ) -> None:
         """Take that a send has ended."""
-        pool = self._pools.get(job.service)
+        pool = self._pools.get(service)
         if pool is None:
             return
-        pool.finish(job.key, report, self._loop.time())
+        pool.finish(key, report, self._loop.time())
         if report.ending is Ending.misplaced:
-            pool.misplaced(upstream.incarnation)
+            pool.misplaced(incarnation)
         self._pump(pool)
 
-    def _withdraw(
-        self,
-        pool: ServicePool,
-        job: Job,
-        fut: asyncio.Future[Upstream],
-    ) -> None:
-        pool.withdraw(job.key)
-        if fut.done() and not fut.cancelled():
-            pool.finish(
-                job.key,
-                RunReport(Ending.left, 0),
-                self._loop.time(),
-            )
+    def drop_jobs(self, prefix: str) -> None:
+        """Forget all jobs whose key has this prefix."""
+        for pool in self._pools.values():
+            pool.drop_jobs(prefix)
+            self._pump(pool)
 
     def _pump(self, pool: ServicePool) -> None:
         for decision in pool.decide(self._loop.time()):
-            fut = self._futs.get(decision.key)
-            if fut is None or fut.done():
+            origin = self._origins.pop(decision.key, None)
+            if origin is None:
                 continue
             if isinstance(decision, Granted):
-                fut.set_result(decision.upstream)
-            else:
-                fut.set_exception(_given_up(decision))
+                origin.granted(decision.key, decision.upstream)
+            elif isinstance(decision, GivenUp):
+                origin.given_up(decision.key, decision.retry_after_s)
         if pool.waiting and self._timer is None:
             self._timer = self._loop.call_later(_LOOK_S, self._look)
 
@@ -123,10 +179,10 @@
                 self._pump(pool)
 
 
-def _given_up(decision: GivenUp) -> RefusedError:
-    return RefusedError(
-        Refusal.of(
-            Reason.deadline_unreachable,
-            retry_after=decision.retry_after_s,
-        ),
+def given_up_error(retry_after_s: float) -> RefusedError:
+    """Return the refusal of a job that cannot be answered in time."""
+    refusal = Refusal.of(
+        Reason.deadline_unreachable,
+        retry_after=retry_after_s,
     )
+    return RefusedError(refusal)
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -18,19 +18,23 @@
 from tallyhall_dispatch.freshness import Freshness
 from tallyhall_dispatch.gate import Gate
 from tallyhall_dispatch.options import Options
+from tallyhall_dispatch.quota import Fleet, QuotaBounds
 from tallyhall_dispatch.retries import RetryLimits
 from tallyhall_edge.connections import ConnectionPool
 from tallyhall_edge.runner import Runner
-from tallyhall_edge.scheduling import LocalScheduler
+from tallyhall_edge.scheduling import Dispatcher
 from tallyhall_edge.server import Exchange, HttpServer, ServerLimits
 from tallyhall_platform.dialect import PlatformDialect
 from tallyhall_platform.follow import Follower
 from tallyhall_platform.registry import InstanceEntry, Registration
 from tallyhall_platform.store import StoreClient
+from tallyhall_transport.generated import peers_pb2
+from tallyhall_transport.peers import Peer, PeerLinks
 
 from .locate import front_addresses
 from .logs import BoundedStream, EventLog
 from .metrics import Metrics
+from .shared import SharedScheduler
 
 # Waiting longer for a connection than this costs a caller its objective.
 _CONNECT_S = 0.3
@@ -43,6 +47,9 @@
 _LOCATE_KEEP_S = 1
 _KEEPS = 3
 _CHORES_S = 0.5
+_TICK_S = 0.05
+_MILLI = 1000
+_MICRO = 1_000_000
 _STOP_LOOK_S = 0.05
 # What is kept of the time between signal and end by force.
 _STOP_MARGIN_S = 0.4
@@ -75,9 +82,31 @@
                 bounds.retry_allowance,
                 bounds.retry_window_s,
             ),
+            QuotaBounds(
+                bounds.quota_window_s,
+                bounds.quota_overshoot,
+                bounds.quota_slack,
+            ),
             rng,
         )
-        self._scheduler = LocalScheduler()
+        self._own_entry = self._describe()
+        self._dispatcher = Dispatcher()
+        self._links = PeerLinks(
+            options.instance,
+            self._own_entry.incarnation,
+            self._on_batch,
+            self._fill_batch,
+            self._on_peer_lost,
+            self._on_peer_opened,
+        )
+        self._scheduler = SharedScheduler(
+            options.instance,
+            self._dispatcher,
+            self._links,
+            self.log.event,
+        )
+        self._began_at = self._loop.time()
+        self._spent_seen: dict[tuple[str, str, str], float] = {}
         dialect = PlatformDialect()
         self._conns = ConnectionPool(dialect.id_header, _CONNECT_S)
         runner = Runner(
@@ -86,6 +115,7 @@
             self._conns,
             dialect,
             self,
+            options.instance,
         )
         self._front = HttpServer(runner.handle, self._failed, ServerLimits())
         self._ready = self._server(self._answer_ready)
@@ -95,7 +125,7 @@
         self._upstreams: frozenset[Upstream] = frozenset()
         self._registration = Registration(
             StoreClient(options.store.address),
-            self._own_entry(),
+            self._own_entry,
             self.log.event,
             rng,
         )
@@ -120,9 +150,11 @@
             (self._scrape, options.metrics),
         ):
             await server.listen(address.host, address.port)
+        await self._links.listen(str(options.peer), self._follower.raw_state)
         self._spawn(self._follower.run())
         self._spawn(self._registration.run())
         self._spawn(self._chores())
+        self._spawn(self._tick())
         self.log.event(
             Event.started,
             front=str(options.front),
@@ -134,6 +166,7 @@
         if self._stopping:
             return
         self._stopping = True
+        self._scheduler.leaving = True
         began_at = self._loop.time()
         self.log.event(Event.stopping, busy=self._front.busy)
         self._front.stop_keeping()
@@ -156,9 +189,8 @@
 
     def on_state(self, state: DesiredState) -> None:
         """Take a newer desired state."""
-        now = self._loop.time()
-        self._gate.take_state(state, now)
-        self._scheduler.take_state(state)
+        self._gate.take_state(state)
+        self._dispatcher.take_state(state)
         limits = state.limits
         self._front.limits = ServerLimits(
             header_bytes=limits.header_bytes,
@@ -186,7 +218,7 @@
             if address not in usable:
                 self._conns.drop(address)
         self._upstreams = frozenset(upstreams)
-        self._scheduler.take_upstreams(upstreams)
+        self._dispatcher.take_upstreams(upstreams)
         self.log.event(
             Event.upstreams_changed,
             known=len(upstreams),
@@ -197,6 +229,14 @@
         """Take all registered instances."""
         self._entries = entries
         self._gate.instances = max(1, len(entries))
+        own = self._options.instance
+        self._links.set_peers(
+            {
+                entry.instance: entry.peer
+                for entry in entries
+                if entry.instance != own
+            },
+        )
         self.log.event(Event.instances_changed, known=len(entries))
 
     def on_confirmed(self, asked_at: float) -> None:
@@ -209,6 +249,84 @@
         event = Event.kv_up if reachable else Event.kv_down
         self.log.event(event, age=self._gate.freshness.age(self._loop.time()))
 
+    # -- from other instances
+
+    def _on_batch(self, peer: Peer, batch: peers_pb2.Batch) -> None:
+        now = self._loop.time()
+        for spent in batch.spent:
+            seen_key = (batch.sender, batch.incarnation, spent.workspace)
+            # An instance that this one did not hear before has reported to
+            # the others; of its past only the last window counts here.
+            before = spent.total - spent.within_window
+            seen = self._spent_seen.get(seen_key, before)
+            self._spent_seen[seen_key] = spent.total
+            self._gate.quotas.reported(
+                spent.workspace,
+                spent.total - seen,
+                now,
+            )
+        self._take_confirmation(batch, now)
+        self._scheduler.on_batch(peer, batch)
+
+    def _take_confirmation(self, batch: peers_pb2.Batch, now: float) -> None:
+        # The sender saw our question before it said how old its own
+        # confirmation was, so counting from the question is on the safe side.
+        if batch.state_version != self._gate.version:
+            return
+        if batch.echo_us and batch.confirmed_ms_ago >= 0:
+            asked_at = batch.echo_us / _MICRO
+            if asked_at <= now:
+                self._gate.freshness.confirm(
+                    asked_at - batch.confirmed_ms_ago / _MILLI,
+                )
+
+    def _fill_batch(self, batch: peers_pb2.Batch) -> None:
+        now = self._loop.time()
+        age = self._gate.freshness.age(now)
+        batch.state_version = self._gate.version
+        batch.confirmed_ms_ago = -1
+        if age is not None:
+            batch.confirmed_ms_ago = int(age * _MILLI) + 1
+        batch.leaving = self._stopping
+        batch.uptime_ms = int((now - self._began_at) * _MILLI)
+        for name, use in self._gate.quotas.report(now).items():
+            batch.spent.add(
+                workspace=name,
+                total=use[0],
+                within_window=use[1],
+            )
+
+    def _on_peer_lost(self, peer: Peer, exc: Exception) -> None:
+        self.log.event(Event.peer_down, peer=peer.name, cause=str(exc)[:100])
+
+    def _on_peer_opened(self, peer: Peer) -> None:
+        self._scheduler.on_opened(peer)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(_TICK_S)
+            self._scheduler.tick()
+            self._gate.quotas.set_fleet(self._fleet())
+
+    def _fleet(self) -> Fleet:
+        now = self._loop.time()
+        window_s = self._options.bounds.quota_window_s
+        started = [self._began_at]
+        live = self._scheduler.ownership.live
+        for peer in self._links.peers.values():
+            if peer.name in live:
+                started.append(peer.started_at)
+        instances = max(self._gate.instances, len(started))
+        forgotten = sum(
+            max(0, 1 - (now - started_at) / window_s)
+            for started_at in started
+        )
+        return Fleet(
+            instances,
+            len(started) / instances,
+            forgotten / instances,
+        )
+
     # -- telemetry of requests
 
     def event(self, event: Event, **fields: object) -> None:
@@ -259,7 +377,7 @@
     def _server(self, handler: Any) -> HttpServer:
         return HttpServer(handler, self._failed, ServerLimits())
 
-    def _own_entry(self) -> InstanceEntry:
+    def _describe(self) -> InstanceEntry:
         options = self._options
         return InstanceEntry(
             instance=options.instance,
--- /dev/null
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -0,0 +1,371 @@
+"""One queue a service, at its owner, with a queue here as the way out.
+
+A request of a model service asks the service's owner for an upstream. If
+the owner does not answer at once, or is lost while the request waits, the
+pools of this instance decide alone, from what this instance runs. Either
+way the request is sent from here and nowhere else, so an owner that is
+wrong, late or doubled costs order in the queue and nothing more.
+
+Whoever granted a job or was told of it hears of its end, so that places of
+upstreams are free again wherever they are counted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from tallyhall_core.events import Event
+from tallyhall_dispatch.desired import Upstream
+from tallyhall_dispatch.jobs import Ending, Job, RunReport
+from tallyhall_dispatch.ownership import Ownership
+from tallyhall_edge.scheduling import Dispatcher, given_up_error
+from tallyhall_transport.generated import peers_pb2
+from tallyhall_transport.peer_codec import (
+    decode_done,
+    decode_job,
+    encode_done,
+    encode_job,
+)
+from tallyhall_transport.peers import Peer, PeerLinks
+
+# An instance not heard for this long owns nothing; three beats.
+_LIVE_S = 0.35
+# What a lost instance runs is no longer counted after this long.
+_DROP_S = 1.5
+# An owner that has not answered within this time is passed by; its answer
+# normally takes 3 ms.
+_ANSWER_S = 0.06
+# A silent owner is not asked again for this long.
+_SUSPECT_S = 0.3
+_TICK_S = 0.05
+_MILLI = 1000
+
+
+@dataclasses.dataclass(slots=True)
+class _Ticket:
+    """A job of this instance; `owner` None while it is decided here."""
+
+    job: Job
+    fut: asyncio.Future[Upstream]
+    owner: str | None = None
+    timer: asyncio.TimerHandle | None = None
+    upstream: Upstream | None = None
+    begun: bool = False
+    told: set[str] = dataclasses.field(default_factory=set)
+
+
+class _PeerOrigin:
+    """Hears decisions on behalf of another instance."""
+
+    def __init__(self, links: PeerLinks, peer: str) -> None:
+        self._links = links
+        self._peer = peer
+
+    def granted(self, key: str, upstream: Upstream) -> None:
+        batch = self._links.outgoing(self._peer, urgent=True)
+        if batch is not None:
+            batch.grants.add(key=key, upstream=upstream.incarnation)
+
+    def given_up(self, key: str, retry_after_s: float) -> None:
+        batch = self._links.outgoing(self._peer, urgent=True)
+        if batch is not None:
+            batch.give_ups.add(
+                key=key,
+                retry_after_ms=int(retry_after_s * _MILLI),
+            )
+
+
+class SharedScheduler:
+    """Asks owners for upstreams; a `Scheduler`."""
+
+    def __init__(
+        self,
+        name: str,
+        dispatcher: Dispatcher,
+        links: PeerLinks,
+        log: Callable[..., None],
+    ) -> None:
+        """Decide with this dispatcher where no owner does."""
+        self.leaving = False
+        self.ownership = Ownership()
+        self._name = name
+        self._dispatcher = dispatcher
+        self._links = links
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self._tickets: dict[str, _Ticket] = {}
+        self._suspects: dict[str, float] = {}
+        self._origins: dict[str, _PeerOrigin] = {}
+        self._dropped: set[str] = set()
+        self.ownership.set_live(frozenset((name,)))
+
+    # -- Scheduler
+
+    async def acquire(self, job: Job) -> Upstream:
+        """Return an upstream for one send; raise RefusedError."""
+        fut: asyncio.Future[Upstream] = self._loop.create_future()
+        ticket = _Ticket(job, fut)
+        self._tickets[job.key] = ticket
+        self._ask(ticket)
+        try:
+            return await fut
+        except BaseException:
+            self._withdraw(ticket)
+            raise
+
+    def first_byte(self, job: Job) -> None:
+        """Take that the answer of a job has begun."""
+        ticket = self._tickets.get(job.key)
+        if ticket is None:
+            return
+        ticket.begun = True
+        self._dispatcher.first_byte(job.key, job.service)
+        for peer in ticket.told:
+            batch = self._links.outgoing(peer, urgent=False)
+            if batch is not None:
+                batch.begun.append(job.key)
+
+    def finish(self, job: Job, upstream: Upstream, report: RunReport) -> None:
+        """Take that a send has ended."""
+        ticket = self._tickets.pop(job.key, None)
+        incarnation = upstream.incarnation
+        self._dispatcher.finish(job.key, job.service, incarnation, report)
+        if ticket is None:
+            return
+        for peer in ticket.told:
+            self._tell_done(peer, job, incarnation, report)
+
+    # -- from the links
+
+    def on_opened(self, peer: Peer) -> None:
+        """Take that a new stream to a peer begins: it knows nothing."""
+        for ticket in self._tickets.values():
+            ticket.told.discard(peer.name)
+
+    def on_batch(self, peer: Peer, batch: peers_pb2.Batch) -> None:
+        """Take what another instance says about jobs."""
+        name = peer.name
+        restarted = peer.incarnation != batch.incarnation
+        peer.incarnation = batch.incarnation
+        if restarted or batch.opened:
+            self._dispatcher.drop_jobs(f'{name}/')
+        self._dropped.discard(name)
+        now = self._loop.time()
+        for running in batch.running:
+            job = decode_job(running.job, now)
+            self._dispatcher.note_running(job, running.upstream)
+            if running.begun:
+                self._dispatcher.first_byte(job.key, job.service)
+        for ask in batch.asks:
+            self._take_ask(name, decode_job(ask, now))
+        for key in batch.withdrawn:
+            self._dispatcher.withdraw(key)
+        for key in batch.begun:
+            self._dispatcher.first_byte_of(key)
+        for done in batch.done:
+            self._dispatcher.finish(
+                done.key,
+                done.service,
+                done.upstream,
+                decode_done(done),
+            )
+        self._take_answers(name, batch)
+
+    def tick(self) -> None:
+        """Look who is live, and move jobs to the owners of now."""
+        now = self._loop.time()
+        live = {self._name}
+        if self.leaving:
+            live.clear()
+        for peer in self._links.peers.values():
+            heard_s = now - peer.heard_at
+            answered = now - peer.answered_at < 2 * _LIVE_S
+            if heard_s < _LIVE_S and answered and not peer.leaving:
+                live.add(peer.name)
+            if heard_s > _DROP_S and peer.name not in self._dropped:
+                self._dropped.add(peer.name)
+                self._dispatcher.drop_jobs(f'{peer.name}/')
+        if self.ownership.set_live(frozenset(live)):
+            self._log(Event.instances_changed, live=sorted(live))
+        for ticket in tuple(self._tickets.values()):
+            self._move(ticket)
+
+    # -- inner steps
+
+    def _take_ask(self, peer: str, job: Job) -> None:
+        origin = self._origins.setdefault(
+            peer,
+            _PeerOrigin(self._links, peer),
+        )
+        self._dispatcher.ask(job, origin)
+        batch = self._links.outgoing(peer, urgent=True)
+        if batch is not None and self._dispatcher.is_waiting(job.key):
+            batch.queued.append(job.key)
+
+    def _take_answers(self, peer: str, batch: peers_pb2.Batch) -> None:
+        for key in batch.queued:
+            ticket = self._tickets.get(key)
+            if ticket is not None and ticket.owner == peer:
+                _stop_timer(ticket)
+        for grant in batch.grants:
+            self._take_grant(peer, grant.key, grant.upstream)
+        for give_up in batch.give_ups:
+            ticket = self._tickets.get(give_up.key)
+            if ticket is not None and ticket.owner == peer:
+                self.given_up(give_up.key, give_up.retry_after_ms / _MILLI)
+
+    def _take_grant(self, peer: str, key: str, incarnation: str) -> None:
+        ticket = self._tickets.get(key)
+        upstream = self._dispatcher.upstream(incarnation)
+        waits = ticket is not None and ticket.owner == peer
+        if ticket is None or not waits or ticket.fut.done():
+            self._refuse_grant(peer, key, incarnation)
+            return
+        if upstream is None or upstream.leaving:
+            self._refuse_grant(peer, key, incarnation)
+            self._decide_here(ticket)
+            return
+        ticket.told.add(peer)
+        self._dispatcher.note_running(ticket.job, incarnation)
+        self.granted(key, upstream)
+
+    def _refuse_grant(self, peer: str, key: str, incarnation: str) -> None:
+        batch = self._links.outgoing(peer, urgent=True)
+        service = self._dispatcher.service_of(incarnation)
+        if batch is not None:
+            batch.done.add(
+                key=key,
+                service=service,
+                upstream=incarnation,
+                ending=Ending.left.value,
+                first_ms=-1,
+            )
+
+    # An `Origin` for jobs that this instance decides itself.
+
+    def granted(self, key: str, upstream: Upstream) -> None:
+        """Hear that a job may be sent."""
+        ticket = self._tickets.get(key)
+        if ticket is None or ticket.fut.done():
+            report = RunReport(Ending.left, 0)
+            self._dispatcher.finish(
+                key,
+                upstream.service,
+                upstream.incarnation,
+                report,
+            )
+            return
+        _stop_timer(ticket)
+        ticket.upstream = upstream
+        ticket.fut.set_result(upstream)
+
+    def given_up(self, key: str, retry_after_s: float) -> None:
+        """Hear that a job cannot be answered in time."""
+        ticket = self._tickets.get(key)
+        if ticket is not None and not ticket.fut.done():
+            _stop_timer(ticket)
+            ticket.fut.set_exception(given_up_error(retry_after_s))
+
+    def _ask(self, ticket: _Ticket) -> None:
+        owner = self._usable_owner(ticket.job.service)
+        if owner is None:
+            self._decide_here(ticket)
+            return
+        batch = self._links.outgoing(owner, urgent=True)
+        if batch is None:
+            self._decide_here(ticket)
+            return
+        ticket.owner = owner
+        batch.asks.append(encode_job(ticket.job, self._loop.time()))
+        ticket.timer = self._loop.call_later(
+            _ANSWER_S,
+            self._unanswered,
+            ticket,
+        )
+
+    def _usable_owner(self, service: str) -> str | None:
+        if not self._dispatcher.is_model(service):
+            return None
+        owner = self.ownership.owner(service)
+        if owner is None or owner == self._name:
+            return None
+        if self._loop.time() < self._suspects.get(owner, 0):
+            return None
+        return owner
+
+    def _decide_here(self, ticket: _Ticket) -> None:
+        _stop_timer(ticket)
+        ticket.owner = None
+        self._dispatcher.ask(ticket.job, self)
+
+    def _unanswered(self, ticket: _Ticket) -> None:
+        owner = ticket.owner
+        if owner is None or ticket.fut.done():
+            return
+        self._suspects[owner] = self._loop.time() + _SUSPECT_S
+        self._log(Event.peer_down, peer=owner, cause='asks unanswered')
+        self._tell_withdrawn(ticket)
+        self._decide_here(ticket)
+
+    def _withdraw(self, ticket: _Ticket) -> None:
+        _stop_timer(ticket)
+        self._tickets.pop(ticket.job.key, None)
+        if ticket.upstream is not None:
+            report = RunReport(Ending.left, 0)
+            self._tickets[ticket.job.key] = ticket
+            self.finish(ticket.job, ticket.upstream, report)
+            return
+        self._dispatcher.withdraw(ticket.job.key)
+        self._tell_withdrawn(ticket)
+
+    def _move(self, ticket: _Ticket) -> None:
+        owner = self._usable_owner(ticket.job.service)
+        if ticket.upstream is not None:
+            if owner is not None and owner not in ticket.told:
+                self._tell_running(owner, ticket)
+            return
+        if ticket.fut.done() or ticket.owner == owner:
+            return
+        if ticket.owner is None:
+            self._dispatcher.withdraw(ticket.job.key)
+        else:
+            self._tell_withdrawn(ticket)
+        _stop_timer(ticket)
+        self._ask(ticket)
+
+    def _tell_running(self, owner: str, ticket: _Ticket) -> None:
+        batch = self._links.outgoing(owner, urgent=False)
+        if batch is None or ticket.upstream is None:
+            return
+        batch.running.add(
+            job=encode_job(ticket.job, self._loop.time()),
+            upstream=ticket.upstream.incarnation,
+            begun=ticket.begun,
+        )
+        ticket.told.add(owner)
+
+    def _tell_withdrawn(self, ticket: _Ticket) -> None:
+        if ticket.owner is None:
+            return
+        batch = self._links.outgoing(ticket.owner, urgent=False)
+        if batch is not None:
+            batch.withdrawn.append(ticket.job.key)
+
+    def _tell_done(
+        self,
+        peer: str,
+        job: Job,
+        incarnation: str,
+        report: RunReport,
+    ) -> None:
+        batch = self._links.outgoing(peer, urgent=True)
+        if batch is not None:
+            batch.done.append(encode_done(job, incarnation, report))
+
+
+def _stop_timer(ticket: _Ticket) -> None:
+    if ticket.timer is not None:
+        ticket.timer.cancel()
+        ticket.timer = None
--- a/packages/platform/src/tallyhall_platform/follow.py
+++ b/packages/platform/src/tallyhall_platform/follow.py
@@ -90,10 +90,15 @@
         self._instances: dict[str, InstanceEntry] = {}
         self._held_removals: dict[str, int] = {}
         self._version = -1
+        self._raw_state = b''
         self._reachable = False
         self._returned_at: float | None = None
         self._failures = 0
 
+    def raw_state(self) -> bytes:
+        """Return the desired state in force as the store holds it."""
+        return self._raw_state
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
@@ -150,6 +155,7 @@
         if state.version <= self._version:
             return
         self._version = state.version
+        self._raw_state = content
         self._listener.on_state(state)
 
     def _take_upstream(self, change: Change) -> None:
--- /dev/null
+++ b/packages/transport/src/tallyhall_transport/peers.py
@@ -0,0 +1,270 @@
+"""Streams between entry instances: one for each ordered pair.
+
+The sender of a pair opens the stream and keeps it; what is queued within
+one turn of the loop leaves as one batch, and a batch without content is the
+heartbeat. Every batch carries a question, the sender's steady time, and the
+newest question of the other side. The answer to a question bounds how old
+the other side's statements are, and shows that both streams work: where no
+answer comes although the peer should be there, the stream is opened anew,
+since a connection may go silent for good without a reset.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator, Callable, Mapping
+
+import grpc
+import grpc.aio
+
+from .errors import TransportError
+from .generated import peers_pb2, peers_pb2_grpc
+
+# Time between two batches without content. Three of them fit into the time
+# after which a peer counts as lost.
+BEAT_S = 0.1
+# A stream whose questions stay unanswered for this long is opened anew; the
+# slowest sound way takes 30 ms.
+_SILENT_S = 0.8
+# A new stream has this long until its first answer.
+_OPENING_S = 1.0
+_RETRY_S = 0.2
+_FETCH_S = 0.5
+_MICRO = 1_000_000
+_MILLI = 1000
+_OPTIONS = (
+    ('grpc.initial_reconnect_backoff_ms', 100),
+    ('grpc.max_reconnect_backoff_ms', 500),
+    ('grpc.enable_http_proxy', 0),
+    ('grpc.use_local_subchannel_pool', 1),
+    ('grpc.max_receive_message_length', 8_000_000),
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """Another instance as seen through its batches."""
+
+    name: str
+    incarnation: str = ''
+    heard_at: float = -1
+    question_us: int = 0
+    answered_at: float = -1
+    leaving: bool = False
+    started_at: float = 0
+
+
+OnBatch = Callable[[Peer, peers_pb2.Batch], None]
+FillBatch = Callable[[peers_pb2.Batch], None]
+ReadState = Callable[[], bytes]
+
+
+class _Servicer(peers_pb2_grpc.PeersServicer):
+    def __init__(
+        self,
+        take: Callable[[peers_pb2.Batch], None],
+        read_state: ReadState,
+    ) -> None:
+        self._take = take
+        self._read_state = read_state
+
+    async def Exchange(
+        self,
+        request_iterator: AsyncIterator[peers_pb2.Batch],
+        context: grpc.aio.ServicerContext[
+            peers_pb2.Batch,
+            peers_pb2.Closed,
+        ],
+    ) -> peers_pb2.Closed:
+        async for batch in request_iterator:
+            self._take(batch)
+        return peers_pb2.Closed()
+
+    async def FetchState(
+        self,
+        request: peers_pb2.StateRequest,
+        context: grpc.aio.ServicerContext[
+            peers_pb2.StateRequest,
+            peers_pb2.StateReply,
+        ],
+    ) -> peers_pb2.StateReply:
+        return peers_pb2.StateReply(state=self._read_state())
+
+
+class _Outbox:
+    """What waits to be sent to one peer, and the task that sends it."""
+
+    def __init__(self, links: PeerLinks, peer: Peer, address: str) -> None:
+        self.peer = peer
+        self.address = address
+        self.pending = peers_pb2.Batch()
+        self.filled = asyncio.Event()
+        self.channel: grpc.aio.Channel | None = None
+        self._links = links
+        self._loop = asyncio.get_running_loop()
+        self.task = self._loop.create_task(self._run())
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._one_stream()
+            except (grpc.RpcError, TransportError, TimeoutError) as exc:
+                self._links.on_lost(self.peer, exc)
+            self.pending = peers_pb2.Batch()
+            await asyncio.sleep(_RETRY_S)
+
+    async def _one_stream(self) -> None:
+        async with grpc.aio.insecure_channel(
+            self.address,
+            options=_OPTIONS,
+        ) as channel:
+            self.channel = channel
+            stub = peers_pb2_grpc.PeersStub(channel)
+            call = stub.Exchange()
+            try:
+                await self._send_batches(call)
+            finally:
+                self.channel = None
+                call.cancel()
+
+    async def _send_batches(
+        self,
+        call: grpc.aio.StreamUnaryCall[peers_pb2.Batch, peers_pb2.Closed],
+    ) -> None:
+        opened_at = self._loop.time()
+        self.pending = peers_pb2.Batch(opened=True)
+        self._links.on_opened(self.peer)
+        while True:
+            batch = self.pending
+            self.pending = peers_pb2.Batch()
+            self.filled.clear()
+            self._links.fill(batch, self.peer)
+            async with asyncio.timeout(_SILENT_S):
+                await call.write(batch)
+            self._check_answers(opened_at)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(BEAT_S):
+                    await self.filled.wait()
+
+    def _check_answers(self, opened_at: float) -> None:
+        now = self._loop.time()
+        if now - opened_at < _OPENING_S:
+            return
+        if now - self.peer.answered_at > _SILENT_S:
+            raise TransportError('the peer does not answer')
+
+
+class PeerLinks:
+    """The streams of one instance to all others."""
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: str,
+        on_batch: OnBatch,
+        fill: FillBatch,
+        on_lost: Callable[[Peer, Exception], None],
+        on_opened: Callable[[Peer], None],
+    ) -> None:
+        """Call `on_batch` for what comes; `fill` adds to what leaves."""
+        self.on_lost = on_lost
+        self.on_opened = on_opened
+        self._name = name
+        self._incarnation = incarnation
+        self._on_batch = on_batch
+        self._fill = fill
+        self._loop = asyncio.get_running_loop()
+        self._server: grpc.aio.Server | None = None
+        self._outboxes: dict[str, _Outbox] = {}
+        self._peers: dict[str, Peer] = {}
+
+    @property
+    def peers(self) -> Mapping[str, Peer]:
+        """Return all peers that are registered or were heard."""
+        return self._peers
+
+    async def listen(self, address: str, read_state: ReadState) -> None:
+        """Open the address; raise OSError where it is taken."""
+        server = grpc.aio.server(options=(('grpc.so_reuseport', 0),))
+        peers_pb2_grpc.add_PeersServicer_to_server(
+            _Servicer(self._take, read_state),
+            server,
+        )
+        try:
+            port = server.add_insecure_port(address)
+        except RuntimeError as exc:
+            raise OSError(str(exc)) from exc
+        if not port:
+            raise OSError(f'{address} cannot be opened')
+        await server.start()
+        self._server = server
+
+    def set_peers(self, addresses: Mapping[str, str]) -> None:
+        """Take names and addresses of all others."""
+        for name, outbox in tuple(self._outboxes.items()):
+            if addresses.get(name) == outbox.address:
+                continue
+            outbox.task.cancel()
+            self._outboxes.pop(name)
+            if name not in addresses:
+                self._peers.pop(name, None)
+        for name, address in addresses.items():
+            if name in self._outboxes:
+                continue
+            peer = self._peers.setdefault(name, Peer(name))
+            self._outboxes[name] = _Outbox(self, peer, address)
+
+    def outgoing(self, name: str, *, urgent: bool) -> peers_pb2.Batch | None:
+        """Return the batch that leaves next, None for an unknown peer."""
+        outbox = self._outboxes.get(name)
+        if outbox is None:
+            return None
+        if urgent:
+            outbox.filled.set()
+        return outbox.pending
+
+    def fill(self, batch: peers_pb2.Batch, peer: Peer) -> None:
+        """Add what every batch carries."""
+        batch.sender = self._name
+        batch.incarnation = self._incarnation
+        batch.question_us = int(self._loop.time() * _MICRO)
+        batch.echo_us = peer.question_us
+        self._fill(batch)
+
+    async def fetch_state(self, name: str) -> bytes | None:
+        """Return the desired state that a peer holds, None if it fails."""
+        outbox = self._outboxes.get(name)
+        if outbox is None or outbox.channel is None:
+            return None
+        stub = peers_pb2_grpc.PeersStub(outbox.channel)
+        try:
+            reply = await stub.FetchState(
+                peers_pb2.StateRequest(),
+                timeout=_FETCH_S,
+            )
+        except grpc.RpcError as exc:
+            self.on_lost(outbox.peer, exc)
+            return None
+        return bytes(reply.state)
+
+    async def close(self) -> None:
+        """End all streams."""
+        for outbox in self._outboxes.values():
+            outbox.task.cancel()
+        if self._server is not None:
+            await self._server.stop(None)
+
+    def _take(self, batch: peers_pb2.Batch) -> None:
+        peer = self._peers.setdefault(batch.sender, Peer(batch.sender))
+        peer.heard_at = self._loop.time()
+        peer.question_us = batch.question_us
+        peer.leaving = batch.leaving
+        peer.started_at = peer.heard_at - batch.uptime_ms / _MILLI
+        if batch.echo_us:
+            asked_at = batch.echo_us / _MICRO
+            peer.answered_at = max(peer.answered_at, asked_at)
+        self._on_batch(peer, batch)
+
+
