--- a/packages/dispatch/src/tallyhall_dispatch/engines.py
+++ b/packages/dispatch/src/tallyhall_dispatch/engines.py
@@ -19,8 +19,6 @@
 FIRST_PACE_S = 0.03
 FIRST_TOKEN_S = 0.00003
 FIRST_PLAIN_S = 0.05
-# Guess of the time for which a job holds a place, seconds.
-FIRST_HOLD_S = 0.5
 # Shortest prompt, in tokens, from which the speed of reading is learned:
 # below it, fixed costs hide it.
 _LEARNING_TOKENS = 400
@@ -59,7 +57,8 @@
         self.pace_s = FIRST_PACE_S
         self.token_s = FIRST_TOKEN_S
         self.plain_s = FIRST_PLAIN_S
-        self.hold_s = FIRST_HOLD_S
+        # Unknown until the first job has ended: nobody is refused by a guess.
+        self.hold_s: float | None = None
         self._aside_until: float = 0
         self._failures = 0
 
@@ -119,7 +118,8 @@
             return
         self._note_failure(report.ending, now)
         if report.total_s:
-            self.hold_s = _mean(self.hold_s, report.total_s)
+            known = report.total_s if self.hold_s is None else self.hold_s
+            self.hold_s = _mean(known, report.total_s)
         if report.ending is not Ending.answered:
             return
         if not run.job.output_tokens:
--- a/packages/dispatch/src/tallyhall_dispatch/gate.py
+++ b/packages/dispatch/src/tallyhall_dispatch/gate.py
@@ -44,10 +44,11 @@
         retry_limits: RetryLimits,
         quota_bounds: QuotaBounds,
         rng: random.Random,
+        now: float,
     ) -> None:
         """Start without a desired state."""
         self.freshness = freshness
-        self.quotas = Quotas(quota_bounds)
+        self.quotas = Quotas(quota_bounds, now)
         self.instances = 1
         self._retry_limits = retry_limits
         self._rng = rng
--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -214,12 +214,15 @@
         self._costs[job.urgency] = known + _NEWEST * (cost - known)
 
     def _free_rate(self, now: float) -> float:
-        """Return how many places become free in a second."""
-        return sum(
-            view.upstream.slots / max(_LEAST_HOLD_S, view.hold_s)
-            for view in self._views.values()
-            if not view.upstream.leaving and not view.is_aside(now)
-        )
+        """Return how many places become free in a second, 0 if unknown."""
+        rate: float = 0
+        for view in self._views.values():
+            if view.upstream.leaving or view.is_aside(now):
+                continue
+            if view.hold_s is None:
+                continue
+            rate += view.upstream.slots / max(_LEAST_HOLD_S, view.hold_s)
+        return rate
 
     def _least_first_s(self, now: float) -> float:
         """Return the shortest time to a first event, anywhere."""
--- a/packages/dispatch/src/tallyhall_dispatch/quota.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota.py
@@ -9,8 +9,10 @@
 What cannot be known is assumed on the safe side. An instance that hears
 only a part of the fleet uses only that part of the quota, so that two
 halves of a cut fleet together stay within it. A restarted instance has
-forgotten what it admitted, so a part of the quota that shrinks over one
-window counts as used.
+forgotten what all admitted: it takes that from an instance that has run
+for a window, or, where all have restarted, from what each wrote to the
+store while the use was high. Where nothing was written, the use was below
+that mark; it is taken as even over the window and fades in one.
 """
 
 from __future__ import annotations
@@ -21,15 +23,17 @@
 from .desired import Workspace
 from .windows import SlidingSum
 
-# Part of a restarted instance's share that counts as used at its start. The
-# slack bears the rest: two restarts of the whole fleet within one window
-# stay below the bound.
-_FORGOTTEN_PART = 0.7
+# Use above this part of a quota is written to the store, once a second; up
+# to it nothing is, and that much counts as used at a restart. Workspaces use
+# 0.55 of their quota on a calm day, which then costs no writes.
+_WRITTEN_PART = 0.6
 # Part of the granted slack that lone instances may use together; the rest
 # covers what is admitted between two reports.
 _SLACK_PART = 0.5
 # Least wait that a caller over its quota is told, in seconds.
 _LEAST_WAIT_S = 0.2
+# Ages and amounts of an instance's use, by workspace, as written.
+Written = Mapping[str, tuple[tuple[float, float], ...]]
 # The sum of a window moves in steps of this part of it.
 _STEPS = 40
 
@@ -45,16 +49,33 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fleet:
-    """How much of the fleet's use is known here, as parts of one.
-
-    heard: instances that report here, with this one. forgotten: instances
-    that restarted a moment ago, each weighted by how little of a window has
-    passed since.
-    """
+    """How much of the fleet reports here; heard is a part of one."""
 
     instances: int = 1
     heard: float = 1
-    forgotten: float = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UseReport:
+    """One workspace's use as an instance reports it.
+
+    total: admitted by the instance since its start. within_window: of that
+    in the last window. fleet: admitted by all instances in the last window,
+    as far as the instance knows.
+    """
+
+    total: float
+    within_window: float
+    fleet: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Recalled:
+    """A part of the use before a restart, and when it leaves the window."""
+
+    ends_at: float
+    amount: float
+    own: bool
 
 
 class _Use:
@@ -68,8 +89,10 @@
 class Quotas:
     """Use of all workspaces' quotas as known on one instance."""
 
-    def __init__(self, bounds: QuotaBounds) -> None:
-        """Start without workspaces."""
+    def __init__(self, bounds: QuotaBounds, started_at: float) -> None:
+        """Start without workspaces and without a memory of their use."""
+        self._unknown_until = started_at + bounds.window_s
+        self._recalled: dict[str, list[_Recalled]] = {}
         self._bounds = bounds
         self._uses: dict[str, _Use] = {}
         self._fleet = Fleet()
@@ -89,6 +112,28 @@
         """Take how much of the fleet's use is known."""
         self._fleet = fleet
 
+    def recall(self, written: Written, now: float, *, own: bool) -> None:
+        """Take what an instance, or this one, wrote before the restart.
+
+        The time since the writing is not known and taken as none.
+        """
+        for name, parts in written.items():
+            recalled = self._recalled.setdefault(name, [])
+            recalled.extend(
+                _Recalled(now + self._bounds.window_s - age_s, amount, own)
+                for age_s, amount in parts
+            )
+
+    def knows_past(self, now: float) -> bool:
+        """Return whether the use before the start matters no more."""
+        return now >= self._unknown_until
+
+    def adopt(self, fleet_use: Mapping[str, float], now: float) -> None:
+        """Take the use of all as an instance knows it that did not restart."""
+        self._unknown_until = now
+        for name, amount in fleet_use.items():
+            self.reported(name, amount, now)
+
     def take(self, name: str, amount: float, now: float) -> float:
         """Admit an amount; return 0, or the seconds until it may fit."""
         use = self._uses.get(name)
@@ -114,21 +159,52 @@
         if use is not None:
             use.others.add(amount, now)
 
-    def report(self, now: float) -> Mapping[str, tuple[float, float]]:
-        """Return this instance's use by workspace.
-
-        Two amounts each: since the start, and within the last window.
-        """
-        return {
-            name: (use.total, use.own.total(now))
-            for name, use in self._uses.items()
-            if use.total
-        }
+    def report(self, now: float) -> Mapping[str, UseReport]:
+        """Return this instance's use by workspace."""
+        reports = {}
+        for name, use in self._uses.items():
+            own = use.own.total(now)
+            fleet = own + use.others.total(now)
+            if fleet or use.total:
+                reports[name] = UseReport(use.total, own, fleet)
+        return reports
+
+    def worth_writing(self, now: float) -> Written:
+        """Return this instance's use of quotas that are used much."""
+        worth = {}
+        for name, use in self._uses.items():
+            high = _WRITTEN_PART * self._limit(use.workspace)
+            if self._used(use, now) > high:
+                worth[name] = (
+                    *self._own_recalled(name, now),
+                    *use.own.parts(now),
+                )
+        return worth
+
+    def _own_recalled(
+        self,
+        name: str,
+        now: float,
+    ) -> tuple[tuple[float, float], ...]:
+        # A second restart must not forget what the first one recalled.
+        return tuple(
+            (self._bounds.window_s - (part.ends_at - now), part.amount)
+            for part in self._recalled.get(name, ())
+            if part.own and part.ends_at > now
+        )
 
     def _used(self, use: _Use, now: float) -> float:
-        forgotten = self._fleet.forgotten * _FORGOTTEN_PART
         known = use.own.total(now) + use.others.total(now)
-        return known + forgotten * self._limit(use.workspace)
+        if self.knows_past(now):
+            return known
+        recalled = self._recalled.get(use.workspace.name)
+        if recalled is not None:
+            return known + sum(
+                part.amount for part in recalled if part.ends_at > now
+            )
+        left_s = self._unknown_until - now
+        faded = _WRITTEN_PART * left_s / self._bounds.window_s
+        return known + faded * self._limit(use.workspace)
 
     def _allowed(self, workspace: Workspace) -> float:
         limit = self._limit(workspace)
--- a/packages/dispatch/src/tallyhall_dispatch/windows.py
+++ b/packages/dispatch/src/tallyhall_dispatch/windows.py
@@ -36,6 +36,14 @@
         self._expire(now)
         return self._total
 
+    def parts(self, now: float) -> tuple[tuple[float, float], ...]:
+        """Return the ages and amounts that make up the sum."""
+        self._expire(now)
+        return tuple(
+            (max(0, now - start - self._bucket), amount)
+            for start, amount in self._buckets
+        )
+
     def _expire(self, now: float) -> None:
         oldest = now - self._window - self._bucket
         while self._buckets and self._buckets[0][0] <= oldest:
--- a/packages/edge/src/tallyhall_edge/server.py
+++ b/packages/edge/src/tallyhall_edge/server.py
@@ -354,9 +354,8 @@
         self._refuse(*_TIMED_OUT)
 
     def _wait_idle(self) -> None:
-        if self._server.stopping:
-            self.close()
-            return
+        # A stopping server still takes what callers have sent or are sending
+        # on open connections; the answer then tells them to leave.
         self._arm(self._server.limits.idle_s, self.close)
 
     def _arm(self, delay: float, action: Callable[[], None]) -> None:
@@ -422,6 +421,11 @@
             if not conn.busy:
                 conn.close()
 
+    def abort_all(self) -> None:
+        """Reset all connections."""
+        for conn in tuple(self._conns):
+            conn.abort()
+
     def close(self) -> None:
         """Stop to accept."""
         if self._server is not None:
--- /dev/null
+++ b/packages/entry/src/tallyhall_entry/answers.py
@@ -0,0 +1,63 @@
+"""The small answers of an instance: ready, locate, metrics."""
+
+from __future__ import annotations
+
+import json
+import random
+
+from tallyhall_dispatch.gate import Gate
+from tallyhall_edge.server import Exchange
+
+from .beliefs import Beliefs
+from .locate import front_addresses
+from .metrics import Metrics
+
+# How long callers keep an answer about where to connect, seconds. Short, so
+# that a stopped instance is left soon; some callers keep it three times as
+# long.
+LOCATE_KEEP_S = 1
+_OK = (200, b'OK')
+_UNAVAILABLE = (503, b'Service Unavailable')
+
+
+class Answers:
+    """Answers that need nothing but what the instance knows."""
+
+    def __init__(
+        self,
+        front: str,
+        gate: Gate,
+        beliefs: Beliefs,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        """Offer `front` while the instance takes requests."""
+        self.leaving = False
+        self._own = front
+        self._gate = gate
+        self._beliefs = beliefs
+        self._metrics = metrics
+        self._rng = rng
+
+    async def ready(self, exchange: Exchange) -> None:
+        """Tell whether the instance takes requests."""
+        ready = self._gate.version >= 0 and not self.leaving
+        exchange.answer(*(_OK if ready else _UNAVAILABLE), (), b'')
+
+    async def locate(self, exchange: Exchange) -> None:
+        """Tell where to connect."""
+        addresses = front_addresses(
+            self._beliefs.entries,
+            self._own,
+            self._rng,
+            leaving=self.leaving,
+        )
+        # The platform's names for addresses and the time to keep them.
+        body = {'addresses': addresses, 'ttl-s': LOCATE_KEEP_S}
+        headers = ((b'Content-Type', b'application/json'),)
+        exchange.answer(*_OK, headers, json.dumps(body).encode())
+
+    async def metrics(self, exchange: Exchange) -> None:
+        """Return all metrics as text."""
+        headers = ((b'Content-Type', b'text/plain; version=0.0.4'),)
+        exchange.answer(*_OK, headers, self._metrics.text())
--- /dev/null
+++ b/packages/entry/src/tallyhall_entry/beliefs.py
@@ -0,0 +1,122 @@
+"""What an instance believes about the world, as the store tells it."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tallyhall_core.events import Event
+from tallyhall_dispatch.desired import DesiredState, Upstream
+from tallyhall_dispatch.gate import Gate
+from tallyhall_dispatch.quota import Written
+from tallyhall_edge.connections import ConnectionPool
+from tallyhall_edge.scheduling import Dispatcher
+from tallyhall_edge.server import HttpServer, ServerLimits
+from tallyhall_platform.registry import InstanceEntry
+from tallyhall_transport.peers import PeerLinks
+
+from .logs import EventLog
+from .metrics import Metrics
+
+
+class Beliefs:
+    """Passes news from the store on to the parts that act on it."""
+
+    def __init__(
+        self,
+        instance: str,
+        gate: Gate,
+        dispatcher: Dispatcher,
+        conns: ConnectionPool,
+        links: PeerLinks,
+        front: HttpServer,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        """Feed these parts."""
+        self.entries: tuple[InstanceEntry, ...] = ()
+        self.upstreams: frozenset[Upstream] = frozenset()
+        self._instance = instance
+        self._gate = gate
+        self._dispatcher = dispatcher
+        self._conns = conns
+        self._links = links
+        self._front = front
+        self._log = log
+        self._metrics = metrics
+        self._loop = asyncio.get_running_loop()
+
+    def on_state(self, state: DesiredState) -> None:
+        """Take a newer desired state."""
+        self._gate.take_state(state)
+        self._dispatcher.take_state(state)
+        limits = state.limits
+        self._front.limits = ServerLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            header_s=limits.header_s,
+            idle_s=limits.idle_s,
+        )
+        self._metrics.state_version.set(state.version)
+        self._log.event(
+            Event.state_taken,
+            version=state.version,
+            routes=len(state.routes),
+            keys=len(state.keys),
+        )
+
+    def on_upstreams(self, upstreams: tuple[Upstream, ...]) -> None:
+        """Take all upstreams as they stand."""
+        usable = {
+            (upstream.host, upstream.port)
+            for upstream in upstreams
+            if not upstream.leaving
+        }
+        for upstream in self.upstreams:
+            address = (upstream.host, upstream.port)
+            if address not in usable:
+                self._conns.drop(address)
+        self._log_changes(frozenset(upstreams))
+        self.upstreams = frozenset(upstreams)
+        self._dispatcher.take_upstreams(upstreams)
+
+    def on_instances(self, entries: tuple[InstanceEntry, ...]) -> None:
+        """Take all registered instances."""
+        self.entries = entries
+        self._gate.instances = max(1, len(entries))
+        self._links.take_peers(
+            {
+                entry.instance: entry.peer
+                for entry in entries
+                if entry.instance != self._instance
+            },
+        )
+        self._log.event(Event.instances_changed, known=len(entries))
+
+    def on_use(self, instance: str, use: Written) -> None:
+        """Take what an instance wrote of its use before this run."""
+        own = instance == self._instance
+        self._gate.quotas.recall(use, self._loop.time(), own=own)
+
+    def on_confirmed(self, asked_at: float) -> None:
+        """Take that the desired state was in force at this time."""
+        self._gate.freshness.confirm(asked_at)
+
+    def on_store(self, *, reachable: bool) -> None:
+        """Take that the store was lost or is back."""
+        self._metrics.store_up.set(int(reachable))
+        event = Event.kv_up if reachable else Event.kv_down
+        self._log.event(event, age=self._gate.freshness.age(self._loop.time()))
+
+    def _log_changes(self, upstreams: frozenset[Upstream]) -> None:
+        came = upstreams - self.upstreams
+        went = {upstream.incarnation for upstream in self.upstreams}
+        went -= {upstream.incarnation for upstream in upstreams}
+        self._log.event(
+            Event.upstreams_changed,
+            known=len(upstreams),
+            changed=sorted(
+                f'{upstream.incarnation}{"-" if upstream.leaving else "+"}'
+                for upstream in came
+            ),
+            gone=sorted(went),
+        )
--- a/packages/entry/src/tallyhall_entry/locate.py
+++ b/packages/entry/src/tallyhall_entry/locate.py
@@ -1,4 +1,4 @@
-"""Where callers should connect: the answer of the locate address."""
+"""Which addresses callers are told to connect to."""
 
 from __future__ import annotations
 
@@ -13,16 +13,20 @@
 
 def front_addresses(
     entries: Sequence[InstanceEntry],
-    own: str | None,
+    own: str,
     rng: random.Random,
+    *,
+    leaving: bool,
 ) -> list[str]:
     """Return the addresses to offer: all live ones, a sample of many.
 
-    own: this instance's address while it takes requests; it is offered also
-    before the store has its entry.
+    This instance is offered also before the store has its entry, and no
+    more once it is leaving.
     """
     addresses = {entry.front for entry in entries}
-    if own is not None:
+    if leaving:
+        addresses.discard(own)
+    else:
         addresses.add(own)
     found = sorted(addresses)
     if len(found) > _MOST_ADDRESSES:
--- a/packages/entry/src/tallyhall_entry/logs.py
+++ b/packages/entry/src/tallyhall_entry/logs.py
@@ -10,7 +10,6 @@
 
 import logging
 import os
-import sys
 from collections.abc import Callable
 
 from pythonjsonlogger.json import JsonFormatter
@@ -96,9 +95,13 @@
         return True
 
 
-def setup_logging(instance: str, clock: Callable[[], float]) -> BoundedStream:
-    """Send all records of the process to standard output as JSON."""
-    stream = BoundedStream(sys.stdout.fileno(), clock)
+def setup_logging(
+    instance: str,
+    clock: Callable[[], float],
+    descriptor: int,
+) -> BoundedStream:
+    """Send all records of the process to this descriptor as JSON."""
+    stream = BoundedStream(descriptor, clock)
     stream.setFormatter(
         JsonFormatter(
             '%(levelname)s %(message)s',
@@ -121,7 +124,7 @@
         """Write through the handler of the process."""
         self._log = logging.getLogger(_LOGGER)
         self._stream = stream
-        self._dropped: dict[str, int] = {}
+        self._dropped = stream.dropped
 
     def event(self, event: Event, **fields: object) -> None:
         """Write an event; its fields tell what decided it."""
--- a/packages/entry/src/tallyhall_entry/main.py
+++ b/packages/entry/src/tallyhall_entry/main.py
@@ -31,7 +31,11 @@
     except SettingsError as exc:
         sys.stderr.write(f'tallyhall: {exc}\n')
         sys.exit(_EXIT_SETTINGS)
-    stream = setup_logging(options.instance, time.monotonic)
+    stream = setup_logging(
+        options.instance,
+        time.monotonic,
+        sys.stdout.fileno(),
+    )
     # What exists now lives as long as the process; not to look at it again
     # keeps the collector's pauses short.
     gc.freeze()
--- a/packages/entry/src/tallyhall_entry/metrics.py
+++ b/packages/entry/src/tallyhall_entry/metrics.py
@@ -10,14 +10,17 @@
     generate_latest,
 )
 
+from .logs import BoundedStream
+
 _LATENCY_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 15)
 
 
 class Metrics:
     """All metrics of one process; docs/METRICS.md lists them."""
 
-    def __init__(self) -> None:
+    def __init__(self, stream: BoundedStream) -> None:
         """Register everything, so that zeros are shown too."""
+        self._stream = stream
         self.registry = CollectorRegistry()
         self.requests = Counter(
             'tallyhall_requests',
@@ -84,4 +87,6 @@
 
     def text(self) -> bytes:
         """Return all metrics in the text format."""
+        for cause, dropped in self._stream.dropped.items():
+            self.log_lines_dropped.labels(cause).set(dropped)
         return generate_latest(self.registry)
--- /dev/null
+++ b/packages/entry/src/tallyhall_entry/talk.py
@@ -0,0 +1,121 @@
+"""What instances tell each other beside the jobs: quotas, freshness, state."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from tallyhall_core.events import Event
+from tallyhall_dispatch.gate import Gate
+from tallyhall_transport.generated import peers_pb2
+from tallyhall_transport.peers import Peer, PeerLinks
+
+from .logs import EventLog
+
+_MILLI = 1000
+_MICRO = 1_000_000
+# A newer desired state that a peer has is asked of it after this long: the
+# store normally brings it to all instances within a call.
+_FETCH_AFTER_S = 0.3
+
+
+class Talk:
+    """Reads and writes the parts of batches that concern no job."""
+
+    def __init__(
+        self,
+        gate: Gate,
+        take_raw_state: Callable[[bytes], None],
+        log: EventLog,
+    ) -> None:
+        """Keep the gate's knowledge of others."""
+        self.leaving = False
+        self._gate = gate
+        self._take_raw_state = take_raw_state
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self._seen: dict[tuple[str, str, str], float] = {}
+        self._fetching: asyncio.Task[None] | None = None
+
+    def take(
+        self,
+        peer: Peer,
+        batch: peers_pb2.Batch,
+        links: PeerLinks,
+    ) -> None:
+        """Take what another instance says."""
+        now = self._loop.time()
+        self._adopt_use(batch, now)
+        for spent in batch.spent:
+            self._take_spent(batch, spent, now)
+        self._take_confirmation(batch, now)
+        newer = batch.state_version > self._gate.version
+        if newer and self._fetching is None:
+            work = self._fetch_state(links, peer.name)
+            self._fetching = asyncio.create_task(work)
+
+    def fill(self, batch: peers_pb2.Batch) -> None:
+        """Add what every batch says about this instance."""
+        now = self._loop.time()
+        age = self._gate.freshness.age(now)
+        batch.state_version = self._gate.version
+        batch.confirmed_ms_ago = -1
+        if age is not None:
+            batch.confirmed_ms_ago = int(age * _MILLI) + 1
+        batch.leaving = self.leaving
+        batch.knows_use = self._gate.quotas.knows_past(now)
+        for name, use in self._gate.quotas.report(now).items():
+            batch.spent.add(
+                workspace=name,
+                total=use.total,
+                within_window=use.within_window,
+                fleet=use.fleet,
+            )
+
+    def _take_spent(
+        self,
+        batch: peers_pb2.Batch,
+        spent: peers_pb2.Spent,
+        now: float,
+    ) -> None:
+        seen_key = (batch.sender, batch.incarnation, spent.workspace)
+        # An instance that this one did not hear before has reported to the
+        # others; of its past only the last window counts here.
+        before = spent.total - spent.within_window
+        seen = self._seen.get(seen_key, before)
+        self._seen[seen_key] = spent.total
+        amount = spent.total - seen
+        self._gate.quotas.reported(spent.workspace, amount, now)
+
+    def _take_confirmation(self, batch: peers_pb2.Batch, now: float) -> None:
+        # The sender saw our question before it said how old its own
+        # confirmation was, so counting from the question is on the safe side.
+        if batch.state_version != self._gate.version:
+            return
+        asked_at = batch.echo_us / _MICRO
+        if batch.confirmed_ms_ago < 0 or not 0 < asked_at <= now:
+            return
+        self._gate.freshness.confirm(
+            asked_at - batch.confirmed_ms_ago / _MILLI,
+        )
+
+    def _adopt_use(self, batch: peers_pb2.Batch, now: float) -> None:
+        quotas = self._gate.quotas
+        if not batch.knows_use or quotas.knows_past(now):
+            return
+        # What the sender itself admitted is taken from its own report.
+        quotas.adopt(
+            {
+                spent.workspace: spent.fleet - spent.within_window
+                for spent in batch.spent
+            },
+            now,
+        )
+
+    async def _fetch_state(self, links: PeerLinks, peer: str) -> None:
+        await asyncio.sleep(_FETCH_AFTER_S)
+        raw = await links.fetch_state(peer)
+        self._fetching = None
+        if raw:
+            self._take_raw_state(raw)
+            self._log.event(Event.state_taken, peer=peer)
--- /dev/null
+++ b/packages/entry/src/tallyhall_entry/telemetry.py
@@ -0,0 +1,38 @@
+"""Log lines and metrics of requests."""
+
+from __future__ import annotations
+
+from tallyhall_core.events import Event
+
+from .logs import EventLog
+from .metrics import Metrics
+
+_MILLI = 1000
+
+
+class RequestTelemetry:
+    """Counts what the log tells about requests; a `Telemetry`."""
+
+    def __init__(self, log: EventLog, metrics: Metrics) -> None:
+        """Write to these."""
+        self._log = log
+        self._metrics = metrics
+
+    def event(self, event: Event, **fields: object) -> None:
+        """Log an event of a request."""
+        if event is Event.refused:
+            self._metrics.refusals.labels(fields['reason']).inc()
+        elif event is Event.send_ended:
+            self._count_send(fields)
+        self._log.event(event, **fields)
+
+    def ended(self, outcome: str, total_s: float, route_kind: str) -> None:
+        """Count a request that has ended."""
+        self._metrics.requests.labels(route_kind, outcome).inc()
+        self._metrics.request_seconds.labels(route_kind).observe(total_s)
+
+    def _count_send(self, fields: dict[str, object]) -> None:
+        self._metrics.sends.labels(fields['ending']).inc()
+        first_ms = fields['first_ms']
+        if isinstance(first_ms, int):
+            self._metrics.first_event_seconds.observe(first_ms / _MILLI)
--- a/packages/platform/src/tallyhall_platform/follow.py
+++ b/packages/platform/src/tallyhall_platform/follow.py
@@ -20,6 +20,7 @@
 
 from tallyhall_core.events import Event
 from tallyhall_dispatch.desired import DesiredState, Upstream
+from tallyhall_dispatch.quota import Written
 
 from .decode import decode_state, decode_upstream
 from .errors import (
@@ -28,7 +29,13 @@
     StoreError,
     StoreUnavailableError,
 )
-from .registry import INSTANCE_PREFIX, InstanceEntry, decode_instance
+from .registry import (
+    INSTANCE_PREFIX,
+    USE_PREFIX,
+    InstanceEntry,
+    decode_instance,
+    decode_use,
+)
 from .store import Change, StoreClient
 
 _STATE_KEY = 'op/config'
@@ -58,6 +65,9 @@
     def on_instances(self, entries: tuple[InstanceEntry, ...]) -> None:
         """Take all instances that are registered."""
 
+    def on_use(self, instance: str, use: Written) -> None:
+        """Take what an instance wrote of its use before this run."""
+
     def on_confirmed(self, asked_at: float) -> None:
         """Take that the desired state was in force at this time."""
 
@@ -88,17 +98,31 @@
         self._revisions: dict[str, int] = {}
         self._upstreams: dict[str, Upstream] = {}
         self._instances: dict[str, InstanceEntry] = {}
-        self._held_removals: dict[str, int] = {}
+        self._held_removals: set[str] = set()
         self._version = -1
         self._raw_state = b''
         self._reachable = False
+        self._was_lost = False
         self._returned_at: float | None = None
         self._failures = 0
+        self._takers = (
+            (_STATE_KEY, self._take_state),
+            (_UPSTREAM_PREFIX, self._take_upstream),
+            (INSTANCE_PREFIX, self._take_instance),
+            (USE_PREFIX, self._take_use),
+        )
 
     def raw_state(self) -> bytes:
         """Return the desired state in force as the store holds it."""
         return self._raw_state
 
+    def take_raw_state(self, raw: bytes) -> None:
+        """Take a desired state that another instance read."""
+        try:
+            self._take_state(_STATE_KEY, raw)
+        except DecodeError as exc:
+            self._log(Event.value_rejected, key=_STATE_KEY, cause=str(exc))
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
@@ -117,15 +141,16 @@
             await self._read_all()
         else:
             answer = await self._client.watch('', self._cursor, _WATCH_S)
+            self._found()
             for change in answer.changes:
                 self._apply(change)
             self._cursor = max(self._cursor, answer.revision)
-        self._found()
         self._release_removals()
         self._listener.on_confirmed(asked_at)
 
     async def _read_all(self) -> None:
         snapshot = await self._client.snapshot('')
+        self._found()
         present = {entry.key for entry in snapshot.entries}
         for entry in snapshot.entries:
             self._apply(Change(entry.key, entry.content, entry.revision))
@@ -143,14 +168,29 @@
             self._log(Event.value_rejected, key=change.key, cause=str(exc))
 
     def _take(self, change: Change) -> None:
-        if change.key == _STATE_KEY and change.content is not None:
-            self._take_state(change.content)
-        elif change.key.startswith(_UPSTREAM_PREFIX):
-            self._take_upstream(change)
-        elif change.key.startswith(INSTANCE_PREFIX):
-            self._take_instance(change)
-
-    def _take_state(self, content: bytes) -> None:
+        if change.content is None:
+            self._take_removal(change.key)
+            return
+        for prefix, taker in self._takers:
+            if change.key.startswith(prefix):
+                taker(change.key, change.content)
+
+    def _take_removal(self, key: str) -> None:
+        # The operator replaces the desired state and never removes it.
+        if key not in self._upstreams and key not in self._instances:
+            return
+        if self._is_returning():
+            self._held_removals.add(key)
+            return
+        self._remove(key)
+
+    def _remove(self, key: str) -> None:
+        if self._upstreams.pop(key, None) is not None:
+            self._tell_upstreams()
+        if self._instances.pop(key, None) is not None:
+            self._tell_instances()
+
+    def _take_state(self, key: str, content: bytes) -> None:
         state = decode_state(content)
         if state.version <= self._version:
             return
@@ -158,28 +198,30 @@
         self._raw_state = content
         self._listener.on_state(state)
 
-    def _take_upstream(self, change: Change) -> None:
-        incarnation = change.key.removeprefix(_UPSTREAM_PREFIX)
-        if change.content is None:
-            if incarnation not in self._upstreams:
-                return
-            if self._is_returning():
-                self._held_removals[incarnation] = change.revision
-                return
-            self._upstreams.pop(incarnation)
-        else:
-            self._held_removals.pop(incarnation, None)
-            upstream = decode_upstream(incarnation, change.content)
-            if self._upstreams.get(incarnation) == upstream:
-                return
-            self._upstreams[incarnation] = upstream
+    def _take_instance(self, key: str, content: bytes) -> None:
+        self._held_removals.discard(key)
+        self._instances[key] = decode_instance(content)
+        self._tell_instances()
+
+    def _take_use(self, key: str, content: bytes) -> None:
+        # Only what was written before this process began matters to it.
+        if self._cursor is None:
+            instance = key.removeprefix(USE_PREFIX)
+            self._listener.on_use(instance, decode_use(content))
+
+    def _take_upstream(self, key: str, content: bytes) -> None:
+        self._held_removals.discard(key)
+        incarnation = key.removeprefix(_UPSTREAM_PREFIX)
+        upstream = decode_upstream(incarnation, content)
+        if self._upstreams.get(key) == upstream:
+            return
+        self._upstreams[key] = upstream
+        self._tell_upstreams()
+
+    def _tell_upstreams(self) -> None:
         self._listener.on_upstreams(tuple(self._upstreams.values()))
 
-    def _take_instance(self, change: Change) -> None:
-        if change.content is None:
-            self._instances.pop(change.key, None)
-        else:
-            self._instances[change.key] = decode_instance(change.content)
+    def _tell_instances(self) -> None:
         self._listener.on_instances(tuple(self._instances.values()))
 
     def _is_returning(self) -> bool:
@@ -188,18 +230,18 @@
         return self._loop.time() - self._returned_at < _RETURN_S
 
     def _release_removals(self) -> None:
-        if not self._held_removals or self._is_returning():
+        if self._is_returning():
             return
-        for incarnation in self._held_removals:
-            self._upstreams.pop(incarnation, None)
+        held = tuple(self._held_removals)
         self._held_removals.clear()
-        self._listener.on_upstreams(tuple(self._upstreams.values()))
+        for key in held:
+            self._remove(key)
 
     def _found(self) -> None:
         self._failures = 0
         if self._reachable:
             return
-        if self._upstreams:
+        if self._was_lost:
             self._returned_at = self._loop.time()
         self._reachable = True
         self._listener.on_store(reachable=True)
@@ -208,6 +250,7 @@
         self._failures += 1
         if self._reachable and isinstance(exc, StoreUnavailableError):
             self._reachable = False
+            self._was_lost = True
             self._listener.on_store(reachable=False)
         self._log(Event.store_call_failed, cause=str(exc))
         longest = min(_LONGEST_PAUSE_S, _PAUSE_S * 2**self._failures)
--- a/packages/platform/src/tallyhall_platform/registry.py
+++ b/packages/platform/src/tallyhall_platform/registry.py
@@ -13,16 +13,19 @@
 from collections.abc import Callable
 
 from tallyhall_core.events import Event
+from tallyhall_dispatch.quota import Written
 
 from .errors import DecodeError, LeaseEndedError, StoreError
 from .store import StoreClient
 
 INSTANCE_PREFIX = 'tallyhall/instances/'
+USE_PREFIX = 'tallyhall/use/'
 # A dead instance is offered to callers for at most this long; the lease is
 # renewed three times within it, so that one lost answer does not end it.
 _LEASE_S = 2.4
 _RENEW_S = 0.8
 _PAUSE_S = 0.2
+_NO_LEASE = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,12 +57,17 @@
         entry: InstanceEntry,
         log: Callable[..., None],
         rng: random.Random,
+        read_use: Callable[[], Written],
     ) -> None:
         """Register through a client that nothing else uses."""
         self._client = client
         self._entry = entry
         self._log = log
         self._rng = rng
+        self._read_use = read_use
+        self._written: Written = {}
+        # Every second renewal writes: each write is a priced call.
+        self._skipped = False
         self._lease: int | None = None
 
     async def run(self) -> None:
@@ -85,12 +93,38 @@
         except StoreError as exc:
             self._log(Event.store_call_failed, cause=str(exc))
 
+    async def _write_use(self) -> None:
+        use = self._read_use()
+        # Nothing is written again while nothing is used much.
+        if not use and not self._written:
+            return
+        self._skipped = not self._skipped
+        if self._skipped:
+            return
+        raw = json.dumps(dict(use)).encode()
+        key = f'{USE_PREFIX}{self._entry.instance}'
+        # Under no lease: it matters after the end of this process.
+        await self._client.put(key, raw, _NO_LEASE)
+        self._written = use
+
     async def _step(self) -> None:
         if self._lease is not None:
             await self._client.keep_lease(self._lease)
+            await self._write_use()
             return
         lease = await self._client.grant_lease(_LEASE_S)
         raw = json.dumps(dataclasses.asdict(self._entry)).encode()
         key = f'{INSTANCE_PREFIX}{self._entry.instance}'
         await self._client.put(key, raw, lease)
         self._lease = lease
+
+
+def decode_use(raw: bytes) -> Written:
+    """Return what an instance wrote of its use; raise DecodeError."""
+    try:
+        return {
+            str(name): tuple((float(age), float(use)) for age, use in parts)
+            for name, parts in json.loads(raw).items()
+        }
+    except (AttributeError, TypeError, ValueError) as exc:
+        raise DecodeError(f'use of quotas: {exc}') from exc
--- /dev/null
+++ b/packages/standins/src/tallyhall_standins/platform_engine.py
@@ -0,0 +1,302 @@
+"""Stand-in for an upstream of the users' platform, sound or not.
+
+It answers a request at a time on a connection, as plain answers or streams
+of events, and records what it ran. Each fault is one way in which such an
+upstream misbehaves; tests set them for the next requests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import enum
+
+import httptools
+
+_SLOTS = 10
+
+
+@enum.unique
+class EngineFault(enum.Enum):
+    """How one request goes wrong."""
+
+    none = 'none'
+    rejects = 'rejects'
+    misplaced = 'misplaced'
+    fails = 'fails'
+    resets_first = 'resets_first'
+    closes_first = 'closes_first'
+    breaks_in_event = 'breaks_in_event'
+    breaks_between = 'breaks_between'
+    skips_event = 'skips_event'
+    hangs = 'hangs'
+    answers_twice = 'answers_twice'
+    late_second = 'late_second'
+    no_length = 'no_length'
+    short_body = 'short_body'
+    unsigned = 'unsigned'
+    not_http = 'not_http'
+
+
+_BROKEN_AT = 3
+_LATE_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeenRequest:
+    """One request as it arrived."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    ran: bool
+
+
+class EngineStandIn:
+    """One upstream on one port."""
+
+    def __init__(
+        self,
+        incarnation: str,
+        *,
+        events: int = 6,
+        first_s: float = 0.005,
+        event_s: float = 0.002,
+    ) -> None:
+        """Answer streams with this many events at this pace."""
+        self.incarnation = incarnation
+        self.events = events
+        self.first_s = first_s
+        self.event_s = event_s
+        self.faults: collections.deque[EngineFault] = collections.deque()
+        self.seen: list[SeenRequest] = []
+        self.running = 0
+        self.most_running = 0
+        self.left = 0
+        self.connections = 0
+        self._server: asyncio.Server | None = None
+
+    @property
+    def ran(self) -> list[SeenRequest]:
+        """Return the requests that ran here."""
+        return [request for request in self.seen if request.ran]
+
+    async def listen(self, host: str, port: int) -> None:
+        """Serve on this address."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+
+    def close(self) -> None:
+        """Stop to accept connections."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.connections += 1
+        visit = _Visit(self, writer)
+        try:
+            await visit.run(reader)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.left += 1
+        finally:
+            with contextlib.suppress(ConnectionError):
+                writer.close()
+
+
+class _Visit:
+    """One connection of a caller."""
+
+    def __init__(
+        self,
+        engine: EngineStandIn,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._engine = engine
+        self._writer = writer
+        self._target = b''
+        self._headers: dict[str, str] = {}
+        self._body = b''
+        self._whole = asyncio.Event()
+        self._closed = False
+
+    async def run(self, reader: asyncio.StreamReader) -> None:
+        while not self._closed:
+            parser = httptools.HttpRequestParser(self)
+            self._target = b''
+            self._headers = {}
+            self._body = b''
+            self._whole.clear()
+            while not self._whole.is_set():
+                payload = await reader.read(65_536)
+                if not payload:
+                    return
+                parser.feed_data(payload)
+            method = parser.get_method().decode()
+            await self._beside_reader(reader, method)
+
+    # -- parser
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        self._whole.set()
+
+    # -- answers
+
+    async def _beside_reader(
+        self,
+        reader: asyncio.StreamReader,
+        method: str,
+    ) -> None:
+        answer = asyncio.create_task(self._answer(method))
+        gone = asyncio.create_task(reader.read(1))
+        await asyncio.wait(
+            (answer, gone),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if answer.done():
+            gone.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await gone
+            answer.result()
+            return
+        self._engine.left += 1
+        self._closed = True
+        answer.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await answer
+
+    async def _answer(self, method: str) -> None:
+        engine = self._engine
+        fault = engine.faults.popleft() if engine.faults else EngineFault.none
+        expected = self._headers.get('x-tallyhall-expect-instance')
+        if expected not in {None, engine.incarnation}:
+            fault = EngineFault.misplaced
+        refused = fault in {EngineFault.rejects, EngineFault.misplaced}
+        request_id = self._headers.get('x-tallyhall-request-id', '')
+        engine.seen.append(
+            SeenRequest(
+                request_id,
+                method,
+                self._target.decode(),
+                dict(self._headers),
+                self._body,
+                ran=not refused,
+            ),
+        )
+        engine.running += 1
+        engine.most_running = max(engine.most_running, engine.running)
+        try:
+            await self._by_fault(fault, request_id)
+        finally:
+            engine.running -= 1
+
+    async def _by_fault(self, fault: EngineFault, request_id: str) -> None:
+        if fault is EngineFault.hangs:
+            await asyncio.Event().wait()
+        if fault is EngineFault.rejects:
+            self._send(503, b'', ('X-Tallyhall-Not-Executed: 1',))
+            return
+        if fault is EngineFault.misplaced:
+            self._send(421, b'', ())
+            return
+        if fault is EngineFault.resets_first:
+            self._reset()
+            return
+        if fault is EngineFault.closes_first:
+            self._closed = True
+            return
+        await asyncio.sleep(self._engine.first_s)
+        if fault is EngineFault.not_http:
+            self._writer.write(b'\x00\x01 no answer at all\r\n\r\n')
+            return
+        if fault is EngineFault.fails:
+            self._send(500, b'engine error', self._signed(request_id))
+            return
+        if 'x-tallyhall-token-counts' in self._headers:
+            await self._stream(fault, request_id)
+            return
+        await self._plain(fault, request_id)
+
+    async def _plain(self, fault: EngineFault, request_id: str) -> None:
+        body = f'answer to {request_id}'.encode()
+        signed = self._signed(request_id)
+        if fault is EngineFault.unsigned:
+            signed = ()
+        if fault is EngineFault.no_length:
+            self._head(200, (*signed, 'Connection: close'))
+            self._writer.write(body)
+            self._closed = True
+            return
+        if fault is EngineFault.short_body:
+            self._head(200, (*signed, f'Content-Length: {len(body) + 5}'))
+            self._writer.write(body)
+            self._reset()
+            return
+        self._send(200, body, signed)
+        if fault is EngineFault.answers_twice:
+            self._send(200, b'a second answer', signed)
+        if fault is EngineFault.late_second:
+            await self._writer.drain()
+            await asyncio.sleep(_LATE_S)
+            self._send(200, b'a second answer', signed)
+
+    async def _stream(self, fault: EngineFault, request_id: str) -> None:
+        signed = self._signed(request_id)
+        framing = ('Content-Type: text/event-stream',)
+        self._head(
+            200,
+            (*signed, *framing, 'Transfer-Encoding: chunked'),
+        )
+        first = int(self._headers.get('last-event-id', '0')) + 1
+        for number in range(first, self._engine.events + 1):
+            if number == _BROKEN_AT and fault is EngineFault.breaks_in_event:
+                self._chunk(f'id: {number}\nda'.encode())
+                self._reset()
+                return
+            if number == _BROKEN_AT and fault is EngineFault.breaks_between:
+                self._reset()
+                return
+            if number == _BROKEN_AT and fault is EngineFault.skips_event:
+                continue
+            self._chunk(f'id: {number}\ndata: t{number}\n\n'.encode())
+            await self._writer.drain()
+            await asyncio.sleep(self._engine.event_s)
+        self._writer.write(b'0\r\n\r\n')
+
+    def _signed(self, request_id: str) -> tuple[str, ...]:
+        return (
+            f'X-Tallyhall-Response-Signature: s.{self._engine.incarnation}',
+            f'X-Tallyhall-Request-Id: {request_id}',
+        )
+
+    def _send(self, status: int, body: bytes, lines: tuple[str, ...]) -> None:
+        self._head(status, (*lines, f'Content-Length: {len(body)}'))
+        self._writer.write(body)
+
+    def _head(self, status: int, lines: tuple[str, ...]) -> None:
+        head = '\r\n'.join((f'HTTP/1.1 {status} Status', *lines, '', ''))
+        self._writer.write(head.encode())
+
+    def _chunk(self, payload: bytes) -> None:
+        self._writer.write(b'%x\r\n%b\r\n' % (len(payload), payload))
+
+    def _reset(self) -> None:
+        self._closed = True
+        transport = self._writer.transport
+        if not transport.is_closing():
+            asyncio.get_running_loop().call_later(0.01, transport.abort)
--- a/packages/transport/src/tallyhall_transport/peers.py
+++ b/packages/transport/src/tallyhall_transport/peers.py
@@ -32,7 +32,6 @@
 _RETRY_S = 0.2
 _FETCH_S = 0.5
 _MICRO = 1_000_000
-_MILLI = 1000
 _OPTIONS = (
     ('grpc.initial_reconnect_backoff_ms', 100),
     ('grpc.max_reconnect_backoff_ms', 500),
@@ -52,7 +51,6 @@
     question_us: int = 0
     answered_at: float = -1
     leaving: bool = False
-    started_at: float = 0
 
 
 OnBatch = Callable[[Peer, peers_pb2.Batch], None]
@@ -257,7 +255,6 @@
         peer.heard_at = self._loop.time()
         peer.question_us = batch.question_us
         peer.leaving = batch.leaving
-        peer.started_at = peer.heard_at - batch.uptime_ms / _MILLI
         if batch.echo_us:
             asked_at = batch.echo_us / _MICRO
             peer.answered_at = max(peer.answered_at, asked_at)
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the path on the users' platform; no bench needed."""
--- /dev/null
+++ b/tests/platform/test_decisions.py
@@ -0,0 +1,290 @@
+"""Properties of the decisions; no I/O, time is an argument."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+from tallyhall_dispatch.desired import Upstream, Workspace
+from tallyhall_dispatch.freshness import Freshness
+from tallyhall_dispatch.jobs import Ending, Job, RunReport
+from tallyhall_dispatch.ownership import Ownership
+from tallyhall_dispatch.pool import GivenUp, Granted, ServicePool
+from tallyhall_dispatch.quota import Fleet, QuotaBounds, Quotas, Written
+from tallyhall_dispatch.retries import RetryBudget, RetryLimits
+from tallyhall_dispatch.windows import SlidingSum
+from tallyhall_edge.events import BadEventError, EventSplitter
+
+_WINDOW_S = 8
+_RATE = 100.0
+_BURST = 50.0
+_LIMIT = _RATE * _WINDOW_S + _BURST
+
+_steps = st.lists(
+    st.tuples(
+        st.floats(0, 2, allow_nan=False),
+        st.integers(1, 120),
+        st.integers(0, 2),
+    ),
+    max_size=120,
+)
+
+
+def _most_in_window(taken: list[tuple[float, float]]) -> float:
+    return max(
+        (
+            sum(
+                amount
+                for at, amount in taken
+                if start <= at < start + _WINDOW_S
+            )
+            for start, _ in taken
+        ),
+        default=0,
+    )
+
+
+@given(_steps)
+def test_sliding_sum_never_counts_too_little(
+    steps: list[tuple[float, int, int]],
+) -> None:
+    window = SlidingSum(_WINDOW_S)
+    taken: list[tuple[float, float]] = []
+    now: float = 0
+    for pause, amount, _ in steps:
+        now += pause
+        window.add(amount, now)
+        taken.append((now, amount))
+        exact = sum(size for at, size in taken if at > now - _WINDOW_S)
+        assert window.total(now) >= exact
+
+
+@given(_steps)
+def test_quota_holds_over_three_instances(
+    steps: list[tuple[float, int, int]],
+) -> None:
+    """Reports that arrive at once keep the sum exact."""
+    workspace = Workspace('w', None, _RATE, _BURST, True, 1)
+    bounds = QuotaBounds(_WINDOW_S, 0.1, 100)
+    nodes = [Quotas(bounds, -100) for _ in range(3)]
+    for node in nodes:
+        node.configure({'w': workspace})
+        node.take_fleet(Fleet(3, 1))
+    taken: list[tuple[float, float]] = []
+    now: float = 0
+    for pause, amount, chosen in steps:
+        now += pause
+        if nodes[chosen].take('w', amount, now):
+            continue
+        taken.append((now, amount))
+        for number, node in enumerate(nodes):
+            if number != chosen:
+                node.reported('w', amount, now)
+    assert _most_in_window(taken) <= _LIMIT
+
+
+@given(_steps)
+def test_quota_holds_where_nobody_hears_anybody(
+    steps: list[tuple[float, int, int]],
+) -> None:
+    workspace = Workspace('w', None, _RATE, _BURST, True, 1)
+    nodes = [Quotas(QuotaBounds(_WINDOW_S, 0.1, 100), -100) for _ in range(3)]
+    for node in nodes:
+        node.configure({'w': workspace})
+        node.take_fleet(Fleet(3, 1 / 3))
+    taken: list[tuple[float, float]] = []
+    now: float = 0
+    for pause, amount, chosen in steps:
+        now += pause
+        if not nodes[chosen].take('w', amount, now):
+            taken.append((now, amount))
+    assert _most_in_window(taken) <= _LIMIT * 1.1 + 100
+
+
+def test_quota_after_two_restarts_of_all_stays_in_its_bound() -> None:
+    """The whole quota is used at once, and again after each restart.
+
+    What is admitted between the last write and the end is forgotten, here
+    one step of 40; the granted slack bears it.
+    """
+    workspace = Workspace('w', None, _RATE, _BURST, True, 1)
+    taken: list[tuple[float, float]] = []
+    written: Written = {}
+    for started_at in (0, 2, 4):
+        node = Quotas(QuotaBounds(_WINDOW_S, 0.1, 100), started_at)
+        node.configure({'w': workspace})
+        if started_at:
+            node.recall(written, started_at, own=True)
+        else:
+            node.adopt({}, started_at)
+        for step in range(40):
+            now = started_at + step * 0.05
+            if not node.take('w', 50, now):
+                taken.append((now, 50))
+            if step == 38:
+                written = node.worth_writing(now)
+    assert _most_in_window(taken) <= _LIMIT * 1.1 + 100
+
+
+def test_a_restarted_instance_learns_the_use_of_all() -> None:
+    workspace = Workspace('w', None, _RATE, _BURST, True, 1)
+    old = Quotas(QuotaBounds(_WINDOW_S, 0.1, 100), -100)
+    young = Quotas(QuotaBounds(_WINDOW_S, 0.1, 100), 5)
+    for node in (old, young):
+        node.configure({'w': workspace})
+    assert not old.take('w', _LIMIT, 4.9)
+    assert not young.knows_past(5)
+    report = old.report(5)['w']
+    young.adopt({'w': report.fleet}, 5)
+    assert young.knows_past(5)
+    assert young.take('w', 10, 5.1) > 0
+    assert not young.take('w', 10, 14)
+
+
+def test_lowered_quota_binds_at_once() -> None:
+    node = Quotas(QuotaBounds(_WINDOW_S, 0.1, 100), -100)
+    node.configure({'w': Workspace('w', None, _RATE, _BURST, True, 1)})
+    assert not node.take('w', 400, 0)
+    node.configure({'w': Workspace('w', None, 10, 0, True, 1)})
+    assert node.take('w', 1, 0.1) > 0
+
+
+@given(_steps)
+def test_retry_budget_holds_over_all_instances(
+    steps: list[tuple[float, int, int]],
+) -> None:
+    limits = RetryLimits(0.2, 50, 10)
+    nodes = [RetryBudget(limits) for _ in range(3)]
+    requests: list[float] = []
+    repeats: list[float] = []
+    now: float = 0
+    for pause, burst, chosen in steps:
+        now += pause
+        for _ in range(burst % 20):
+            nodes[chosen].request(now)
+            requests.append(now)
+            if nodes[chosen].take(now, 3):
+                repeats.append(now)
+        recent = sum(at > now - 10 for at in repeats)
+        # Requests count for the window before, too.
+        asked = sum(at > now - 20 for at in requests)
+        assert recent <= 0.2 * asked + 50
+
+
+def test_freshness_counts_from_the_question() -> None:
+    fresh = Freshness(3)
+    assert not fresh.holds(0)
+    fresh.confirm(10)
+    assert fresh.holds(12.9)
+    assert not fresh.holds(13)
+    fresh.confirm(9)
+    assert not fresh.holds(13)
+    fresh.confirm(11)
+    assert fresh.holds(13)
+
+
+def _upstream(name: str, slots: int, *, leaving: bool = False) -> Upstream:
+    return Upstream(name, 'svc', '127.0.0.1', 1, 'a', slots, leaving)
+
+
+def _job(key: str, urgency: int, now: float) -> Job:
+    return Job(key, 'svc', urgency, 500, 50, (), now, now + 0.8, now + 2)
+
+
+@given(st.integers(0, 10_000))
+def test_pool_never_fills_more_places_than_there_are(seed: int) -> None:
+    """Each job gets one decision; no upstream more jobs than places."""
+    rng = random.Random(seed)
+    pool = ServicePool('svc', 5)
+    upstreams = [_upstream(f'u{number}', 3) for number in range(3)]
+    pool.set_upstreams(upstreams)
+    running: dict[str, str] = {}
+    decided: set[str] = set()
+    now: float = 0
+    for number in range(80):
+        now += rng.random() * 0.1
+        if rng.random() < 0.7:
+            pool.ask(_job(f'j{number}', rng.randrange(3), now))
+        if running and rng.random() < 0.5:
+            key = rng.choice(sorted(running))
+            running.pop(key)
+            ending = rng.choice((Ending.answered, Ending.broken))
+            pool.finish(key, RunReport(ending, 0.2, 0.05, 9, 0.1), now)
+        if rng.random() < 0.1:
+            leaving = rng.random() < 0.5
+            upstreams[0] = _upstream('u0', 3, leaving=leaving)
+            pool.set_upstreams(upstreams)
+        for decision in pool.decide(now):
+            assert decision.key not in decided
+            decided.add(decision.key)
+            if isinstance(decision, Granted):
+                assert not decision.upstream.leaving
+                running[decision.key] = decision.upstream.incarnation
+        counts = list(running.values())
+        assert all(counts.count(name) <= 3 for name in counts)
+
+
+def test_pool_serves_in_time_before_late() -> None:
+    pool = ServicePool('svc', 5)
+    pool.set_upstreams([_upstream('u', 1)])
+    pool.ask(_job('runs', 0, 0))
+    assert pool.decide(0) == [Granted('runs', _upstream('u', 1))]
+    pool.ask(_job('late', 0, 0))
+    pool.ask(_job('fresh', 2, 1.5))
+    pool.finish('runs', RunReport(Ending.answered, 0.1), 1.5)
+    granted = [
+        decision.key
+        for decision in pool.decide(1.5)
+        if isinstance(decision, Granted)
+    ]
+    assert granted == ['fresh']
+
+
+def test_pool_gives_up_before_the_end() -> None:
+    pool = ServicePool('svc', 5)
+    pool.set_upstreams([_upstream('u', 1)])
+    pool.ask(_job('runs', 0, 0))
+    pool.decide(0)
+    pool.ask(_job('waits', 0, 0))
+    assert not pool.decide(0.1)
+    decision = pool.decide(1.99)[0]
+    assert isinstance(decision, GivenUp)
+    assert decision.retry_after_s > 0
+
+
+def test_owner_moves_only_with_the_instances() -> None:
+    ownership = Ownership()
+    assert ownership.owner('svc') is None
+    assert ownership.take_live(frozenset('abc'))
+    owner = ownership.owner('svc')
+    assert not ownership.take_live(frozenset('abc'))
+    others = frozenset('abc') - {owner}
+    ownership.take_live(frozenset(str(name) for name in others))
+    assert ownership.owner('svc') in others
+
+
+_events = st.lists(st.integers(0, 10**6), max_size=12)
+
+
+@given(_events, st.lists(st.integers(1, 40), max_size=30))
+def test_events_come_whole_however_they_are_cut(
+    numbers: list[int],
+    cuts: list[int],
+) -> None:
+    raw = b''.join(b'id: %d\ndata: x\n\n' % number for number in numbers)
+    splitter = EventSplitter()
+    found = []
+    rest = raw
+    for cut in (*cuts, len(raw) + 1):
+        found.extend(splitter.feed(rest[:cut]))
+        rest = rest[cut:]
+    assert [event.number for event in found] == numbers
+    assert b''.join(event.raw for event in found) == raw
+    assert not splitter.held
+
+
+def test_an_id_that_is_no_number_is_refused() -> None:
+    try:
+        EventSplitter().feed(b'id: x\n\n')
+    except BadEventError:
+        return
+    raise AssertionError('taken as an event')
--- /dev/null
+++ b/tests/platform/test_edge_server.py
@@ -0,0 +1,143 @@
+"""The HTTP server towards callers, byte by byte."""
+
+import asyncio
+
+import pytest
+from tallyhall_bench.fleet import free_ports
+from tallyhall_edge.server import Exchange, HttpServer, ServerLimits
+
+from tests.platform.harness import HOST, until
+
+_LIMITS = ServerLimits(
+    header_bytes=300,
+    body_bytes=100,
+    header_s=0.2,
+    body_s=0.2,
+    idle_s=0.3,
+)
+
+
+class _Served:
+    """A server that echoes bodies; `hold` lets requests wait."""
+
+    def __init__(self) -> None:
+        self.hold = asyncio.Event()
+        self.hold.set()
+        self.cancelled = 0
+        self.bodies: list[bytes] = []
+        self.failures: list[Exception] = []
+        self.server = HttpServer(self._respond, self._failed, _LIMITS)
+        self.port = free_ports(1)[0]
+
+    async def open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Serve, and return a connection."""
+        await self.server.listen(HOST, self.port)
+        return await asyncio.open_connection(HOST, self.port)
+
+    async def _respond(self, exchange: Exchange) -> None:
+        self.bodies.append(exchange.body)
+        try:
+            await self.hold.wait()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        exchange.answer(200, b'OK', (), exchange.body)
+
+    def _failed(self, exc: Exception) -> None:
+        self.failures.append(exc)
+
+
+def _post(body: bytes, *lines: bytes) -> bytes:
+    head = (b'POST / HTTP/1.1', b'Host: x', *lines)
+    length = b'Content-Length: %d' % len(body)
+    return b'\r\n'.join((*head, length, b'', b'')) + body
+
+
+async def test_requests_ahead_are_answered_in_order() -> None:
+    served = _Served()
+    reader, writer = await served.open()
+    writer.write(_post(b'one') + _post(b'two') + _post(b'three'))
+    got = b''
+    while got.count(b'HTTP/1.1 200') < 3 or not got.endswith(b'three'):
+        got += await reader.read(1000)
+    assert got.index(b'one') < got.index(b'two') < got.index(b'three')
+    assert served.bodies == [b'one', b'two', b'three']
+
+
+@pytest.mark.parametrize('cut', range(1, 90, 7))
+async def test_a_request_may_come_in_any_pieces(cut: int) -> None:
+    served = _Served()
+    reader, writer = await served.open()
+    raw = (
+        b'POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n'
+    )
+    writer.write(raw[:cut])
+    await asyncio.sleep(0.01)
+    writer.write(raw[cut:])
+    answer = await reader.readuntil(b'abcdefg')
+    assert answer.startswith(b'HTTP/1.1 200')
+
+
+_BAD = [
+    (b'nonsense\r\n\r\n', 400),
+    (b'GET / HTTP/1.1\r\nHost: x\r\nX: ' + b'y' * 400 + b'\r\n\r\n', 431),
+    (_post(b'z' * 101), 413),
+    # Two ways to tell the length would let one request hide in another.
+    (
+        b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+        400,
+    ),
+    (b'GET / HTTP/1.1\r\nHo', 408),
+    (b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc', 408),
+]
+
+
+@pytest.mark.parametrize(('raw', 'status'), _BAD)
+async def test_bad_requests_end_the_connection(raw: bytes, status: int) -> None:
+    served = _Served()
+    reader, writer = await served.open()
+    writer.write(raw)
+    async with asyncio.timeout(2):
+        answer = await reader.read()
+    assert answer.startswith(b'HTTP/1.1 %d ' % status)
+    assert b'Connection: close' in answer
+    assert not served.bodies
+
+
+@pytest.mark.parametrize('half', [False, True])
+async def test_a_caller_that_leaves_cancels_its_request(half: bool) -> None:
+    served = _Served()
+    served.hold.clear()
+    _, writer = await served.open()
+    writer.write(_post(b'one'))
+    await until(lambda: bool(served.bodies))
+    if half:
+        writer.write_eof()
+    else:
+        writer.transport.abort()
+    await until(lambda: served.cancelled == 1, within_s=0.5)
+    assert not served.failures
+
+
+async def test_idle_connections_are_closed_in_time() -> None:
+    served = _Served()
+    reader, writer = await served.open()
+    writer.write(_post(b'one'))
+    await reader.readuntil(b'one')
+    await asyncio.sleep(0.2)
+    writer.write(_post(b'two'))
+    await reader.readuntil(b'two')
+    async with asyncio.timeout(1):
+        assert await reader.read() == b''
+
+
+async def test_old_http_gets_no_chunks() -> None:
+    served = _Served()
+    reader, writer = await served.open()
+    writer.write(b'GET / HTTP/1.0\r\n\r\n')
+    async with asyncio.timeout(1):
+        answer = await reader.read()
+    assert b'Transfer-Encoding' not in answer
+    assert b'Connection: close' in answer
--- /dev/null
+++ b/tests/platform/test_follow.py
@@ -0,0 +1,95 @@
+"""What an instance believes while the store is away, slow or forgetful."""
+
+import asyncio
+
+from tallyhall_standins.platform_store import StoreFault
+
+from tests.platform.harness import PLAIN, deployment, desired, until
+
+
+async def test_newer_states_only() -> None:
+    async with deployment() as made:
+        await made.add_engine('plain-0', PLAIN)
+        await made.ready()
+        instance = made.instances[0]
+        made.store.put('op/config', desired(7))
+        await until(lambda: instance.state_version == 7)
+        made.store.put('op/config', desired(5))
+        made.store.put_raw('op/config', b'{"version": 9}')
+        made.store.put('op/config', desired(8))
+        await until(lambda: instance.state_version == 8)
+
+
+async def test_compacted_history_is_read_again() -> None:
+    async with deployment() as made:
+        await made.add_engine('plain-0', PLAIN)
+        await made.add_engine('plain-1', PLAIN)
+        await made.ready()
+        instance = made.instances[0]
+        await until(lambda: instance.usable_upstreams == 2)
+        await asyncio.sleep(2.5)
+        made.store.fault = StoreFault.refuses
+        await asyncio.sleep(1)
+        made.store.put('op/config', desired(4))
+        made.store.remove('servers/plain-1')
+        made.store.compact()
+        made.store.fault = StoreFault.none
+        await until(lambda: instance.state_version == 4)
+        # Held back while entries may return, then gone for good.
+        assert instance.usable_upstreams == 2
+        await until(lambda: instance.usable_upstreams == 1)
+
+
+async def test_removed_upstream_is_left_at_once() -> None:
+    async with deployment() as made:
+        await made.add_engine('plain-0', PLAIN)
+        await made.add_engine('plain-1', PLAIN)
+        await made.ready()
+        instance = made.instances[0]
+        await until(lambda: instance.usable_upstreams == 2)
+        await asyncio.sleep(2.5)
+        made.store.remove('servers/plain-0')
+        await until(lambda: instance.usable_upstreams == 1, 0.5)
+
+
+async def test_keys_need_a_confirmed_state() -> None:
+    async with deployment(revoke_s=2.5) as made:
+        engine = await made.add_engine('plain-0', PLAIN)
+        await made.ready()
+        made.store.fault = StoreFault.silent
+        await asyncio.sleep(2)
+        refused = await made.caller().ask('/safe/x', 'r1')
+        assert refused.status == 503
+        public = await made.caller().ask('/open/x', 'r2', key='')
+        assert public.status == 200
+        assert [seen.request_id for seen in engine.ran] == ['r2']
+        made.store.fault = StoreFault.none
+        await asyncio.sleep(1.6)
+        served = await made.caller().ask('/safe/x', 'r3')
+        assert served.status == 200
+
+
+async def test_a_peer_confirms_for_one_that_the_store_turns_away() -> None:
+    async with deployment(2, revoke_s=4.3) as made:
+        await made.add_engine('plain-0', PLAIN)
+        await made.ready()
+        made.instances[0].lose_store()
+        await asyncio.sleep(3.3)
+        answer = await made.caller().ask('/safe/x', 'r1')
+        assert answer.status == 200
+        # A state that only the peer has read arrives through it.
+        state = desired(2)
+        state['tenants'][0]['api-keys'] = ['key-2']
+        made.store.put('op/config', state)
+        await until(lambda: made.instances[0].state_version == 2)
+        refused = await made.caller().ask('/safe/x', 'r2')
+        assert refused.status == 401
+
+
+async def test_entry_goes_with_its_instance() -> None:
+    async with deployment(2) as made:
+        await made.ready()
+        prefix = 'tallyhall/instances/'
+        assert len(made.store.keys(prefix)) == 2
+        await made.instances[0].close()
+        await until(lambda: len(made.store.keys(prefix)) == 1)
