Log lines that explain a request, explain and logs commands, settings read again, make run-platform

Each decision about a request leaves a line; the last line of one that failed holds what decided it. Found by the test of explain: requests refused at the gate were logged without their id.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SEED ?= 1
 SECONDS ?= 120
 
-.PHONY: run test check fmt faults bench slopes overhead
+.PHONY: run run-platform test check fmt faults bench slopes overhead
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -22,6 +22,9 @@
 run: $(STAMP)
 	$(BIN)/python -m tallyhall_bench.first_run
 
+run-platform: $(STAMP)
+	$(BIN)/python -m tallyhall_bench.platform_run
+
 test: $(STAMP)
 	$(BIN)/python -m pytest
 
--- /dev/null
+++ b/packages/bench/src/tallyhall_bench/platform_fleet.py
@@ -0,0 +1,205 @@
+"""Real entry processes before stand-ins of the users' platform.
+
+The store and the upstreams run in this process, each entry instance in its
+own, started as the platform starts it. Processes are ended by their ids.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import AsyncIterator, Mapping
+from typing import Any
+
+from tallyhall_dispatch.options import Listening
+from tallyhall_standins.platform_engine import EngineStandIn
+from tallyhall_standins.platform_store import StoreStandIn
+
+from .fleet import free_ports
+
+HOST = '127.0.0.1'
+_ENTRY = pathlib.Path(__file__).resolve().parents[4] / 'deploy' / 'entry.py'
+_PORTS = 5
+_STARTING_S = 10
+_ENDING_S = 12
+
+
+@dataclasses.dataclass(slots=True)
+class EntryProcess:
+    """One entry instance, its addresses and what it wrote."""
+
+    name: str
+    front: Listening
+    ready: Listening
+    locate: Listening
+    metrics: Listening
+    settings: pathlib.Path
+    log: pathlib.Path
+    process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start the process; its log goes on in the same file."""
+        with self.log.open('ab') as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(_ENTRY),
+                env={**os.environ, 'TALLYHALL_CONFIG': str(self.settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process if it still runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def wait(self) -> int:
+        """Return the exit code once the process has ended."""
+        if self.process is None:
+            return 0
+        async with asyncio.timeout(_ENDING_S):
+            return await self.process.wait()
+
+
+class PlatformFleet:
+    """A store, upstreams and entry processes."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Keep settings and logs in this folder."""
+        self.store = StoreStandIn()
+        self.store_at = Listening(HOST, free_ports(1)[0])
+        self.entries: list[EntryProcess] = []
+        self.engines: list[EngineStandIn] = []
+        self._folder = folder
+
+    async def add_engine(
+        self,
+        name: str,
+        service: str,
+        slots: int,
+        **pace: Any,
+    ) -> EngineStandIn:
+        """Start an upstream and register it."""
+        engine = EngineStandIn(name, **pace)
+        port = free_ports(1)[0]
+        await engine.listen(HOST, port)
+        self.engines.append(engine)
+        fields = {
+            'service': service,
+            'address': f'{HOST}:{port}',
+            'zone': 'a',
+            'version': 'v1',
+            'slots': slots,
+            'state': 'ready',
+            'seq': 1,
+        }
+        self.store.put(f'servers/{name}', fields)
+        return engine
+
+    async def add_entry(
+        self,
+        store_at: Listening | None = None,
+    ) -> EntryProcess:
+        """Start an entry process, maybe with a store address of its own."""
+        name = f'entry-{len(self.entries) + 1}'
+        # Two free ports that follow each other: peers and metrics.
+        places = _free_places()
+        fields = {
+            'node': name,
+            'zone': 'a',
+            'region': 'r',
+            'ip': HOST,
+            'listen': {
+                'front': str(places[0]),
+                'ready': str(places[1]),
+                'directory': str(places[2]),
+            },
+            'port-range': [places[3].port, places[4].port],
+            'limits': {'memory-mb': 150, 'max-fds': 1000},
+            'bounds': {
+                'revoke-ms': 5000,
+                'grace-s': 8,
+                'ttl_max_s': 5,
+                'budget-slack': 50,
+                'quota-slack': 1000,
+            },
+            'platform': {'address': str(store_at or self.store_at)},
+        }
+        settings = self._folder / f'{name}.yaml'
+        # JSON is YAML.
+        settings.write_text(json.dumps(fields))
+        entry = EntryProcess(
+            name,
+            places[0],
+            places[1],
+            places[2],
+            places[4],
+            settings,
+            self._folder / f'{name}.log',
+        )
+        self.entries.append(entry)
+        await entry.start()
+        return entry
+
+    async def until_ready(self) -> None:
+        """Wait until every instance hears every other one."""
+        wanted = f'"live": {json.dumps([one.name for one in self.entries])}'
+        async with asyncio.timeout(_STARTING_S):
+            for entry in self.entries:
+                while wanted not in entry.log.read_text():
+                    await asyncio.sleep(0.05)
+
+    async def close(self) -> None:
+        """End everything."""
+        for entry in self.entries:
+            entry.send(signal.SIGKILL)
+            await entry.wait()
+        for engine in self.engines:
+            engine.close()
+        self.store.close()
+
+
+@contextlib.asynccontextmanager
+async def platform_fleet(
+    instances: int,
+    state: Mapping[str, Any],
+) -> AsyncIterator[PlatformFleet]:
+    """Start a store with a desired state, and entry processes."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = PlatformFleet(pathlib.Path(folder))
+        await fleet.store.listen(HOST, fleet.store_at.port)
+        fleet.store.put('op/config', dict(state))
+        try:
+            for _ in range(instances):
+                await fleet.add_entry()
+            yield fleet
+        finally:
+            await fleet.close()
+
+
+def _free_places() -> tuple[Listening, ...]:
+    while True:
+        ports = free_ports(_PORTS)
+        peer = ports[3]
+        following = peer + 1
+        if following in ports or not _is_free(following):
+            continue
+        chosen = (*ports[:4], following)
+        return tuple(Listening(HOST, port) for port in chosen)
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
--- /dev/null
+++ b/packages/bench/src/tallyhall_bench/platform_load.py
@@ -0,0 +1,128 @@
+"""Callers of the users' platform, and what they saw.
+
+Each request is tried once, on an open connection where there is one: what a
+caller must never see is decided from single tries.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+
+from tallyhall_dispatch.options import Listening
+from tallyhall_edge.client import ClientConnection
+from tallyhall_edge.errors import BrokenError, EdgeError
+from tallyhall_edge.messages import ResponseHead, find, head_bytes
+
+KEY = 'key-1'
+SITE = 'shop.example'
+_CONNECT_S = 1.0
+_WAIT_S = 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tried:
+    """One try of a caller; status 0 where no head of an answer came."""
+
+    request_id: str
+    route: str
+    instance: str
+    status: int
+    body: bytes
+    signed: bool
+    whole: bool
+    total_s: float
+
+
+class _Sink:
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.done: asyncio.Future[BrokenError | None] = loop.create_future()
+        self.head: ResponseHead | None = None
+        self.parts: list[bytes] = []
+
+    def on_head(self, head: ResponseHead) -> None:
+        self.head = head
+
+    def on_data(self, payload: bytes) -> None:
+        self.parts.append(payload)
+
+    def on_end(self, exc: BrokenError | None) -> None:
+        if not self.done.done():
+            self.done.set_result(exc)
+
+
+class Caller:
+    """A caller that keeps one connection to each instance."""
+
+    def __init__(self, rng: random.Random) -> None:
+        """Draw from this generator."""
+        self._rng = rng
+        self._conns: dict[Listening, ClientConnection] = {}
+
+    async def ask(
+        self,
+        instance: str,
+        place: Listening,
+        route: str,
+        request_id: str,
+        *,
+        streams: bool,
+    ) -> Tried:
+        """Send one request and return what came."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        sink = _Sink()
+        error: EdgeError | None = None
+        try:
+            async with asyncio.timeout(_WAIT_S):
+                conn = await self._connected(place)
+                conn.send(
+                    _request(route, request_id, streams=streams), sink, b''
+                )
+                error = await sink.done
+        except EdgeError as exc:
+            error = exc
+        except TimeoutError:
+            error = BrokenError('no end of the answer')
+        kept = self._conns.pop(place, None)
+        if kept is not None and kept.reusable:
+            self._conns[place] = kept
+        head = sink.head or ResponseHead(0, b'', ())
+        signature = find(head.headers, b'x-tallyhall-response-signature')
+        return Tried(
+            request_id,
+            route,
+            instance,
+            head.status,
+            b''.join(sink.parts),
+            signature is not None,
+            error is None,
+            loop.time() - began_at,
+        )
+
+    async def _connected(self, place: Listening) -> ClientConnection:
+        conn = self._conns.get(place)
+        if conn is None or not conn.is_open:
+            conn = await ClientConnection.open(
+                place.host,
+                place.port,
+                _CONNECT_S,
+            )
+            self._conns[place] = conn
+        return conn
+
+
+def _request(route: str, request_id: str, *, streams: bool) -> bytes:
+    headers = [
+        (b'Host', SITE.encode()),
+        (b'X-Tallyhall-Request-Id', request_id.encode()),
+        (b'X-Tallyhall-Deadline-Ms', b'8000'),
+        (b'Authorization', f'Bearer {KEY}'.encode()),
+        (b'Content-Length', b'5'),
+    ]
+    if streams:
+        headers.append((b'X-Tallyhall-Token-Counts', b'400,30'))
+    line = f'POST /{route}/x HTTP/1.1'.encode()
+    return b''.join((head_bytes(line, tuple(headers)), b'hello'))
--- /dev/null
+++ b/packages/daemon/src/tallyhall_daemon/command_explain.py
@@ -0,0 +1,82 @@
+"""`tallyhall explain` and `tallyhall logs`: what log lines say."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+from cleo.helpers import argument
+from tallyhall_entry.explain import check_line, explain, shown
+
+from .command_base import EXIT_FAILED, EXIT_USAGE, OperatorCommand
+from .errors import OperatorError
+
+_FILES = argument(
+    'file',
+    'log files; standard input where none is given',
+    optional=True,
+    multiple=True,
+)
+
+
+def _texts(paths: list[str]) -> Iterator[str]:
+    if not paths:
+        yield from sys.stdin
+        return
+    for path in paths:
+        try:
+            with Path(path).open(encoding='utf-8', errors='replace') as lines:
+                yield from lines
+        except OSError as exc:
+            raise OperatorError(
+                f'{path}: cannot be read ({exc.strerror})',
+                EXIT_USAGE,
+            ) from exc
+
+
+class ExplainCommand(OperatorCommand):
+    """Prints one request's way over all instances and its cause."""
+
+    name = 'explain'
+    description = 'Tell from log lines what happened to a request.'
+    arguments = [  # noqa: WPS115
+        argument('request', 'the id of the request'),
+        _FILES,
+    ]
+
+    def execute_command(self) -> int:
+        """Print lines and cause; fail where no line has the id."""
+        request_id = self.argument('request')
+        found = explain(request_id, _texts(self.argument('file')))
+        if found is None:
+            raise OperatorError(
+                f'no line about request {request_id!r}; it reached none of '
+                'these instances, or its lines were dropped',
+                EXIT_FAILED,
+            )
+        for line in found.lines:
+            self.line(shown(line))
+        self.line(found.cause)
+        return 0
+
+
+class LogsCommand(OperatorCommand):
+    """Checks log lines against the catalogue of events."""
+
+    name = 'logs'
+    description = 'Check log lines against the catalogue of events.'
+    arguments = [_FILES]  # noqa: WPS115
+
+    def execute_command(self) -> int:
+        """Print each line that the catalogue does not know."""
+        wrong = 0
+        count = 0
+        for text in _texts(self.argument('file')):
+            count += 1
+            fault = check_line(text)
+            if fault is not None:
+                wrong += 1
+                self.line(f'line {count}: {fault}')
+        self.line(f'{count} lines, {wrong} wrong')
+        return EXIT_FAILED if wrong else 0
--- a/packages/daemon/src/tallyhall_daemon/commands.py
+++ b/packages/daemon/src/tallyhall_daemon/commands.py
@@ -5,6 +5,7 @@
 from cleo.commands.command import Command
 
 from .command_bench import BenchCommand
+from .command_explain import ExplainCommand, LogsCommand
 from .command_request import RequestCommand, StatusCommand
 from .command_serve import CheckCommand, ServeCommand
 from .command_table import (
@@ -28,4 +29,6 @@
     RequestCommand,
     StatusCommand,
     BenchCommand,
+    ExplainCommand,
+    LogsCommand,
 )
--- a/packages/dispatch/src/tallyhall_dispatch/freshness.py
+++ b/packages/dispatch/src/tallyhall_dispatch/freshness.py
@@ -14,7 +14,7 @@
 
     def __init__(self, bound_s: float) -> None:
         """Hold a confirmation for `bound_s`; 0 means for ever."""
-        self._bound = bound_s
+        self.bound_s = bound_s
         self._asked_at: float | None = None
 
     def confirm(self, asked_at: float) -> None:
@@ -33,4 +33,4 @@
         age = self.age(now)
         if age is None:
             return False
-        return not self._bound or age < self._bound
+        return not self.bound_s or age < self.bound_s
--- a/packages/dispatch/src/tallyhall_dispatch/jobs.py
+++ b/packages/dispatch/src/tallyhall_dispatch/jobs.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+from .desired import Upstream
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -36,6 +38,15 @@
     excluded: frozenset[str] = frozenset()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """Leave to send a job to an upstream: who gave it, after what wait."""
+
+    upstream: Upstream
+    by: str
+    waited_s: float
+
+
 @enum.unique
 class Ending(enum.Enum):
     """How one send to an upstream ended.
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -17,7 +17,7 @@
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
 from tallyhall_dispatch.desired import RouteKind, Upstream
 from tallyhall_dispatch.gate import Admitted, Gate
-from tallyhall_dispatch.jobs import Ending, Job, RunReport
+from tallyhall_dispatch.jobs import Ending, Grant, Job, RunReport
 
 from .connections import ConnectionPool
 from .dialect import BadCallError, CallInfo, Dialect, SendInfo
@@ -43,6 +43,8 @@
 _WAIT_PART = 0.7
 # Told to callers whose request an upstream turned away, in seconds.
 _FULL_RETRY_S = 0.3
+_MILLI = 1000
+_ANSWERED = 'answered'
 
 _SAFE_TO_RESEND = frozenset(
     (Ending.rejected, Ending.misplaced, Ending.unsent),
@@ -105,10 +107,22 @@
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
         try:
-            visit = self._enter(exchange)
+            call = self._dialect.call(exchange.head)
+        except BadCallError as exc:
+            refusal = Refusal.of(Reason.bad_request, detail=str(exc))
+            self._refuse(exchange, refusal, '')
+            return
+        request_id = call.request_id.decode('latin-1')
+        try:
+            visit = self._enter(exchange, call)
         except RefusedError as exc:
-            self._refuse(exchange, exc.refusal, '')
+            self._refuse(exchange, exc.refusal, request_id)
             return
+        await self._visit(visit)
+
+    # -- steps
+
+    async def _visit(self, visit: Visit) -> None:
         try:
             async with asyncio.timeout_at(visit.end_at):
                 await self._serve(visit)
@@ -122,20 +136,13 @@
                 Event.caller_left,
                 request=visit.request_id,
                 sends=visit.sends,
-                begun=exchange.started,
+                begun=visit.exchange.started,
             )
             raise
         finally:
             self._end(visit)
 
-    # -- steps
-
-    def _enter(self, exchange: Exchange) -> Visit:
-        try:
-            call = self._dialect.call(exchange.head)
-        except BadCallError as exc:
-            refusal = Refusal.of(Reason.bad_request, detail=str(exc))
-            raise RefusedError(refusal) from exc
+    def _enter(self, exchange: Exchange, call: CallInfo) -> Visit:
         admitted = self._gate.admit(
             call.host,
             exchange.head.path,
@@ -143,6 +150,7 @@
             call.prompt_tokens + call.output_tokens,
             self._loop.time(),
         )
+        self._log_admitted(call, admitted)
         limit_s = admitted.route.timeout_s
         if call.deadline_s is not None:
             limit_s = min(limit_s, call.deadline_s)
@@ -157,11 +165,13 @@
     async def _serve(self, visit: Visit) -> None:
         while True:
             job = self._job(visit)
-            upstream = await self._scheduler.acquire(job)
+            grant = await self._scheduler.acquire(job)
+            upstream = grant.upstream
             visit.sends += 1
+            self._log_grant(visit, grant)
             ending, relay = await self._send(visit, job, upstream)
             if ending is Ending.answered:
-                visit.outcome = 'answered'
+                visit.outcome = _ANSWERED
                 if not visit.exchange.ended:
                     relay.deliver()
                 return
@@ -367,15 +377,66 @@
 
     def _end(self, visit: Visit) -> None:
         total_s = self._loop.time() - visit.exchange.received_at
-        kind = visit.admitted.route.kind.value
-        self._telemetry.ended(visit.outcome, total_s, kind)
+        admitted = visit.admitted
+        self._telemetry.ended(
+            visit.outcome,
+            total_s,
+            admitted.route.kind.value,
+        )
+        served = visit.outcome == _ANSWERED
+        # Without the lines before it, this one still tells what decided.
+        inputs = {} if served else self._inputs(visit)
         self._telemetry.event(
             Event.finished,
+            served=served,
             request=visit.request_id,
             outcome=visit.outcome,
-            route=visit.admitted.route.name,
-            total_ms=round(total_s * 1000),
+            total_ms=round(total_s * _MILLI),
             sends=visit.sends,
+            **inputs,
+        )
+
+    def _inputs(self, visit: Visit) -> dict[str, object]:
+        admitted = visit.admitted
+        workspace = admitted.workspace
+        return {
+            'route': admitted.route.name,
+            'workspace': None if workspace is None else workspace.name,
+            'service': admitted.service,
+            'version': admitted.version,
+            'tried': sorted(visit.excluded),
+            'may_have_run': visit.may_have_run,
+            'begun': visit.exchange.started,
+            'limit_ms': round(
+                (visit.end_at - visit.exchange.received_at) * _MILLI,
+            ),
+        }
+
+    def _log_admitted(self, call: CallInfo, admitted: Admitted) -> None:
+        workspace = admitted.workspace
+        age_s = self._gate.freshness.age(self._loop.time())
+        self._telemetry.event(
+            Event.admitted,
+            served=True,
+            request=call.request_id.decode('latin-1'),
+            route=admitted.route.name,
+            workspace=None if workspace is None else workspace.name,
+            service=admitted.service,
+            version=admitted.version,
+            confirmed_ms_ago=None if age_s is None else round(age_s * _MILLI),
+            tokens=call.prompt_tokens + call.output_tokens,
+        )
+
+    def _log_grant(self, visit: Visit, grant: Grant) -> None:
+        self._telemetry.event(
+            Event.permitted,
+            served=True,
+            request=visit.request_id,
+            upstream=grant.upstream.incarnation,
+            by=grant.by,
+            waited_ms=round(grant.waited_s * _MILLI),
+            send=visit.sends,
+            after_event=visit.last_event,
         )
 
     def _log_send(
@@ -386,13 +447,14 @@
     ) -> None:
         first_ms = None
         if report.first_s is not None:
-            first_ms = round(report.first_s * 1000)
+            first_ms = round(report.first_s * _MILLI)
         self._telemetry.event(
             Event.send_ended,
+            served=report.ending is Ending.answered,
             request=visit.request_id,
             upstream=upstream.incarnation,
             ending=report.ending.value,
             first_ms=first_ms,
             events=report.events,
-            total_ms=round(report.total_s * 1000),
+            total_ms=round(report.total_s * _MILLI),
         )
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -15,7 +15,7 @@
 
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
 from tallyhall_dispatch.desired import DesiredState, Upstream
-from tallyhall_dispatch.jobs import Ending, Job, RunReport
+from tallyhall_dispatch.jobs import Ending, Grant, Job, RunReport
 from tallyhall_dispatch.pool import GivenUp, Granted, ServicePool
 
 # How often waiting jobs are looked at when nothing else happens, seconds: a
@@ -26,7 +26,7 @@
 class Scheduler(Protocol):
     """Grants upstreams to requests."""
 
-    async def acquire(self, job: Job) -> Upstream:
+    async def acquire(self, job: Job) -> Grant:
         """Return an upstream for one send; raise RefusedError."""
 
     def first_byte(self, job: Job) -> None:
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 from collections.abc import Coroutine
 from typing import Any
@@ -52,6 +53,8 @@
 _STOP_MARGIN_S = 0.4
 # Random bits that tell two runs of an instance apart.
 _ID_BITS = 64
+# Settings that a running process takes over.
+_APPLIED = frozenset(('store', 'bounds'))
 
 
 class Instance:
@@ -110,15 +113,17 @@
             self._server(self._answers.locate),
             self._server(self._answers.metrics),
         )
+        self._store_registers = StoreClient(options.store.address)
+        self._store_follows = StoreClient(options.store.address)
         self._registration = Registration(
-            StoreClient(options.store.address),
+            self._store_registers,
             self._entry,
             self.log.event,
             rng,
             self._use_to_write,
         )
         self._follower = Follower(
-            StoreClient(options.store.address),
+            self._store_follows,
             self._beliefs,
             self.log.event,
             rng,
@@ -181,6 +186,26 @@
         self._front.close_idle()
         self.log.event(Event.stopped, unfinished=self._front.busy)
 
+    def reload(self, options: Options) -> None:
+        """Take changed settings as far as a running process can."""
+        old = self.options
+        changed = [
+            field.name
+            for field in dataclasses.fields(Options)
+            if getattr(old, field.name) != getattr(options, field.name)
+        ]
+        if not changed:
+            return
+        self.options = options
+        self._store_follows.move(options.store.address)
+        self._store_registers.move(options.store.address)
+        self._gate.freshness.bound_s = _freshness_s(options)
+        self.log.event(
+            Event.settings_read,
+            changed=changed,
+            after_restart=sorted(set(changed) - _APPLIED),
+        )
+
     async def close(self) -> None:
         """Close everything at once, as a lost process would."""
         for task in self._tasks.values():
@@ -305,10 +330,14 @@
     )
 
 
+def _freshness_s(options: Options) -> float:
+    return max(0, options.bounds.revoke_s - _REVOKE_MARGIN_S)
+
+
 def _gate(options: Options, rng: random.Random, now: float) -> Gate:
     bounds = options.bounds
     return Gate(
-        Freshness(max(0, bounds.revoke_s - _REVOKE_MARGIN_S)),
+        Freshness(_freshness_s(options)),
         RetryLimits(
             bounds.retry_ratio,
             bounds.retry_allowance,
--- a/packages/entry/src/tallyhall_entry/main.py
+++ b/packages/entry/src/tallyhall_entry/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import os
 import pathlib
@@ -11,6 +12,7 @@
 import sys
 import time
 
+from tallyhall_core.events import Event
 from tallyhall_dispatch.options import Options
 from tallyhall_platform.errors import SettingsError
 from tallyhall_platform.settings import load_options
@@ -21,6 +23,8 @@
 # The platform names the settings file in this variable.
 _SETTINGS_VARIABLE = 'TALLYHALL_CONFIG'
 _EXIT_SETTINGS = 2
+# The file may change without a signal; a look costs one system call.
+_SETTINGS_LOOK_S = 2.0
 
 
 def main() -> None:
@@ -39,21 +43,58 @@
     # What exists now lives as long as the process; not to look at it again
     # keeps the collector's pauses short.
     gc.freeze()
-    sys.exit(asyncio.run(_serve(options, stream)))
+    sys.exit(asyncio.run(_serve(path, options, stream)))
 
 
-async def _serve(options: Options, stream: BoundedStream) -> int:
+async def _serve(
+    path: pathlib.Path,
+    options: Options,
+    stream: BoundedStream,
+) -> int:
     instance = Instance(options, stream, random.Random())
     stop = asyncio.Event()
+    changed = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    loop.add_signal_handler(signal.SIGHUP, changed.set)
     try:
         await instance.start()
     except OSError as exc:
         sys.stderr.write(f'tallyhall: an address cannot be opened: {exc}\n')
         return _EXIT_SETTINGS
+    watching = asyncio.create_task(_watch_settings(path, instance, changed))
     await stop.wait()
+    watching.cancel()
     await instance.stop()
     return 0
+
+
+async def _watch_settings(
+    path: pathlib.Path,
+    instance: Instance,
+    changed: asyncio.Event,
+) -> None:
+    """Read the settings again after a signal, or when the file changes."""
+    modified = _modified(path)
+    while True:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_SETTINGS_LOOK_S):
+                await changed.wait()
+        latest = _modified(path)
+        if latest == modified and not changed.is_set():
+            continue
+        modified = latest
+        changed.clear()
+        try:
+            instance.reload(load_options(path))
+        except SettingsError as exc:
+            instance.log.event(Event.settings_rejected, cause=str(exc))
+
+
+def _modified(path: pathlib.Path) -> float:
+    try:
+        return path.stat().st_mtime
+    except OSError:
+        # It is being replaced; the next look sees the new one.
+        return 0
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -18,7 +18,7 @@
 
 from tallyhall_core.events import Event
 from tallyhall_dispatch.desired import Upstream
-from tallyhall_dispatch.jobs import Ending, Job, RunReport
+from tallyhall_dispatch.jobs import Ending, Grant, Job, RunReport
 from tallyhall_dispatch.ownership import Ownership
 from tallyhall_edge.scheduling import Dispatcher, given_up_error
 from tallyhall_transport.generated import peers_pb2
@@ -103,17 +103,19 @@
 
     # -- Scheduler
 
-    async def acquire(self, job: Job) -> Upstream:
+    async def acquire(self, job: Job) -> Grant:
         """Return an upstream for one send; raise RefusedError."""
         fut: asyncio.Future[Upstream] = self._loop.create_future()
         ticket = _Ticket(job, fut)
         self._tickets[job.key] = ticket
         self._ask(ticket)
         try:
-            return await fut
+            upstream = await fut
         except BaseException:
             self._withdraw(ticket)
             raise
+        waited_s = self._loop.time() - job.asked_at
+        return Grant(upstream, ticket.owner or self._name, waited_s)
 
     def first_byte(self, job: Job) -> None:
         """Take that the answer of a job has begun."""
--- a/packages/platform/src/tallyhall_platform/settings.py
+++ b/packages/platform/src/tallyhall_platform/settings.py
@@ -22,7 +22,20 @@
 _PEER_PORT = 0
 _METRICS_PORT = 1
 
-Address = Annotated[str, pydantic.Field(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
+_MOST_PORT = 65_535
+
+
+def _checked_port(text: str) -> str:
+    if int(text.rpartition(':')[2]) > _MOST_PORT:
+        raise ValueError(f'a port is at most {_MOST_PORT}')
+    return text
+
+
+Address = Annotated[
+    str,
+    pydantic.Field(pattern=r'^[0-9.]+:[0-9]{1,5}$'),
+    pydantic.AfterValidator(_checked_port),
+]
 Millis = Annotated[float, pydantic.Field(ge=0)]
 
 
--- a/packages/platform/src/tallyhall_platform/store.py
+++ b/packages/platform/src/tallyhall_platform/store.py
@@ -147,6 +147,12 @@
         """End a lease and remove its keys."""
         await self._call('DELETE', f'/kv-lease-end/{lease}', None)
 
+    def move(self, address: Listening) -> None:
+        """Use another address from the next call on."""
+        if address != self._address:
+            self._address = address
+            self.close()
+
     def close(self) -> None:
         """Close the connection."""
         if self._conn is not None:
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,117 @@
+"""The platform's settings file and desired state, right and wrong."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from tallyhall_platform.decode import decode_state, decode_upstream
+from tallyhall_platform.errors import DecodeError, SettingsError
+from tallyhall_platform.settings import load_options
+
+from tests.platform.harness import desired
+
+_ROOT = Path(__file__).resolve().parent.parent.parent
+_GOOD = """
+node: "front-a-1"
+zone: "a"
+region: "r"
+ip: "127.0.0.1"
+new-field: 3
+listen:
+  front: "127.0.0.1:8221"
+  ready: "127.0.0.1:8224"
+  directory: "127.0.0.1:8220"
+port-range: [7600, 7615]
+limits: {memory-mb: 150, max-fds: 4100}
+bounds: {revoke-ms: 5000, grace-s: 8, ttl_max_s: 5, quota-window-s: 8}
+platform: {address: "127.0.0.1:8225", ttl-min-ms: 1000}
+"""
+
+
+def test_names_and_units_are_translated(tmp_path: Path) -> None:
+    path = tmp_path / 'settings.yaml'
+    path.write_text(_GOOD)
+    options = load_options(path)
+    assert options.instance == 'front-a-1'
+    assert str(options.locate) == '127.0.0.1:8220'
+    assert (options.peer.port, options.metrics.port) == (7600, 7601)
+    assert options.bounds.revoke_s == 5
+    assert options.bounds.locate_keep_s == 5
+    assert options.memory_bytes == 150_000_000
+
+
+_WRONG = [
+    ('node: "front-a-1"', '', 'node: Field required (example: node:'),
+    ('"127.0.0.1:8221"', '"here"', 'listen.front: String should match'),
+    ('[7600, 7615]', '"x"', 'port-range:'),
+    ('8224', '99999', 'listen.ready: Value error, a port is at most'),
+    ('zone: "a"', 'zone: [', 'no valid YAML'),
+]
+
+
+@pytest.mark.parametrize(('old', 'new', 'text'), _WRONG)
+def test_a_wrong_file_is_one_clear_line(
+    tmp_path: Path,
+    old: str,
+    new: str,
+    text: str,
+) -> None:
+    path = tmp_path / 'settings.yaml'
+    path.write_text(_GOOD.replace(old, new))
+    with pytest.raises(SettingsError) as caught:
+        load_options(path)
+    assert text in str(caught.value)
+    assert '\n' not in str(caught.value)
+
+
+@pytest.mark.parametrize('case', ['missing', 'taken'])
+def test_the_process_exits_with_2(tmp_path: Path, case: str) -> None:
+    path = tmp_path / 'settings.yaml'
+    with socket.create_server(('127.0.0.1', 0)) as other:
+        if case == 'taken':
+            port = str(other.getsockname()[1])
+            path.write_text(_GOOD.replace('8221', port))
+        done = subprocess.run(
+            (sys.executable, _ROOT / 'deploy' / 'entry.py'),
+            env={**os.environ, 'TALLYHALL_CONFIG': str(path)},
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=20,
+        )
+    assert done.returncode == 2
+    assert done.stderr.startswith('tallyhall: ')
+    assert done.stderr.count('\n') == 1
+
+
+def test_desired_state_is_decoded() -> None:
+    state = decode_state(json.dumps(desired(7)).encode())
+    assert state.version == 7
+    stream = state.routes[3]
+    assert (stream.objective_s, stream.gap_s, stream.repeatable) == (
+        0.5,
+        0.4,
+        True,
+    )
+    assert state.keys['key-2'].name == 'shop'
+    assert state.services['model-svc'].event_tokens == 5
+    split = [{'service': 'a', 'weight': 9}, {'service': 'b', 'weight': 1}]
+    changed = desired(8)
+    changed['routes'][0] |= {'split': split}
+    targets = decode_state(json.dumps(changed).encode()).routes[0].targets
+    assert [target.weight for target in targets] == [9, 1]
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [b'', b'{}', b'{"version": 1}', b'[]', b'\xff', b'{"version":"x"}'],
+)
+def test_bad_values_are_refused(raw: bytes) -> None:
+    with pytest.raises(DecodeError):
+        decode_state(raw)
+    with pytest.raises(DecodeError):
+        decode_upstream('i-1', raw)
