Urgencies below the first take turns by the part served in time

Ruled out: rank by urgency times cost with another factor (an estimate: its prompts cost as much engine time per worth as the middle urgency's answers). Change: first urgency first; the others by least served part, the more urgent one with a head start of 5 in 100.

--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -13,6 +13,7 @@
 from .desired import Upstream
 from .engines import EngineView
 from .jobs import Job, RunReport
+from .shares import ServedShares
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,14 +43,6 @@
 # Jobs that can be in time and wait, from which on a late job is given up:
 # fewer are the ordinary jitter of arrivals.
 _IN_TIME_MANY = 3
-# Each step of urgency counts like this factor in the time for which a job
-# takes a place. Measured on two mixes: with 8, long jobs of the middle
-# urgency and short ones of the lowest are served about equally often.
-_URGENCY_FACTOR = 8
-# Prompt tokens that cost as much of an engine's time as one output token.
-_PROMPT_PART = 10
-# Weight of the newest job in the mean cost of its urgency.
-_NEWEST = 0.05
 _LEAST_HOLD_S = 0.005
 # Forecast costs are spread by up to this factor.
 _SPREAD = 1.1
@@ -103,7 +96,7 @@
         self._views: dict[str, EngineView] = {}
         self._waiting: dict[str, Job] = {}
         self._places: dict[str, EngineView] = {}
-        self._costs: dict[int, float] = {}
+        self._shares = ServedShares()
 
     @property
     def is_model(self) -> bool:
@@ -175,7 +168,8 @@
     def decide(self, now: float) -> list[Decision]:
         """Grant what can be granted, give up what has become too late.
 
-        Jobs that can still be in time go first, by rank; late ones use what
+        Jobs that can still be in time go first, by rank of their urgency
+        (see `ServedShares`); late ones use what
         is left over. Under load a late job is given up at once: the place
         that it would take serves another job in time, and its caller learns
         early that it should come back.
@@ -194,6 +188,8 @@
                 line.ahead += 1
                 continue
             self._waiting.pop(job.key)
+            if isinstance(decision, GivenUp):
+                self._shares.note(job.urgency, served=False)
             decisions.append(decision)
         return decisions
 
@@ -204,7 +200,7 @@
         if view is not None:
             view.grant(job, line.now)
             self._places[job.key] = view
-            self._note_cost(job)
+            self._shares.note(job.urgency, served=line.now <= job.due_at)
             return Granted(job.key, view.upstream)
         if not self._has_usable(job):
             return GivenUp(job.key, _LEAST_RETRY_S)
@@ -219,14 +215,7 @@
 
     def _order(self, job: Job, line: _Line) -> tuple[bool, float, float]:
         late = line.now + line.first_s > job.due_at
-        cost = self._costs.get(job.urgency, 0)
-        return late, cost * _URGENCY_FACTOR**job.urgency, job.due_at
-
-    def _note_cost(self, job: Job) -> None:
-        # Place time is mostly output; a prompt token costs about a tenth.
-        cost = job.output_tokens + job.prompt_tokens / _PROMPT_PART
-        known = self._costs.get(job.urgency, cost)
-        self._costs[job.urgency] = known + _NEWEST * (cost - known)
+        return late, self._shares.rank(job.urgency), job.due_at
 
     def _free_rate(self, now: float) -> float:
         """Return how many places become free in a second, 0 if unknown."""
--- /dev/null
+++ b/packages/dispatch/src/tallyhall_dispatch/shares.py
@@ -0,0 +1,37 @@
+"""In which order urgencies are served when not all can be.
+
+The most urgent jobs always go first. Strict order among the rest would
+starve the last urgency as soon as the engines are full, although its jobs
+may be the smallest. So the others take turns: the urgency of which the
+least part was served in time goes first, and a more urgent one keeps a head
+start, so that it is not served less often than a less urgent one.
+"""
+
+from __future__ import annotations
+
+# Weight of the newest job in the served part of its urgency: fifty jobs,
+# some two seconds of one class, replace two thirds of it.
+_NEWEST = 0.02
+# Part by which a less urgent class must be served worse to go first.
+_HEAD_START = 0.05
+_MOST_URGENT = 0
+_FIRST = -1.0
+
+
+class ServedShares:
+    """The part of the jobs of each urgency that was served in time."""
+
+    def __init__(self) -> None:
+        """Start as if all had been served."""
+        self._shares: dict[int, float] = {}
+
+    def note(self, urgency: int, *, served: bool) -> None:
+        """Take what became of a job."""
+        share = self._shares.get(urgency, 1)
+        self._shares[urgency] = share + _NEWEST * (served - share)
+
+    def rank(self, urgency: int) -> float:
+        """Return the rank of an urgency; the least goes first."""
+        if urgency <= _MOST_URGENT:
+            return _FIRST
+        return self._shares.get(urgency, 1) + _HEAD_START * urgency
