--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SEED ?= 1
 SECONDS ?= 120
 
-.PHONY: run run-platform test check fmt faults bench slopes overhead
+.PHONY: run run-platform proto days test check fmt faults bench slopes overhead
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -25,6 +25,22 @@
 run-platform: $(STAMP)
 	$(BIN)/python -m tallyhall_bench.platform_run
 
+# Generated code is committed; this writes it anew.
+proto: $(STAMP)
+	cd packages/transport/src/tallyhall_transport && \
+		$(CURDIR)/$(BIN)/python -m grpc_tools.protoc -I. \
+		--python_out=generated --pyi_out=generated \
+		--grpc_python_out=generated peers.proto && \
+		sed -i 's/^import peers_pb2/from . import peers_pb2/' \
+		generated/peers_pb2_grpc.py
+
+# The users' bench plays each day of our own: BENCH and SITE are its program
+# and a site file.
+days:
+	for day in scenarios/platform/*.toml; do \
+		$(BENCH) run $(SITE) $$day --why "a day of each kind of trouble" \
+		| grep -E '^[a-z-]+ +[0-9]+/|^rules broken'; done
+
 test: $(STAMP)
 	$(BIN)/python -m pytest
 
