--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,9 @@
 SOURCES := packages tests
 SEED ?= 1
 SECONDS ?= 120
+SEEDS ?= 1
 
-.PHONY: run run-platform proto days test check fmt faults bench slopes overhead
+.PHONY: run run-platform proto days soak test check fmt faults bench slopes overhead
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -34,6 +35,11 @@
 		sed -i 's/^import peers_pb2/from . import peers_pb2/' \
 		generated/peers_pb2_grpc.py
 
+# Faults on real processes, drawn by seed.
+soak: $(STAMP)
+	$(BIN)/python -m tallyhall_bench.platform_soak --seed $(SEED) \
+		--seeds $(SEEDS) --seconds $(SECONDS)
+
 # The users' bench plays each day of our own: BENCH and SITE are its program
 # and a site file.
 days:
--- a/packages/bench/src/tallyhall_bench/platform_fleet.py
+++ b/packages/bench/src/tallyhall_bench/platform_fleet.py
@@ -44,10 +44,14 @@
     settings: pathlib.Path
     log: pathlib.Path
     process: asyncio.subprocess.Process | None = None
+    # Held by whoever ends, pauses or starts the process.
+    turn: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+    _log_from: int = 0
 
     async def start(self) -> None:
         """Start the process; its log goes on in the same file."""
         with self.log.open('ab') as log:
+            self._log_from = log.tell()
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(_ENTRY),
@@ -56,6 +60,12 @@
                 stderr=log,
             )
 
+    def is_started(self) -> bool:
+        """Return whether this run of the process has opened its addresses."""
+        with self.log.open('rb') as log:
+            log.seek(self._log_from)
+            return b'"started"' in log.read()
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process if it still runs."""
         if self.process is not None and self.process.returncode is None:
--- a/packages/bench/src/tallyhall_bench/platform_load.py
+++ b/packages/bench/src/tallyhall_bench/platform_load.py
@@ -69,6 +69,7 @@
         request_id: str,
         *,
         streams: bool,
+        key: str = KEY,
     ) -> Tried:
         """Send one request and return what came."""
         loop = asyncio.get_running_loop()
@@ -79,7 +80,7 @@
             async with asyncio.timeout(_WAIT_S):
                 conn = await self._connected(place)
                 conn.send(
-                    _request(route, request_id, streams=streams), sink, b''
+                    _request(route, request_id, key, streams=streams), sink, b''
                 )
                 error = await sink.done
         except EdgeError as exc:
@@ -114,12 +115,18 @@
         return conn
 
 
-def _request(route: str, request_id: str, *, streams: bool) -> bytes:
+def _request(
+    route: str,
+    request_id: str,
+    key: str,
+    *,
+    streams: bool,
+) -> bytes:
     headers = [
         (b'Host', SITE.encode()),
         (b'X-Tallyhall-Request-Id', request_id.encode()),
         (b'X-Tallyhall-Deadline-Ms', b'8000'),
-        (b'Authorization', f'Bearer {KEY}'.encode()),
+        (b'Authorization', f'Bearer {key}'.encode()),
         (b'Content-Length', b'5'),
     ]
     if streams:
--- /dev/null
+++ b/packages/bench/src/tallyhall_bench/platform_soak.py
@@ -0,0 +1,149 @@
+"""A randomized fault run over real entry processes, from outside them.
+
+Links are delayed, reset, cut one way or silenced; processes are stopped,
+paused, killed and started again; the store, the upstreams and the desired
+state misbehave and change. Faults come in series and overlap. What callers
+and upstreams see is checked against what must always hold.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import sys
+
+from tallyhall_dispatch.options import Listening
+
+from .faulty_link import FaultyLink
+from .fleet import free_ports
+from .platform_fleet import HOST, platform_fleet
+from .platform_load import KEY, Caller
+from .platform_run import STREAMED
+from .soak_checks import check_answers, check_processes, check_recovery
+from .soak_faults import trouble
+from .soak_site import (
+    EVENTS,
+    INSTANCES,
+    OLD_KEY,
+    ROUTES,
+    Site,
+    soak_state,
+)
+
+_OK = 200
+_CALLERS = 12
+# Faults that go on at the same time.
+_AT_ONCE = 3
+_CALLS_PER_S = 10
+_OLD_KEY_PART = 0.1
+# After the last fault: leases of lost instances, retries, the longest time
+# for which an upstream is left out.
+_CALM_S = 7.0
+
+
+async def soak(seed: int, seconds: float) -> Site:
+    """Run with this seed for this long, then wait for calm and check."""
+    rng = random.Random(seed)
+    async with platform_fleet(0, soak_state(1, with_old=True)) as fleet:
+        site = Site(fleet, rng)
+        await _build(site)
+        load = asyncio.create_task(_load(site))
+        ends_at = asyncio.get_running_loop().time() + seconds
+        await asyncio.gather(*(trouble(site, ends_at) for _ in range(_AT_ONCE)))
+        await asyncio.sleep(_CALM_S)
+        load.cancel()
+        await asyncio.wait((load,))
+        await _check(site)
+    return site
+
+
+async def _check(site: Site) -> None:
+    for engine in site.fleet.engines:
+        engine.faults.clear()
+    await check_recovery(site)
+    check_answers(site)
+    check_processes(site)
+
+
+async def _build(site: Site) -> None:
+    fleet = site.fleet
+    for number in range(1, 5):
+        await fleet.add_engine(f'engine-{number}', 'engines', 4, events=EVENTS)
+    for number in range(1, 4):
+        await fleet.add_engine(f'app-{number}', 'app', 6)
+    for _ in range(INSTANCES):
+        await _add_entry(site)
+    await fleet.until_ready()
+
+
+async def _add_entry(site: Site) -> None:
+    store_at = Listening(HOST, free_ports(1)[0])
+    store_link = FaultyLink(site.fleet.store_at)
+    await store_link.listen(store_at)
+    site.store_links.append(store_link)
+    entry = await site.fleet.add_entry(store_at)
+    front = Listening(HOST, free_ports(1)[0])
+    front_link = FaultyLink(entry.front)
+    await front_link.listen(front)
+    site.front_links.append(front_link)
+    site.fronts.append(front)
+
+
+async def _load(site: Site) -> None:
+    callers = [Caller(site.rng) for _ in range(_CALLERS)]
+    async with asyncio.TaskGroup() as group:
+        for caller in callers:
+            group.create_task(_calls(site, caller))
+
+
+async def _calls(site: Site, caller: Caller) -> None:
+    while True:
+        await _one_call(site, caller)
+        await asyncio.sleep(site.rng.expovariate(_CALLS_PER_S))
+
+
+async def _one_call(site: Site, caller: Caller) -> None:
+    rng = site.rng
+    site.serial += 1
+    request_id = f'r{site.serial}'
+    route = rng.choice(ROUTES)
+    chosen = rng.randrange(INSTANCES)
+    old_key = rng.random() < _OLD_KEY_PART
+    if old_key:
+        site.old_key_ids.add(request_id)
+    tried = await caller.ask(
+        site.fleet.entries[chosen].name,
+        site.fronts[chosen],
+        route,
+        request_id,
+        streams=route in STREAMED,
+        key=OLD_KEY if old_key else KEY,
+    )
+    site.tries.append(tried)
+
+
+def main() -> int:
+    """Run seeds and return 1 if anything was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--seeds', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=20)
+    args = parser.parse_args()
+    broken = 0
+    for seed in range(args.seed, args.seed + args.seeds):
+        site = asyncio.run(soak(seed, args.seconds))
+        served = sum(tried.status == _OK for tried in site.tries)
+        sys.stdout.write(
+            f'seed {seed} requests {len(site.tries)} served {served} '
+            f'faults {len(site.faults)} violations {len(site.violations)}\n',
+        )
+        for violation in site.violations:
+            sys.stdout.write(f'  {violation.promise}: {violation.detail}\n')
+        sys.stdout.flush()
+        broken += bool(site.violations)
+    return 1 if broken else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/bench/src/tallyhall_bench/soak_site.py
@@ -0,0 +1,53 @@
+"""What one fault run works on: the fleet, its links, what was asked."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from tallyhall_dispatch.options import Listening
+
+from .faulty_link import FaultyLink
+from .platform_fleet import PlatformFleet
+from .platform_load import KEY, Tried
+from .platform_run import usual_state
+
+INSTANCES = 3
+EVENTS = 8
+ROUTES = ('summary', 'note', 'once', 'safe')
+OLD_KEY = 'key-old'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Violation:
+    """Something that must not happen, and the request that shows it."""
+
+    promise: str
+    detail: str
+
+
+@dataclasses.dataclass(slots=True)
+class Site:
+    """A fleet with its links and what was asked of it."""
+
+    fleet: PlatformFleet
+    rng: random.Random
+    store_links: list[FaultyLink] = dataclasses.field(default_factory=list)
+    front_links: list[FaultyLink] = dataclasses.field(default_factory=list)
+    fronts: list[Listening] = dataclasses.field(default_factory=list)
+    tries: list[Tried] = dataclasses.field(default_factory=list)
+    faults: list[str] = dataclasses.field(default_factory=list)
+    violations: list[Violation] = dataclasses.field(default_factory=list)
+    old_key_ids: set[str] = dataclasses.field(default_factory=set)
+    busy: set[str] = dataclasses.field(default_factory=set)
+    version: int = 1
+    revoking: bool = False
+    serial: int = 0
+
+
+def soak_state(version: int, *, with_old: bool) -> dict[str, object]:
+    """Return a desired state, with or without the key that is revoked."""
+    state = usual_state(version)
+    if with_old:
+        state['tenants'][0]['api-keys'] = [KEY, OLD_KEY]
+    return state
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -184,6 +184,7 @@
         leaving.cancel()
         self._front.close()
         self._front.close_idle()
+        await self._links.close()
         self.log.event(Event.stopped, unfinished=self._front.busy)
 
     def reload(self, options: Options) -> None:
--- a/packages/standins/src/tallyhall_standins/platform_engine.py
+++ b/packages/standins/src/tallyhall_standins/platform_engine.py
@@ -103,7 +103,7 @@
         visit = _Visit(self, writer)
         try:
             await visit.run(reader)
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.CancelledError):
             self.left += 1
         finally:
             with contextlib.suppress(ConnectionError):
@@ -164,10 +164,15 @@
     ) -> None:
         answer = asyncio.create_task(self._answer(method))
         gone = asyncio.create_task(reader.read(1))
-        await asyncio.wait(
-            (answer, gone),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
+        try:
+            await asyncio.wait(
+                (answer, gone),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        except asyncio.CancelledError:
+            answer.cancel()
+            gone.cancel()
+            raise
         if answer.done():
             gone.cancel()
             with contextlib.suppress(asyncio.CancelledError):
--- a/packages/transport/src/tallyhall_transport/peers.py
+++ b/packages/transport/src/tallyhall_transport/peers.py
@@ -247,8 +247,11 @@
 
     async def close(self) -> None:
         """End all streams."""
-        for outbox in self._outboxes.values():
-            outbox.task.cancel()
+        tasks = [outbox.task for outbox in self._outboxes.values()]
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks)
         if self._server is not None:
             await self._server.stop(None)
 
--- /dev/null
+++ b/tests/processes/test_platform_soak.py
@@ -0,0 +1,17 @@
+"""A short fault run over real entry processes, and seeds that once failed."""
+
+import asyncio
+
+import pytest
+from tallyhall_bench.platform_soak import soak
+
+pytestmark = pytest.mark.processes
+
+_SECONDS = 8
+
+
+@pytest.mark.parametrize('seed', [4])
+def test_nothing_breaks_under_drawn_faults(seed: int) -> None:
+    site = asyncio.run(soak(seed, _SECONDS))
+    assert not site.violations, (site.violations, site.faults)
+    assert sum(tried.status == 200 for tried in site.tries) > 100
