--- a/packages/dispatch/src/tallyhall_dispatch/quota.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota.py
@@ -10,8 +10,8 @@
 only a part of the fleet uses only that part of the quota, so that two
 halves of a cut fleet together stay within it. A restarted instance has
 forgotten what all admitted: it takes that from an instance that has run
-for a window, or, where all have restarted, from what each wrote to the
-store while the use was high. Where nothing was written, the use was below
+for a window, or, where all have restarted, from what one of them wrote to
+the store while the use was high. Where nothing was written, the use was below
 that mark; it is taken as even over the window and fades in one.
 """
 
@@ -23,7 +23,7 @@
 from .desired import Workspace
 from .windows import SlidingSum
 
-# Use above this part of a quota is written to the store, once a second; up
+# Use above this part of a quota is written to the store every 1.6 s; up
 # to it nothing is, and that much counts as used at a restart. Workspaces use
 # 0.55 of their quota on a calm day, which then costs no writes.
 _WRITTEN_PART = 0.6
@@ -32,7 +32,7 @@
 _SLACK_PART = 0.5
 # Least wait that a caller over its quota is told, in seconds.
 _LEAST_WAIT_S = 0.2
-# Ages and amounts of an instance's use, by workspace, as written.
+# Ages and amounts of the use of all, by workspace, as written.
 Written = Mapping[str, tuple[tuple[float, float], ...]]
 # The sum of a window moves in steps of this part of it.
 _STEPS = 40
@@ -75,7 +75,6 @@
 
     ends_at: float
     amount: float
-    own: bool
 
 
 class _Use:
@@ -92,7 +91,7 @@
     def __init__(self, bounds: QuotaBounds, started_at: float) -> None:
         """Start without workspaces and without a memory of their use."""
         self._unknown_until = started_at + bounds.window_s
-        self._recalled: dict[str, list[_Recalled]] = {}
+        self._recalled: dict[str, tuple[_Recalled, ...]] = {}
         self._bounds = bounds
         self._uses: dict[str, _Use] = {}
         self._fleet = Fleet()
@@ -112,15 +111,14 @@
         """Take how much of the fleet's use is known."""
         self._fleet = fleet
 
-    def recall(self, written: Written, now: float, *, own: bool) -> None:
-        """Take what an instance, or this one, wrote before the restart.
+    def recall(self, written: Written, now: float) -> None:
+        """Take what was written of the use of all before the restart.
 
         The time since the writing is not known and taken as none.
         """
         for name, parts in written.items():
-            recalled = self._recalled.setdefault(name, [])
-            recalled.extend(
-                _Recalled(now + self._bounds.window_s - age_s, amount, own)
+            self._recalled[name] = tuple(
+                _Recalled(now + self._bounds.window_s - age_s, amount)
                 for age_s, amount in parts
             )
 
@@ -173,27 +171,30 @@
         return reports
 
     def worth_writing(self, now: float) -> Written:
-        """Return this instance's use of quotas that are used much."""
+        """Return the use of all of those quotas that are used much."""
         worth = {}
         for name, use in self._uses.items():
             high = _WRITTEN_PART * self._limit(use.workspace)
             if self._used(use, now) > high:
                 worth[name] = (
-                    *self._own_recalled(name, now),
+                    *self._recalled_parts(name, now),
                     *use.own.parts(now),
+                    *use.others.parts(now),
                 )
         return worth
 
-    def _own_recalled(
+    def _recalled_parts(
         self,
         name: str,
         now: float,
     ) -> tuple[tuple[float, float], ...]:
         # A second restart must not forget what the first one recalled.
+        if self.knows_past(now):
+            return ()
         return tuple(
             (self._bounds.window_s - (part.ends_at - now), part.amount)
             for part in self._recalled.get(name, ())
-            if part.own and part.ends_at > now
+            if part.ends_at > now
         )
 
     def _used(self, use: _Use, now: float) -> float:
--- a/packages/entry/src/tallyhall_entry/beliefs.py
+++ b/packages/entry/src/tallyhall_entry/beliefs.py
@@ -92,10 +92,9 @@
         )
         self._log.event(Event.instances_changed, known=len(entries))
 
-    def on_use(self, instance: str, use: Written) -> None:
-        """Take what an instance wrote of its use before this run."""
-        own = instance == self._instance
-        self._gate.quotas.recall(use, self._loop.time(), own=own)
+    def on_use(self, use: Written) -> None:
+        """Take what was written of the use of all before this run."""
+        self._gate.quotas.recall(use, self._loop.time())
 
     def on_confirmed(self, asked_at: float) -> None:
         """Take that the desired state was in force at this time."""
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -53,6 +53,8 @@
 _STOP_MARGIN_S = 0.4
 # Random bits that tell two runs of an instance apart.
 _ID_BITS = 64
+# What the writer of the use of quotas is the owner of.
+_USE = 'use of quotas'
 # Settings that a running process takes over.
 _APPLIED = frozenset(('store', 'bounds'))
 
@@ -281,7 +283,10 @@
     def _server(self, respond: Respond) -> HttpServer:
         return HttpServer(respond, self._failed, ServerLimits())
 
-    def _use_to_write(self) -> Written:
+    def _use_to_write(self) -> Written | None:
+        # One live instance writes for all: each write wakes every watch.
+        if self._scheduler.ownership.owner(_USE) != self.options.instance:
+            return None
         return self._gate.quotas.worth_writing(self._loop.time())
 
     def _spawn(self, name: str, work: Coroutine[Any, Any, None]) -> None:
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -30,8 +30,6 @@
 )
 from tallyhall_transport.peers import Peer, PeerLinks
 
-# An instance not heard for this long owns nothing; three beats.
-_LIVE_S = 0.5
 # What a lost instance runs is no longer counted after this long.
 _DROP_S = 1.5
 # An owner that has not answered within this time is passed by; its answer
@@ -203,15 +201,19 @@
     def tick(self) -> None:
         """Look who is live, and move jobs to the owners of now."""
         now = self._loop.time()
+        lost_s = self._links.lost_s
         live = {self._name}
         if self.leaving:
             live.clear()
         for peer in self._links.peers.values():
             heard_s = now - peer.heard_at
-            answered = now - peer.answered_at < 2 * _LIVE_S
-            if heard_s < _LIVE_S and answered and not peer.leaving:
+            answered = now - peer.answered_at < 2 * lost_s
+            if heard_s < lost_s and answered and not peer.leaving:
                 live.add(peer.name)
-            if heard_s > _DROP_S and peer.name not in self._dropped:
+            if (
+                heard_s > max(_DROP_S, lost_s)
+                and peer.name not in self._dropped
+            ):
                 self._dropped.add(peer.name)
                 self._dispatcher.drop_jobs(f'{peer.name}/')
         if self.ownership.take_live(frozenset(live)):
--- a/packages/platform/src/tallyhall_platform/follow.py
+++ b/packages/platform/src/tallyhall_platform/follow.py
@@ -31,7 +31,7 @@
 )
 from .registry import (
     INSTANCE_PREFIX,
-    USE_PREFIX,
+    USE_KEY,
     InstanceEntry,
     decode_instance,
     decode_use,
@@ -66,8 +66,8 @@
     def on_instances(self, entries: tuple[InstanceEntry, ...]) -> None:
         """Take all instances that are registered."""
 
-    def on_use(self, instance: str, use: Written) -> None:
-        """Take what an instance wrote of its use before this run."""
+    def on_use(self, use: Written) -> None:
+        """Take what was written of the use of all before this run."""
 
     def on_confirmed(self, asked_at: float) -> None:
         """Take that the desired state was in force at this time."""
@@ -110,7 +110,7 @@
             (_STATE_KEY, self._take_state),
             (_UPSTREAM_PREFIX, self._take_upstream),
             (INSTANCE_PREFIX, self._take_instance),
-            (USE_PREFIX, self._take_use),
+            (USE_KEY, self._take_use),
         )
 
     def raw_state(self) -> bytes:
@@ -207,8 +207,7 @@
     def _take_use(self, key: str, content: bytes) -> None:
         # Only what was written before this process began matters to it.
         if self._cursor is None:
-            instance = key.removeprefix(USE_PREFIX)
-            self._listener.on_use(instance, decode_use(content))
+            self._listener.on_use(decode_use(content))
 
     def _take_upstream(self, key: str, content: bytes) -> None:
         self._held_removals.discard(key)
--- a/packages/platform/src/tallyhall_platform/registry.py
+++ b/packages/platform/src/tallyhall_platform/registry.py
@@ -19,7 +19,7 @@
 from .store import StoreClient
 
 INSTANCE_PREFIX = 'tallyhall/instances/'
-USE_PREFIX = 'tallyhall/use/'
+USE_KEY = 'tallyhall/use'
 # A dead instance is offered to callers for at most this long; the lease is
 # renewed three times within it, so that one lost answer does not end it.
 _LEASE_S = 2.4
@@ -57,7 +57,7 @@
         entry: InstanceEntry,
         log: Callable[..., None],
         rng: random.Random,
-        read_use: Callable[[], Written],
+        read_use: Callable[[], Written | None],
     ) -> None:
         """Register through a client that nothing else uses."""
         self._client = client
@@ -95,6 +95,9 @@
 
     async def _write_use(self) -> None:
         use = self._read_use()
+        if use is None:
+            self._written = {}
+            return
         # Nothing is written again while nothing is used much.
         if not use and not self._written:
             return
@@ -102,9 +105,8 @@
         if self._skipped:
             return
         raw = json.dumps(dict(use)).encode()
-        key = f'{USE_PREFIX}{self._entry.instance}'
         # Under no lease: it matters after the end of this process.
-        await self._client.put(key, raw, _NO_LEASE)
+        await self._client.put(USE_KEY, raw, _NO_LEASE)
         self._written = use
 
     async def _step(self) -> None:
--- a/packages/transport/src/tallyhall_transport/peers.py
+++ b/packages/transport/src/tallyhall_transport/peers.py
@@ -21,14 +21,18 @@
 from .errors import TransportError
 from .generated import peers_pb2, peers_pb2_grpc
 
-# Time between two batches without content. Three of them fit into the time
-# after which a peer counts as lost.
-BEAT_S = 0.15
-# A stream whose questions stay unanswered for this long is opened anew; the
-# slowest sound way takes 30 ms.
-_SILENT_S = 0.8
+# Time between two batches without content, to up to this many peers; with
+# more it grows in proportion, so that an instance's beats stay below 80 a
+# second in each direction, under 1% of a core.
+_BEAT_S = 0.15
+_FULL_RATE_PEERS = 12
+# Beats after which a peer that was not heard counts as lost.
+_LOST_BEATS = 3.3
+# A stream whose questions stay unanswered for this many beats is opened anew;
+# the slowest sound way takes 30 ms.
+_SILENT_BEATS = 5.4
 # A new stream has this long until its first answer.
-_OPENING_S = 1.0
+_OPENING_S = 0.2
 _RETRY_S = 0.2
 _FETCH_S = 0.5
 _MICRO = 1_000_000
@@ -140,18 +144,19 @@
             self.pending = peers_pb2.Batch()
             self.filled.clear()
             self._links.fill(batch, self.peer)
-            async with asyncio.timeout(_SILENT_S):
+            async with asyncio.timeout(self._links.silent_s):
                 await call.write(batch)
             self._check_answers(opened_at)
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(BEAT_S):
+                async with asyncio.timeout(self._links.beat_s):
                     await self.filled.wait()
 
     def _check_answers(self, opened_at: float) -> None:
         now = self._loop.time()
-        if now - opened_at < _OPENING_S:
+        silent_s = self._links.silent_s
+        if now - opened_at < _OPENING_S + silent_s:
             return
-        if now - self.peer.answered_at > _SILENT_S:
+        if now - self.peer.answered_at > silent_s:
             raise TransportError('the peer does not answer')
 
 
@@ -184,6 +189,21 @@
         """Return all peers that are registered or were heard."""
         return self._peers
 
+    @property
+    def beat_s(self) -> float:
+        """Return the time between two batches without content."""
+        return _BEAT_S * max(1, len(self._outboxes) / _FULL_RATE_PEERS)
+
+    @property
+    def lost_s(self) -> float:
+        """Return after how long an unheard peer counts as lost."""
+        return _LOST_BEATS * self.beat_s
+
+    @property
+    def silent_s(self) -> float:
+        """Return after how long a stream without answers is opened anew."""
+        return _SILENT_BEATS * self.beat_s
+
     async def listen(self, address: str, read_state: ReadState) -> None:
         """Open the address; raise OSError where it is taken."""
         server = aio.server(options=(('grpc.so_reuseport', 0),))
--- a/tests/platform/test_decisions.py
+++ b/tests/platform/test_decisions.py
@@ -113,7 +113,7 @@
         node = Quotas(QuotaBounds(_WINDOW_S, 0.1, 100), started_at)
         node.configure({'w': workspace})
         if started_at:
-            node.recall(written, started_at, own=True)
+            node.recall(written, started_at)
         else:
             node.adopt({}, started_at)
         for step in range(40):
