--- a/packages/dispatch/src/tallyhall_dispatch/engines.py
+++ b/packages/dispatch/src/tallyhall_dispatch/engines.py
@@ -55,10 +55,12 @@
         """Start with nothing observed."""
         self.upstream = upstream
         self.runs: dict[str, Run] = {}
-        self.pace_s = FIRST_PACE_S
-        self.token_s = FIRST_TOKEN_S
-        self.plain_s = FIRST_PLAIN_S
-        # Unknown until the first job has ended: nobody is refused by a guess.
+        # Unknown until the first observation, which replaces the guess: an
+        # engine that is twice as slow must not need ten jobs to show it.
+        self._pace_s: float | None = None
+        self._token_s: float | None = None
+        self._plain_s: float | None = None
+        # Nobody is refused by a guess, so there is none for this one.
         self.hold_s: float | None = None
         self._aside_until: float = 0
         self._failures = 0
@@ -87,16 +89,17 @@
     def first_s(self, job: Job) -> float:
         """Return the expected time to the first event of a job."""
         if not job.output_tokens:
-            return self.plain_s
+            return self._plain_s or FIRST_PLAIN_S
         tokens = self.reading_tokens + job.prompt_tokens
-        return _FIRST_FIXED_S + tokens * self.token_s
+        return _FIRST_FIXED_S + tokens * (self._token_s or FIRST_TOKEN_S)
 
     def total_s(self, job: Job, event_tokens: int) -> float:
         """Return the expected time to the last event of a job."""
         if not job.output_tokens:
-            return self.plain_s * (1 + len(self.runs) / self.upstream.slots)
+            load = 1 + len(self.runs) / self.upstream.slots
+            return load * (self._plain_s or FIRST_PLAIN_S)
         events = job.output_tokens / max(1, event_tokens)
-        return self.first_s(job) + events * self.pace_s
+        return self.first_s(job) + events * (self._pace_s or FIRST_PACE_S)
 
     def grant(self, job: Job, now: float) -> None:
         """Take a job as running here."""
@@ -119,20 +122,19 @@
             return
         self._note_failure(report.ending, now)
         if report.total_s:
-            known = report.total_s if self.hold_s is None else self.hold_s
-            self.hold_s = _mean(known, report.total_s)
+            self.hold_s = _mean(self.hold_s, report.total_s)
         if report.ending is not Ending.answered:
             return
         if not run.job.output_tokens:
-            self.plain_s = _mean(self.plain_s, report.total_s)
+            self._plain_s = _mean(self._plain_s, report.total_s)
             return
         if report.events > 1:
             pace_s = report.stream_s / (report.events - 1)
-            self.pace_s = _mean(self.pace_s, pace_s)
+            self._pace_s = _mean(self._pace_s, pace_s)
         tokens = run.ahead_tokens + run.job.prompt_tokens
         if report.first_s is not None and tokens >= _LEARNING_TOKENS:
             reading_s = max(0, report.first_s - _FIRST_FIXED_S)
-            self.token_s = _mean(self.token_s, reading_s / tokens)
+            self._token_s = _mean(self._token_s, reading_s / tokens)
 
     def _note_failure(self, ending: Ending, now: float) -> None:
         if ending is Ending.answered:
@@ -150,5 +152,7 @@
             self._aside_until = now + aside_s
 
 
-def _mean(old: float, newest: float) -> float:
+def _mean(old: float | None, newest: float) -> float:
+    if old is None:
+        return newest
     return old + _NEWEST * (newest - old)
