--- a/packages/dispatch/src/tallyhall_dispatch/options.py
+++ b/packages/dispatch/src/tallyhall_dispatch/options.py
@@ -30,13 +30,11 @@
     """Times and shares that the operators promise to callers.
 
     revoke_s: longest time that a revoked key may work. grace_s: time between
-    the signal to stop and the end by force. locate_keep_s: longest time for
-    which callers keep an answer about where to connect.
+    the signal to stop and the end by force.
     """
 
     revoke_s: float
     grace_s: float
-    locate_keep_s: float
     retry_ratio: float
     retry_allowance: float
     retry_window_s: float
@@ -59,5 +57,4 @@
     metrics: Listening
     store: StoreOptions
     bounds: Bounds
-    memory_bytes: int
     descriptors: int
--- a/packages/edge/src/tallyhall_edge/server.py
+++ b/packages/edge/src/tallyhall_edge/server.py
@@ -35,6 +35,8 @@
 _BACKLOG = 1024
 # A peer that acknowledges nothing for this long is gone, in milliseconds.
 _USER_TIMEOUT_MS = 5000
+# Connections of callers at once, where no other bound is given.
+_MOST_CONNECTIONS = 1000
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _OLD_HTTP = '1.0'
 _BAD_REQUEST = (400, b'Bad Request')
@@ -171,7 +173,10 @@
         sock = transport.get_extra_info('socket')
         if sock is not None:
             _limit_silence(sock)
-        self._server.add(self)
+        if not self._server.add(self):
+            # Requests in hand need descriptors of their own, for upstreams.
+            self.abort()
+            return
         self._wait_idle()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -381,8 +386,11 @@
         respond: Respond,
         failed: Callable[[Exception], None],
         limits: ServerLimits,
+        most_connections: int = _MOST_CONNECTIONS,
     ) -> None:
         """Call `respond` for each request, `failed` for what it raises."""
+        self.most_connections = most_connections
+        self.turned_away = 0
         self.respond = respond
         self.failed = failed
         self.limits = limits
@@ -431,9 +439,13 @@
         if self._server is not None:
             self._server.close()
 
-    def add(self, conn: ServerConnection) -> None:
-        """Know a new connection."""
+    def add(self, conn: ServerConnection) -> bool:
+        """Know a new connection; return whether there is room for it."""
+        if len(self._conns) >= self.most_connections:
+            self.turned_away += 1
+            return False
         self._conns.add(conn)
+        return True
 
     def discard(self, conn: ServerConnection) -> None:
         """Forget a connection."""
--- a/packages/entry/src/tallyhall_entry/answers.py
+++ b/packages/entry/src/tallyhall_entry/answers.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 import random
 
 from tallyhall_dispatch.gate import Gate
 from tallyhall_edge.server import Exchange
+from tallyhall_platform.locate import encode_addresses
 
 from .beliefs import Beliefs
 from .locate import front_addresses
@@ -52,10 +52,9 @@
             self._rng,
             leaving=self.leaving,
         )
-        # The platform's names for addresses and the time to keep them.
-        body = {'addresses': addresses, 'ttl-s': LOCATE_KEEP_S}
         headers = ((b'Content-Type', b'application/json'),)
-        exchange.answer(*_OK, headers, json.dumps(body).encode())
+        body = encode_addresses(addresses, LOCATE_KEEP_S)
+        exchange.answer(*_OK, headers, body)
 
     async def metrics(self, exchange: Exchange) -> None:
         """Return all metrics as text."""
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -53,6 +53,9 @@
 _STOP_MARGIN_S = 0.4
 # Random bits that tell two runs of an instance apart.
 _ID_BITS = 64
+# Part of all descriptors that callers may take; a request in hand needs one
+# more for its upstream, and files, peers and the store take 200.
+_CALLERS_PART = 0.6
 # What the writer of the use of quotas is the owner of.
 _USE = 'use of quotas'
 # Settings that a running process takes over.
@@ -91,7 +94,12 @@
             self.log.event,
         )
         self._conns = ConnectionPool(PlatformDialect.id_header, _CONNECT_S)
-        self._front = self._server(self._runner().handle)
+        self._front = HttpServer(
+            self._runner().handle,
+            self._failed,
+            ServerLimits(),
+            int(options.descriptors * _CALLERS_PART),
+        )
         self._beliefs = Beliefs(
             options.instance,
             self._gate,
@@ -320,6 +328,7 @@
             self._conns.close_old()
             self.log.report_dropped()
             self._metrics.connections.set(self._front.open_connections)
+            self._metrics.turned_away.set(self._front.turned_away)
             self._metrics.waiting.set(self._dispatcher.waiting)
             age = self._gate.freshness.age(self._loop.time())
             if age is not None:
--- a/packages/entry/src/tallyhall_entry/main.py
+++ b/packages/entry/src/tallyhall_entry/main.py
@@ -15,13 +15,11 @@
 from tallyhall_core.events import Event
 from tallyhall_dispatch.options import Options
 from tallyhall_platform.errors import SettingsError
-from tallyhall_platform.settings import load_options
+from tallyhall_platform.settings import SETTINGS_VARIABLE, load_options
 
 from .instance import Instance
 from .logs import BoundedStream, setup_logging
 
-# The platform names the settings file in this variable.
-_SETTINGS_VARIABLE = 'TALLYHALL_CONFIG'
 _EXIT_SETTINGS = 2
 # The file may change without a signal; a look costs one system call.
 _SETTINGS_LOOK_S = 2.0
@@ -29,7 +27,7 @@
 
 def main() -> None:
     """Run an entry instance until it is told to stop."""
-    path = pathlib.Path(os.environ.get(_SETTINGS_VARIABLE, ''))
+    path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ''))
     try:
         options = load_options(path)
     except SettingsError as exc:
--- a/packages/entry/src/tallyhall_entry/metrics.py
+++ b/packages/entry/src/tallyhall_entry/metrics.py
@@ -58,6 +58,11 @@
             'Open connections of callers.',
             registry=self.registry,
         )
+        self.turned_away = Gauge(
+            'tallyhall_connections_turned_away',
+            'Connections of callers closed for want of descriptors.',
+            registry=self.registry,
+        )
         self.waiting = Gauge(
             'tallyhall_waiting_requests',
             'Requests that wait for an upstream.',
--- a/packages/platform/src/tallyhall_platform/settings.py
+++ b/packages/platform/src/tallyhall_platform/settings.py
@@ -16,8 +16,9 @@
 
 from .errors import SettingsError
 
+# The platform names the settings file in this variable.
+SETTINGS_VARIABLE = 'TALLYHALL_CONFIG'
 _MILLI = 1000
-_MEGA = 1_000_000
 # Offsets into the range of ports that is free for traffic between instances.
 _PEER_PORT = 0
 _METRICS_PORT = 1
@@ -60,17 +61,12 @@
 
 
 class _Limits(_Section):
-    memory_mb: Annotated[float, pydantic.Field(gt=0)] = 150
     max_fds: Annotated[int, pydantic.Field(gt=0)] = 1024
 
 
 class _Bounds(_Section):
     revoke_ms: Millis = 0
     grace_s: float = 8
-    ttl_max_s: Annotated[
-        float,
-        pydantic.Field(gt=0, validation_alias='ttl_max_s'),
-    ] = 5
     retry_budget_ratio: float = 0.2
     budget_slack: float = 20
     budget_window_s: float = 10
@@ -159,7 +155,6 @@
         bounds=Bounds(
             revoke_s=bounds.revoke_ms / _MILLI,
             grace_s=bounds.grace_s,
-            locate_keep_s=bounds.ttl_max_s,
             retry_ratio=bounds.retry_budget_ratio,
             retry_allowance=bounds.budget_slack,
             retry_window_s=bounds.budget_window_s,
@@ -167,6 +162,5 @@
             quota_overshoot=bounds.quota_overshoot,
             quota_slack=bounds.quota_slack,
         ),
-        memory_bytes=int(raw.limits.memory_mb * _MEGA),
         descriptors=raw.limits.max_fds,
     )
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -281,7 +281,6 @@
         usual: dict[str, float] = {
             'revoke_s': 5,
             'grace_s': 8,
-            'locate_keep_s': 5,
             'retry_ratio': 0.2,
             'retry_allowance': 50,
             'retry_window_s': 10,
@@ -300,7 +299,6 @@
             places[4],
             StoreOptions(self._address, 1),
             Bounds(**(usual | bounds)),
-            150_000_000,
             1000,
         )
 
--- a/tests/platform/test_edge_server.py
+++ b/tests/platform/test_edge_server.py
@@ -133,6 +133,20 @@
         assert await reader.read() == b''
 
 
+async def test_a_flood_of_connections_is_bounded() -> None:
+    served = _Served()
+    served.server.most_connections = 5
+    first, writer = await served.open()
+    opened = [
+        await asyncio.open_connection(HOST, served.port) for _ in range(20)
+    ]
+    await until(lambda: served.server.turned_away == 16)
+    assert len(opened) == 20
+    assert served.server.open_connections == 5
+    writer.write(_post(b'one'))
+    await first.readuntil(b'one')
+
+
 async def test_old_http_gets_no_chunks() -> None:
     served = _Served()
     reader, writer = await served.open()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -40,8 +40,7 @@
     assert str(options.locate) == '127.0.0.1:8220'
     assert (options.peer.port, options.metrics.port) == (7600, 7601)
     assert options.bounds.revoke_s == 5
-    assert options.bounds.locate_keep_s == 5
-    assert options.memory_bytes == 150_000_000
+    assert options.descriptors == 4100
 
 
 _WRONG = [
