A silent upstream is left for another where the request may repeat

Ruled out: waiting for health checks (they are good meanwhile). Change: a repeatable request goes on elsewhere if its answer has not begun in 0.65 of its objective plus the time to read its prompt, within attempts and retry budget.

--- a/packages/dispatch/src/tallyhall_dispatch/engines.py
+++ b/packages/dispatch/src/tallyhall_dispatch/engines.py
@@ -43,7 +43,6 @@
     """A job that was granted to an upstream."""
 
     job: Job
-    granted_at: float
     ahead_tokens: int
     reading: bool = True
 
@@ -101,9 +100,9 @@
         events = job.output_tokens / max(1, event_tokens)
         return self.first_s(job) + events * (self._pace_s or FIRST_PACE_S)
 
-    def grant(self, job: Job, now: float) -> None:
+    def grant(self, job: Job) -> None:
         """Take a job as running here."""
-        self.runs[job.key] = Run(job, now, self.reading_tokens)
+        self.runs[job.key] = Run(job, self.reading_tokens)
 
     def drop(self, key: str) -> None:
         """Forget a job without learning from it."""
--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -108,11 +108,6 @@
         """Return how many jobs wait."""
         return len(self._waiting)
 
-    @property
-    def views(self) -> Iterable[EngineView]:
-        """Return what is known of each upstream."""
-        return self._views.values()
-
     def set_upstreams(self, upstreams: Iterable[Upstream]) -> None:
         """Take the upstreams of this service as they stand now."""
         known = {upstream.incarnation: upstream for upstream in upstreams}
@@ -149,11 +144,11 @@
         if view is not None:
             view.finish(key, report, now)
 
-    def note_running(self, job: Job, incarnation: str, now: float) -> None:
+    def note_running(self, job: Job, incarnation: str) -> None:
         """Take that a job runs that was not granted here."""
         view = self._views.get(incarnation)
         if view is not None and job.key not in self._places:
-            view.grant(job, now)
+            view.grant(job)
             self._places[job.key] = view
 
     def drop_jobs(self, prefix: str) -> None:
@@ -169,10 +164,10 @@
         """Grant what can be granted, give up what has become too late.
 
         Jobs that can still be in time go first, by rank of their urgency
-        (see `ServedShares`); late ones use what
-        is left over. Under load a late job is given up at once: the place
-        that it would take serves another job in time, and its caller learns
-        early that it should come back.
+        (see `ServedShares`); late ones use what is left over. Under load a
+        late job is given up at once: the place that it would take serves
+        another job in time, and its caller learns early that it should come
+        back.
         """
         if not self._waiting:
             return []
@@ -198,7 +193,7 @@
             return GivenUp(job.key, line.retry_after_s())
         view = self._best(job, line.now)
         if view is not None:
-            view.grant(job, line.now)
+            view.grant(job)
             self._places[job.key] = view
             self._shares.note(job.urgency, served=line.now <= job.due_at)
             return Granted(job.key, view.upstream)
--- a/packages/edge/src/tallyhall_edge/client.py
+++ b/packages/edge/src/tallyhall_edge/client.py
@@ -50,7 +50,6 @@
         """Echoed request ids stand in this lower-case header."""
         self.reusable = False
         self.idle_since: float = 0
-        self.requests = 0
         self.keep_s: float | None = None
         self._id_header = id_header
         self._loop = asyncio.get_running_loop()
@@ -98,7 +97,6 @@
         if self._transport is None or self._transport.is_closing():
             raise NotSentError('the connection is closed')
         self.reusable = False
-        self.requests += 1
         self._sink = sink
         self._expected_id = expected_id
         self._transport.write(raw)
--- a/packages/edge/src/tallyhall_edge/relay.py
+++ b/packages/edge/src/tallyhall_edge/relay.py
@@ -42,6 +42,8 @@
         loop = asyncio.get_running_loop()
         self.done: asyncio.Future[Ending] = loop.create_future()
         self.last_event = last_event
+        # Set with the first byte of an answer that is passed on or held.
+        self.begun = asyncio.Event()
         self.on_first: Callable[[], None] | None = None
         self.head: ResponseHead | None = None
         self._loop = loop
@@ -104,6 +106,8 @@
             return
         if head.is_success and self._streaming:
             self._splitter = EventSplitter()
+            return
+        self.begun.set()
 
     def on_data(self, payload: bytes) -> None:
         """Take a part of the body."""
@@ -180,6 +184,7 @@
             self._start_stream()
         if self._first_at is None:
             self._first_at = now
+            self.begun.set()
             if self.on_first is not None:
                 self.on_first()
         self._last_at = now
@@ -217,6 +222,7 @@
         self._held.clear()
 
     def _finish(self, ending: Ending) -> None:
+        self.begun.set()
         if not self.done.done():
             self.done.set_result(ending)
 
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -43,6 +43,11 @@
 _WAIT_PART = 0.7
 # Told to callers whose request an upstream turned away, in seconds.
 _FULL_RETRY_S = 0.3
+# An answer that has not begun after this part of its objective is taken as
+# lost, so that another upstream can still be in time; longer by the time that
+# a slow engine with others ahead needs for each token of the prompt.
+_SILENCE_PART = 0.65
+_SLOW_TOKEN_S = 0.00006
 _MILLI = 1000
 _ANSWERED = 'answered'
 
@@ -73,6 +78,7 @@
     excluded: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
     may_have_run: int = 0
+    repeat_paid: bool = False
     outcome: str = ''
 
     @property
@@ -229,7 +235,7 @@
                 visit.call.request_id,
             )
             visit.may_have_run += 1
-            ending = await relay.done
+            ending = await self._answer(visit, relay)
         finally:
             visit.exchange.on_writable = None
             self._conns.give_back(address, conn)
@@ -237,6 +243,30 @@
             visit.may_have_run -= 1
         return ending
 
+    async def _answer(self, visit: Visit, relay: Relay) -> Ending:
+        """Wait for the end of an answer, or for one that never begins.
+
+        An upstream may hang, or lose the answer of a request that it ran. A
+        request that may run again goes elsewhere then, if the retry budget
+        bears it; otherwise waiting on is the better chance.
+        """
+        route = visit.admitted.route
+        if not route.repeatable or visit.may_have_run >= route.attempts:
+            return await relay.done
+        try:
+            async with asyncio.timeout(self._patience_s(visit)):
+                await relay.begun.wait()
+        except TimeoutError:
+            if self._spend(visit, self._loop.time()):
+                visit.repeat_paid = True
+                return Ending.unknown
+        return await relay.done
+
+    def _patience_s(self, visit: Visit) -> float:
+        objective_s = visit.admitted.route.objective_s
+        reading_s = visit.call.prompt_tokens * _SLOW_TOKEN_S
+        return _SILENCE_PART * objective_s + reading_s
+
     def _request(self, visit: Visit, upstream: Upstream) -> bytes:
         exchange = visit.exchange
         workspace = visit.admitted.workspace
@@ -301,6 +331,9 @@
         return self._spend(visit, now)
 
     def _spend(self, visit: Visit, now: float) -> bool:
+        if visit.repeat_paid:
+            visit.repeat_paid = False
+            return True
         allowed = self._gate.may_repeat(visit.admitted.service, now)
         if not allowed:
             self._telemetry.event(
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -120,7 +120,7 @@
         """Take that a job runs that was not granted here."""
         pool = self._pools.get(job.service)
         if pool is not None:
-            pool.note_running(job, incarnation, self._loop.time())
+            pool.note_running(job, incarnation)
 
     def first_byte(self, key: str, service: str) -> None:
         """Take that the answer of a job has begun."""
--- a/packages/edge/src/tallyhall_edge/server.py
+++ b/packages/edge/src/tallyhall_edge/server.py
@@ -80,11 +80,6 @@
         self._conn = conn
         self._chunked = False
 
-    @property
-    def peer(self) -> str:
-        """Return the caller's address."""
-        return self._conn.peer
-
     def start(
         self,
         status: int,
@@ -146,7 +141,6 @@
 
     def __init__(self, server: HttpServer) -> None:
         """Belong to a server."""
-        self.peer = ''
         self.speaks_chunks = True
         self._server = server
         self._loop = asyncio.get_running_loop()
@@ -168,8 +162,6 @@
         assert isinstance(transport, asyncio.Transport)  # noqa: S101
         self._transport = transport
         transport.set_write_buffer_limits(_WRITE_HIGH_BYTES)
-        peer = transport.get_extra_info('peername')
-        self.peer = str(peer[0]) if peer else ''
         sock = transport.get_extra_info('socket')
         if sock is not None:
             _limit_silence(sock)
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -201,6 +201,36 @@
         assert all(answer.whole for answer in answers)
 
 
+@pytest.mark.parametrize(
+    ('path', 'more', 'runs'),
+    [
+        ('/stream/x', _TOKENS, 2),
+        ('/safe/x', {}, 2),
+        ('/brittle/x', _TOKENS, 1),
+        ('/once/x', {}, 1),
+    ],
+)
+async def test_silence_sends_on_only_what_may_repeat(
+    path: str,
+    more: dict[str, Any],
+    runs: int,
+) -> None:
+    async with deployment() as made:
+        engines = await _models(made)
+        engines += await _plain(made)
+        for engine in engines:
+            engine.faults.append(EngineFault.hangs)
+        caller = made.caller()
+        fut = await caller.start(path, 'r1', **more)
+        await until(lambda: len(_ids(engines)) == runs, within_s=1)
+        for engine in engines:
+            engine.faults.clear()
+        await asyncio.sleep(0.6)
+        assert len(_ids(engines)) == runs
+        assert sum(engine.running for engine in engines) == 1
+        assert not fut.done()
+
+
 async def test_brittle_stream_is_cut_not_ended() -> None:
     async with deployment() as made:
         engines = await _models(made, 1)
