--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -48,6 +48,9 @@
 # a slow engine with others ahead needs for each token of the prompt.
 _SILENCE_PART = 0.65
 _SLOW_TOKEN_S = 0.00006
+# A request that waited longer for its place met full engines; asking an owner
+# takes 3 ms.
+_LOADED_WAIT_S = 0.03
 _MILLI = 1000
 _ANSWERED = 'answered'
 
@@ -79,6 +82,7 @@
     sends: int = 0
     may_have_run: int = 0
     repeat_paid: bool = False
+    waited_s: float = 0
     outcome: str = ''
 
     @property
@@ -176,6 +180,7 @@
             grant = await self._scheduler.acquire(job)
             upstream = grant.upstream
             visit.sends += 1
+            visit.waited_s = grant.waited_s
             self._log_grant(visit, grant)
             ending, relay = await self._send(visit, job, upstream)
             if ending is Ending.answered:
@@ -248,10 +253,12 @@
 
         An upstream may hang, or lose the answer of a request that it ran. A
         request that may run again goes elsewhere then, if the retry budget
-        bears it; otherwise waiting on is the better chance.
+        bears it; otherwise waiting on is the better chance. Where requests
+        wait for places, silence is more likely the load than a loss.
         """
         route = visit.admitted.route
-        if not route.repeatable or visit.may_have_run >= route.attempts:
+        last = visit.may_have_run >= route.attempts
+        if last or not route.repeatable or visit.waited_s > _LOADED_WAIT_S:
             return await relay.done
         try:
             async with asyncio.timeout(self._patience_s(visit)):
