--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -166,6 +166,9 @@
 
     def drop_jobs(self, prefix: str) -> None:
         """Forget all jobs whose key has this prefix."""
+        for key in tuple(self._origins):
+            if key.startswith(prefix):
+                self._origins.pop(key)
         for pool in self._pools.values():
             pool.drop_jobs(prefix)
             self._pump(pool)
--- a/tests/platform/test_shared.py
+++ b/tests/platform/test_shared.py
@@ -1,8 +1,15 @@
 """The queue at its owner, and the way out when the owner is lost."""
 
 import asyncio
+import json
+import random
 from typing import Any
 
+from tallyhall_dispatch.desired import Upstream
+from tallyhall_dispatch.jobs import Job
+from tallyhall_edge.scheduling import Dispatcher
+from tallyhall_platform.decode import decode_state
+
 from tests.platform.harness import MODEL, deployment, desired, until
 
 _TOKENS: dict[str, Any] = {'X_Tallyhall_Token_Counts': '100,30'}
@@ -60,3 +67,31 @@
             await asyncio.sleep(0.25)
         assert 429 in statuses
         assert statuses.count(200) <= 5
+
+
+async def test_jobs_of_a_lost_instance_leave_nothing_behind() -> None:
+    dispatcher = Dispatcher(random.Random(1))
+    dispatcher.take_state(decode_state(json.dumps(desired(1)).encode()))
+    upstream = Upstream('u', MODEL, '127.0.0.1', 1, 'a', 1, leaving=False)
+    dispatcher.take_upstreams((upstream,))
+    heard = _Heard()
+    for key in ('lost/1', 'lost/2', 'live/1'):
+        job = Job(key, MODEL, 'a', 0, 10, 10, (), 0, 1e9, 1e9)
+        dispatcher.ask(job, heard)
+    assert heard.granted_keys == ['lost/1']
+    assert dispatcher.waiting == 2
+    dispatcher.drop_jobs('lost/')
+    assert heard.granted_keys == ['lost/1', 'live/1']
+    assert not dispatcher.is_waiting('lost/2')
+    assert not dispatcher.waiting
+
+
+class _Heard:
+    def __init__(self) -> None:
+        self.granted_keys: list[str] = []
+
+    def granted(self, key: str, upstream: Upstream) -> None:
+        self.granted_keys.append(key)
+
+    def given_up(self, key: str, retry_after_s: float) -> None:
+        raise AssertionError(key)
