--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -83,6 +83,7 @@
     may_have_run: int = 0
     repeat_paid: bool = False
     waited_s: float = 0
+    begun: bool = False
     outcome: str = ''
 
     @property
@@ -214,6 +215,8 @@
         except NotSentError:
             ending = Ending.unsent
         finally:
+            # Before an answer of this instance's own is written.
+            visit.begun = visit.exchange.started
             report = relay.report(ending)
             self._scheduler.finish(job, upstream, report)
             self._log_send(visit, upstream, report)
@@ -449,7 +452,7 @@
             'version': admitted.version,
             'tried': sorted(visit.excluded),
             'may_have_run': visit.may_have_run,
-            'begun': visit.exchange.started,
+            'begun': visit.begun,
             'limit_ms': round(
                 (visit.end_at - visit.exchange.received_at) * _MILLI,
             ),
--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -90,6 +90,7 @@
         'refused',
         'finished',
     ]
+    assert not broken.lines[-1].fields['begun']
     assert 'broke off' in broken.cause
     assert 'plain-0 (unknown after' in broken.cause
     other = explain('r-key', [f'12.1 host-1 {line}' for line in lines])
