Reading: one way to break an answer off, a ticket withdrawn once, dead counters out

Relay.on_end wrote the choice of _break_off again, twice; SharedScheduler took a ticket out and put it back for finish to take; Dispatcher.pools and ConnectionPool.opened had no reader. No behaviour changes.

--- a/packages/edge/src/tallyhall_edge/connections.py
+++ b/packages/edge/src/tallyhall_edge/connections.py
@@ -31,7 +31,6 @@
         self._connect_s = connect_s
         self._idle: dict[Address, collections.deque[ClientConnection]] = {}
         self._loop = asyncio.get_running_loop()
-        self.opened = 0
 
     async def take(self, address: Address, idle_s: float) -> ClientConnection:
         """Return a connection idle for at most `idle_s`, or a new one.
@@ -44,7 +43,6 @@
             if self._is_usable(conn, idle_s):
                 return conn
             conn.close()
-        self.opened += 1
         return await ClientConnection.open(
             *address,
             self._connect_s,
--- a/packages/edge/src/tallyhall_edge/relay.py
+++ b/packages/edge/src/tallyhall_edge/relay.py
@@ -128,12 +128,9 @@
         """Take that the answer is complete, or why it is not."""
         if self.done.done():
             return
-        begun = self._exchange.started
-        if exc is not None:
-            self._finish(Ending.broken if begun else Ending.unknown)
-            return
-        if self._splitter is not None and self._splitter.held:
-            self._finish(Ending.broken if begun else Ending.unknown)
+        cut = self._splitter is not None and self._splitter.held
+        if exc is not None or cut:
+            self._break_off()
             return
         self._finish(self._judge())
 
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -10,7 +10,6 @@
 import asyncio
 import collections
 import random
-from collections.abc import Iterable
 from typing import Protocol
 
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
@@ -59,11 +58,6 @@
         self._upstreams: tuple[Upstream, ...] = ()
         self._by_id: dict[str, Upstream] = {}
 
-    @property
-    def pools(self) -> Iterable[ServicePool]:
-        """Return all pools."""
-        return self._pools.values()
-
     @property
     def waiting(self) -> int:
         """Return how many jobs wait."""
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -315,12 +315,11 @@
 
     def _withdraw(self, ticket: _Ticket) -> None:
         _stop_timer(ticket)
-        self._tickets.pop(ticket.job.key, None)
         if ticket.upstream is not None:
             report = RunReport(Ending.left, 0)
-            self._tickets[ticket.job.key] = ticket
             self.finish(ticket.job, ticket.upstream, report)
             return
+        self._tickets.pop(ticket.job.key, None)
         self._dispatcher.withdraw(ticket.job.key)
         self._tell_withdrawn(ticket)
 
