Log a removal that is held

A removed entry that stays in use left no trace: the postmortem had to infer it from a state that was in force at 45.7 and an upstream that went at 48.4. Event 220 names the key, how long it stays at least, and why. No logic is changed.

--- a/packages/core/src/tallyhall_core/events.py
+++ b/packages/core/src/tallyhall_core/events.py
@@ -26,6 +26,7 @@
     upstreams_changed = 213
     instances_changed = 214
     budget_binds = 219
+    removal_held = 220
     peer_down = 308
     fenced = 303
     owner_started = 304
--- a/packages/platform/src/tallyhall_platform/follow.py
+++ b/packages/platform/src/tallyhall_platform/follow.py
@@ -220,10 +220,21 @@
         if key not in self._upstreams and key not in self._instances:
             return
         if self._is_returning():
-            self._held_removals.add(key)
+            self._hold_removal(key)
             return
         self._remove(key)
 
+    def _hold_removal(self, key: str) -> None:
+        self._held_removals.add(key)
+        now = self._loop.time()
+        returned_at = now if self._returned_at is None else self._returned_at
+        self._log(
+            Event.removal_held,
+            key=key,
+            held_s=round(returned_at + _RETURN_S - now, 3),
+            cause='the store was away',
+        )
+
     def _remove(self, key: str) -> None:
         if self._upstreams.pop(key, None) is not None:
             self._news.upstreams = True
