Settings: heartbeat-ms and bounds.contact-ms

How often upstreams write their entries, and how long after its way to the store is whole again an instance must know what changed. Nothing uses them yet.

Checks: make check, tests/platform/test_settings.py (15 passed).

--- a/packages/dispatch/src/tallyhall_dispatch/options.py
+++ b/packages/dispatch/src/tallyhall_dispatch/options.py
@@ -19,10 +19,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreOptions:
-    """Where the store is and how long its shortest lease lasts."""
+    """Where the store is and how entries live in it.
+
+    least_lease_s: shortest lease. heartbeat_s: how often, about, an upstream
+    writes its entry; one that is silent for three times as long lapses.
+    """
 
     address: Listening
     least_lease_s: float
+    heartbeat_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,7 +35,8 @@
     """Times and shares that the operators promise to callers.
 
     revoke_s: longest time that a revoked key may work. grace_s: time between
-    the signal to stop and the end by force.
+    the signal to stop and the end by force. contact_s: how long after its
+    way to the store is whole again an instance must know what changed.
     """
 
     revoke_s: float
@@ -41,6 +47,7 @@
     quota_window_s: float
     quota_overshoot: float
     quota_slack: float
+    contact_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/platform/src/tallyhall_platform/settings.py
+++ b/packages/platform/src/tallyhall_platform/settings.py
@@ -77,6 +77,7 @@
     quota_window_s: float = 8
     quota_overshoot: float = 0.1
     quota_slack: float = 0
+    contact_ms: Millis = 3000
 
 
 class _Store(_Section):
@@ -91,6 +92,7 @@
     ip: Annotated[str, pydantic.Field(pattern=r'^[0-9.]+$')]
     listen: _Listen
     port_range: tuple[int, int]
+    heartbeat_ms: Millis = 1200
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
     platform: _Store
@@ -155,6 +157,7 @@
         store=StoreOptions(
             listening(raw.platform.address),
             raw.platform.ttl_min_ms / _MILLI,
+            raw.heartbeat_ms / _MILLI,
         ),
         bounds=Bounds(
             revoke_s=bounds.revoke_ms / _MILLI,
@@ -165,6 +168,7 @@
             quota_window_s=bounds.quota_window_s,
             quota_overshoot=bounds.quota_overshoot,
             quota_slack=bounds.quota_slack,
+            contact_s=bounds.contact_ms / _MILLI,
         ),
         descriptors=raw.limits.max_fds,
         cores=raw.limits.cpu_share * raw.limits.cores,
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -290,7 +290,10 @@
             'quota_window_s': 8,
             'quota_overshoot': 0.1,
             'quota_slack': 100,
+            'contact_s': 3,
         }
+        given = usual | bounds
+        heartbeat_s = given.pop('heartbeat_s', 1.2)
         return Options(
             f'entry-{len(self.options) + 1}',
             'a',
@@ -300,8 +303,8 @@
             places[2],
             places[3],
             places[4],
-            StoreOptions(self._address, 1),
-            Bounds(**(usual | bounds)),
+            StoreOptions(self._address, 1, heartbeat_s),
+            Bounds(**given),
             1000,
             1,
         )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -26,8 +26,11 @@
   ready: "127.0.0.1:8224"
   directory: "127.0.0.1:8220"
 port-range: [7600, 7615]
+heartbeat-ms: 900
 limits: {memory-mb: 150, max-fds: 4100, cpu-share: 0.537, cores: 2}
-bounds: {revoke-ms: 5000, grace-s: 8, ttl_max_s: 5, quota-window-s: 8}
+bounds:
+  {revoke-ms: 5000, contact-ms: 2500, grace-s: 8, ttl_max_s: 5,
+  quota-window-s: 8}
 platform: {address: "127.0.0.1:8225", ttl-min-ms: 1000}
 """
 
@@ -40,6 +43,8 @@
     assert str(options.locate) == '127.0.0.1:8220'
     assert (options.peer.port, options.metrics.port) == (7600, 7601)
     assert options.bounds.revoke_s == 5
+    assert options.bounds.contact_s == 2.5
+    assert options.store.heartbeat_s == 0.9
     assert options.descriptors == 4100
     assert options.cores == pytest.approx(1.074)
 
