A failing test: a removed upstream is used after the bound

The way to the store is lost for longer than the heartbeats, an upstream is removed meanwhile, and the way is whole right after a watch began that is lost. The store's stand-in counts watches for it.

Checks: make check.

--- a/packages/standins/src/tallyhall_standins/platform_store.py
+++ b/packages/standins/src/tallyhall_standins/platform_store.py
@@ -69,6 +69,7 @@
         self.fault = StoreFault.none
         self.delay_s: float = 0
         self.calls = 0
+        self.watches = 0
         self.revision = 1
         self.oldest = 0
         # Changes what an instance writes, so that tests can put a link between
@@ -143,6 +144,7 @@
 
     async def _answer(self, exchange: Exchange) -> None:
         self.calls += 1
+        self.watches += exchange.head.target.startswith(b'/kv-watch')
         if self.fault is StoreFault.silent:
             await asyncio.Event().wait()
         if self.fault is StoreFault.resets:
--- /dev/null
+++ b/tests/platform/test_absence.py
@@ -0,0 +1,93 @@
+"""Removed upstreams while and after the store was out of reach.
+
+The failure: two instances lost the way to the store for 12 s. Meanwhile an
+upstream left, and the store said so. The way was whole again at 45.0 s of
+the run, both instances read the removal at 45.7 and 45.8, and one of them
+sent the upstream a request at 48.1, 3.1 s after the way was whole, where the
+operators promise 3 s. The upstream went at 48.378 and 48.379.
+
+The cause: any failed call counted as an outage of the store itself, after
+which entries that lapsed come back within two seconds. Removals were
+therefore held for 2.3 s from the moment at which the return was noticed, up
+to 1.3 s late, and released only at the end of the watch that ran then.
+
+The evidence, in the log of the instance: 207 (the last failed call) at
+45.026, 201 and 208 with the newest state at 45.747 and 45.748, 401 with this
+upstream, granted by the instance itself, at 48.104, 213 with the upstream
+gone at 48.378.
+"""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import AsyncIterator
+
+from tallyhall_standins.platform_store import StoreFault
+
+from tests.platform.harness import (
+    PLAIN,
+    Caller,
+    Deployment,
+    deployment,
+    until,
+)
+
+_GONE = 'servers/plain-1'
+# A watch that waited when the store fell silent is answered until then.
+_LAST_WATCH_S = 1.5
+
+
+async def test_a_removed_upstream_gets_nothing_after_the_bound() -> None:
+    async with deployment(revoke_s=30) as made:
+        await made.add_engine('plain-0', PLAIN)
+        gone = await made.add_engine('plain-1', PLAIN)
+        await made.ready()
+        async with _load(made.caller()):
+            whole_at = await _outage(made, 2.5)
+            seen = len(gone.seen)
+            assert seen
+            await _until_time(whole_at + made.options[0].bounds.contact_s)
+            seen = len(gone.seen)
+            await asyncio.sleep(1)
+            assert len(gone.seen) == seen
+
+
+async def _outage(made: Deployment, more_s: float) -> float:
+    """Lose the way to the store; return when it is whole again.
+
+    An upstream is removed meanwhile. The way is whole right after a watch
+    began that is lost, which is the latest to notice it.
+    """
+    made.store.fault = StoreFault.silent
+    await asyncio.sleep(_LAST_WATCH_S)
+    made.store.remove(_GONE)
+    await asyncio.sleep(more_s)
+    watches = made.store.watches
+    await until(lambda: made.store.watches > watches)
+    made.store.fault = StoreFault.none
+    return asyncio.get_running_loop().time()
+
+
+async def _until_time(moment: float) -> None:
+    await asyncio.sleep(moment - asyncio.get_running_loop().time())
+
+
+@contextlib.asynccontextmanager
+async def _load(caller: Caller) -> AsyncIterator[None]:
+    """Send requests one after another meanwhile; all are answered."""
+    ends = asyncio.Event()
+    task = asyncio.create_task(_send(caller, ends))
+    yield
+    ends.set()
+    assert await task == {200}
+
+
+async def _send(caller: Caller, ends: asyncio.Event) -> set[int]:
+    statuses: set[int] = set()
+    for number in itertools.count():
+        if ends.is_set():
+            break
+        answer = await caller.ask('/safe/x', f'load-{number}')
+        statuses.add(answer.status)
+        await asyncio.sleep(0.02)
+    return statuses
