--- a/packages/standins/src/tallyhall_standins/platform_store.py
+++ b/packages/standins/src/tallyhall_standins/platform_store.py
@@ -24,6 +24,7 @@
 _NOT_FOUND = (404, b'Not Found')
 _GONE = (410, b'Gone')
 _FAILED = (412, b'Precondition Failed')
+_LIMITED = (429, b'Too Many Requests')
 _UNAVAILABLE = (503, b'Service Unavailable')
 _MILLI = 1000
 Fields = dict[str, Any]
@@ -37,6 +38,7 @@
     silent = 'silent'
     resets = 'resets'
     refuses = 'refuses'
+    limits = 'limits'
     loses_answers = 'loses_answers'
 
 
@@ -153,6 +155,9 @@
         if self.fault is StoreFault.refuses:
             exchange.answer(*_UNAVAILABLE, (), b'')
             return
+        if self.fault is StoreFault.limits:
+            exchange.answer(*_LIMITED, (), b'')
+            return
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         status, fields = await self._route(exchange)
--- a/tests/platform/test_absence.py
+++ b/tests/platform/test_absence.py
@@ -122,6 +122,25 @@
         await until(lambda: cut.usable_upstreams == 1, 1)
 
 
+async def test_a_store_that_limits_calls_is_not_away() -> None:
+    """A removal counts at once after a run of refusals for too many calls.
+
+    The store works then, and upstreams write their entries. Such a run
+    counted as an outage, and the removal was held for 2.2 s after it.
+    """
+    async with deployment() as made:
+        await made.add_engine('plain-0', PLAIN)
+        await made.add_engine('plain-1', PLAIN)
+        await made.ready()
+        instance = made.instances[0]
+        made.store.fault = StoreFault.limits
+        await asyncio.sleep(4.5)
+        made.store.remove(_GONE)
+        made.store.fault = StoreFault.none
+        # The pause after refused calls is 0.8 s at the most.
+        await until(lambda: instance.usable_upstreams == 1, 1)
+
+
 async def _outage(made: Deployment, more_s: float) -> float:
     """Lose the way to the store; return when it is whole again.
 
