--- a/packages/platform/src/tallyhall_platform/errors.py
+++ b/packages/platform/src/tallyhall_platform/errors.py
@@ -23,6 +23,10 @@
     """The store refused the call (429, 503); nothing was done."""
 
 
+class StoreLimitedError(StoreRefusedError):
+    """The store works and refused one call too many (429)."""
+
+
 class HistoryGoneError(StoreError):
     """The store no longer holds the changes asked for; read all again."""
 
--- a/packages/platform/src/tallyhall_platform/follow.py
+++ b/packages/platform/src/tallyhall_platform/follow.py
@@ -29,6 +29,7 @@
     DecodeError,
     HistoryGoneError,
     StoreError,
+    StoreLimitedError,
     StoreRefusedError,
     StoreUnavailableError,
 )
@@ -327,14 +328,19 @@
             self._release_timer = None
 
     def _lost(self, exc: StoreError, asked_at: float) -> float:
+        now = self._loop.time()
         self._failures += 1
-        self._absence.failed(asked_at)
+        # A store that limits calls works: upstreams keep their entries.
+        if isinstance(exc, StoreLimitedError):
+            self._absence.alive(now)
+        else:
+            self._absence.failed(asked_at)
         if self._reachable and isinstance(exc, StoreUnavailableError):
             self._reachable = False
             self._listener.on_store(reachable=False)
         self._log(Event.store_call_failed, cause=str(exc))
         longest = min(_LONGEST_PAUSE_S, _PAUSE_S * 2**self._failures)
         if not isinstance(exc, StoreRefusedError):
-            took_s = self._loop.time() - asked_at
-            longest = min(longest, max(_PAUSE_S, _NOTICE_S - took_s))
+            left_s = _NOTICE_S - (now - asked_at)
+            longest = min(longest, max(_PAUSE_S, left_s))
         return self._rng.uniform(_PAUSE_S, longest)
--- a/packages/platform/src/tallyhall_platform/store.py
+++ b/packages/platform/src/tallyhall_platform/store.py
@@ -25,6 +25,7 @@
     ConditionFailedError,
     HistoryGoneError,
     LeaseEndedError,
+    StoreLimitedError,
     StoreRefusedError,
     StoreUnavailableError,
 )
@@ -40,7 +41,8 @@
 _NOT_FOUND = 404
 _GONE = 410
 _CONDITION_FAILED = 412
-_REFUSALS = frozenset((429, 503))
+_LIMITED = 429
+_REFUSED = 503
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -219,7 +221,9 @@
 
 
 def _checked(answer: WholeAnswer) -> dict[str, Any]:
-    if answer.status in _REFUSALS:
+    if answer.status == _LIMITED:
+        raise StoreLimitedError(f'status {answer.status}')
+    if answer.status == _REFUSED:
         raise StoreRefusedError(f'status {answer.status}')
     if answer.status != _OK:
         raise StoreUnavailableError(f'status {answer.status}')
