--- a/tests/platform/test_absence.py
+++ b/tests/platform/test_absence.py
@@ -22,10 +22,12 @@
 import dataclasses
 import itertools
 from collections.abc import AsyncIterator
+from typing import Any
 
 import pytest
 from tallyhall_bench.fleet import free_ports
 from tallyhall_dispatch.options import Listening
+from tallyhall_edge.client import ClientConnection
 from tallyhall_standins.platform_store import StoreFault
 
 from tests.platform.harness import (
@@ -141,6 +143,49 @@
         await until(lambda: instance.usable_upstreams == 1, 1)
 
 
+async def test_an_upstream_that_leaves_during_the_connect_gets_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What is known right before the first byte decides, not the grant.
+
+    A connection may take 0.3 s, more than is kept of the bound. A request
+    that was granted before was sent although its upstream had left.
+    """
+    async with deployment() as made:
+        gone = await made.add_engine('plain-1', PLAIN)
+        await made.ready()
+        instance = made.instances[0]
+        slow = _SlowConnect(int(made.addresses['plain-1'].rpartition(':')[2]))
+        monkeypatch.setattr(ClientConnection, 'open', slow)
+        answered = await made.caller().start('/once/x', 'r1')
+        await slow.began.wait()
+        await made.add_engine('plain-0', PLAIN)
+        made.store.remove(_GONE)
+        await until(lambda: instance.usable_upstreams == 1, 0.2)
+        assert (await answered).status == 200
+        assert not gone.seen
+
+
+class _SlowConnect:
+    """Connects to one port a quarter of a second late."""
+
+    def __init__(self, port: int) -> None:
+        self.began = asyncio.Event()
+        self._port = port
+        self._open = ClientConnection.open
+
+    async def __call__(
+        self,
+        host: str,
+        port: int,
+        *more: Any,
+    ) -> ClientConnection:
+        if port == self._port:
+            self.began.set()
+            await asyncio.sleep(0.25)
+        return await self._open(host, port, *more)
+
+
 async def _outage(made: Deployment, more_s: float) -> float:
     """Lose the way to the store; return when it is whole again.
 
