--- a/packages/dispatch/src/tallyhall_dispatch/options.py
+++ b/packages/dispatch/src/tallyhall_dispatch/options.py
@@ -37,6 +37,7 @@
     revoke_s: longest time that a revoked key may work. grace_s: time between
     the signal to stop and the end by force. contact_s: how long after its
     way to the store is whole again an instance must know what changed.
+    change_s: how long a change may take to be in force everywhere.
     """
 
     revoke_s: float
@@ -48,6 +49,7 @@
     quota_overshoot: float
     quota_slack: float
     contact_s: float
+    change_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/platform/src/tallyhall_platform/settings.py
+++ b/packages/platform/src/tallyhall_platform/settings.py
@@ -78,6 +78,8 @@
     quota_overshoot: float = 0.1
     quota_slack: float = 0
     contact_ms: Millis = 3000
+    drain_ms: Millis = 2000
+    config_apply_ms: Millis = 2000
 
 
 class _Store(_Section):
@@ -169,6 +171,7 @@
             quota_overshoot=bounds.quota_overshoot,
             quota_slack=bounds.quota_slack,
             contact_s=bounds.contact_ms / _MILLI,
+            change_s=min(bounds.drain_ms, bounds.config_apply_ms) / _MILLI,
         ),
         descriptors=raw.limits.max_fds,
         cores=raw.limits.cpu_share * raw.limits.cores,
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -293,6 +293,7 @@
             'quota_overshoot': 0.1,
             'quota_slack': 100,
             'contact_s': 3,
+            'change_s': 2,
         }
         given = usual | bounds
         heartbeat_s = given.pop('heartbeat_s', 1.2)
--- a/tests/platform/test_follow.py
+++ b/tests/platform/test_follow.py
@@ -53,6 +53,36 @@
         await until(lambda: instance.usable_upstreams == 1, 0.5)
 
 
+async def test_a_large_fleet_reads_changes_within_the_bound() -> None:
+    """An upstream that leaves right after another change is left in time.
+
+    Instances of a large fleet paused for 1.2 s after a change, whatever the
+    operators promise about the next one.
+    """
+    async with deployment(change_s=0.9) as made:
+        await made.add_engine('plain-0', PLAIN)
+        await made.add_engine('plain-1', PLAIN)
+        await made.ready()
+        instance = made.instances[0]
+        for number in range(24):
+            fields = {
+                'instance': f'other-{number}',
+                'incarnation': str(number),
+                'front': '127.0.0.1:1',
+                'peer': '127.0.0.1:1',
+                'zone': 'a',
+                'region': 'r',
+            }
+            made.store.put(f'tallyhall/instances/{number}', fields)
+        await asyncio.sleep(3)
+        watches = made.store.watches
+        await until(lambda: made.store.watches > watches)
+        made.store.put('op/config', desired(2))
+        await until(lambda: instance.state_version == 2, 0.5)
+        made.store.remove('servers/plain-1')
+        await until(lambda: instance.usable_upstreams == 1, 0.9)
+
+
 async def test_keys_need_a_confirmed_state() -> None:
     async with deployment(revoke_s=2.5) as made:
         engine = await made.add_engine('plain-0', PLAIN)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -30,7 +30,7 @@
 limits: {memory-mb: 150, max-fds: 4100, cpu-share: 0.537, cores: 2}
 bounds:
   {revoke-ms: 5000, contact-ms: 2500, grace-s: 8, ttl_max_s: 5,
-  quota-window-s: 8}
+  quota-window-s: 8, drain-ms: 1500, config-apply-ms: 1700}
 platform: {address: "127.0.0.1:8225", ttl-min-ms: 1000}
 """
 
@@ -44,6 +44,7 @@
     assert (options.peer.port, options.metrics.port) == (7600, 7601)
     assert options.bounds.revoke_s == 5
     assert options.bounds.contact_s == 2.5
+    assert options.bounds.change_s == 1.5
     assert options.store.heartbeat_s == 0.9
     assert options.descriptors == 4100
     assert options.cores == pytest.approx(1.074)
