--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -149,6 +149,7 @@
             self.log.event,
             rng,
             self._absence,
+            options.bounds.change_s,
         )
         self._talk = Talk(
             self._gate,
@@ -227,6 +228,7 @@
         self._gate.freshness.bound_s = _freshness_s(options)
         self._absence.heartbeat_s = options.store.heartbeat_s
         self._absence.contact_s = options.bounds.contact_s
+        self._follower.change_s = options.bounds.change_s
         self.log.event(
             Event.settings_read,
             changed=changed,
--- a/packages/platform/src/tallyhall_platform/follow.py
+++ b/packages/platform/src/tallyhall_platform/follow.py
@@ -59,9 +59,11 @@
 # call: with 0.1 s, a rolling restart of 7 instances took 25 calls a second.
 _LEAST_GAP_S = 0.35
 # The same in a large fleet, where something changes all the time and each
-# change wakes all. What changes is known 1.2 s later at most; large fleets
-# have 3 s for it.
+# change wakes all. What changes is known 1.2 s later at most.
 _LONG_GAP_S = 1.2
+# Kept of the time that a change may take, beside the gap: the call that brings
+# it, or one that is lost and its repetition, and a connection to an upstream.
+_CHANGE_KEPT_S = 0.8
 # Pause after a failed call, in seconds, and how far it grows.
 _PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 0.8
@@ -120,8 +122,13 @@
         log: Log,
         rng: random.Random,
         absence: Absence,
+        change_s: float,
     ) -> None:
-        """Follow through a client that nothing else uses."""
+        """Follow through a client that nothing else uses.
+
+        change_s: how long a change may take to be in force.
+        """
+        self.change_s = change_s
         self._client = client
         self._listener = listener
         self._log = log
@@ -197,7 +204,10 @@
         return _LONG_WATCH_S if self._others_confirm() else _WATCH_S
 
     def _gap_s(self) -> float:
-        return _LONG_GAP_S if self._others_confirm() else _LEAST_GAP_S
+        if not self._others_confirm():
+            return _LEAST_GAP_S
+        longest_s = min(_LONG_GAP_S, self.change_s - _CHANGE_KEPT_S)
+        return max(_LEAST_GAP_S, longest_s)
 
     def _others_confirm(self) -> bool:
         """Return whether this is a large fleet with a fresh confirmation."""
