--- a/tests/platform/test_absence.py
+++ b/tests/platform/test_absence.py
@@ -105,6 +105,26 @@
         await until(lambda: instance.usable_upstreams == 1, 1.8)
 
 
+async def test_a_silent_watch_ends_within_the_bound() -> None:
+    """A removal is known in time where the only watch got lost silently.
+
+    A watch was given up after 1.5 s, 2.5 s in a large fleet, whatever the
+    operators promise about instances whose way is whole.
+    """
+    async with deployment(contact_s=1.3) as made:
+        await made.add_engine('plain-0', PLAIN)
+        await made.add_engine('plain-1', PLAIN)
+        await made.ready()
+        instance = made.instances[0]
+        await asyncio.sleep(1)
+        made.store.fault = StoreFault.silent
+        watches = made.store.watches
+        await until(lambda: made.store.watches > watches)
+        made.store.fault = StoreFault.none
+        made.store.remove(_GONE)
+        await until(lambda: instance.usable_upstreams == 1, 1.3)
+
+
 async def test_a_store_that_answers_others_holds_no_removal() -> None:
     # Others hear an instance only as long as its own entry lives.
     async with deployment(2, least_lease_s=20) as made:
