--- a/packages/bench/src/tallyhall_bench/fleet.py
+++ b/packages/bench/src/tallyhall_bench/fleet.py
@@ -23,8 +23,8 @@
 from tallyhall_standins.main import StandInSpec
 
 from . import tables
+from .ports import HOST, free_ports
 
-_HOST = '127.0.0.1'
 _START_S = 30.0
 _STOP_S = 20.0
 _POLL_S = 0.1
@@ -91,17 +91,6 @@
         return self.process.poll() is None
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports of the loopback address that nobody listens at."""
-    with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            sock = stack.enter_context(socket.socket())
-            sock.bind((_HOST, 0))
-            ports.append(int(sock.getsockname()[1]))
-        return ports
-
-
 class Fleet:
     """Instances and stand-ins; a context manager that ends them all."""
 
@@ -168,8 +157,8 @@
             policy=self.spec.policy,
             name=name,
             zone=zones[len(self.instances) % len(zones)],
-            http=f'{_HOST}:{http_port}',
-            rpc=f'{_HOST}:{rpc_port}',
+            http=f'{HOST}:{http_port}',
+            rpc=f'{HOST}:{rpc_port}',
             kv=self.platform['kv'].address,
             instances=self.platform['list'].address,
             extra=self.spec.settings,
@@ -191,9 +180,9 @@
         log.close()
         member = Member(
             name,
-            f'{_HOST}:{http_port}',
+            f'{HOST}:{http_port}',
             process,
-            rpc=f'{_HOST}:{rpc_port}',
+            rpc=f'{HOST}:{rpc_port}',
         )
         self.instances[name] = member
         if announce:
@@ -356,7 +345,7 @@
     process = subprocess.Popen(
         [sys.executable, '-m', 'tallyhall_standins.main', spec.to_json()],
     )
-    return Member(name, f'{_HOST}:{port}', process)
+    return Member(name, f'{HOST}:{port}', process)
 
 
 def _listens(address: str) -> bool:
--- a/packages/bench/src/tallyhall_bench/platform_fleet.py
+++ b/packages/bench/src/tallyhall_bench/platform_fleet.py
@@ -13,7 +13,6 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import tempfile
 from collections.abc import AsyncIterator, Mapping
@@ -24,9 +23,8 @@
 from tallyhall_standins.platform_store import StoreStandIn
 
 from .faulty_link import FaultyLink
-from .fleet import free_ports
+from .ports import HOST, free_ports
 
-HOST = '127.0.0.1'
 _ENTRY = pathlib.Path(__file__).resolve().parents[4] / 'deploy' / 'entry.py'
 _PORTS = 5
 _STARTING_S = 10
@@ -214,18 +212,5 @@
 def _free_places() -> tuple[Listening, ...]:
     while True:
         ports = free_ports(_PORTS)
-        peer = ports[3]
-        following = peer + 1
-        if following in ports or not _is_free(following):
-            continue
-        chosen = (*ports[:4], following)
-        return tuple(Listening(HOST, port) for port in chosen)
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind((HOST, port))
-        except OSError:
-            return False
-    return True
+        if ports[-1] == ports[-2] + 1:
+            return tuple(Listening(HOST, port) for port in ports)
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -13,7 +13,7 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
-from tallyhall_bench.fleet import free_ports
+from tallyhall_bench.ports import free_ports
 from tallyhall_dispatch.options import (
     Bounds,
     Listening,
--- a/tests/platform/test_edge_server.py
+++ b/tests/platform/test_edge_server.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from tallyhall_bench.fleet import free_ports
+from tallyhall_bench.ports import free_ports
 from tallyhall_edge.server import Exchange, HttpServer, ServerLimits
 
 from tests.platform.harness import HOST, until
--- a/tests/unit/gateway.py
+++ b/tests/unit/gateway.py
@@ -5,7 +5,7 @@
 
 from waitress.server import create_server
 from tallyhall_bench.checks import expected_answer
-from tallyhall_bench.fleet import free_ports
+from tallyhall_bench.ports import free_ports
 from tallyhall_gateway.calls import CallerHeaders, model_call
 from tallyhall_gateway.meter import StreamMeter
 from tallyhall_gateway.runner import Run
--- a/tests/unit/test_ports.py
+++ b/tests/unit/test_ports.py
@@ -8,15 +8,17 @@
 """
 
 import json
+import pathlib
 import subprocess
 import sys
 
-from tallyhall_bench.fleet import free_ports
+from tallyhall_bench.ports import free_ports
 
+_RANGE = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
 _DRAWN = 600
 _OTHER_RUN = f"""
 import json, sys
-from tallyhall_bench.fleet import free_ports
+from tallyhall_bench.ports import free_ports
 print(json.dumps(free_ports({_DRAWN})), flush=True)
 sys.stdin.read()
 """
@@ -35,3 +37,13 @@
         other.communicate(b'')
     assert len(set(ours)) == len(theirs) == _DRAWN
     assert not theirs & set(ours)
+
+
+def test_outgoing_connections_take_no_drawn_port() -> None:
+    first, last = map(int, _RANGE.read_text().split())
+    assert not set(range(first, last + 1)) & set(free_ports(_DRAWN))
+
+
+def test_a_port_is_drawn_once_in_a_process() -> None:
+    drawn = free_ports(_DRAWN) + free_ports(_DRAWN)
+    assert len(set(drawn)) == 2 * _DRAWN
