Who waits for a late owner asks the next one; alone each fills its part

Change: a request whose owner has not answered in 60 ms asks the next candidate and is decided alone only where none answers. An instance that decides alone beside living ones fills places / instances; a part of a place is a draw that holds for 0.5 s, with a chance of 0.25 at least. What is held is decided in any case 0.15 s before it is given up.

Ruled out: a place at least for each instance (18 at once for 4 places); a draw every 50 ms (11 at once: runs last longer than that).

Tests: the listed test measured the lateness of its own loop: 18 instances share it. Owners have 5 s there now and nothing is late, so all 18 requests must be served (12 before) and still 4 run at once; two tests show the owner that is lost and the owners that are late. Instances of a deployment draw by different seeds, as they do in use.

--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -128,6 +128,15 @@
         """Return how many jobs wait."""
         return len(self._waiting)
 
+    @property
+    def places(self) -> int:
+        """Return how many places the upstreams have that stay."""
+        return sum(
+            view.upstream.slots
+            for view in self._views.values()
+            if not view.upstream.leaving
+        )
+
     def set_upstreams(self, upstreams: Iterable[Upstream]) -> None:
         """Take the upstreams of this service as they stand now."""
         known = {upstream.incarnation: upstream for upstream in upstreams}
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -20,6 +20,11 @@
 # How often waiting jobs are looked at when nothing else happens, seconds: a
 # fifth of the shortest objective.
 _LOOK_S = 0.02
+# A draw for a place holds for this long, in seconds: a run takes 0.2 s in the
+# middle; drawn at every look, all would have a place within the same run.
+_TURN_S = 0.5
+# The least chance in a draw, so that one has a place within 2 s on the average.
+_LEAST_PART = 0.25
 
 
 class Scheduler(Protocol):
@@ -57,6 +62,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._upstreams: tuple[Upstream, ...] = ()
         self._by_id: dict[str, Upstream] = {}
+        # Until when a draw for a place of a service holds, and the draw.
+        self._draws: dict[str, tuple[float, float]] = {}
 
     @property
     def waiting(self) -> int:
@@ -158,6 +165,22 @@
             if pool.is_model:
                 pool.share = share
 
+    def may_fill(self, service: str, filled: int, instances: int) -> bool:
+        """Return whether one of so many instances may fill one place more.
+
+        Fewer places than instances go by chance, drawn anew from time to time,
+        so that no instance has none for long.
+        """
+        pool = self._pools.get(service)
+        if pool is None:
+            return True
+        now = self._loop.time()
+        until, drawn = self._draws.get(service, (0, 0))
+        if now >= until:
+            drawn = self._rng.random()
+            self._draws[service] = (now + _TURN_S, drawn)
+        return filled + drawn < max(_LEAST_PART, pool.places / instances)
+
     def drop_jobs(self, prefix: str) -> None:
         """Forget all jobs whose key has this prefix."""
         for key in tuple(self._origins):
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -1,11 +1,11 @@
 """One queue a service, at its owner, with a queue here as the way out.
 
 A request of a model service asks the service's owner for an upstream. If
-the owner does not answer at once, or is lost while the request waits, the
-pools of this instance decide alone, from what this instance runs; requests
-that still wait at the next look ask the candidate after it. Either way the
-request is sent from here and nowhere else, so an owner that is wrong, late or
-doubled costs order in the queue and nothing more.
+the owner does not answer at once, or is lost while the request waits, it asks
+the candidate after it. If none of them answers, the pools of this instance
+decide alone, from what this instance runs, and fill its part of the places.
+Either way the request is sent from here and nowhere else, so an owner that is
+wrong, late or doubled costs order in the queue and nothing more.
 
 Whoever granted a job or was told of it hears of its end, so that places of
 upstreams are free again wherever they are counted.
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 from collections.abc import Callable
 
@@ -40,6 +41,9 @@
 _ANSWER_S = 0.06
 # A silent owner is not asked again for this long.
 _SUSPECT_S = 0.3
+# A request that is held must be decided this long before it is given up; a
+# tick, at which held ones are looked at, takes 50 ms.
+_HELD_MARGIN_S = 0.15
 _MILLI = 1000
 
 
@@ -53,6 +57,8 @@
     timer: asyncio.TimerHandle | None = None
     upstream: Upstream | None = None
     begun: bool = False
+    # Decided nowhere until this instance's part of the places allows it.
+    held: bool = False
     told: set[str] = dataclasses.field(default_factory=set)
 
 
@@ -99,6 +105,8 @@
         self._suspects: dict[str, float] = {}
         self._origins: dict[str, _PeerOrigin] = {}
         self._dropped: set[str] = set()
+        # Jobs that wait or run by a decision made alone, by service.
+        self._alone: dict[str, set[str]] = collections.defaultdict(set)
         self._neighbours = Neighbours(name, links)
         self.ownership.take_live(frozenset((name,)))
 
@@ -133,6 +141,7 @@
     def finish(self, job: Job, upstream: Upstream, report: RunReport) -> None:
         """Take that a send has ended."""
         ticket = self._tickets.pop(job.key, None)
+        self._alone[job.service].discard(job.key)
         incarnation = upstream.incarnation
         self._dispatcher.finish(job.key, job.service, incarnation, report)
         if ticket is None or not ticket.told:
@@ -267,14 +276,20 @@
         self._tell_done(peer, encode_done(key, service, incarnation, report))
 
     def _ask(self, ticket: _Ticket) -> None:
-        owner = self._usable_owner(ticket.job.service)
+        service = ticket.job.service
+        self._alone[service].discard(ticket.job.key)
+        owner = self._usable_owner(service)
         if owner is None:
+            if self._is_alone(service):
+                self._decide_alone(ticket)
+                return
             self._decide_here(ticket)
             return
         batch = self._links.outgoing(owner, urgent=True)
         if batch is None:
             self._decide_here(ticket)
             return
+        ticket.held = False
         ticket.owner = owner
         batch.asks.append(encode_job(ticket.job, self._loop.time()))
         ticket.timer = self._loop.call_later(
@@ -294,8 +309,36 @@
                 return owner
         return None
 
+    def _is_alone(self, service: str) -> bool:
+        """Return whether others own a service and none of them answers."""
+        if not self._dispatcher.is_model(service):
+            return False
+        owners = self.ownership.owners(service)
+        return bool(owners) and self._name not in owners
+
+    def _decide_alone(self, ticket: _Ticket) -> None:
+        """Decide beside instances that do the same: fill a part only.
+
+        Otherwise as many requests reach an upstream as instances have one,
+        and it rejects what is above its places. What is held is looked at
+        at every tick, so that fewer places than instances serve all in turn.
+        """
+        job = ticket.job
+        alone = self._alone[job.service]
+        ticket.owner = None
+        ticket.held = not self._dispatcher.may_fill(
+            job.service,
+            len(alone),
+            self._links.instances,
+        )
+        late = self._loop.time() >= job.give_up_at - _HELD_MARGIN_S
+        if late or not ticket.held:
+            alone.add(job.key)
+            self._decide_here(ticket)
+
     def _decide_here(self, ticket: _Ticket) -> None:
         _stop_timer(ticket)
+        ticket.held = False
         ticket.owner = None
         self._dispatcher.ask(ticket.job, self)
 
@@ -306,7 +349,8 @@
         self._suspects[owner] = self._loop.time() + _SUSPECT_S
         self._log(Event.peer_down, peer=owner, cause='asks unanswered')
         self._tell_withdrawn(ticket)
-        self._decide_here(ticket)
+        # The next one counts for all who ask it; alone each counts its own.
+        self._ask(ticket)
 
     def _withdraw(self, ticket: _Ticket) -> None:
         _stop_timer(ticket)
@@ -315,6 +359,7 @@
             self.finish(ticket.job, ticket.upstream, report)
             return
         self._tickets.pop(ticket.job.key, None)
+        self._alone[ticket.job.service].discard(ticket.job.key)
         self._dispatcher.withdraw(ticket.job.key)
         self._tell_withdrawn(ticket)
 
@@ -324,7 +369,9 @@
             if owner is not None and owner not in ticket.told:
                 self._tell_running(owner, ticket)
             return
-        if ticket.fut.done() or ticket.owner == owner:
+        if ticket.fut.done():
+            return
+        if ticket.owner == owner and not ticket.held:
             return
         if ticket.owner is None:
             self._dispatcher.withdraw(ticket.job.key)
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -106,6 +106,14 @@
     return fields | changes
 
 
+def patient(version: int) -> dict[str, Any]:
+    """Return a desired state in which nothing is late within a test."""
+    state = desired(version)
+    for entry in state['routes']:
+        entry['slo-ms'] = 5000
+    return state
+
+
 @dataclasses.dataclass(slots=True)
 class Answer:
     """An answer as a caller sees it."""
@@ -248,7 +256,8 @@
     async def add_instance(self, **bounds: float) -> Instance:
         """Start an entry instance."""
         options = self._options(bounds)
-        instance = Instance(options, self._stream, random.Random(1))
+        rng = random.Random(1 + len(self.options))
+        instance = Instance(options, self._stream, rng)
         await instance.start()
         self.instances.append(instance)
         self.options.append(options)
--- a/tests/platform/test_shared.py
+++ b/tests/platform/test_shared.py
@@ -12,7 +12,7 @@
 from tallyhall_entry import shared
 from tallyhall_platform.decode import decode_state
 
-from tests.platform.harness import MODEL, deployment, desired, until
+from tests.platform.harness import MODEL, deployment, desired, patient, until
 
 _TOKENS: dict[str, Any] = {'X_Tallyhall_Token_Counts': '100,30'}
 
@@ -65,8 +65,11 @@
     # Asking the next one takes 3 ms; a busy machine must not decide here.
     monkeypatch.setattr(shared, '_ANSWER_S', 0.25)
     async with deployment(6) as made:
+        made.store.put('op/config', patient(2))
         engine = await made.add_engine('model-0', event_s=0.02)
         await made.ready()
+        for instance in made.instances:
+            await until(lambda: instance.state_version == 2)
         names = [options.instance for options in made.options]
         owner = names.index(made.instances[0].owner(MODEL) or '')
         others = [number for number in range(6) if number != owner]
@@ -80,8 +83,7 @@
             for number in range(18)
         ]
         answers = await asyncio.gather(*asks)
-        assert {answer.status for answer in answers} <= {200, 503}
-        assert sum(answer.status == 200 for answer in answers) >= 4
+        assert {answer.status for answer in answers} == {200}
         assert engine.most_running <= 4
 
 
--- a/tests/platform/test_topology.py
+++ b/tests/platform/test_topology.py
@@ -11,7 +11,7 @@
 from tallyhall_dispatch.topology import Topology
 from tallyhall_entry import shared
 
-from tests.platform.harness import MODEL, deployment
+from tests.platform.harness import MODEL, deployment, patient, until
 from tests.platform.windows import most_in_window
 
 _NOBODY: frozenset[str] = frozenset()
@@ -109,10 +109,17 @@
     assert most_in_window(taken, _WINDOW_S) <= _LIMIT * 1.1 + 100
 
 
-async def test_a_fleet_with_hubs_serves_and_knows_the_use_of_all() -> None:
+async def test_a_fleet_with_hubs_serves_and_knows_the_use_of_all(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # All 18 share one loop, whose lateness must not count as their owner's.
+    monkeypatch.setattr(shared, '_ANSWER_S', 5)
     async with deployment(18) as made:
+        made.store.put('op/config', patient(2))
         engine = await made.add_engine('model-0', event_s=0.01)
         await made.ready()
+        for instance in made.instances:
+            await until(lambda: instance.state_version == 2)
         first = made.instances[0]
         assert len(first.live_instances) == 4
         assert {one.owner(MODEL) for one in made.instances} == {
@@ -123,8 +130,7 @@
             for number in range(18)
         ]
         answers = await asyncio.gather(*asks)
-        served = [one for one in answers if one.status == 200]
-        assert len(served) >= 12
+        assert {one.status for one in answers} == {200}
         assert engine.most_running <= 4
 
 
@@ -141,13 +147,16 @@
     """
     monkeypatch.setattr(shared, '_ANSWER_S', 0)
     async with deployment(18) as made:
+        made.store.put('op/config', patient(2))
         engine = await made.add_engine('model-0', event_s=0.01)
         await made.ready()
+        for instance in made.instances:
+            await until(lambda: instance.state_version == 2)
         asks = [
             made.caller(number).ask('/stream/x', f'r{number}', **_TOKENS)
             for number in range(18)
         ]
         answers = await asyncio.gather(*asks)
-        assert sum(one.status == 200 for one in answers) >= 12
-        # Each draws its part by chance: 4 at a time on the average.
+        assert {one.status for one in answers} == {200}
+        # The three candidates own the service each, others draw for 4 places.
         assert engine.most_running <= 9
