--- a/tests/platform/test_absence.py
+++ b/tests/platform/test_absence.py
@@ -25,7 +25,7 @@
 from typing import Any
 
 import pytest
-from tallyhall_bench.fleet import free_ports
+from tallyhall_bench.ports import free_ports
 from tallyhall_dispatch.options import Listening
 from tallyhall_edge.client import ClientConnection
 from tallyhall_standins.platform_store import StoreFault
