--- a/packages/core/src/tallyhall_core/events.py
+++ b/packages/core/src/tallyhall_core/events.py
@@ -26,6 +26,8 @@
     upstreams_changed = 213
     instances_changed = 214
     budget_binds = 219
+    fleet_counted = 220
+    use_adopted = 221
     peer_down = 308
     fenced = 303
     owner_started = 304
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -152,6 +152,7 @@
         )
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._stopping = False
+        self._counted: dict[str, int] = {}
 
     # -- life
 
@@ -332,6 +333,20 @@
             instances = max(self._gate.instances, heard)
             self._gate.quotas.take_fleet(Fleet(instances, heard / instances))
             self._dispatcher.take_share(heard / instances)
+            self._log_count()
+
+    def _log_count(self) -> None:
+        links = self._links
+        peers = links.peers.values()
+        counted = {
+            'registered': links.instances,
+            'leaving': sum(peer.leaving for peer in peers),
+            'vanished': len(links.peers.keys() - links.registered),
+            'heard': links.hears,
+        }
+        if counted != self._counted:
+            self._counted = counted
+            self.log.event(Event.fleet_counted, **counted)
 
     async def _chores(self) -> None:
         while True:
--- a/packages/entry/src/tallyhall_entry/talk.py
+++ b/packages/entry/src/tallyhall_entry/talk.py
@@ -145,6 +145,12 @@
         if not batch.knows_use or quotas.knows_past(now):
             return
         self._adopted = _Adoption(batch.sender, now)
+        self._log.event(
+            Event.use_adopted,
+            peer=batch.sender,
+            hears=batch.hears,
+            of=self._links.instances,
+        )
         # What the sender itself admitted is taken from its own report.
         quotas.adopt(
             {
