--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -251,6 +251,11 @@
         """Return how many instances' use is known here, with its own."""
         return self._links.hears
 
+    @property
+    def counts(self) -> int:
+        """Return of how many instances' use it reckons, with its own."""
+        return max(self._gate.instances, self._links.hears)
+
     @property
     def state_version(self) -> int:
         """Return the version in force, -1 before the first."""
--- /dev/null
+++ b/tests/platform/test_fleet.py
@@ -0,0 +1,134 @@
+"""What instances that stop at the same time may admit together.
+
+Users stopped and restarted their seven instances in turn while a workspace
+asked for many times its quota, and engines ran more than the quota allows.
+The order of events: an instance that is told to stop ended its lease, so all
+others forgot it, streams and reports included; it went on admitting what came
+on open connections for up to the grace time, and as it heard nobody that was
+registered, it took itself for the whole fleet, with the whole quota, all
+places and the whole retry allowance. Seven did so at once.
+
+Evidence: the logs of the play. From 12.5 s on each stopping instance logged
+instances_changed with hears 1, and from 14.4 s on known 0, while it logged
+admitted for up to 6 s more.
+
+Cause: the list by which callers find instances was also the count by which
+quotas are divided. Who is not offered any more may still admit.
+"""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+from tallyhall_entry.instance import Instance
+from tallyhall_standins.platform_engine import EngineFault, EngineStandIn
+
+from tests.platform.harness import (
+    PLAIN,
+    Answer,
+    Caller,
+    Deployment,
+    deployment,
+    desired,
+    until,
+)
+
+_FLEET = 4
+_RATE = 100
+_BURST = 50
+_LIMIT = _RATE * 8 + _BURST
+_TOKENS = 10
+_ALLOWANCE = 50
+# A lost peer is noticed after 0.5 s.
+_UNHEARD_S = 1.0
+# Stopping instances take all requests for 2.9 s after the signal.
+_ASKS_S = 1.5
+
+
+def _limited() -> dict[str, Any]:
+    state = desired(2)
+    state['tenants'][0] |= {'rate-per-s': _RATE, 'burst': _BURST}
+    return state
+
+
+async def _engines(made: Deployment) -> list[EngineStandIn]:
+    engines = [
+        await made.add_engine(f'plain-{number}', PLAIN) for number in range(2)
+    ]
+    await made.ready()
+    return engines
+
+
+@contextlib.asynccontextmanager
+async def _stopping(stopped: list[Instance]) -> AsyncIterator[None]:
+    """Let these stop, a moment apart, until all have forgotten the others."""
+    stops = []
+    for instance in stopped:
+        stops.append(asyncio.create_task(instance.stop()))
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(_UNHEARD_S)
+    yield
+    await asyncio.gather(*stops)
+
+
+async def _ask_often(caller: Caller, name: str) -> list[Answer]:
+    ends_at = asyncio.get_running_loop().time() + _ASKS_S
+    answers: list[Answer] = []
+    while asyncio.get_running_loop().time() < ends_at:
+        request_id = f'{name}-{len(answers)}'
+        answers.append(await caller.ask('/safe/x', request_id))
+    return answers
+
+
+async def _ask_all(made: Deployment) -> list[Answer]:
+    """Ask each instance again and again, on two connections."""
+    asked = await asyncio.gather(
+        *(
+            _ask_often(made.caller(place), f'{place}-{number}')
+            for place in range(len(made.instances))
+            for number in range(2)
+        ),
+    )
+    return list(itertools.chain(*asked))
+
+
+def _served(answers: list[Answer]) -> int:
+    return sum(answer.status == 200 for answer in answers)
+
+
+async def test_instances_that_stop_together_hear_and_count_each_other() -> None:
+    async with deployment(_FLEET) as made:
+        await made.ready()
+        async with _stopping(made.instances):
+            assert [one.hears for one in made.instances] == [_FLEET] * _FLEET
+            assert [one.counts for one in made.instances] == [_FLEET] * _FLEET
+
+
+async def test_a_stop_of_all_stays_within_the_quota() -> None:
+    async with deployment(_FLEET) as made:
+        await _engines(made)
+        made.store.put('op/config', _limited())
+        await until(_all_have(made, 2))
+        async with _stopping(made.instances):
+            answers = await _ask_all(made)
+        # All of it within less than one window.
+        assert _served(answers) * _TOKENS <= _LIMIT * 1.1 + 100
+        assert {answer.status for answer in answers} == {200, 429}
+
+
+async def test_a_stop_of_all_stays_within_the_retry_budget() -> None:
+    bounds = {'retry_ratio': 0, 'retry_allowance': _ALLOWANCE}
+    async with deployment(_FLEET, **bounds) as made:
+        engines = await _engines(made)
+        for engine in engines:
+            engine.faults.extend([EngineFault.rejects] * 10_000)
+        async with _stopping(made.instances):
+            await _ask_all(made)
+        sent = [seen.request_id for one in engines for seen in one.seen]
+        assert len(sent) - len(set(sent)) <= _ALLOWANCE
+
+
+def _all_have(made: Deployment, version: int) -> Callable[[], bool]:
+    return lambda: all(one.state_version == version for one in made.instances)
--- a/tests/platform/test_talk.py
+++ b/tests/platform/test_talk.py
@@ -1,4 +1,20 @@
-"""What a restarted instance makes of the first reports it hears."""
+"""What a restarted instance makes of the first reports it hears.
+
+Users stopped all instances in turn while a workspace asked for many times its
+quota, and what ran afterwards was above it. A restarted instance takes the
+use of all from another one that did not restart. It took it from the first
+that answered; that was an instance that was about to stop and heard nobody,
+so it told its own use only. With that the restarted one dropped what the store
+had told it, and passed over the first reports of the others, as if the sum it
+had taken held them.
+
+Evidence: in the logs of the play restarted instances hear 1 to 3 of seven from
+18.9 s on, and two of them admit 0.38 million tokens within a second while
+stopping ones still admit. That one adopted a partial sum no log line told
+then; the two tests below show that it would.
+
+Cause: a partial sum was taken for the complete one.
+"""
 
 import asyncio
 import dataclasses
@@ -12,11 +28,12 @@
 from tallyhall_entry.logs import EventLog
 from tallyhall_entry.talk import Talk
 from tallyhall_transport.generated import peers_pb2
-from tallyhall_transport.peers import Peer, PeerLinks
+from tallyhall_transport.peers import Peer, PeerLinks, PeerPlace
 
 from tests.platform.harness import log_stream
 
 _LIMIT = 850
+_NAMES = ('a', 'b', 'c')
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,7 +45,11 @@
 
     def tell(self, other: '_Node') -> None:
         """Report to another instance."""
-        batch = peers_pb2.Batch(sender=self.name, incarnation=self.name)
+        batch = peers_pb2.Batch(
+            sender=self.name,
+            incarnation=self.name,
+            hears=self.links.hears,
+        )
         self.talk.fill(Peer(other.name), batch)
         other.talk.take(Peer(self.name), batch)
 
@@ -44,6 +65,9 @@
     workspace = Workspace('w', None, 100, 50, True, 1)
     gate.quotas.configure({'w': workspace})
     links = PeerLinks(name, name, _ignore, _ignore, _ignore, _ignore)
+    links.take_peers(
+        {other: PeerPlace('', 1) for other in _NAMES if other != name},
+    )
     talk = Talk(gate, links, lambda raw: None, EventLog(log_stream()))
     return _Node(name, gate, talk, links)
 
@@ -57,6 +81,7 @@
     now = asyncio.get_running_loop().time()
     old = [_node('a', now - 100), _node('b', now - 100)]
     for node in old:
+        node.links.hears = len(_NAMES)
         assert not node.gate.quotas.take('w', 200, now)
     for sender in old:
         for other in old:
@@ -67,3 +92,35 @@
         sender.tell(young)
     assert not young.gate.quotas.take('w', _LIMIT - 401, now + 0.1)
     assert young.gate.quotas.take('w', 10, now + 0.1) > 0
+
+
+async def test_use_is_adopted_only_from_one_that_hears_all() -> None:
+    """The first that answers knows of 100, the second of all 500."""
+    now = asyncio.get_running_loop().time()
+    lone, sound = _node('a', now - 100), _node('b', now - 100)
+    assert not lone.gate.quotas.take('w', 100, now)
+    assert not sound.gate.quotas.take('w', 400, now)
+    lone.tell(sound)
+    sound.links.hears = len(_NAMES)
+    young = _node('c', now)
+    young.gate.quotas.recall({'w': ((0, 800),)}, now)
+    lone.tell(young)
+    # What was recalled holds until somebody knows better.
+    assert young.gate.quotas.take('w', 60, now + 0.1) > 0
+    sound.tell(young)
+    assert not young.gate.quotas.take('w', _LIMIT - 501, now + 0.2)
+    assert young.gate.quotas.take('w', 10, now + 0.2) > 0
+
+
+async def test_what_an_instance_admits_after_an_adoption_counts() -> None:
+    """It was heard before, so its first report holds nothing known."""
+    now = asyncio.get_running_loop().time()
+    old = [_node('a', now - 100), _node('b', now - 100)]
+    young = _node('c', now)
+    for node in old:
+        node.links.hears = len(_NAMES)
+    old[0].tell(young)
+    old[1].tell(young)
+    assert not old[1].gate.quotas.take('w', 300, now)
+    old[1].tell(young)
+    assert young.gate.quotas.take('w', _LIMIT - 299, now + 0.1) > 0
