Who stops or lost its entry still counts, and is heard

Cause: the entries by which callers find instances were the count by which quotas, places and the retry allowance are divided, and the list of whom instances talk to. One that stopped ended its entry at the signal and went on admitting for up to the grace time, heard by nobody and hearing nobody, as the whole fleet. Ruled out: that a stopping instance ends its streams (they are kept to its end; the others dropped it when its entry went).

Change: a stopping instance marks its entry, under one lease for the rest of its life, and removes it last. The mark, or its own word over the stream, takes it out of the directory; it owns nothing, stays a peer and counts. An entry that vanishes without a mark counts until the instance cannot admit any more: the freshness bound after it was last heard or registered. Without such a bound, one quota window: for ever would keep the part of each dead instance. One pure module has the count (dispatch/fleet.py) and everything is divided by it. Hears are those who answer, leaving or not; hubs tell on only whom they hear themselves, and in a mesh only those count. A restarted instance adopts the use of all from one that hears all it knows of, and passes over first reports only of those that had not reported before. Calls on a stop: three instead of one.

--- a/packages/dispatch/src/tallyhall_dispatch/topology.py
+++ b/packages/dispatch/src/tallyhall_dispatch/topology.py
@@ -6,8 +6,10 @@
 and received, measured over loopback). Then a few of them are hubs: the first
 that answer, largest machines first and then in rendezvous order. Everyone
 keeps a stream to each hub and each hub one back, and the hubs own the
-services. Nothing is agreed on: two instances that hold different hubs for a
-while cost some order in the queue and nothing else.
+services. Instances that stop are hubs only where too few others are left:
+they still tell and hear what is admitted, and own nothing. Nothing is agreed
+on: two instances that hold different hubs for a while cost some order in the
+queue and nothing else.
 """
 
 from __future__ import annotations
@@ -24,13 +26,19 @@
 # with model engines have an owner each.
 _HUBS = 4
 _KEY = 'hub'
+_NOBODY: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Chosen:
-    """hubs: instances that may own services. linked: those to talk to."""
+    """Whom an instance deals with.
+
+    hubs: instances that hear all. owners: of them, those that may own
+    services. linked: those to talk to.
+    """
 
     hubs: frozenset[str]
+    owners: frozenset[str]
     linked: frozenset[str]
 
 
@@ -45,7 +53,7 @@
     def __init__(self, name: str) -> None:
         """Start alone."""
         self._name = name
-        self._registered: frozenset[str] = frozenset()
+        self._sorted = (_NOBODY, _NOBODY)
         self._order: list[str] = []
 
     def choose(
@@ -54,22 +62,23 @@
         silent: frozenset[str],
         heard: frozenset[str],
         cores: Callable[[str], float],
+        retiring: frozenset[str] = _NOBODY,
     ) -> Chosen:
         """Choose among the registered instances.
 
-        silent: those that do not answer or are leaving. heard: those that
-        sent something lately; they need answers. cores: what processor time
-        an instance has.
+        silent: those that do not answer. heard: those that sent something
+        lately; they need answers. cores: what processor time an instance
+        has. retiring: those that are not offered to callers any more.
         """
         others = registered - {self._name}
         if is_mesh(len(registered)):
-            return Chosen(registered - silent, others)
-        if registered != self._registered:
-            self._registered = registered
+            answering = registered - silent
+            return Chosen(answering, answering - retiring, others)
+        if self._sorted != (registered, retiring):
+            self._sorted = (registered, retiring)
             self._order = sorted(
                 rank(_KEY, registered),
-                key=cores,
-                reverse=True,
+                key=lambda name: (name in retiring, -cores(name)),
             )
         linked = set(heard & others)
         hubs: set[str] = set()
@@ -80,4 +89,8 @@
             hubs.add(name)
             if len(hubs) == _HUBS:
                 break
-        return Chosen(frozenset(hubs), frozenset(linked - {self._name}))
+        return Chosen(
+            frozenset(hubs),
+            frozenset(hubs - retiring),
+            frozenset(linked - {self._name}),
+        )
--- a/packages/entry/src/tallyhall_entry/answers.py
+++ b/packages/entry/src/tallyhall_entry/answers.py
@@ -47,7 +47,7 @@
     async def locate(self, exchange: Exchange) -> None:
         """Tell where to connect."""
         addresses = front_addresses(
-            self._beliefs.entries,
+            self._beliefs.offered,
             self._own,
             self._rng,
             leaving=self.leaving,
--- a/packages/entry/src/tallyhall_entry/beliefs.py
+++ b/packages/entry/src/tallyhall_entry/beliefs.py
@@ -6,6 +6,7 @@
 
 from tallyhall_core.events import Event
 from tallyhall_dispatch.desired import DesiredState, Upstream
+from tallyhall_dispatch.fleet import FleetCount, Membership
 from tallyhall_dispatch.gate import Gate
 from tallyhall_dispatch.quota import Written
 from tallyhall_edge.connections import ConnectionPool
@@ -23,7 +24,7 @@
 
     def __init__(
         self,
-        instance: str,
+        membership: Membership,
         gate: Gate,
         dispatcher: Dispatcher,
         conns: ConnectionPool,
@@ -34,8 +35,10 @@
     ) -> None:
         """Feed these parts."""
         self.entries: tuple[InstanceEntry, ...] = ()
+        self.count = FleetCount()
         self.upstreams: frozenset[Upstream] = frozenset()
-        self._instance = instance
+        self._membership = membership
+        self._known: dict[str, InstanceEntry] = {}
         self._gate = gate
         self._dispatcher = dispatcher
         self._conns = conns
@@ -82,16 +85,31 @@
     def on_instances(self, entries: tuple[InstanceEntry, ...]) -> None:
         """Take all registered instances."""
         self.entries = entries
-        self._gate.instances = max(1, len(entries))
-        self._links.take_peers(
-            {
-                entry.instance: PeerPlace(entry.peer, entry.cores)
-                for entry in entries
-                if entry.instance != self._instance
-            },
+        self._known |= {entry.instance: entry for entry in entries}
+        self._membership.take_entries(
+            {entry.instance: entry.leaving for entry in entries},
+            self._loop.time(),
         )
+        self.count = self._counted()
+        self._take_peers()
         self._log.event(Event.instances_changed, known=len(entries))
 
+    @property
+    def offered(self) -> tuple[InstanceEntry, ...]:
+        """Return the entries of the instances that callers are sent to."""
+        return tuple(
+            entry
+            for entry in self.entries
+            if not entry.leaving and not self._says_leaving(entry)
+        )
+
+    def look(self) -> None:
+        """Count the fleet anew; who is heard changes with time."""
+        counted = self._counted()
+        if counted != self.count:
+            self.count = counted
+            self._take_peers()
+
     def on_use(self, use: Written) -> None:
         """Take what was written of the use of all before this run."""
         self._gate.quotas.recall(use, self._loop.time())
@@ -110,6 +128,37 @@
         event = Event.kv_up if reachable else Event.kv_down
         self._log.event(event, age=self._gate.freshness.age(self._loop.time()))
 
+    def _counted(self) -> FleetCount:
+        heard = {
+            peer.name: peer.heard_at for peer in self._links.peers.values()
+        }
+        return self._membership.count(heard, self._loop.time())
+
+    def _take_peers(self) -> None:
+        """Keep streams to all that count, also to those not registered."""
+        members = self.count.members
+        self._gate.instances = len(members)
+        for gone in self._known.keys() - members:
+            self._known.pop(gone)
+        self._links.take_peers(
+            {
+                name: PeerPlace(
+                    entry.peer,
+                    entry.cores,
+                    name in self.count.registered,
+                )
+                for name, entry in self._known.items()
+                if name != self._membership.name
+            },
+        )
+
+    def _says_leaving(self, entry: InstanceEntry) -> bool:
+        # Its own word comes sooner than the store's.
+        peer = self._links.peers.get(entry.instance)
+        if peer is None or peer.incarnation != entry.incarnation:
+            return False
+        return peer.leaving
+
     def _log_changes(self, upstreams: frozenset[Upstream]) -> None:
         came = upstreams - self.upstreams
         went = {upstream.incarnation for upstream in self.upstreams}
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from tallyhall_core.events import Event
+from tallyhall_dispatch.fleet import Membership
 from tallyhall_dispatch.freshness import Freshness
 from tallyhall_dispatch.gate import Gate
 from tallyhall_dispatch.options import Options
@@ -54,6 +55,8 @@
 _STOP_LOOK_S = 0.05
 # What is kept of the time between signal and end by force.
 _STOP_MARGIN_S = 0.4
+# Of that, for the call that removes the entry; the lease does it else.
+_END_LEASE_S = 0.2
 # Random bits that tell two runs of an instance apart.
 _ID_BITS = 64
 # Part of all descriptors that callers may take; a request in hand needs one
@@ -105,8 +108,9 @@
             ServerLimits(),
             int(options.descriptors * _CALLERS_PART),
         )
+        self._membership = Membership(options.instance, _admits_s(options))
         self._beliefs = Beliefs(
-            options.instance,
+            self._membership,
             self._gate,
             self._dispatcher,
             self._conns,
@@ -192,8 +196,9 @@
             return
         began_at = self._loop.time()
         self._leave()
-        leaving = asyncio.create_task(self._registration.leave())
-        ends_at = began_at + self.options.bounds.grace_s - _STOP_MARGIN_S
+        grace_s = self.options.bounds.grace_s
+        leaving = asyncio.create_task(self._registration.leave(grace_s))
+        ends_at = began_at + grace_s - _STOP_MARGIN_S
         left_at = began_at + _KEEPS * LOCATE_KEEP_S
         self._runner.stop = Stop(left_at - _WAY_S, ends_at)
         while self._loop.time() < ends_at:
@@ -204,6 +209,8 @@
         self._front.close()
         self._front.close_idle()
         await self._links.close()
+        # Last, so that nobody counts this one without hearing it.
+        await self._registration.end(_END_LEASE_S)
         self.log.event(Event.stopped, unfinished=self._front.busy)
 
     def reload(self, options: Options) -> None:
@@ -220,6 +227,7 @@
         self._store_follows.move(options.store.address)
         self._store_registers.move(options.store.address)
         self._gate.freshness.bound_s = _freshness_s(options)
+        self._membership.admits_s = _admits_s(options)
         self.log.event(
             Event.settings_read,
             changed=changed,
@@ -254,7 +262,7 @@
     @property
     def counts(self) -> int:
         """Return of how many instances' use it reckons, with its own."""
-        return max(self._gate.instances, self._links.hears)
+        return self._gate.instances
 
     @property
     def state_version(self) -> int:
@@ -333,21 +341,21 @@
         while True:
             await asyncio.sleep(_TICK_S)
             self._scheduler.tick()
-            # A leaving instance does not count as live, but still admits.
+            self._beliefs.look()
             heard = self._links.hears
-            instances = max(self._gate.instances, heard)
+            instances = max(len(self._beliefs.count.members), heard)
+            self._gate.instances = instances
             self._gate.quotas.take_fleet(Fleet(instances, heard / instances))
             self._dispatcher.take_share(heard / instances)
             self._log_count()
 
     def _log_count(self) -> None:
-        links = self._links
-        peers = links.peers.values()
+        count = self._beliefs.count
         counted = {
-            'registered': links.instances,
-            'leaving': sum(peer.leaving for peer in peers),
-            'vanished': len(links.peers.keys() - links.registered),
-            'heard': links.hears,
+            'registered': len(count.registered),
+            'leaving': len(count.leaving),
+            'vanished': len(count.vanished),
+            'heard': self._links.hears,
         }
         if counted != self._counted:
             self._counted = counted
@@ -382,6 +390,13 @@
     return max(0, options.bounds.revoke_s - _REVOKE_MARGIN_S)
 
 
+def _admits_s(options: Options) -> float:
+    # Without a bound on revoked keys an instance that is cut off admits for
+    # ever, and one that is dead would hold its part for ever. One window is
+    # what a quota is measured over.
+    return _freshness_s(options) or options.bounds.quota_window_s
+
+
 def _gate(options: Options, rng: random.Random, now: float) -> Gate:
     bounds = options.bounds
     return Gate(
--- a/packages/entry/src/tallyhall_entry/neighbours.py
+++ b/packages/entry/src/tallyhall_entry/neighbours.py
@@ -15,12 +15,14 @@
 class Seen:
     """What is known of the fleet at a moment.
 
-    hubs: instances that may own services. hears: instances whose use of
-    quotas is known here, with this one.
+    owners: instances that may own services. hears: instances whose use of
+    quotas is known here, with this one. hears_directly: of them, those that
+    this one hears itself.
     """
 
-    hubs: frozenset[str]
+    owners: frozenset[str]
     hears: int
+    hears_directly: int
 
 
 class Neighbours:
@@ -36,34 +38,49 @@
         """Return what is known now, and open or end streams."""
         links = self._links
         registered = links.registered
-        live: set[str] = set()
+        # Those that stop are heard and hear like all others: they still
+        # admit. Only services move away from them.
+        answering = {self._name}
         silent: set[str] = set()
         heard: set[str] = set()
         for peer in links.peers.values():
             if now - peer.heard_at < _ANSWERED_LOSSES * links.lost_s:
                 heard.add(peer.name)
-            if self._is_live(peer, now):
-                live.add(peer.name)
-            elif peer.leaving or self._had_time(peer, now):
+            if self._answers(peer, now):
+                answering.add(peer.name)
+            elif self._had_time(peer, now):
                 silent.add(peer.name)
-        if leaving:
-            silent.add(self._name)
-        else:
-            live.add(self._name)
         if is_mesh(links.instances):
-            silent |= registered - live
+            silent |= registered - answering
         chosen = self._topology.choose(
             registered,
             frozenset(silent),
             frozenset(heard),
             links.cores,
+            self._retiring(leaving=leaving),
         )
         links.link(chosen.linked)
-        return Seen(chosen.hubs, self._hears(chosen.hubs, live))
+        return Seen(
+            chosen.owners,
+            self._hears(chosen.hubs, answering),
+            len(answering),
+        )
+
+    def _retiring(self, *, leaving: bool) -> frozenset[str]:
+        """Return who is not offered to callers any more."""
+        links = self._links
+        retiring = {
+            peer.name
+            for peer in links.peers.values()
+            if peer.leaving or not links.serves(peer.name)
+        }
+        if leaving:
+            retiring.add(self._name)
+        return frozenset(retiring)
 
-    def _is_live(self, peer: Peer, now: float) -> bool:
+    def _answers(self, peer: Peer, now: float) -> bool:
         lost_s = self._links.lost_s
-        if peer.leaving or now - peer.heard_at >= lost_s:
+        if now - peer.heard_at >= lost_s:
             return False
         return now - peer.answered_at < 2 * lost_s
 
@@ -72,8 +89,11 @@
             return False
         return now - peer.linked_at > self._links.silent_s
 
-    def _hears(self, hubs: frozenset[str], live: set[str]) -> int:
+    def _hears(self, hubs: frozenset[str], answering: set[str]) -> int:
         """Return how many are heard, directly or through a hub."""
+        if is_mesh(self._links.instances):
+            # Nobody passes on what others admitted.
+            return len(answering)
         peers = self._links.peers
-        through = [peers[hub].hears for hub in hubs & live if hub in peers]
-        return max(1, len(live), *through)
+        through = [peers[hub].hears for hub in hubs & answering if hub in peers]
+        return max(len(answering), *through, 1)
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -213,10 +213,11 @@
                 self._dispatcher.drop_jobs(f'{peer.name}/')
         seen = self._neighbours.look(now, leaving=self.leaving)
         self._links.hears = seen.hears
-        if self.ownership.take_live(seen.hubs):
+        self._links.hears_directly = seen.hears_directly
+        if self.ownership.take_live(seen.owners):
             self._log(
                 Event.instances_changed,
-                live=sorted(seen.hubs),
+                live=sorted(seen.owners),
                 hears=seen.hears,
             )
         for ticket in tuple(self._tickets.values()):
--- a/packages/entry/src/tallyhall_entry/talk.py
+++ b/packages/entry/src/tallyhall_entry/talk.py
@@ -51,6 +51,8 @@
         self._loop = asyncio.get_running_loop()
         self._adopted: _Adoption | None = None
         self._seen: dict[tuple[str, str, str], float] = {}
+        # Runs of instances that have reported.
+        self._spoke: set[tuple[str, str]] = set()
         self._fetching: asyncio.Task[None] | None = None
 
     def take(
@@ -63,6 +65,7 @@
         self._adopt_use(batch, now)
         for spent in batch.spent:
             self._take_spent(batch, spent, now)
+        self._spoke.add((batch.sender, batch.incarnation))
         self._take_confirmation(batch, now)
         newer = batch.state_version > self._gate.version
         if newer and self._fetching is None:
@@ -122,8 +125,10 @@
     ) -> float:
         """Return how much of a first report is known here already."""
         adopted = self._adopted
-        if adopted is not None and batch.sender != adopted.sender:
-            # The sum that was adopted holds what others had admitted.
+        spoke = (batch.sender, batch.incarnation) in self._spoke
+        if adopted and batch.sender != adopted.sender and not spoke:
+            # The sum that was adopted holds what others had admitted. One
+            # that had reported before has admitted this since.
             if now - adopted.at < _ADOPTION_S:
                 return spent.total
         return spent.total - spent.within_window
@@ -144,12 +149,17 @@
         quotas = self._gate.quotas
         if not batch.knows_use or quotas.knows_past(now):
             return
+        # Who hears a part of the fleet knows a part of its use; what was
+        # recalled from the store is more than that.
+        of = self._links.instances
+        if batch.sender not in self._links.registered or batch.hears < of:
+            return
         self._adopted = _Adoption(batch.sender, now)
         self._log.event(
             Event.use_adopted,
             peer=batch.sender,
             hears=batch.hears,
-            of=self._links.instances,
+            of=of,
         )
         # What the sender itself admitted is taken from its own report.
         quotas.adopt(
--- a/packages/platform/src/tallyhall_platform/registry.py
+++ b/packages/platform/src/tallyhall_platform/registry.py
@@ -1,7 +1,9 @@
 """An instance's own entry in the store, kept alive by a lease.
 
 The entries are how callers and other instances find each other. An entry
-goes with its lease when the instance dies, and at once when it stops.
+goes with its lease when the instance dies. One that stops marks its entry
+first and removes it at its end: callers are not sent there any more, and the
+other instances go on counting what it admits.
 """
 
 from __future__ import annotations
@@ -41,6 +43,7 @@
     region: str
     # What it can do beside its own requests; 0 where it is not stated.
     cores: float = 0
+    leaving: bool = False
 
 
 def decode_instance(raw: bytes) -> InstanceEntry:
@@ -79,7 +82,7 @@
         self._log = log
         self._rng = rng
         self._uses = uses
-        self._least_lease_s = least_lease_s
+        self._lease_s = max(_LEASE_S, least_lease_s)
         self._lease: int | None = None
 
     async def run(self) -> None:
@@ -96,14 +99,31 @@
                 pause_s = self._rng.uniform(_PAUSE_S, _RENEW_S)
             await asyncio.sleep(pause_s)
 
-    async def leave(self) -> None:
+    async def leave(self, life_s: float) -> None:
+        """Mark the entry as leaving, for what is left of the life.
+
+        One lease for all of it costs two calls; renewals would cost ten.
+        """
+        self._entry = dataclasses.replace(self._entry, leaving=True)
+        self._lease_s = max(self._lease_s, life_s)
+        while True:
+            try:
+                await self._register()
+            except StoreError as exc:
+                self._log(Event.store_call_failed, cause=str(exc))
+                await asyncio.sleep(self._rng.uniform(_PAUSE_S, _RENEW_S))
+            else:
+                return
+
+    async def end(self, within_s: float) -> None:
         """Remove the entry; a lost answer leaves that to the lease."""
         if self._lease is None:
             return
         try:
-            await self._client.end_lease(self._lease)
-        except StoreError as exc:
-            self._log(Event.store_call_failed, cause=str(exc))
+            async with asyncio.timeout(within_s):
+                await self._client.end_lease(self._lease)
+        except (StoreError, TimeoutError) as exc:
+            self._log(Event.store_call_failed, cause=repr(exc))
 
     async def _write_use(self) -> None:
         use = self._uses.due()
@@ -119,9 +139,14 @@
             await self._client.keep_lease(self._lease)
             await self._write_use()
             return
-        lease_s = max(_LEASE_S, self._least_lease_s)
-        lease = await self._client.grant_lease(lease_s)
-        raw = json.dumps(dataclasses.asdict(self._entry)).encode()
+        await self._register()
+
+    async def _register(self) -> None:
+        lease = await self._client.grant_lease(self._lease_s)
+        fields = dataclasses.asdict(self._entry)
+        if not self._entry.leaving:
+            fields.pop('leaving')
+        raw = json.dumps(fields).encode()
         key = f'{INSTANCE_PREFIX}{self._entry.instance}'
         await self._client.put(key, raw, lease)
         self._lease = lease
--- a/packages/transport/src/tallyhall_transport/peers.py
+++ b/packages/transport/src/tallyhall_transport/peers.py
@@ -71,10 +71,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerPlace:
-    """Where a peer is reached, and what processor time it has, in cores."""
+    """Where a peer is reached, and what processor time it has, in cores.
+
+    serves: whether callers are sent there, so that it may own services.
+    """
 
     address: str
     cores: float
+    serves: bool = True
 
 
 OnBatch = Callable[[Peer, peers_pb2.Batch], None]
@@ -233,6 +237,9 @@
         self.own_cores: float = 0
         # Instances whose use of quotas is known here, with this one.
         self.hears = 1
+        # Of these, the ones that this one hears itself. Only they are told
+        # on: hubs that repeat each other's number never see it shrink.
+        self.hears_directly = 1
         self._name = name
         self._incarnation = incarnation
         self._on_batch = on_batch
@@ -246,14 +253,19 @@
 
     @property
     def peers(self) -> Mapping[str, Peer]:
-        """Return all peers that are registered or were heard."""
+        """Return all peers that count or were heard."""
         return self._peers
 
     @property
     def registered(self) -> frozenset[str]:
-        """Return all instances that are registered, with this one."""
+        """Return all instances that count and have a place, with this one."""
         return frozenset((*self._places, self._name))
 
+    def serves(self, name: str) -> bool:
+        """Return whether callers are sent to a peer."""
+        place = self._places.get(name)
+        return place is None or place.serves
+
     def cores(self, name: str) -> float:
         """Return the processor time that an instance has, 0 if unknown."""
         if name == self._name:
@@ -263,7 +275,7 @@
 
     @property
     def instances(self) -> int:
-        """Return how many instances are registered, with this one."""
+        """Return how many instances count and have a place, with this one."""
         return len(self._places) + 1
 
     @property
@@ -327,7 +339,7 @@
             batch.incarnation = self._incarnation
         batch.question_us = int(self._loop.time() * _MICRO)
         batch.echo_us = peer.question_us
-        batch.hears = self.hears
+        batch.hears = self.hears_directly
         self._fill(peer, batch)
 
     async def fetch_state(self, name: str) -> bytes | None:
--- /dev/null
+++ b/tests/platform/test_membership.py
@@ -0,0 +1,114 @@
+"""Which instances count where something is divided; time is an argument."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from tallyhall_dispatch.fleet import FleetCount, Membership
+
+_ADMITS_S = 3.7
+_ALL = ('a', 'b', 'c')
+_NOBODY: dict[str, float] = {}
+
+
+def _entries(*names: str, leaving: str = '') -> dict[str, bool]:
+    return {name: name in leaving for name in names}
+
+
+def _full() -> Membership:
+    membership = Membership('a', _ADMITS_S)
+    membership.take_entries(_entries(*_ALL), 0)
+    return membership
+
+
+def test_an_instance_counts_itself_before_it_knows_anything() -> None:
+    alone = FleetCount(registered=frozenset('a'))
+    assert Membership('a', _ADMITS_S).count(_NOBODY, 0) == alone
+
+
+def test_one_that_stops_counts_until_its_entry_ends() -> None:
+    membership = _full()
+    membership.take_entries(_entries(*_ALL, leaving='b'), 1)
+    count = membership.count({'b': 1}, 1)
+    assert count.leaving == {'b'}
+    assert count.members == set(_ALL)
+    membership.take_entries(_entries('a', 'c'), 9)
+    # Its last beat came before.
+    assert membership.count({'b': 8.9}, 9).members == {'a', 'c'}
+
+
+def test_one_that_is_heard_after_its_end_counts_again() -> None:
+    membership = _full()
+    membership.take_entries(_entries(*_ALL, leaving='b'), 1)
+    membership.take_entries(_entries('a', 'c'), 9)
+    assert membership.count({'b': 9.5}, 10).vanished == {'b'}
+
+
+def test_an_entry_without_a_mark_counts_until_it_cannot_admit() -> None:
+    membership = _full()
+    membership.take_entries(_entries('a', 'c'), 10)
+    assert membership.count({'b': 7}, 10).vanished == {'b'}
+    assert membership.count({'b': 7}, 13.6).vanished == {'b'}
+    assert not membership.count({'b': 7}, 13.71).vanished
+
+
+def test_one_that_is_heard_counts_without_an_entry() -> None:
+    membership = _full()
+    membership.take_entries(_entries('a', 'c'), 10)
+    assert membership.count({'b': 30}, 30.1).vanished == {'b'}
+    assert membership.count({'d': 30}, 33.6).vanished == {'d'}
+    assert not membership.count({'d': 30}, 33.71).vanished
+
+
+def test_one_that_comes_back_is_registered() -> None:
+    membership = _full()
+    membership.take_entries(_entries('a', 'c'), 10)
+    membership.take_entries(_entries(*_ALL), 11)
+    assert membership.count(_NOBODY, 11) == FleetCount(frozenset(_ALL))
+
+
+def test_its_own_entry_does_not_matter_to_an_instance() -> None:
+    membership = _full()
+    membership.take_entries(_entries('b'), 10)
+    assert 'a' in membership.count(_NOBODY, 20).registered
+    membership.take_entries(_entries('a', 'b', leaving='a'), 21)
+    assert membership.count(_NOBODY, 21).leaving == {'a'}
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.floats(0, 3, allow_nan=False),
+            st.sampled_from(('enters', 'marks', 'ends', 'vanishes', 'speaks')),
+            st.sampled_from(_ALL),
+        ),
+        max_size=60,
+    ),
+)
+def test_nobody_who_may_admit_is_left_out(
+    steps: list[tuple[float, str, str]],
+) -> None:
+    """Who has an entry, or lost it unmarked or spoke lately, counts."""
+    membership = Membership('self', _ADMITS_S)
+    entries: dict[str, bool] = {}
+    heard: dict[str, float] = {}
+    lost: dict[str, float] = {}
+    now: float = 0
+    for pause, what, name in steps:
+        now += pause
+        if what == 'enters':
+            entries[name] = False
+            lost.pop(name, None)
+        elif what == 'marks' and name in entries:
+            entries[name] = True
+        elif what == 'speaks':
+            heard[name] = now
+        elif what in {'ends', 'vanishes'} and name in entries:
+            if not entries.pop(name):
+                lost[name] = now
+        membership.take_entries(entries, now)
+        members = membership.count(heard, now).members
+        assert set(entries) <= members
+        assert 'self' in members
+        assert {
+            one for one, since in lost.items() if now - since < _ADMITS_S
+        } <= members
+        assert members <= {'self', *entries, *heard, *lost}
