--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -23,6 +23,8 @@
 from typing import Any
 
 from tallyhall_entry.instance import Instance
+from tallyhall_platform.registry import USE_KEY, decode_use
+from tallyhall_platform.store import StoreClient
 from tallyhall_standins.platform_engine import EngineFault, EngineStandIn
 
 from tests.platform.harness import (
@@ -181,3 +183,35 @@
 
 def _counts(instances: list[Instance]) -> list[tuple[int, int]]:
     return [(one.hears, one.counts) for one in instances]
+
+
+async def test_what_stopping_instances_admit_is_written() -> None:
+    """Those that follow them have nobody else to ask.
+
+    A stop of all at once: the services have no owner, so nobody was the writer,
+    and who stopped looked at nothing more. Of 470 tokens admitted after the
+    signal the store had none.
+    """
+    async with deployment(2) as made:
+        await _engines(made)
+        made.store.put('op/config', _limited())
+        await until(_all_have(made, 2))
+        async with _stopping(made.instances):
+            answers = await _ask(made, range(1), 0.5)
+            # The writer looks every 0.8 s.
+            await asyncio.sleep(1.2)
+            written = await _written(made)
+        admitted = _served(answers) * _TOKENS
+        # A write is due once 0.3 of 185 tokens are not written.
+        assert written['shop'] >= admitted - 60
+
+
+async def _written(made: Deployment) -> dict[str, float]:
+    client = StoreClient(made.options[0].store.address)
+    snapshot = await client.snapshot(USE_KEY)
+    client.close()
+    uses: dict[str, float] = {'shop': 0}
+    for kept in snapshot.entries:
+        for name, parts in decode_use(kept.content).items():
+            uses[name] = sum(amount for _, amount in parts)
+    return uses
