Streams that end are opened anew; a complete count at the sender; who stops still writes

And nobody wrote the use once all were stopping.

Change: an invalid state is a loss like others; who tells that it knows the use of all hears all it counts itself; when each was heard is kept by the count; the writer is the first of those that hear all where all are stopping, and looks until its end.

--- a/packages/dispatch/src/tallyhall_dispatch/fleet.py
+++ b/packages/dispatch/src/tallyhall_dispatch/fleet.py
@@ -47,6 +47,7 @@
         self.admits_s = admits_s
         # Whether each registered one is leaving.
         self._entries: dict[str, bool] = {}
+        self._heard: dict[str, float] = {}
         self._vanished: dict[str, float] = {}
         self._ended: dict[str, float] = {}
 
@@ -62,13 +63,13 @@
 
     def count(self, heard: Mapping[str, float], now: float) -> FleetCount:
         """Return who counts; `heard` tells when each was heard last."""
+        # Who loses its stream here was heard all the same.
+        self._heard |= heard
         self._forget(now)
         vanished = set(self._vanished)
-        for name, heard_at in heard.items():
+        for name, heard_at in self._heard.items():
             # One that ended as it had said is silent from then on.
-            if heard_at <= self._ended.get(name, heard_at - 1):
-                continue
-            if now - heard_at < self.admits_s:
+            if heard_at > self._ended.get(name, heard_at - 1):
                 vanished.add(name)
         leaving = {one for one, stops in self._entries.items() if stops}
         registered = self._entries.keys() - leaving
@@ -81,7 +82,7 @@
         )
 
     def _forget(self, now: float) -> None:
-        for gone in (self._vanished, self._ended):
+        for gone in (self._heard, self._vanished, self._ended):
             for name, since in tuple(gone.items()):
                 if now - since >= self.admits_s:
                     gone.pop(name)
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -319,8 +319,8 @@
         return HttpServer(respond, self._failed, ServerLimits())
 
     def _owns_use(self) -> bool:
-        # One live instance writes for all: each write wakes every watch.
-        return self.owner(_USE) == self.options.instance
+        # One instance writes for all: each write wakes every watch.
+        return self._scheduler.is_first(_USE)
 
     def _spawn(self, name: str, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work, name=name)
--- a/packages/entry/src/tallyhall_entry/neighbours.py
+++ b/packages/entry/src/tallyhall_entry/neighbours.py
@@ -15,12 +15,14 @@
 class Seen:
     """What is known of the fleet at a moment.
 
-    owners: instances that may own services. hears: instances whose use of
+    owners: instances that may own services. hubs: these and, where there are
+    none, those that stop and hear all. hears: instances whose use of
     quotas is known here, with this one. hears_directly: of them, those that
     this one hears itself.
     """
 
     owners: frozenset[str]
+    hubs: frozenset[str]
     hears: int
     hears_directly: int
 
@@ -62,6 +64,7 @@
         links.link(chosen.linked)
         return Seen(
             chosen.owners,
+            chosen.hubs,
             self._hears(chosen.hubs, answering),
             len(answering),
         )
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -22,6 +22,7 @@
 from tallyhall_dispatch.jobs import Ending, Grant, Job, RunReport
 from tallyhall_dispatch.ownership import Ownership
 from tallyhall_edge.scheduling import Dispatcher, given_up_error
+from tallyhall_membership.rendezvous import rank
 from tallyhall_transport.generated import peers_pb2
 from tallyhall_transport.peer_codec import (
     decode_done,
@@ -100,6 +101,7 @@
         self._origins: dict[str, _PeerOrigin] = {}
         self._dropped: set[str] = set()
         self._neighbours = Neighbours(name, links)
+        self._hubs = frozenset((name,))
         self.ownership.take_live(frozenset((name,)))
 
     # -- Scheduler
@@ -212,6 +214,7 @@
                 self._dropped.add(peer.name)
                 self._dispatcher.drop_jobs(f'{peer.name}/')
         seen = self._neighbours.look(now, leaving=self.leaving)
+        self._hubs = seen.hubs
         self._links.hears = seen.hears
         self._links.hears_directly = seen.hears_directly
         if self.ownership.take_live(seen.owners):
@@ -223,6 +226,13 @@
         for ticket in tuple(self._tickets.values()):
             self._move(ticket)
 
+    def is_first(self, work: str) -> bool:
+        """Return whether this instance does what one must do for all.
+
+        Also where all are stopping and services have no owners any more.
+        """
+        return rank(work, self.ownership.live or self._hubs)[:1] == [self._name]
+
     # -- inner steps
 
     def _take_ask(self, peer: str, job: Job) -> None:
--- a/packages/entry/src/tallyhall_entry/talk.py
+++ b/packages/entry/src/tallyhall_entry/talk.py
@@ -86,7 +86,9 @@
             batch.confirmed_ms_ago = int(age * _MILLI) + 1
         batch.leaving = self.leaving
         hubs = not is_mesh(self._links.instances)
-        batch.knows_use = self._gate.quotas.knows_past(now)
+        # Whom it counts and does not hear may have admitted much.
+        hears_all = self._links.hears_directly >= self._gate.instances
+        batch.knows_use = hears_all and self._gate.quotas.knows_past(now)
         for name, use in self._gate.quotas.report(now).items():
             if peer.told.get(name) == use.total and not (hubs and use.is_high):
                 continue
--- a/packages/platform/src/tallyhall_platform/registry.py
+++ b/packages/platform/src/tallyhall_platform/registry.py
@@ -12,7 +12,7 @@
 import dataclasses
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from tallyhall_core.events import Event
@@ -84,36 +84,22 @@
         self._uses = uses
         self._lease_s = max(_LEASE_S, least_lease_s)
         self._lease: int | None = None
+        self._is_marked = False
 
     async def run(self) -> None:
         """Keep the entry until cancelled."""
-        while True:
-            pause_s = _RENEW_S
-            try:
-                await self._step()
-            except LeaseEndedError:
-                self._lease = None
-                pause_s = 0
-            except StoreError as exc:
-                self._log(Event.store_call_failed, cause=str(exc))
-                pause_s = self._rng.uniform(_PAUSE_S, _RENEW_S)
-            await asyncio.sleep(pause_s)
+        await self._repeat(self._step)
 
     async def leave(self, life_s: float) -> None:
-        """Mark the entry as leaving, for what is left of the life.
+        """Mark the entry as leaving for what is left of the life.
 
         One lease for all of it costs two calls; renewals would cost ten.
+        Until cancelled the use of quotas is written as before: after a stop
+        of all, those that follow have nobody to ask.
         """
         self._entry = dataclasses.replace(self._entry, leaving=True)
         self._lease_s = max(self._lease_s, life_s)
-        while True:
-            try:
-                await self._register()
-            except StoreError as exc:
-                self._log(Event.store_call_failed, cause=str(exc))
-                await asyncio.sleep(self._rng.uniform(_PAUSE_S, _RENEW_S))
-            else:
-                return
+        await self._repeat(self._leaving_step)
 
     async def end(self, within_s: float) -> None:
         """Remove the entry; a lost answer leaves that to the lease."""
@@ -125,6 +111,19 @@
         except (StoreError, TimeoutError) as exc:
             self._log(Event.store_call_failed, cause=repr(exc))
 
+    async def _repeat(self, step: Callable[[], Awaitable[None]]) -> None:
+        while True:
+            pause_s = _RENEW_S
+            try:
+                await step()
+            except LeaseEndedError:
+                self._lease = None
+                pause_s = 0
+            except StoreError as exc:
+                self._log(Event.store_call_failed, cause=str(exc))
+                pause_s = self._rng.uniform(_PAUSE_S, _RENEW_S)
+            await asyncio.sleep(pause_s)
+
     async def _write_use(self) -> None:
         use = self._uses.due()
         if use is None:
@@ -134,6 +133,12 @@
         await self._client.put(USE_KEY, raw, _NO_LEASE)
         self._uses.written(use)
 
+    async def _leaving_step(self) -> None:
+        if not self._is_marked:
+            await self._register()
+            self._is_marked = True
+        await self._write_use()
+
     async def _step(self) -> None:
         if self._lease is not None:
             await self._client.keep_lease(self._lease)
--- a/packages/transport/src/tallyhall_transport/peers.py
+++ b/packages/transport/src/tallyhall_transport/peers.py
@@ -43,6 +43,9 @@
 # Handlers that have ended have this long to tell their peers so.
 _ENDING_S = 0.1
 _MICRO = 1_000_000
+# A write on a stream that ended since the last one is an invalid state to the
+# library, whatever ended it.
+_LOSSES = (RpcError, TransportError, TimeoutError, asyncio.InvalidStateError)
 _OPTIONS = (
     ('grpc.initial_reconnect_backoff_ms', 100),
     ('grpc.max_reconnect_backoff_ms', 500),
@@ -168,7 +171,7 @@
         while True:
             try:
                 await self._one_stream()
-            except (RpcError, TransportError, TimeoutError) as exc:
+            except _LOSSES as exc:
                 self._links.on_lost(self.peer, exc)
             self.pending = peers_pb2.Batch()
             await asyncio.sleep(_RETRY_S)
--- a/tests/platform/test_links.py
+++ b/tests/platform/test_links.py
@@ -6,8 +6,8 @@
 6 of 7 parts of the quota without the other's use.
 
 Evidence: the restarted one logged peer_down, the peer does not answer, every
-1.2 s for 6 s, its peer nothing; both logged fleet_counted with 7 registered and 6
-heard to the end.
+1.2 s for 6 s, its peer nothing; both logged fleet_counted with 7 registered
+and 6 heard to the end.
 
 Cause: a stream that ends between two writes makes the next write raise
 InvalidStateError, which the task that sends did not take for a loss; it ended
--- a/tests/platform/test_membership.py
+++ b/tests/platform/test_membership.py
@@ -54,7 +54,8 @@
     membership = _full()
     membership.take_entries(_entries('a', 'c'), 10)
     assert membership.count({'b': 30}, 30.1).vanished == {'b'}
-    assert membership.count({'d': 30}, 33.6).vanished == {'d'}
+    # Also where its stream is gone meanwhile.
+    assert membership.count({'d': 30}, 33.6).vanished == {'b', 'd'}
     assert not membership.count({'d': 30}, 33.71).vanished
 
 
