An adoption takes all that was heard around it

Cause: the sum that a restarted instance takes holds what its sender has heard; what others told the restarted one just before was dropped, what they told first just after was passed over, the sender's own use was taken only with its first report, and a later report leaves out what has not changed.

Change: in a mesh the sum is taken once all others have been heard for two beats, whole, less what the sender has counted of the receiver, and with what others told in these beats (too much rather than too little); who says that it does not know the use of all is told all of it with each beat. First reports are passed over only in fleets with hubs, where not all others report.

--- a/packages/entry/src/tallyhall_entry/talk.py
+++ b/packages/entry/src/tallyhall_entry/talk.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from tallyhall_core.events import Event
+from tallyhall_dispatch.adoption import Hearing
 from tallyhall_dispatch.gate import Gate
 from tallyhall_dispatch.quota import FleetUse
 from tallyhall_dispatch.topology import is_mesh
@@ -51,8 +52,7 @@
         self._loop = asyncio.get_running_loop()
         self._adopted: _Adoption | None = None
         self._seen: dict[tuple[str, str, str], float] = {}
-        # Runs of instances that have reported.
-        self._spoke: set[tuple[str, str]] = set()
+        self._hearing = Hearing()
         self._fetching: asyncio.Task[None] | None = None
 
     def take(
@@ -65,7 +65,7 @@
         self._adopt_use(batch, now)
         for spent in batch.spent:
             self._take_spent(batch, spent, now)
-        self._spoke.add((batch.sender, batch.incarnation))
+        self._hearing.heard(batch.sender, batch.incarnation, now)
         self._take_confirmation(batch, now)
         newer = batch.state_version > self._gate.version
         if newer and self._fetching is None:
@@ -76,7 +76,8 @@
         """Add what a batch for this peer says about this instance.
 
         Use that has not changed since the last batch is left out: reports
-        were half of the bytes between instances.
+        were half of the bytes between instances. Who does not know the use
+        of all hears it all the same, as it takes it from any batch.
         """
         now = self._loop.time()
         age = self._gate.freshness.age(now)
@@ -87,10 +88,11 @@
         batch.leaving = self.leaving
         hubs = not is_mesh(self._links.instances)
         # Whom it counts and does not hear may have admitted much.
-        hears_all = self._links.hears_directly >= self._gate.instances
+        hears_all = self._links.hears >= self._gate.instances
         batch.knows_use = hears_all and self._gate.quotas.knows_past(now)
         for name, use in self._gate.quotas.report(now).items():
-            if peer.told.get(name) == use.total and not (hubs and use.is_high):
+            repeats = hubs and use.is_high or not peer.knows_use
+            if peer.told.get(name) == use.total and not repeats:
                 continue
             peer.told[name] = use.total
             seen_key = (peer.name, peer.incarnation, name)
@@ -108,13 +110,17 @@
         spent: peers_pb2.Spent,
         now: float,
     ) -> None:
-        seen_key = (batch.sender, batch.incarnation, spent.workspace)
+        seen_key = _seen_key(batch, spent)
         seen = self._seen.get(seen_key)
         if seen is None:
             seen = self._counted_before(batch, spent, now)
         self._seen[seen_key] = spent.total
         amount = spent.total - seen
-        self._gate.quotas.reported(spent.workspace, amount, now)
+        quotas = self._gate.quotas
+        quotas.reported(spent.workspace, amount, now)
+        if not quotas.knows_past(now):
+            sender = batch.sender
+            self._hearing.reported(spent.workspace, sender, amount, now)
         if not is_mesh(self._links.instances):
             fleet = FleetUse(batch.sender, spent.fleet, spent.counted, now)
             self._gate.quotas.heard(spent.workspace, fleet)
@@ -127,11 +133,12 @@
     ) -> float:
         """Return how much of a first report is known here already."""
         adopted = self._adopted
-        spoke = (batch.sender, batch.incarnation) in self._spoke
-        if adopted and batch.sender != adopted.sender and not spoke:
-            # The sum that was adopted holds what others had admitted. One
-            # that had reported before has admitted this since.
-            if now - adopted.at < _ADOPTION_S:
+        hubs = not is_mesh(self._links.instances)
+        if hubs and adopted and batch.sender != adopted.sender:
+            heard = self._hearing.has_heard(batch.sender, batch.incarnation)
+            # The sum that was adopted holds what others had admitted. In a
+            # mesh all others had reported before it was.
+            if now - adopted.at < _ADOPTION_S and not heard:
                 return spent.total
         return spent.total - spent.within_window
 
@@ -151,10 +158,8 @@
         quotas = self._gate.quotas
         if not batch.knows_use or quotas.knows_past(now):
             return
-        # Who hears a part of the fleet knows a part of its use; what was
-        # recalled from the store is more than that.
         of = self._links.instances
-        if batch.sender not in self._links.registered or batch.hears < of:
+        if not self._is_whole(batch, now):
             return
         self._adopted = _Adoption(batch.sender, now)
         self._log.event(
@@ -163,14 +168,32 @@
             hears=batch.hears,
             of=of,
         )
-        # What the sender itself admitted is taken from its own report.
         quotas.adopt(
             {
-                spent.workspace: spent.fleet - spent.within_window
+                spent.workspace: spent.fleet
+                - spent.counted
+                + self._hearing.just_told(spent.workspace, batch.sender, now)
                 for spent in batch.spent
             },
             now,
         )
+        for told in batch.spent:
+            # The sender's own use is in its sum.
+            self._seen[_seen_key(batch, told)] = told.total
+
+    def _is_whole(self, batch: peers_pb2.Batch, now: float) -> bool:
+        """Return whether the sender knows the use of all that count here.
+
+        Who hears a part of the fleet knows a part of its use; what was
+        recalled from the store is more than that.
+        """
+        registered = self._links.registered
+        if batch.sender not in registered or batch.hears < len(registered):
+            return False
+        if not is_mesh(len(registered)):
+            return True
+        others = len(registered) - 1
+        return self._hearing.heard_long(registered, now) == others
 
     async def _fetch_state(self, peer: str) -> None:
         await asyncio.sleep(_FETCH_AFTER_S)
@@ -179,3 +202,10 @@
         if raw:
             self._take_raw_state(raw)
             self._log.event(Event.state_taken, peer=peer)
+
+
+def _seen_key(
+    batch: peers_pb2.Batch,
+    spent: peers_pb2.Spent,
+) -> tuple[str, str, str]:
+    return batch.sender, batch.incarnation, spent.workspace
--- a/packages/transport/src/tallyhall_transport/peers.py
+++ b/packages/transport/src/tallyhall_transport/peers.py
@@ -69,6 +69,8 @@
     linked_at: float | None = None
     # Instances that this one hears, as it says.
     hears: int = 0
+    # Whether it knows the use of all; until then it is told everything.
+    knows_use: bool = False
     told: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
@@ -392,6 +394,7 @@
         peer.question_us = batch.question_us
         peer.leaving = batch.leaving
         peer.hears = batch.hears
+        peer.knows_use = batch.knows_use
         if batch.sender not in self._outboxes:
             # It may be asking for something.
             self._link(batch.sender)
