--- a/packages/core/src/tallyhall_core/events.py
+++ b/packages/core/src/tallyhall_core/events.py
@@ -27,6 +27,8 @@
     instances_changed = 214
     budget_binds = 219
     removal_held = 220
+    fleet_counted = 221
+    use_adopted = 222
     peer_down = 308
     fenced = 303
     owner_started = 304
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -23,6 +23,7 @@
 from tallyhall_dispatch.jobs import Ending, Grant, Job, RunReport
 from tallyhall_dispatch.ownership import Ownership
 from tallyhall_edge.scheduling import Dispatcher, given_up_error
+from tallyhall_membership.rendezvous import rank
 from tallyhall_transport.generated import peers_pb2
 from tallyhall_transport.peer_codec import (
     decode_done,
@@ -108,6 +109,7 @@
         # Jobs that wait or run by a decision made alone, by service.
         self._alone: dict[str, set[str]] = collections.defaultdict(set)
         self._neighbours = Neighbours(name, links)
+        self._hubs = frozenset((name,))
         self.ownership.take_live(frozenset((name,)))
 
     # -- Scheduler
@@ -225,16 +227,25 @@
                 self._dropped.add(peer.name)
                 self._dispatcher.drop_jobs(f'{peer.name}/')
         seen = self._neighbours.look(now, leaving=self.leaving)
+        self._hubs = seen.hubs
         self._links.hears = seen.hears
-        if self.ownership.take_live(seen.hubs):
+        self._links.hears_directly = seen.hears_directly
+        if self.ownership.take_live(seen.owners):
             self._log(
                 Event.instances_changed,
-                live=sorted(seen.hubs),
+                live=sorted(seen.owners),
                 hears=seen.hears,
             )
         for ticket in tuple(self._tickets.values()):
             self._move(ticket)
 
+    def is_first(self, work: str) -> bool:
+        """Return whether this instance does what one must do for all.
+
+        Also where all are stopping and services have no owners any more.
+        """
+        return rank(work, self.ownership.live or self._hubs)[:1] == [self._name]
+
     # -- inner steps
 
     def _take_ask(self, peer: str, job: Job) -> None:
--- a/packages/platform/src/tallyhall_platform/registry.py
+++ b/packages/platform/src/tallyhall_platform/registry.py
@@ -1,7 +1,9 @@
 """An instance's own entry in the store, kept alive by a lease.
 
 The entries are how callers and other instances find each other. An entry
-goes with its lease when the instance dies, and at once when it stops.
+goes with its lease when the instance dies. One that stops marks its entry
+first and removes it at its end: callers are not sent there any more, and the
+other instances go on counting what it admits.
 """
 
 from __future__ import annotations
@@ -10,7 +12,7 @@
 import dataclasses
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from tallyhall_core.events import Event
@@ -41,6 +43,7 @@
     region: str
     # What it can do beside its own requests; 0 where it is not stated.
     cores: float = 0
+    leaving: bool = False
 
 
 def decode_instance(raw: bytes) -> InstanceEntry:
@@ -79,15 +82,40 @@
         self._log = log
         self._rng = rng
         self._uses = uses
-        self._least_lease_s = least_lease_s
+        self._lease_s = max(_LEASE_S, least_lease_s)
         self._lease: int | None = None
+        self._is_marked = False
 
     async def run(self) -> None:
         """Keep the entry until cancelled."""
+        await self._repeat(self._step)
+
+    async def leave(self, life_s: float) -> None:
+        """Mark the entry as leaving for what is left of the life.
+
+        One lease for all of it costs two calls; renewals would cost ten.
+        Until cancelled the use of quotas is written as before: after a stop
+        of all, those that follow have nobody to ask.
+        """
+        self._entry = dataclasses.replace(self._entry, leaving=True)
+        self._lease_s = max(self._lease_s, life_s)
+        await self._repeat(self._leaving_step)
+
+    async def end(self, within_s: float) -> None:
+        """Remove the entry; a lost answer leaves that to the lease."""
+        if self._lease is None:
+            return
+        try:
+            async with asyncio.timeout(within_s):
+                await self._client.end_lease(self._lease)
+        except (StoreError, TimeoutError) as exc:
+            self._log(Event.store_call_failed, cause=repr(exc))
+
+    async def _repeat(self, step: Callable[[], Awaitable[None]]) -> None:
         while True:
             pause_s = _RENEW_S
             try:
-                await self._step()
+                await step()
             except LeaseEndedError:
                 self._lease = None
                 pause_s = 0
@@ -96,15 +124,6 @@
                 pause_s = self._rng.uniform(_PAUSE_S, _RENEW_S)
             await asyncio.sleep(pause_s)
 
-    async def leave(self) -> None:
-        """Remove the entry; a lost answer leaves that to the lease."""
-        if self._lease is None:
-            return
-        try:
-            await self._client.end_lease(self._lease)
-        except StoreError as exc:
-            self._log(Event.store_call_failed, cause=str(exc))
-
     async def _write_use(self) -> None:
         use = self._uses.due()
         if use is None:
@@ -114,14 +133,25 @@
         await self._client.put(USE_KEY, raw, _NO_LEASE)
         self._uses.written(use)
 
+    async def _leaving_step(self) -> None:
+        if not self._is_marked:
+            await self._register()
+            self._is_marked = True
+        await self._write_use()
+
     async def _step(self) -> None:
         if self._lease is not None:
             await self._client.keep_lease(self._lease)
             await self._write_use()
             return
-        lease_s = max(_LEASE_S, self._least_lease_s)
-        lease = await self._client.grant_lease(lease_s)
-        raw = json.dumps(dataclasses.asdict(self._entry)).encode()
+        await self._register()
+
+    async def _register(self) -> None:
+        lease = await self._client.grant_lease(self._lease_s)
+        fields = dataclasses.asdict(self._entry)
+        if not self._entry.leaving:
+            fields.pop('leaving')
+        raw = json.dumps(fields).encode()
         key = f'{INSTANCE_PREFIX}{self._entry.instance}'
         await self._client.put(key, raw, lease)
         self._lease = lease
--- a/packages/transport/src/tallyhall_transport/peers.py
+++ b/packages/transport/src/tallyhall_transport/peers.py
@@ -43,6 +43,9 @@
 # Handlers that have ended have this long to tell their peers so.
 _ENDING_S = 0.1
 _MICRO = 1_000_000
+# A write on a stream that ended since the last one is an invalid state to the
+# library, whatever ended it.
+_LOSSES = (RpcError, TransportError, TimeoutError, asyncio.InvalidStateError)
 _OPTIONS = (
     ('grpc.initial_reconnect_backoff_ms', 100),
     ('grpc.max_reconnect_backoff_ms', 500),
@@ -66,15 +69,21 @@
     linked_at: float | None = None
     # Instances that this one hears, as it says.
     hears: int = 0
+    # Whether it knows the use of all; until then it is told everything.
+    knows_use: bool = False
     told: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerPlace:
-    """Where a peer is reached, and what processor time it has, in cores."""
+    """Where a peer is reached, and what processor time it has, in cores.
+
+    serves: whether callers are sent there, so that it may own services.
+    """
 
     address: str
     cores: float
+    serves: bool = True
 
 
 OnBatch = Callable[[Peer, peers_pb2.Batch], None]
@@ -164,7 +173,7 @@
         while True:
             try:
                 await self._one_stream()
-            except (RpcError, TransportError, TimeoutError) as exc:
+            except _LOSSES as exc:
                 self._links.on_lost(self.peer, exc)
             self.pending = peers_pb2.Batch()
             await asyncio.sleep(_RETRY_S)
@@ -233,6 +242,9 @@
         self.own_cores: float = 0
         # Instances whose use of quotas is known here, with this one.
         self.hears = 1
+        # Of these, the ones that this one hears itself. Only they are told
+        # on: hubs that repeat each other's number never see it shrink.
+        self.hears_directly = 1
         self._name = name
         self._incarnation = incarnation
         self._on_batch = on_batch
@@ -246,14 +258,19 @@
 
     @property
     def peers(self) -> Mapping[str, Peer]:
-        """Return all peers that are registered or were heard."""
+        """Return all peers that count or were heard."""
         return self._peers
 
     @property
     def registered(self) -> frozenset[str]:
-        """Return all instances that are registered, with this one."""
+        """Return all instances that count and have a place, with this one."""
         return frozenset((*self._places, self._name))
 
+    def serves(self, name: str) -> bool:
+        """Return whether callers are sent to a peer."""
+        place = self._places.get(name)
+        return place is None or place.serves
+
     def cores(self, name: str) -> float:
         """Return the processor time that an instance has, 0 if unknown."""
         if name == self._name:
@@ -263,7 +280,7 @@
 
     @property
     def instances(self) -> int:
-        """Return how many instances are registered, with this one."""
+        """Return how many instances count and have a place, with this one."""
         return len(self._places) + 1
 
     @property
@@ -327,7 +344,7 @@
             batch.incarnation = self._incarnation
         batch.question_us = int(self._loop.time() * _MICRO)
         batch.echo_us = peer.question_us
-        batch.hears = self.hears
+        batch.hears = self.hears_directly
         self._fill(peer, batch)
 
     async def fetch_state(self, name: str) -> bytes | None:
@@ -377,6 +394,7 @@
         peer.question_us = batch.question_us
         peer.leaving = batch.leaving
         peer.hears = batch.hears
+        peer.knows_use = batch.knows_use
         if batch.sender not in self._outboxes:
             # It may be asking for something.
             self._link(batch.sender)
