--- a/tests/platform/test_links.py
+++ b/tests/platform/test_links.py
@@ -16,7 +16,7 @@
 
 import asyncio
 
-from tallyhall_bench.fleet import free_ports
+from tallyhall_bench.ports import free_ports
 from tallyhall_transport.peers import PeerLinks, PeerPlace
 
 from tests.platform.harness import HOST, until
