One that died holds its places until its entry goes, its part of quotas 1.6 s less

Change: places are divided by those registered or leaving; a lapsed entry was last renewed at least 1.6 s before (lease less renewal), so it counts for quotas 2.1 s more.

--- a/packages/dispatch/src/tallyhall_dispatch/fleet.py
+++ b/packages/dispatch/src/tallyhall_dispatch/fleet.py
@@ -34,17 +34,29 @@
         """Return all that may admit requests."""
         return self.registered | self.leaving | self.vanished
 
+    @property
+    def holders(self) -> frozenset[str]:
+        """Return all that are taken to hold places of upstreams.
+
+        No bound is on places: to leave free what one that died held, for as
+        long as it might admit, costs more than to fill some twice.
+        """
+        return self.registered | self.leaving
+
 
 class Membership:
     """Follows the entries and who is heard, for one instance."""
 
-    def __init__(self, name: str, admits_s: float) -> None:
+    def __init__(self, name: str, admits_s: float, unseen_s: float) -> None:
         """Start alone.
 
         admits_s: how long an instance that hears nothing goes on admitting.
+        unseen_s: for how long at least one has heard nothing of the store
+        when its entry vanishes.
         """
         self.name = name
         self.admits_s = admits_s
+        self.unseen_s = unseen_s
         # Whether each registered one is leaving.
         self._entries: dict[str, bool] = {}
         self._heard: dict[str, float] = {}
@@ -54,8 +66,11 @@
     def take_entries(self, leaving: Mapping[str, bool], now: float) -> None:
         """Take who is registered, and which of them are leaving."""
         for name in self._entries.keys() - leaving.keys():
-            gone = self._ended if self._entries[name] else self._vanished
-            gone[name] = now
+            if self._entries[name]:
+                self._ended[name] = now
+            else:
+                # It has spent a part of the time for which it admits.
+                self._vanished[name] = now - self.unseen_s
         for known in leaving:
             self._vanished.pop(known, None)
             self._ended.pop(known, None)
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -27,7 +27,11 @@
 from tallyhall_platform.absence import Absence
 from tallyhall_platform.dialect import PlatformDialect
 from tallyhall_platform.follow import Follower
-from tallyhall_platform.registry import InstanceEntry, Registration
+from tallyhall_platform.registry import (
+    LEAST_UNSEEN_S,
+    InstanceEntry,
+    Registration,
+)
 from tallyhall_platform.store import StoreClient
 from tallyhall_transport.generated import peers_pb2
 from tallyhall_transport.peers import Peer, PeerLinks
@@ -109,7 +113,11 @@
             ServerLimits(),
             int(options.descriptors * _CALLERS_PART),
         )
-        self._membership = Membership(options.instance, _admits_s(options))
+        self._membership = Membership(
+            options.instance,
+            _admits_s(options),
+            LEAST_UNSEEN_S,
+        )
         self._beliefs = Beliefs(
             self._membership,
             self._gate,
@@ -361,7 +369,8 @@
             instances = max(len(self._beliefs.count.members), heard)
             self._gate.instances = instances
             self._gate.quotas.take_fleet(Fleet(instances, heard / instances))
-            self._dispatcher.take_share(heard / instances)
+            holders = max(len(self._beliefs.count.holders), heard)
+            self._dispatcher.take_share(heard / holders)
             self._log_count()
 
     def _log_count(self) -> None:
--- a/packages/platform/src/tallyhall_platform/registry.py
+++ b/packages/platform/src/tallyhall_platform/registry.py
@@ -27,6 +27,8 @@
 # renewed three times within it, so that one lost answer does not end it.
 _LEASE_S = 2.4
 _RENEW_S = 0.8
+# An instance whose lease ran out has not reached the store for this long.
+LEAST_UNSEEN_S = _LEASE_S - _RENEW_S
 _PAUSE_S = 0.2
 _NO_LEASE = 0
 
