Places over all instances are counted without the test's own lateness

That this is the cause is an inference; the failing run was not traced. Nothing is late in it now, so all 18 must be served (12 before) and run once, still 4 at once.

--- a/tests/platform/test_shared.py
+++ b/tests/platform/test_shared.py
@@ -17,19 +17,24 @@
 _TOKENS: dict[str, Any] = {'X_Tallyhall_Token_Counts': '100,30'}
 
 
-async def test_places_are_counted_over_all_instances() -> None:
+async def test_places_are_counted_over_all_instances(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The instances share a loop, whose lateness is not their owner's.
+    monkeypatch.setattr(shared, '_ANSWER_S', 5)
     async with deployment(3) as made:
+        made.store.put('op/config', patient(2))
         engine = await made.add_engine('model-0', event_s=0.02)
         await made.ready()
+        for instance in made.instances:
+            await until(lambda: instance.state_version == 2)
         asks = [
             made.caller(number % 3).ask('/stream/x', f'r{number}', **_TOKENS)
             for number in range(18)
         ]
         answers = await asyncio.gather(*asks)
-        assert {answer.status for answer in answers} <= {200, 503}
-        served = [one for one in answers if one.status == 200]
-        assert len(served) == len(engine.ran)
-        assert len(served) >= 12
+        assert {answer.status for answer in answers} == {200}
+        assert len(engine.ran) == 18
         assert engine.most_running <= 4
 
 
