--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -154,6 +154,28 @@
     return lambda: all(one.state_version == version for one in made.instances)
 
 
+async def test_in_a_fleet_with_hubs_those_that_stop_count() -> None:
+    """All but four of 18 stop, with all hubs of before."""
+    async with deployment(18) as made:
+        await made.ready()
+        stay = [
+            one
+            for one in made.instances
+            if one.options.instance not in one.live_instances
+        ][:4]
+        names = {one.options.instance for one in stay}
+        stops = [one for one in made.instances if one not in stay]
+        async with _stopping(stops):
+            await until(
+                lambda: all(one.live_instances == names for one in stay),
+                3,
+            )
+            await until(
+                lambda: _counts(made.instances) == [(18, 18)] * 18,
+                3,
+            )
+
+
 async def test_one_without_an_entry_counts_while_it_is_there() -> None:
     """Its lease ran out, but it serves on; then it dies."""
     async with deployment(3, revoke_s=3) as made:
--- a/tests/platform/test_topology.py
+++ b/tests/platform/test_topology.py
@@ -69,6 +69,35 @@
     assert lost <= chosen.linked | {'n1'}
 
 
+def test_those_that_stop_are_no_hubs_while_others_are_there() -> None:
+    topology = Topology('n1')
+    hubs = topology.choose(_MANY, _NOBODY, _NOBODY, _same).hubs
+    half = frozenset(sorted(_MANY)[: len(_MANY) // 2]) | hubs
+    chosen = topology.choose(_MANY, _NOBODY, _NOBODY, _same, half)
+    assert chosen.hubs <= _MANY - half
+    assert chosen.owners == chosen.hubs
+    assert len(chosen.linked) <= 4
+
+
+def test_a_fleet_that_stops_as_a_whole_keeps_its_hubs() -> None:
+    """They still tell what is admitted, and own nothing."""
+    chosen = Topology('n1').choose(_MANY, _NOBODY, _NOBODY, _same, _MANY)
+    assert (
+        chosen.hubs
+        == Topology('n2').choose(_MANY, _NOBODY, _NOBODY, _same).hubs
+    )
+    assert not chosen.owners
+    assert len(chosen.linked) <= 4
+
+
+def test_in_a_mesh_those_that_stop_are_heard_and_own_nothing() -> None:
+    stops = frozenset(('n2', 'n3'))
+    chosen = Topology('n1').choose(_FEW, _NOBODY, _NOBODY, _same, stops)
+    assert chosen.hubs == _FEW
+    assert chosen.owners == _FEW - stops
+    assert chosen.linked == _FEW - {'n1'}
+
+
 @settings(max_examples=60)
 @given(
     st.lists(
