Admissions and refusals tell what was known of the quota

The lines of a request over a quota told only the wait. Whether an instance admitted on old knowledge, or for a part of the fleet, had to be worked out from other instances' lines. Both now tell the use known, the limit, the part of the fleet that is heard and how old that knowledge is: the time until which those that are heard have counted what was admitted here, from the answers to its questions (all peers in a mesh, a hub in a large fleet). No new lines.

--- a/packages/dispatch/src/tallyhall_dispatch/gate.py
+++ b/packages/dispatch/src/tallyhall_dispatch/gate.py
@@ -14,7 +14,7 @@
 
 from .desired import DesiredState, Route, Workspace
 from .freshness import Freshness
-from .quota import QuotaBounds, Quotas
+from .quota import QuotaBounds, QuotaSeen, Quotas
 from .retries import RetryBudget, RetryLimits
 from .routing import Router, pick_service
 
@@ -28,7 +28,8 @@
     """A request that may run, and on what grounds.
 
     over_quota_s: 0, or the time until the request would fit into the quota
-    of its workspace; it then runs on places that nobody else needs.
+    of its workspace; it then runs on places that nobody else needs. seen:
+    what was known of the quota, None without one.
     """
 
     route: Route
@@ -38,12 +39,23 @@
     charged: float
     version: int
     over_quota_s: float = 0
+    seen: QuotaSeen | None = None
+
+
+class OverQuotaError(RefusedError):
+    """A request is refused for the quota of its workspace."""
+
+    def __init__(self, refusal: Refusal, seen: QuotaSeen | None) -> None:
+        """Keep the refusal and what decided."""
+        super().__init__(refusal)
+        self.seen = seen
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Charge:
     amount: float
     over_quota_s: float = 0
+    seen: QuotaSeen | None = None
 
 
 class Gate:
@@ -109,6 +121,7 @@
             charge.amount,
             router.state.version,
             charge.over_quota_s,
+            charge.seen,
         )
 
     def still_holds(self, admitted: Admitted, now: float) -> bool:
@@ -155,10 +168,14 @@
         amount: float = 1
         if workspace.in_tokens:
             amount = tokens or workspace.plain_tokens
+        seen = self.quotas.seen(workspace.name, now)
         wait_s = self.quotas.take(workspace.name, amount, now)
         if wait_s and not self.quotas.take_spare(workspace.name, amount, now):
-            raise _refused(Reason.rate_limited, wait_s)
-        return _Charge(amount, wait_s)
+            raise OverQuotaError(
+                Refusal.of(Reason.rate_limited, retry_after=wait_s),
+                seen,
+            )
+        return _Charge(amount, wait_s, seen)
 
 
 def _refused(reason: Reason, retry_after: float | None = None) -> RefusedError:
--- a/packages/dispatch/src/tallyhall_dispatch/quota.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota.py
@@ -66,10 +66,29 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fleet:
-    """How much of the fleet reports here; heard is a part of one."""
+    """How much of the fleet reports here; heard is a part of one.
+
+    known_at: what this instance had admitted by then is known to all that
+    it hears, None where it hears nobody else.
+    """
 
     instances: int = 1
     heard: float = 1
+    known_at: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaSeen:
+    """What was known when a request was admitted or refused.
+
+    used: by all within the last window. limit: what it is held against.
+    heard: part of the fleet. known_s_ago: age of the knowledge of it.
+    """
+
+    used: float
+    limit: float
+    heard: float
+    known_s_ago: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -205,6 +224,19 @@
         use.admit(amount, now)
         return True
 
+    def seen(self, name: str, now: float) -> QuotaSeen | None:
+        """Return what decides now, None where there is no quota."""
+        use = self._uses.get(name)
+        if use is None or not use.workspace.rate:
+            return None
+        known_at = self._fleet.known_at
+        return QuotaSeen(
+            self._used(use, now),
+            self._allowed(use.workspace),
+            self._fleet.heard,
+            0 if known_at is None else now - known_at,
+        )
+
     def give_back(self, name: str, amount: float, now: float) -> None:
         """Take back an admitted amount that did not run."""
         use = self._uses.get(name)
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -16,8 +16,9 @@
 from tallyhall_core.events import Event
 from tallyhall_core.refusals import Executed, Reason, Refusal, RefusedError
 from tallyhall_dispatch.desired import RouteKind, Upstream
-from tallyhall_dispatch.gate import Admitted, Gate
+from tallyhall_dispatch.gate import Admitted, Gate, OverQuotaError
 from tallyhall_dispatch.jobs import Ending, Grant, Job, RunReport
+from tallyhall_dispatch.quota import QuotaSeen
 
 from .connections import ConnectionPool
 from .dialect import BadCallError, CallInfo, Dialect, SendInfo
@@ -147,6 +148,10 @@
         await self._until_state(exchange.received_at)
         try:
             visit = self._enter(exchange, call)
+        except OverQuotaError as exc:
+            inputs = _quota_inputs(exc.seen)
+            self._refuse(exchange, exc.refusal, call.id_text, **inputs)
+            return
         except RefusedError as exc:
             self._refuse(exchange, exc.refusal, call.id_text)
             return
@@ -447,6 +452,7 @@
         exchange: Exchange,
         refusal: Refusal,
         request_id: str,
+        **inputs: object,
     ) -> None:
         self._telemetry.event(
             Event.refused,
@@ -454,6 +460,7 @@
             reason=refusal.reason.value,
             detail=refusal.detail,
             retry_after=refusal.retry_after,
+            **inputs,
         )
         answer = self._dialect.refusal(refusal)
         exchange.answer(
@@ -514,6 +521,7 @@
             confirmed_ms_ago=None if age_s is None else round(age_s * _MILLI),
             tokens=call.prompt_tokens + call.output_tokens,
             over_quota_s=admitted.over_quota_s,
+            **_quota_inputs(admitted.seen),
         )
 
     def _log_grant(self, visit: Visit, grant: Grant) -> None:
@@ -547,3 +555,14 @@
             events=report.events,
             total_ms=round(report.total_s * _MILLI),
         )
+
+
+def _quota_inputs(seen: QuotaSeen | None) -> dict[str, object]:
+    if seen is None:
+        return {}
+    return {
+        'used': round(seen.used),
+        'limit': round(seen.limit),
+        'heard': round(seen.heard, 3),
+        'known_ms_ago': round(seen.known_s_ago * _MILLI),
+    }
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -330,7 +330,9 @@
             # A leaving instance does not count as live, but still admits.
             heard = self._links.hears
             instances = max(self._gate.instances, heard)
-            self._gate.quotas.take_fleet(Fleet(instances, heard / instances))
+            self._gate.quotas.take_fleet(
+                Fleet(instances, heard / instances, self._links.known_at),
+            )
             self._dispatcher.take_share(heard / instances)
 
     async def _chores(self) -> None:
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -213,6 +213,7 @@
                 self._dispatcher.drop_jobs(f'{peer.name}/')
         seen = self._neighbours.look(now, leaving=self.leaving)
         self._links.hears = seen.hears
+        self._links.known_at = seen.known_at
         if self.ownership.take_live(seen.hubs):
             self._log(
                 Event.instances_changed,
--- a/packages/transport/src/tallyhall_transport/peers.py
+++ b/packages/transport/src/tallyhall_transport/peers.py
@@ -233,6 +233,8 @@
         self.own_cores: float = 0
         # Instances whose use of quotas is known here, with this one.
         self.hears = 1
+        # What was admitted here until then is known to them.
+        self.known_at: float | None = None
         self._name = name
         self._incarnation = incarnation
         self._on_batch = on_batch
@@ -284,7 +286,7 @@
     async def listen(self, address: str, read_state: ReadState) -> None:
         """Open the address; raise OSError where it is taken."""
         server = aio.server(options=(('grpc.so_reuseport', 0),))
-        self._servicer = _Servicer(self._take, read_state)
+        self._servicer = _Servicer(self.take, read_state)
         _add_servicer(self._servicer, server)
         try:
             port = server.add_insecure_port(address)
@@ -358,20 +360,8 @@
         if self._server is not None:
             await self._server.stop(_ENDING_S)
 
-    def _link(self, name: str) -> None:
-        place = self._places.get(name)
-        if place is None:
-            return
-        peer = self._peers.setdefault(name, Peer(name))
-        peer.linked_at = self._loop.time()
-        self._outboxes[name] = _Outbox(self, peer, place.address)
-
-    def _unlink(self, name: str) -> None:
-        outbox = self._outboxes.pop(name)
-        outbox.peer.linked_at = None
-        outbox.task.cancel()
-
-    def _take(self, batch: peers_pb2.Batch) -> None:
+    def take(self, batch: peers_pb2.Batch) -> None:
+        """Take a batch as it came."""
         peer = self._peers.setdefault(batch.sender, Peer(batch.sender))
         peer.heard_at = self._loop.time()
         peer.question_us = batch.question_us
@@ -385,6 +375,19 @@
             peer.answered_at = max(peer.answered_at, asked_at)
         self._on_batch(peer, batch)
 
+    def _link(self, name: str) -> None:
+        place = self._places.get(name)
+        if place is None:
+            return
+        peer = self._peers.setdefault(name, Peer(name))
+        peer.linked_at = self._loop.time()
+        self._outboxes[name] = _Outbox(self, peer, place.address)
+
+    def _unlink(self, name: str) -> None:
+        outbox = self._outboxes.pop(name)
+        outbox.peer.linked_at = None
+        outbox.task.cancel()
+
 
 def _stub(channel: aio.Channel) -> peers_pb2_grpc.PeersStub:
     return peers_pb2_grpc.PeersStub(channel)  # type: ignore[no-untyped-call]
