Until when others know what was admitted here, in a module of its own

known_at: all that this instance talks to have counted it (the least of their answers; hubs in a large fleet). counted_at: one that tells all others has counted it (a hub; in a mesh all), and nobody has been silent for over 1.5 beats. Told in the lines of quotas as before; nothing acts on it yet.

--- a/packages/dispatch/src/tallyhall_dispatch/quota.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota.py
@@ -69,12 +69,14 @@
     """How much of the fleet reports here; heard is a part of one.
 
     known_at: what this instance had admitted by then is known to all that
-    it hears, None where it hears nobody else.
+    it hears, None where it hears nobody else. counted_at: to one that tells
+    all, None while any may be cut off.
     """
 
     instances: int = 1
     heard: float = 1
     known_at: float | None = None
+    counted_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -331,7 +331,12 @@
             heard = self._links.hears
             instances = max(self._gate.instances, heard)
             self._gate.quotas.take_fleet(
-                Fleet(instances, heard / instances, self._links.known_at),
+                Fleet(
+                    instances,
+                    heard / instances,
+                    self._scheduler.known.known_at,
+                    self._scheduler.known.counted_at,
+                ),
             )
             self._dispatcher.take_share(heard / instances)
 
--- /dev/null
+++ b/packages/entry/src/tallyhall_entry/knowledge.py
@@ -0,0 +1,48 @@
+"""Until when the others know what this instance has admitted."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from tallyhall_dispatch.topology import is_mesh
+from tallyhall_transport.peers import PeerLinks
+
+# Beats after which one that was not heard may be cut off; two that follow
+# each other come up to 1.2 apart on a busy machine.
+_SUSPECT_BEATS = 1.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Known:
+    """Times until which what was admitted here is known.
+
+    known_at: to all that this instance talks to, None where there is nobody.
+    counted_at: to one that tells all others, None while any may be cut off.
+    """
+
+    known_at: float | None = None
+    counted_at: float | None = None
+
+
+def known(links: PeerLinks, now: float, *, is_hub: bool) -> Known:
+    """Return what the answers of others say.
+
+    Whoever answers a question has counted all that was told before it.
+    """
+    lost_s = links.lost_s
+    live = [
+        peer
+        for peer in links.peers.values()
+        if now - peer.heard_at < lost_s and now - peer.answered_at < 2 * lost_s
+    ]
+    if not live:
+        return Known()
+    known_at = min(peer.answered_at for peer in live)
+    silent_s = now - min(peer.heard_at for peer in live)
+    if silent_s > _SUSPECT_BEATS * links.beat_s:
+        return Known(known_at)
+    if is_mesh(links.instances):
+        return Known(known_at, known_at)
+    if is_hub:
+        return Known(known_at, now)
+    return Known(known_at, max(peer.answered_at for peer in live))
--- a/packages/entry/src/tallyhall_entry/neighbours.py
+++ b/packages/entry/src/tallyhall_entry/neighbours.py
@@ -16,13 +16,11 @@
     """What is known of the fleet at a moment.
 
     hubs: instances that may own services. hears: instances whose use of
-    quotas is known here, with this one. known_at: what this instance had
-    admitted by then is known to them, None where there are no others.
+    quotas is known here, with this one.
     """
 
     hubs: frozenset[str]
     hears: int
-    known_at: float | None
 
 
 class Neighbours:
@@ -61,28 +59,7 @@
             links.cores,
         )
         links.link(chosen.linked)
-        return Seen(
-            chosen.hubs,
-            self._hears(chosen.hubs, live),
-            self._known_at(chosen.hubs, live),
-        )
-
-    def _known_at(self, hubs: frozenset[str], live: set[str]) -> float | None:
-        """Return until when the others know what was admitted here.
-
-        Whoever answers a question has counted all that was told before it.
-        """
-        links = self._links
-        mesh = is_mesh(links.instances)
-        tellers = live if mesh else live & hubs
-        answered = [
-            peer.answered_at
-            for peer in links.peers.values()
-            if peer.name in tellers
-        ]
-        if not answered:
-            return None
-        return min(answered) if mesh else max(answered)
+        return Seen(chosen.hubs, self._hears(chosen.hubs, live))
 
     def _is_live(self, peer: Peer, now: float) -> bool:
         lost_s = self._links.lost_s
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -31,6 +31,7 @@
 )
 from tallyhall_transport.peers import Peer, PeerLinks
 
+from .knowledge import Known, known
 from .neighbours import Neighbours
 
 # What a lost instance runs is no longer counted after this long.
@@ -100,8 +101,14 @@
         self._origins: dict[str, _PeerOrigin] = {}
         self._dropped: set[str] = set()
         self._neighbours = Neighbours(name, links)
+        self._known = Known()
         self.ownership.take_live(frozenset((name,)))
 
+    @property
+    def known(self) -> Known:
+        """Return until when others know what was admitted here."""
+        return self._known
+
     # -- Scheduler
 
     async def acquire(self, job: Job) -> Grant:
@@ -213,7 +220,7 @@
                 self._dispatcher.drop_jobs(f'{peer.name}/')
         seen = self._neighbours.look(now, leaving=self.leaving)
         self._links.hears = seen.hears
-        self._links.known_at = seen.known_at
+        self._known = known(self._links, now, is_hub=self._name in seen.hubs)
         if self.ownership.take_live(seen.hubs):
             self._log(
                 Event.instances_changed,
--- a/packages/transport/src/tallyhall_transport/peers.py
+++ b/packages/transport/src/tallyhall_transport/peers.py
@@ -233,8 +233,6 @@
         self.own_cores: float = 0
         # Instances whose use of quotas is known here, with this one.
         self.hears = 1
-        # What was admitted here until then is known to them.
-        self.known_at: float | None = None
         self._name = name
         self._incarnation = incarnation
         self._on_batch = on_batch
