--- /dev/null
+++ b/tests/platform/quota_fleet.py
@@ -0,0 +1,300 @@
+"""Instances that admit and report to each other; only the streams are missing.
+
+Time is simulated: a batch is filled by its sender, arrives after a delay and
+is taken by its receiver, all by the product's own parts.
+"""
+
+import asyncio
+import dataclasses
+import functools
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from tallyhall_dispatch.desired import Workspace
+from tallyhall_dispatch.freshness import Freshness
+from tallyhall_dispatch.gate import Gate
+from tallyhall_dispatch.quota import Fleet, QuotaBounds
+from tallyhall_dispatch.retries import RetryLimits
+from tallyhall_dispatch.topology import is_mesh
+from tallyhall_entry.knowledge import known
+from tallyhall_entry.logs import EventLog
+from tallyhall_entry.neighbours import Neighbours
+from tallyhall_entry.talk import Talk
+from tallyhall_transport.generated import peers_pb2
+from tallyhall_transport.peers import Peer, PeerLinks, PeerPlace
+
+from tests.platform.harness import log_stream
+from tests.platform.windows import most_in_window
+
+WINDOW_S = 8
+_TICK_S = 0.05
+_LARGE = 50_000
+
+
+class Clock:
+    """The steady time of all instances."""
+
+    def __init__(self) -> None:
+        """Start late enough for all to know the last window."""
+        self.now: float = 1000
+
+    def read(self) -> float:
+        """Return the time."""
+        return self.now
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One instance."""
+
+    name: str
+    gate: Gate
+    links: PeerLinks
+    talk: Talk
+    neighbours: Neighbours
+    hubs: frozenset[str] = frozenset()
+
+    def look(self, now: float) -> None:
+        """Take what is known of the fleet now."""
+        links = self.links
+        seen = self.neighbours.look(now, leaving=False)
+        live = [
+            peer
+            for peer in links.peers.values()
+            if now - peer.heard_at < links.lost_s
+            and now - peer.answered_at < 2 * links.lost_s
+        ]
+        size = links.instances
+        links.hears = 1 + len(live)
+        hears = links.hears
+        if not is_mesh(size):
+            hears = max(hears, *(peer.hears for peer in live), 1)
+        self.hubs = seen.hubs
+        times = known(links, now, is_hub=self.name in seen.hubs)
+        fleet = Fleet(size, hears / size, times.known_at, times.counted_at)
+        self.gate.quotas.take_fleet(fleet)
+
+
+@dataclasses.dataclass(slots=True)
+class Load:
+    """What callers send: tokens a second at a time, and to which instance."""
+
+    per_s: Callable[[float], float]
+    pick: Callable[[random.Random], int]
+    mean: float = 4000
+
+
+class QuotaFleet:
+    """All instances, their batches on the way, and what they admitted."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        size: int,
+        workspace: Workspace,
+        bounds: QuotaBounds,
+        seed: int = 1,
+    ) -> None:
+        """Start all, each knowing all others from the store."""
+        self.taken: list[tuple[float, float]] = []
+        self.cut: frozenset[int] = frozenset()
+        # What fitted into the quota and was refused, and all that fitted.
+        self.denied: float = 0
+        self.fitted: float = 0
+        self.delay_s = (0.001, 0.02)
+        # Whether those that are cut off reach each other.
+        self.cut_apart = True
+        self.rng = random.Random(seed)
+        self._clock = clock
+        self._workspace = workspace
+        self._bounds = bounds
+        self._order = itertools.count()
+        self._due: list[tuple[float, int, Callable[[], None]]] = []
+        self._opened: set[tuple[str, str]] = set()
+        self._arrives: dict[tuple[str, str], float] = {}
+        self._log = EventLog(log_stream())
+        names = [f'n{number:02}' for number in range(size)]
+        self.nodes = [self._node(name) for name in names]
+        self._by_name = dict(zip(names, self.nodes, strict=True))
+        for node in self.nodes:
+            node.links.take_peers(
+                {
+                    name: PeerPlace(name, 1)
+                    for name in names
+                    if name != node.name
+                },
+            )
+            node.look(clock.now)
+            first = self.rng.random()
+            self._at(first * _TICK_S, functools.partial(self._tick, node))
+            self._at(
+                first * node.links.beat_s,
+                functools.partial(self._beat, node),
+            )
+
+    @property
+    def limit(self) -> float:
+        """Return the quota."""
+        return self._workspace.rate * WINDOW_S + self._workspace.burst
+
+    @property
+    def allowed(self) -> float:
+        """Return the quota with all that it may be exceeded by."""
+        return self.limit * (1 + self._bounds.overshoot) + self._bounds.slack
+
+    @property
+    def most(self) -> float:
+        """Return what was admitted in the fullest window."""
+        return most_in_window(self.taken, WINDOW_S)
+
+    def run(self, seconds: float, load: Load | None = None) -> None:
+        """Let time pass while callers send."""
+        ends_at = self._clock.now + seconds
+        asks_at = self._next_ask(load)
+        while True:
+            step_at = self._due[0][0]
+            if min(step_at, asks_at) >= ends_at:
+                self._clock.now = ends_at
+                return
+            if load is not None and asks_at < step_at:
+                self._clock.now = asks_at
+                self.ask(load.pick(self.rng), self._amount(load.mean))
+                asks_at = self._next_ask(load)
+                continue
+            due = heapq.heappop(self._due)
+            self._clock.now = due[0]
+            due[2]()
+
+    def ask(self, number: int, amount: float) -> bool:
+        """Let one instance admit a request if it will."""
+        now = self._clock.now
+        quotas = self.nodes[number].gate.quotas
+        fits = self._used(now) + amount <= self.limit
+        self.fitted += amount * fits
+        name = self._workspace.name
+        over = quotas.take(name, amount, now)
+        if over and not quotas.take_spare(name, amount, now):
+            self.denied += amount * fits
+            return False
+        self.taken.append((now, amount))
+        self._ask_owner(self.nodes[number])
+        return True
+
+    def tell(self, sender: Node, receiver: str) -> None:
+        """Send a batch."""
+        now = self._clock.now
+        batch = peers_pb2.Batch()
+        pair = (sender.name, receiver)
+        batch.opened = pair not in self._opened
+        self._opened.add(pair)
+        peer = sender.links.peers.get(receiver) or Peer(receiver)
+        sender.links.fill(batch, peer)
+        batch.sender = sender.name
+        batch.incarnation = sender.name
+        arrives_at = max(
+            now + self.rng.uniform(*self.delay_s),
+            self._arrives.get(pair, 0),
+        )
+        self._arrives[pair] = arrives_at
+        self._at(arrives_at - now, lambda: self._arrive(batch, receiver))
+
+    def _ask_owner(self, node: Node) -> None:
+        """Ask a hub for a place and be answered, as each request does."""
+        owner = self.rng.choice(sorted(node.hubs))
+        if owner != node.name:
+            self.tell(node, owner)
+            arrives_s = self._arrives[node.name, owner] - self._clock.now
+            answer = functools.partial(self._answer, owner, node.name)
+            self._at(arrives_s, answer)
+
+    def _answer(self, owner: str, asker: str) -> None:
+        if self._reach(owner, asker):
+            self.tell(self._by_name[owner], asker)
+
+    def _arrive(self, batch: peers_pb2.Batch, receiver: str) -> None:
+        if self._reach(batch.sender, receiver):
+            self._by_name[receiver].links.take(batch)
+
+    def _reach(self, sender: str, receiver: str) -> bool:
+        if self._is_cut(sender) != self._is_cut(receiver):
+            return False
+        return not (self.cut_apart and self._is_cut(sender))
+
+    def _is_cut(self, name: str) -> bool:
+        return int(name[1:]) in self.cut
+
+    def _tick(self, node: Node) -> None:
+        node.look(self._clock.now)
+        self._at(_TICK_S, functools.partial(self._tick, node))
+
+    def _beat(self, node: Node) -> None:
+        peers = node.links.peers
+        for name in sorted(peers):
+            if peers[name].linked_at is not None:
+                self.tell(node, name)
+        self._at(node.links.beat_s, functools.partial(self._beat, node))
+
+    def _at(self, wait_s: float, act: Callable[[], None]) -> None:
+        entry = (self._clock.now + wait_s, next(self._order), act)
+        heapq.heappush(self._due, entry)
+
+    def _next_ask(self, load: Load | None) -> float:
+        if load is None:
+            return float('inf')
+        per_s = load.per_s(self._clock.now) / load.mean
+        return self._clock.now + self.rng.expovariate(per_s)
+
+    def _amount(self, mean: float) -> float:
+        """Return a size; one in a hundred is 12 times the mean."""
+        if self.rng.random() < 0.01:
+            return _LARGE * mean / 4000
+        return min(12 * mean, self.rng.lognormvariate(-0.72, 1.1) * mean)
+
+    def _used(self, now: float) -> float:
+        used: float = 0
+        for at, amount in reversed(self.taken):
+            if at <= now - WINDOW_S:
+                break
+            used += amount
+        return used
+
+    def _node(self, name: str) -> Node:
+        gate = Gate(
+            Freshness(5),
+            RetryLimits(0.2, 50, 10),
+            self._bounds,
+            self.rng,
+            self._clock.now - 100,
+        )
+        gate.quotas.configure({self._workspace.name: self._workspace})
+        talks: list[Talk] = []
+        links = PeerLinks(
+            name,
+            name,
+            lambda peer, batch: _take(talks[0], peer, batch),
+            lambda peer, batch: talks[0].fill(peer, batch),
+            _ignore,
+            _ignore,
+        )
+        talks.append(Talk(gate, links, lambda raw: None, self._log))
+        return Node(name, gate, links, talks[0], Neighbours(name, links))
+
+
+def simulated() -> Clock:
+    """Put the running loop on simulated time."""
+    clock = Clock()
+    loop = asyncio.get_running_loop()
+    loop.time = clock.read  # type: ignore[method-assign]
+    return clock
+
+
+def _take(talk: Talk, peer: Peer, batch: peers_pb2.Batch) -> None:
+    talk.take(peer, batch)
+    # As the jobs' part of a batch does.
+    peer.incarnation = batch.incarnation
+
+
+def _ignore(*_: object) -> None:
+    """Take anything."""
--- a/tests/platform/windows.py
+++ b/tests/platform/windows.py
@@ -6,12 +6,14 @@
     window_s: float,
 ) -> float:
     """Return the largest sum of amounts within any window of this length."""
-    return max(
-        (
-            sum(
-                amount for at, amount in taken if start <= at < start + window_s
-            )
-            for start, _ in taken
-        ),
-        default=0,
-    )
+    ordered = sorted(taken)
+    most: float = 0
+    held: float = 0
+    end = 0
+    for start, amount in ordered:
+        while end < len(ordered) and ordered[end][0] < start + window_s:
+            held += ordered[end][1]
+            end += 1
+        most = max(most, held)
+        held -= amount
+    return most
