--- a/tests/platform/quota_fleet.py
+++ b/tests/platform/quota_fleet.py
@@ -278,6 +278,7 @@
             _ignore,
             _ignore,
         )
+        links.own_cores = 1
         talks.append(Talk(gate, links, lambda raw: None, self._log))
         return Node(name, gate, links, talks[0], Neighbours(name, links))
 
