--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -368,7 +368,14 @@
             heard = self._links.hears
             instances = max(len(self._beliefs.count.members), heard)
             self._gate.instances = instances
-            self._gate.quotas.take_fleet(Fleet(instances, heard / instances))
+            self._gate.quotas.take_fleet(
+                Fleet(
+                    instances,
+                    heard / instances,
+                    self._scheduler.known.known_at,
+                    self._scheduler.known.counted_at,
+                ),
+            )
             holders = max(len(self._beliefs.count.holders), heard)
             self._dispatcher.take_share(heard / holders)
             self._log_count()
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -33,6 +33,7 @@
 )
 from tallyhall_transport.peers import Peer, PeerLinks
 
+from .knowledge import Known, known
 from .neighbours import Neighbours
 
 # What a lost instance runs is no longer counted after this long.
@@ -110,8 +111,14 @@
         self._alone: dict[str, set[str]] = collections.defaultdict(set)
         self._neighbours = Neighbours(name, links)
         self._hubs = frozenset((name,))
+        self._known = Known()
         self.ownership.take_live(frozenset((name,)))
 
+    @property
+    def known(self) -> Known:
+        """Return until when others know what was admitted here."""
+        return self._known
+
     # -- Scheduler
 
     async def acquire(self, job: Job) -> Grant:
@@ -230,6 +237,7 @@
         self._hubs = seen.hubs
         self._links.hears = seen.hears
         self._links.hears_directly = seen.hears_directly
+        self._known = known(self._links, now, is_hub=self._name in seen.hubs)
         if self.ownership.take_live(seen.owners):
             self._log(
                 Event.instances_changed,
--- a/packages/entry/src/tallyhall_entry/talk.py
+++ b/packages/entry/src/tallyhall_entry/talk.py
@@ -53,6 +53,7 @@
         self._adopted: _Adoption | None = None
         self._seen: dict[tuple[str, str, str], float] = {}
         self._hearing = Hearing()
+        self._returned: dict[tuple[str, str, str], tuple[float, float]] = {}
         self._fetching: asyncio.Task[None] | None = None
 
     def take(
@@ -92,9 +93,11 @@
         batch.knows_use = hears_all and self._gate.quotas.knows_past(now)
         for name, use in self._gate.quotas.report(now).items():
             repeats = hubs and use.is_high or not peer.knows_use
-            if peer.told.get(name) == use.total and not repeats:
+            # Both only grow.
+            changes = use.total + use.returned
+            if peer.told.get(name) == changes and not repeats:
                 continue
-            peer.told[name] = use.total
+            peer.told[name] = changes
             seen_key = (peer.name, peer.incarnation, name)
             batch.spent.add(
                 workspace=name,
@@ -102,6 +105,8 @@
                 within_window=use.within_window,
                 fleet=use.fleet,
                 counted=self._seen.get(seen_key, 0),
+                returned=use.returned,
+                returned_age=use.returned_age,
             )
 
     def _take_spent(
@@ -121,10 +126,31 @@
         if not quotas.knows_past(now):
             sender = batch.sender
             self._hearing.reported(spent.workspace, sender, amount, now)
+        self._take_returned(seen_key, spent, now)
         if not is_mesh(self._links.instances):
             fleet = FleetUse(batch.sender, spent.fleet, spent.counted, now)
             self._gate.quotas.heard(spent.workspace, fleet)
 
+    def _take_returned(
+        self,
+        seen_key: tuple[str, str, str],
+        spent: peers_pb2.Spent,
+        now: float,
+    ) -> None:
+        """Take returns back where they were charged, at their mean age."""
+        newest = (spent.returned, spent.returned_age)
+        # A first report tells of the window less what was returned.
+        amount, age = self._returned.get(seen_key, newest)
+        self._returned[seen_key] = newest
+        if spent.returned > amount:
+            mean_s = (spent.returned_age - age) / (spent.returned - amount)
+            self._gate.quotas.returned(
+                spent.workspace,
+                spent.returned - amount,
+                now - mean_s,
+                now,
+            )
+
     def _counted_before(
         self,
         batch: peers_pb2.Batch,
@@ -178,8 +204,10 @@
             now,
         )
         for told in batch.spent:
-            # The sender's own use is in its sum.
-            self._seen[_seen_key(batch, told)] = told.total
+            # The sender's own use is in its sum, less what it returned.
+            key = _seen_key(batch, told)
+            self._seen[key] = told.total
+            self._returned[key] = (told.returned, told.returned_age)
 
     def _is_whole(self, batch: peers_pb2.Batch, now: float) -> bool:
         """Return whether the sender knows the use of all that count here.
