--- a/tests/platform/test_links.py
+++ b/tests/platform/test_links.py
@@ -17,6 +17,7 @@
 import asyncio
 
 from tallyhall_bench.ports import free_ports
+from tallyhall_transport.generated import peers_pb2
 from tallyhall_transport.peers import PeerLinks, PeerPlace
 
 from tests.platform.harness import HOST, until
@@ -56,3 +57,20 @@
     await until(lambda: 'a' in again.peers and again.peers['a'].heard_at > 0, 3)
     await one.close()
     await again.close()
+
+
+async def test_the_echo_of_an_earlier_run_is_no_answer() -> None:
+    """A restart may begin the steady time anew; a peer echoes the old one.
+
+    Taken for an answer it would hold for as long as the earlier run had
+    lasted: nothing admitted here would count as unknown to others.
+    """
+    now = asyncio.get_running_loop().time()
+    links = _links('a', 'a2')
+    batch = peers_pb2.Batch(sender='b', incarnation='b1')
+    batch.echo_us = int((now + 5000) * 1_000_000)
+    links.take(batch)
+    assert links.peers['b'].answered_at < 0
+    batch.echo_us = int(now * 1_000_000)
+    links.take(batch)
+    assert links.peers['b'].answered_at > 0
--- a/tests/platform/test_quota_returns.py
+++ b/tests/platform/test_quota_returns.py
@@ -90,6 +90,30 @@
     assert other.quotas.take('shop', 900, clock.now) > 0
 
 
+async def test_returns_that_waited_unequally_hide_nothing_that_ran() -> None:
+    """Of three charges of 300 the first and the last are returned at once.
+
+    They waited 7 s and 0.2 s. Taken back at the mean of that, both came off
+    the one between, which ran: when the first left the window, the sum of
+    the other instance was 0 for 3 s.
+    """
+    clock = simulated()
+    fleet = QuotaFleet(clock, 2, _WORKSPACE, _BOUNDS)
+    gate, other = (node.gate for node in fleet.nodes)
+    fleet.run(1)
+    gate.take_state(decode_state(_state(100, 200)))
+    charged = []
+    for wait_s in (3, 3.8, 0.2):
+        charged.append(_admit(gate, 300, clock.now))
+        fleet.run(wait_s)
+    first, _, last = charged
+    assert first is not None and last is not None
+    gate.give_back(first, clock.now)
+    gate.give_back(last, clock.now)
+    fleet.run(2)
+    assert other.quotas.take('shop', 750, clock.now) > 0
+
+
 @given(
     st.lists(
         st.tuples(
--- a/tests/platform/test_talk.py
+++ b/tests/platform/test_talk.py
@@ -132,6 +132,29 @@
     assert young.gate.quotas.take('w', 10, now + 0.5) > 0
 
 
+async def test_an_adoption_leaves_out_only_what_was_not_returned() -> None:
+    """The young one was counted 200 and returned them; the old one ran 400.
+
+    The sum of all, 400, does not hold the 200 any more.
+    """
+    now = asyncio.get_running_loop().time()
+    old, third = _node('a', now - 100), _node('b', now - 100)
+    assert not old.gate.quotas.take('w', 400, now)
+    old.links.hears = len(_NAMES)
+    young = _node('c', now)
+    assert not young.gate.quotas.take('w', 200, now)
+    young.tell(old)
+    young.gate.quotas.give_back('w', 200, now, now)
+    young.tell(old)
+    for sender in (third, old):
+        sender.tell(young)
+    await asyncio.sleep(_HEARD_S)
+    for again in (third, old):
+        again.tell(young)
+    assert young.gate.quotas.knows_past(now + 0.5)
+    assert young.gate.quotas.take('w', _LIMIT - 300, now + 0.5) > 0
+
+
 async def test_what_an_instance_admits_after_an_adoption_counts() -> None:
     """It was heard before, so its first report holds nothing known."""
     now = asyncio.get_running_loop().time()
