Returns leave with the oldest of their charges; adoptions and echoes of restarts

Cause: others took returns back at their mean age, which fell on what ran between two charges; an adoption left out the young one's gross count from a sum that holds its net use; an echo from before a restart on a clock that began anew counted as an answer far ahead. Change: the longest wait among the last returns is told; an adoption leaves out the count less the own returns; echoes from ahead of the clock are passed over. Ruled out: taking returns off the oldest amounts first, which in a steady load takes nothing back at all.

--- a/packages/dispatch/src/tallyhall_dispatch/quota.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota.py
@@ -20,6 +20,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import math
 from collections.abc import Mapping
@@ -46,6 +47,8 @@
 # at most 1.1 s apart at 87 instances. What is older than the newest that is
 # heard by this is replaced by it; what nobody replaces still counts.
 _HEARD_S = 2.5
+# Returns are told by then: two beats, which come 1.1 s apart at 87 instances.
+_RETURNS_TOLD_S = 2.5
 # Use below this part of a quota is calm: at 8 times a usual load of 0.55 of
 # the quota, what all admit until a silence of 1.5 beats is seen stays in it.
 # A mesh beats each 0.19 s at the most, a large fleet each 1.1 s at 87.
@@ -117,8 +120,8 @@
     total: admitted by the instance since its start. within_window: of that
     in the last window. fleet: admitted by all instances in the last window,
     as far as the instance knows. is_high: whether that is much of the quota.
-    returned: of the total, what did not run; returned_age: the sum of these
-    amounts times the seconds from charge to return.
+    returned: of the total, what did not run. oldest_return_s: seconds from
+    charge to return of the one among the last returns that waited longest.
     """
 
     total: float
@@ -126,7 +129,7 @@
     fleet: float
     is_high: bool
     returned: float
-    returned_age: float
+    oldest_return_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -161,9 +164,11 @@
         self.own = SlidingSum(window_s, _STEPS)
         self.others = SlidingSum(window_s, _STEPS)
         self.outstanding = Outstanding()
-        # Returned since the start, and the same times its age at the return.
+        # Returned since the start, and times and waits of the last returns.
         self.returned: float = 0
-        self.returned_age: float = 0
+        self._returns: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
         self.heard: dict[str, FleetUse] = {}
 
     def admit(self, amount: float, now: float) -> None:
@@ -178,9 +183,21 @@
         self.own.take_back(amount, charged_at, now)
         self.outstanding.take_back(amount, charged_at)
         self.returned += amount
-        self.returned_age += amount * (now - charged_at)
+        self._returns.append((now, now - charged_at))
         self.fleet_total -= amount
 
+    def oldest_return_s(self, now: float) -> float:
+        """Return the longest wait among the last returns.
+
+        Others take all of them back at this age: what leaves the window too
+        early leaves their sum too high. A mean would hide what ran between
+        two charges for as long as they are apart.
+        """
+        returns = self._returns
+        while returns and now - returns[0][0] > _RETURNS_TOLD_S:
+            returns.popleft()
+        return max((wait_s for _, wait_s in returns), default=0)
+
 
 class Quotas:
     """Use of all workspaces' quotas as known on one instance."""
@@ -315,6 +332,11 @@
             use.others.take_back(amount, charged_at, now)
             use.fleet_total -= amount
 
+    def own_returned(self, name: str) -> float:
+        """Return what this instance gave back since its start."""
+        use = self._uses.get(name)
+        return 0 if use is None else use.returned
+
     def heard(self, name: str, fleet_use: FleetUse) -> None:
         """Take what another instance knows of the use of all."""
         use = self._uses.get(name)
@@ -335,7 +357,7 @@
                     fleet,
                     0 < high < fleet,
                     use.returned,
-                    use.returned_age,
+                    use.oldest_return_s(now),
                 )
         return reports
 
--- a/packages/entry/src/tallyhall_entry/talk.py
+++ b/packages/entry/src/tallyhall_entry/talk.py
@@ -53,7 +53,7 @@
         self._adopted: _Adoption | None = None
         self._seen: dict[tuple[str, str, str], float] = {}
         self._hearing = Hearing()
-        self._returned: dict[tuple[str, str, str], tuple[float, float]] = {}
+        self._returned: dict[tuple[str, str, str], float] = {}
         self._fetching: asyncio.Task[None] | None = None
 
     def take(
@@ -106,7 +106,7 @@
                 fleet=use.fleet,
                 counted=self._seen.get(seen_key, 0),
                 returned=use.returned,
-                returned_age=use.returned_age,
+                oldest_return_s=use.oldest_return_s,
             )
 
     def _take_spent(
@@ -137,17 +137,15 @@
         spent: peers_pb2.Spent,
         now: float,
     ) -> None:
-        """Take returns back where they were charged, at their mean age."""
-        newest = (spent.returned, spent.returned_age)
+        """Take returns back where the oldest of them was charged."""
         # A first report tells of the window less what was returned.
-        amount, age = self._returned.get(seen_key, newest)
-        self._returned[seen_key] = newest
-        if spent.returned > amount:
-            mean_s = (spent.returned_age - age) / (spent.returned - amount)
+        known = self._returned.get(seen_key, spent.returned)
+        self._returned[seen_key] = spent.returned
+        if spent.returned > known:
             self._gate.quotas.returned(
                 spent.workspace,
-                spent.returned - amount,
-                now - mean_s,
+                spent.returned - known,
+                now - spent.oldest_return_s,
                 now,
             )
 
@@ -196,9 +194,7 @@
         )
         quotas.adopt(
             {
-                spent.workspace: spent.fleet
-                - spent.counted
-                + self._hearing.just_told(spent.workspace, batch.sender, now)
+                spent.workspace: self._others_use(batch.sender, spent, now)
                 for spent in batch.spent
             },
             now,
@@ -207,7 +203,21 @@
             # The sender's own use is in its sum, less what it returned.
             key = _seen_key(batch, told)
             self._seen[key] = told.total
-            self._returned[key] = (told.returned, told.returned_age)
+            self._returned[key] = told.returned
+
+    def _others_use(
+        self,
+        sender: str,
+        spent: peers_pb2.Spent,
+        now: float,
+    ) -> float:
+        """Return the use of all others as the sender of a report knows it."""
+        name = spent.workspace
+        # Its sum holds our own part less what we returned, if it knows that
+        # already; else the result is too high by it.
+        own = spent.counted - self._gate.quotas.own_returned(name)
+        just_told = self._hearing.just_told(name, sender, now)
+        return spent.fleet - max(0, own) + just_told
 
     def _is_whole(self, batch: peers_pb2.Batch, now: float) -> bool:
         """Return whether the sender knows the use of all that count here.
--- a/packages/transport/src/tallyhall_transport/peers.py
+++ b/packages/transport/src/tallyhall_transport/peers.py
@@ -386,8 +386,9 @@
         if batch.sender not in self._outboxes:
             # It may be asking for something.
             self._link(batch.sender)
-        if batch.echo_us:
-            asked_at = batch.echo_us / _MICRO
+        asked_at = batch.echo_us / _MICRO
+        # An echo of what an earlier run asked may lie ahead of this clock.
+        if 0 < asked_at <= self._loop.time():
             peer.answered_at = max(peer.answered_at, asked_at)
         self._on_batch(peer, batch)
 
