Only hubs count as telling all others what was admitted

Cause: in a large fleet the newest answer of any peer counted, also of one that had just ceased to be a hub and tells nobody.

--- a/packages/entry/src/tallyhall_entry/knowledge.py
+++ b/packages/entry/src/tallyhall_entry/knowledge.py
@@ -24,8 +24,13 @@
     counted_at: float | None = None
 
 
-def known(links: PeerLinks, now: float, *, is_hub: bool) -> Known:
-    """Return what the answers of others say.
+def known(
+    links: PeerLinks,
+    name: str,
+    hubs: frozenset[str],
+    now: float,
+) -> Known:
+    """Return what the answers of others say to the instance of this name.
 
     Whoever answers a question has counted all that was told before it.
     """
@@ -43,6 +48,8 @@
         return Known(known_at)
     if is_mesh(links.instances):
         return Known(known_at, known_at)
-    if is_hub:
+    if name in hubs:
         return Known(known_at, now)
-    return Known(known_at, max(peer.answered_at for peer in live))
+    # One that was a hub until lately answers too, and tells nobody.
+    telling = [peer.answered_at for peer in live if peer.name in hubs]
+    return Known(known_at, max(telling, default=None))
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -237,7 +237,7 @@
         self._hubs = seen.hubs
         self._links.hears = seen.hears
         self._links.hears_directly = seen.hears_directly
-        self._known = known(self._links, now, is_hub=self._name in seen.hubs)
+        self._known = known(self._links, self._name, seen.hubs, now)
         if self.ownership.take_live(seen.owners):
             self._log(
                 Event.instances_changed,
--- a/tests/platform/quota_fleet.py
+++ b/tests/platform/quota_fleet.py
@@ -63,7 +63,7 @@
         links.hears = seen.hears
         links.hears_directly = seen.hears_directly
         self.hubs = seen.hubs
-        times = known(links, now, is_hub=self.name in seen.hubs)
+        times = known(links, self.name, seen.hubs, now)
         heard = seen.hears / size
         fleet = Fleet(size, heard, times.known_at, times.counted_at)
         self.gate.quotas.take_fleet(fleet)
--- a/tests/platform/test_neighbours.py
+++ b/tests/platform/test_neighbours.py
@@ -18,6 +18,7 @@
 from typing import cast
 
 from tallyhall_edge.scheduling import Dispatcher
+from tallyhall_entry.knowledge import known
 from tallyhall_entry.shared import SharedScheduler
 from tallyhall_transport.generated import peers_pb2
 from tallyhall_transport.peers import Peer, PeerLinks, PeerPlace
@@ -57,3 +58,17 @@
     hears, tells = await _hears_and_tells(_MANY - 1, answer)
     assert hears == _MANY
     assert tells == _MANY // 2
+
+
+async def test_one_that_is_no_hub_any_more_has_told_nobody() -> None:
+    """It answers like a hub; others hear of our use from hubs only."""
+    links = PeerLinks('n0', 'n0', _ignore, _ignore, _ignore, _ignore)
+    names = [f'n{number}' for number in range(1, _MANY)]
+    links.take_peers(dict.fromkeys(names, _CLOSED))
+    now = asyncio.get_running_loop().time()
+    peers = cast(dict[str, Peer], links.peers)
+    peers['n1'] = Peer('n1', heard_at=now, answered_at=now - 0.1)
+    peers['n2'] = Peer('n2', heard_at=now, answered_at=now)
+    assert known(links, 'n0', frozenset(('n1',)), now).counted_at == now - 0.1
+    assert known(links, 'n0', frozenset(('n0', 'n1')), now).counted_at == now
+    assert known(links, 'n0', frozenset(), now).counted_at is None
