A dead connection to the store keeps the bound on contact

The bound counts from when the connection of the lost call last worked, not from the start of that call. A watch after a long pause has a new connection; after a short one it is shorter by the time for which its connection was idle. Set aside: shorter watches after long pauses (0.9 s instead of 2.0 s; more calls at rest).

--- a/packages/platform/src/tallyhall_platform/absence.py
+++ b/packages/platform/src/tallyhall_platform/absence.py
@@ -53,20 +53,25 @@
             self._lapsed = True
         self._alive_at = at
 
-    def failed(self, began_at: float) -> None:
-        """Take that a call that began at this time was not answered."""
-        if began_at >= self.until:
+    def failed(self, worked_at: float) -> None:
+        """Take that a call was not answered.
+
+        worked_at: when its connection last worked or was opened, at the
+        latest the start of the call. A call on a kept connection may be lost
+        although new ones work since then.
+        """
+        if worked_at >= self.until:
             self.until = float('-inf')
         self._failures += 1
-        self._failed_from = began_at
+        self._failed_from = worked_at
 
     def answered(self, now: float) -> None:
         """Take that a call of this instance was answered."""
         self.alive(now)
         open_doubt = self._failures >= _AWAY_FAILURES and self._is_open()
         if self._failures and (self._lapsed or open_doubt):
-            # The way was not whole before the last lost call began, however
-            # much later its return is noticed.
+            # The way was not whole before the connection of the last lost
+            # call stopped to work, however much later its return is noticed.
             contact_at = self._failed_from + self.contact_s - _MARGIN_S
             self.until = min(now + _RETURN_S, contact_at)
         self._lapsed = False
--- a/packages/platform/src/tallyhall_platform/follow.py
+++ b/packages/platform/src/tallyhall_platform/follow.py
@@ -52,9 +52,10 @@
 _LONG_WATCH_S = 2.0
 _LARGE_FLEET = 24
 # A watch that is lost silently is known 0.6 s after its end, and the rest is
-# for the call that replaces it; all of that fits into the bound on contact. At
-# 3 s, watches keep their length; shorter ones than the least cost more than
-# they bring, as no call is given up before a second.
+# for the call that replaces it; all of that, and the time for which its
+# connection was idle before it, fits into the bound on contact. Shorter ones
+# than the least cost more than they bring, as no call is given up before a
+# second.
 _LOST_WATCH_S = 0.9
 _LEAST_WATCH_S = 0.3
 # Long watches and gaps are left out while the last confirmation is older than
@@ -190,6 +191,11 @@
             except StoreError as exc:
                 pause_s = self._lost(exc, asked_at)
             await asyncio.sleep(pause_s)
+            if pause_s > _LEAST_GAP_S:
+                # A connection may have gone silent in a long pause. With a
+                # new one the watch keeps its length, which kept calls cost:
+                # 0.9 s instead of 2.0 s, 1.5 times the calls at rest.
+                self._client.close()
 
     async def _step(self, asked_at: float) -> None:
         if self._cursor is None:
@@ -208,7 +214,8 @@
         if not self._reachable:
             return _PROBE_S
         watch_s = _LONG_WATCH_S if self._others_confirm() else _WATCH_S
-        longest_s = self._absence.contact_s - _LOST_WATCH_S
+        bound_s = self._absence.contact_s - self._client.idle_s()
+        longest_s = bound_s - _LOST_WATCH_S
         return max(_LEAST_WATCH_S, min(watch_s, longest_s))
 
     def _gap_s(self) -> float:
@@ -352,7 +359,7 @@
         if isinstance(exc, StoreLimitedError):
             self._absence.alive(now)
         else:
-            self._absence.failed(asked_at)
+            self._absence.failed(min(asked_at, self._client.proved_at))
         if self._reachable and isinstance(exc, StoreUnavailableError):
             self._reachable = False
             self._listener.on_store(reachable=False)
--- a/packages/platform/src/tallyhall_platform/store.py
+++ b/packages/platform/src/tallyhall_platform/store.py
@@ -87,8 +87,25 @@
         self._address = address
         self._conn: ClientConnection | None = None
         self._turn = asyncio.Lock()
+        self._proved_at = float('-inf')
         self.calls = 0
 
+    @property
+    def proved_at(self) -> float:
+        """Return when the connection of the last call was last known to work.
+
+        That is its last answer, or the moment at which it was opened; a lost
+        call says nothing about connections that are opened later. In seconds
+        of the loop's clock.
+        """
+        return self._proved_at
+
+    def idle_s(self) -> float:
+        """Return how long nothing was heard on a kept connection, else 0."""
+        if self._conn is None or not self._conn.is_open:
+            return 0
+        return asyncio.get_running_loop().time() - self._proved_at
+
     async def snapshot(self, prefix: str) -> Snapshot:
         """Return all items below a prefix, page by page."""
         found: list[Item] = []
@@ -204,6 +221,7 @@
         except BaseException:
             self.close()
             raise
+        self._proved_at = asyncio.get_running_loop().time()
         if not conn.reusable:
             self.close()
         return answer
@@ -211,6 +229,7 @@
     async def _connected(self) -> ClientConnection:
         conn = self._conn
         if conn is None or not conn.is_open:
+            self._proved_at = asyncio.get_running_loop().time()
             conn = await ClientConnection.open(
                 self._address.host,
                 self._address.port,
