--- a/packages/standins/src/tallyhall_standins/platform_store.py
+++ b/packages/standins/src/tallyhall_standins/platform_store.py
@@ -128,6 +128,10 @@
         """Return all keys below a prefix."""
         return sorted(key for key in self._kept if key.startswith(prefix))
 
+    def item(self, key: str) -> StoredItem | None:
+        """Return what a key holds, None where it does not exist."""
+        return self._kept.get(key)
+
     # -- inner steps
 
     def _write(self, key: str, text: str, lease: int) -> None:
