An entry that a late write took is written again, and lost writes are ended

Leases whose write got no answer are remembered and ended, once the entry stands under another one and at the end: a late write then finds no lease (one call more for each lost write). A renewal that finds, in what the follower read since the last write, no own entry, another run's or a marked one writes it again under the same lease. Set aside: a condition on the mark, which leaves the late first write.

--- a/packages/entry/src/tallyhall_entry/beliefs.py
+++ b/packages/entry/src/tallyhall_entry/beliefs.py
@@ -35,6 +35,7 @@
     ) -> None:
         """Feed these parts."""
         self.entries: tuple[InstanceEntry, ...] = ()
+        self.confirmed_at = float('-inf')
         self.count = FleetCount()
         self.upstreams: frozenset[Upstream] = frozenset()
         self._membership = membership
@@ -116,6 +117,7 @@
 
     def on_confirmed(self, asked_at: float) -> None:
         """Take that the desired state was in force at this time."""
+        self.confirmed_at = asked_at
         self._gate.freshness.confirm(asked_at)
 
     def confirmed_ago(self) -> float | None:
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -150,6 +150,7 @@
             rng,
             WrittenUse(self._gate.quotas, self._owns_use),
             options.store.least_lease_s,
+            self._beliefs,
         )
         self._absence = Absence(
             options.store.heartbeat_s,
--- a/packages/platform/src/tallyhall_platform/registry.py
+++ b/packages/platform/src/tallyhall_platform/registry.py
@@ -66,6 +66,14 @@
         """Take that the store has it."""
 
 
+class Told(Protocol):
+    """What the store was last known to hold."""
+
+    entries: tuple[InstanceEntry, ...]
+    # Nothing older than this is missing in the entries, on the loop's clock.
+    confirmed_at: float
+
+
 class Registration:
     """Keeps one instance's entry in the store."""
 
@@ -77,8 +85,12 @@
         rng: random.Random,
         uses: UseSource,
         least_lease_s: float,
+        told: Told | None = None,
     ) -> None:
-        """Register through a client that nothing else uses."""
+        """Register through a client that nothing else uses.
+
+        told: None where nothing follows the store.
+        """
         self._client = client
         self._entry = entry
         self._log = log
@@ -86,6 +98,10 @@
         self._uses = uses
         self._lease_s = max(_LEASE_S, least_lease_s)
         self._lease: int | None = None
+        # Writes under these got no answer and may be executed seconds later.
+        self._doubtful: list[int] = []
+        self._written_at = float('inf')
+        self._told = told
         self._is_marked = False
 
     async def run(self) -> None:
@@ -105,11 +121,11 @@
 
     async def end(self, within_s: float) -> None:
         """Remove the entry; a lost answer leaves that to the lease."""
-        if self._lease is None:
-            return
         try:
             async with asyncio.timeout(within_s):
-                await self._client.end_lease(self._lease)
+                if self._lease is not None:
+                    await self._client.end_lease(self._lease)
+                await self._end_doubtful()
         except (StoreError, TimeoutError) as exc:
             self._log(Event.store_call_failed, cause=repr(exc))
 
@@ -139,24 +155,60 @@
         if not self._is_marked:
             await self._register()
             self._is_marked = True
+        await self._end_doubtful()
         await self._write_use()
 
     async def _step(self) -> None:
-        if self._lease is not None:
+        if self._lease is None:
+            await self._register()
+        else:
             await self._client.keep_lease(self._lease)
+            if self._is_lost():
+                await self._write(self._lease)
             await self._write_use()
-            return
-        await self._register()
+        await self._end_doubtful()
+
+    def _is_lost(self) -> bool:
+        """Return whether the entry that was written does not stand.
+
+        A write of an earlier run or under an earlier lease may be executed
+        after this run's own and take the entry with it, while the lease is
+        renewed without an error.
+        """
+        told = self._told
+        if told is None or told.confirmed_at <= self._written_at:
+            return False
+        own = (self._entry.instance, self._entry.incarnation, False)
+        return all(
+            (entry.instance, entry.incarnation, entry.leaving) != own
+            for entry in told.entries
+        )
+
+    async def _end_doubtful(self) -> None:
+        """End the leases of lost writes, which then come to nothing.
+
+        After the entry is written under another lease, so that it stands
+        all the time.
+        """
+        while self._doubtful:
+            await self._client.end_lease(self._doubtful[-1])
+            self._doubtful.pop()
 
     async def _register(self) -> None:
         lease = await self._client.grant_lease(self._lease_s)
+        self._doubtful.append(lease)
+        await self._write(lease)
+        self._doubtful.remove(lease)
+        self._lease = lease
+
+    async def _write(self, lease: int) -> None:
         fields = dataclasses.asdict(self._entry)
         if not self._entry.leaving:
             fields.pop('leaving')
         raw = json.dumps(fields).encode()
         key = f'{INSTANCE_PREFIX}{self._entry.instance}'
         await self._client.put(key, raw, lease)
-        self._lease = lease
+        self._written_at = asyncio.get_running_loop().time()
 
 
 def decode_use(raw: bytes) -> Written:
--- a/packages/platform/src/tallyhall_platform/store.py
+++ b/packages/platform/src/tallyhall_platform/store.py
@@ -163,8 +163,10 @@
         _checked(answer)
 
     async def end_lease(self, lease: int) -> None:
-        """End a lease and remove its keys."""
-        await self._call('DELETE', f'/kv-lease-end/{lease}', None)
+        """End a lease and remove its keys; one that has ended is no error."""
+        answer = await self._call('DELETE', f'/kv-lease-end/{lease}', None)
+        if answer.status != _NOT_FOUND:
+            _check_status(answer)
 
     def move(self, address: Listening) -> None:
         """Use another address from the next call on."""
@@ -239,13 +241,17 @@
         return conn
 
 
-def _checked(answer: WholeAnswer) -> dict[str, Any]:
+def _check_status(answer: WholeAnswer) -> None:
     if answer.status == _LIMITED:
         raise StoreLimitedError(f'status {answer.status}')
     if answer.status == _REFUSED:
         raise StoreRefusedError(f'status {answer.status}')
     if answer.status != _OK:
         raise StoreUnavailableError(f'status {answer.status}')
+
+
+def _checked(answer: WholeAnswer) -> dict[str, Any]:
+    _check_status(answer)
     try:
         fields = json.loads(answer.body)
     except ValueError as exc:
