--- a/packages/platform/src/tallyhall_platform/store.py
+++ b/packages/platform/src/tallyhall_platform/store.py
@@ -87,8 +87,25 @@
         self._address = address
         self._conn: ClientConnection | None = None
         self._turn = asyncio.Lock()
+        self._proved_at = float('-inf')
         self.calls = 0
 
+    @property
+    def proved_at(self) -> float:
+        """Return when the connection of the last call was last known to work.
+
+        That is its last answer, or the moment at which it was opened; a lost
+        call says nothing about connections that are opened later. In seconds
+        of the loop's clock.
+        """
+        return self._proved_at
+
+    def idle_s(self) -> float:
+        """Return how long nothing was heard on a kept connection, else 0."""
+        if self._conn is None or not self._conn.is_open:
+            return 0
+        return asyncio.get_running_loop().time() - self._proved_at
+
     async def snapshot(self, prefix: str) -> Snapshot:
         """Return all items below a prefix, page by page."""
         found: list[Item] = []
@@ -146,8 +163,10 @@
         _checked(answer)
 
     async def end_lease(self, lease: int) -> None:
-        """End a lease and remove its keys."""
-        await self._call('DELETE', f'/kv-lease-end/{lease}', None)
+        """End a lease and remove its keys; one that has ended is no error."""
+        answer = await self._call('DELETE', f'/kv-lease-end/{lease}', None)
+        if answer.status != _NOT_FOUND:
+            _check_status(answer)
 
     def move(self, address: Listening) -> None:
         """Use another address from the next call on."""
@@ -204,6 +223,7 @@
         except BaseException:
             self.close()
             raise
+        self._proved_at = asyncio.get_running_loop().time()
         if not conn.reusable:
             self.close()
         return answer
@@ -211,6 +231,7 @@
     async def _connected(self) -> ClientConnection:
         conn = self._conn
         if conn is None or not conn.is_open:
+            self._proved_at = asyncio.get_running_loop().time()
             conn = await ClientConnection.open(
                 self._address.host,
                 self._address.port,
@@ -220,13 +241,17 @@
         return conn
 
 
-def _checked(answer: WholeAnswer) -> dict[str, Any]:
+def _check_status(answer: WholeAnswer) -> None:
     if answer.status == _LIMITED:
         raise StoreLimitedError(f'status {answer.status}')
     if answer.status == _REFUSED:
         raise StoreRefusedError(f'status {answer.status}')
     if answer.status != _OK:
         raise StoreUnavailableError(f'status {answer.status}')
+
+
+def _checked(answer: WholeAnswer) -> dict[str, Any]:
+    _check_status(answer)
     try:
         fields = json.loads(answer.body)
     except ValueError as exc:
