Callers read the end of another answer after a standstill (failing tests)

An instance that stood still reads a whole answer in the turn of the loop in which it finds the timer due. The timer counts, though what was waited for has happened: a stream is sent again after its last event, or its exchange is aborted, and both reach a connection that carries the next request by then. An exchange that has ended writes to its connection whatever that carries.

--- a/tests/platform/test_edge_server.py
+++ b/tests/platform/test_edge_server.py
@@ -1,6 +1,8 @@
 """The HTTP server towards callers, byte by byte."""
 
 import asyncio
+import contextlib
+from collections.abc import Callable
 
 import pytest
 from tallyhall_bench.ports import free_ports
@@ -17,6 +19,7 @@
 )
 # More than the buffers of the kernel hold.
 _MUCH = bytes(16_000_000)
+_ANSWER_TWO = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo'
 
 
 class _Served:
@@ -27,6 +30,7 @@
         self.hold.set()
         self.cancelled = 0
         self.bodies: list[bytes] = []
+        self.exchanges: list[Exchange] = []
         self.failures: list[Exception] = []
         self.server = HttpServer(self._respond, self._failed, _LIMITS)
         self.port = free_ports(1)[0]
@@ -38,6 +42,7 @@
 
     async def _respond(self, exchange: Exchange) -> None:
         self.bodies.append(exchange.body)
+        self.exchanges.append(exchange)
         try:
             await self.hold.wait()
         except asyncio.CancelledError:
@@ -182,3 +187,36 @@
 
 async def _answer_much(exchange: Exchange) -> None:
     exchange.answer(200, b'OK', (), _MUCH)
+
+
+_LATE_ACTS: tuple[Callable[[Exchange], None], ...] = (
+    lambda exchange: exchange.start(200, b'OK', (), 0),
+    lambda exchange: exchange.write(b'late'),
+    lambda exchange: exchange.finish(),
+    lambda exchange: exchange.answer(200, b'OK', (), b'late'),
+    lambda exchange: exchange.abort(),
+)
+
+
+async def test_what_has_ended_reaches_its_connection_no_more() -> None:
+    """An old task may believe what it likes: the next answer stays whole.
+
+    Callers read the end of a stream in the next answer. The task of a request
+    that had ended wrote to its exchange, which wrote to the connection
+    whatever that carried by then. Proof: each act below reaches the caller.
+    """
+    served = _Served()
+    reader, writer = await served.open()
+    with contextlib.closing(writer):
+        for late in _LATE_ACTS:
+            served.hold.set()
+            writer.write(_post(b'one'))
+            assert (await reader.readuntil(b'one')).startswith(b'HTTP/1.1 200')
+            served.hold.clear()
+            writer.write(_post(b'two'))
+            await until(lambda: served.bodies[-1] == b'two')
+            late(served.exchanges[-2])
+            served.hold.set()
+            answer = await reader.readuntil(b'two')
+            assert answer == _ANSWER_TWO
+    assert len(served.failures) == len(_LATE_ACTS)
