What has ended is not waited for, sent again, written to or aborted

Cause: after a standstill one turn of the loop reads a whole answer and finds the timer of the wait due. The timer decided, and an exchange that had ended wrote to its connection, which carried the next request by then.

Silence counts only if the answer has not begun when the wait is broken off. A send whose answer has ended is reported as it ended; an answer that is whole when the limit is found over is the answer, also one that was held.

Ruled out: guarding only the second send (the limit of a request aborts the same way); closing the connection of the caller in such a turn (it has its whole answer, and the next request is lost).

--- a/packages/edge/src/tallyhall_edge/errors.py
+++ b/packages/edge/src/tallyhall_edge/errors.py
@@ -15,5 +15,9 @@
     """The connection failed after the request was written."""
 
 
+class EndedError(EdgeError):
+    """Something was asked of an exchange that has ended."""
+
+
 class BadMessageError(BrokenError):
     """The upstream sent bytes that are no answer."""
--- a/packages/edge/src/tallyhall_edge/relay.py
+++ b/packages/edge/src/tallyhall_edge/relay.py
@@ -94,6 +94,11 @@
             b''.join(self._held),
         )
 
+    @property
+    def ending(self) -> Ending | None:
+        """Return how the answer ended, None while it has not."""
+        return self.done.result() if self.done.done() else None
+
     # -- from the connection
 
     def on_head(self, head: ResponseHead) -> None:
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -118,6 +118,8 @@
     waited_s: float = 0
     begun: bool = False
     outcome: str = ''
+    # The answer of the last send.
+    relay: Relay | None = None
 
     @property
     def request_id(self) -> str:
@@ -240,9 +242,7 @@
             self._log_grant(visit, grant)
             ending, relay = await self._send(visit, job, upstream)
             if ending is Ending.answered:
-                visit.outcome = _ANSWERED
-                if not visit.exchange.ended:
-                    relay.deliver()
+                self._answered(visit, relay)
                 return
             visit.last_event = relay.last_event
             visit.excluded.add(upstream.incarnation)
@@ -299,6 +299,7 @@
             streaming=route.kind is RouteKind.streaming,
         )
         relay.on_first = lambda: self._scheduler.first_byte(job)
+        visit.relay = relay
         ending = Ending.left
         try:
             ending = await self._exchange(visit, upstream, relay)
@@ -307,10 +308,11 @@
         finally:
             # Before an answer of this instance's own is written.
             visit.begun = visit.exchange.started
-            report = relay.report(ending)
+            # What ended before the wait for it was broken off has ended.
+            report = relay.report(relay.ending or ending)
             self._scheduler.finish(job, upstream, report)
             self._log_send(visit, upstream, report)
-        return ending, relay
+        return report.ending, relay
 
     async def _exchange(
         self,
@@ -353,6 +355,9 @@
         request that may run again goes elsewhere then, if the retry budget
         bears it; otherwise waiting on is the better chance. Where requests
         wait for places, silence is more likely the load than a loss.
+
+        After a standstill one turn of the loop reads an answer and finds the
+        timer due, so what counts is whether it has begun, not the timer.
         """
         route = visit.admitted.route
         last = visit.may_have_run >= route.attempts
@@ -362,7 +367,8 @@
             async with asyncio.timeout(self._patience_s(visit)):
                 await relay.begun.wait()
         except TimeoutError:
-            if self._spend(visit, self._loop.time()):
+            silent = not relay.begun.is_set()
+            if silent and self._spend(visit, self._loop.time()):
                 visit.repeat_paid = True
                 return Ending.unknown
         return await relay.done
@@ -450,6 +456,11 @@
 
     # -- ends
 
+    def _answered(self, visit: Visit, relay: Relay) -> None:
+        visit.outcome = _ANSWERED
+        if not visit.exchange.ended:
+            relay.deliver()
+
     def _fail(self, visit: Visit, ending: Ending, relay: Relay) -> None:
         if visit.exchange.started:
             visit.outcome = 'broken'
@@ -474,6 +485,12 @@
         self._give_up(visit, refusal)
 
     def _time_over(self, visit: Visit) -> None:
+        relay = visit.relay
+        # After a standstill the limit may be found over in the turn of the
+        # loop that read the whole answer; what is here counts.
+        if relay is not None and relay.ending is Ending.answered:
+            self._answered(visit, relay)
+            return
         if visit.exchange.started:
             visit.outcome = 'timed_out'
             visit.exchange.abort()
--- a/packages/edge/src/tallyhall_edge/server.py
+++ b/packages/edge/src/tallyhall_edge/server.py
@@ -17,6 +17,7 @@
 
 import httptools
 
+from .errors import EndedError
 from .messages import (
     LAST_CHUNK,
     Headers,
@@ -60,7 +61,11 @@
 
 
 class Exchange:
-    """One request and the way to answer it."""
+    """One request and the way to answer it.
+
+    Once it has ended, its connection may carry the next request. Whatever is
+    asked of it then is not done, only told to the server's `failed`.
+    """
 
     def __init__(
         self,
@@ -88,6 +93,8 @@
         length: int | None,
     ) -> None:
         """Send the head; a length of None means that it is not known."""
+        if self._is_over('start'):
+            return
         self.started = True
         framing: list[tuple[bytes, bytes]] = []
         if length is None and self._conn.speaks_chunks:
@@ -105,11 +112,15 @@
 
     def write(self, payload: bytes) -> None:
         """Send a part of the body."""
+        if self._is_over('write'):
+            return
         if payload:
             self._conn.write(chunk(payload) if self._chunked else payload)
 
     def finish(self) -> None:
         """End the answer as complete."""
+        if self._is_over('finish'):
+            return
         if self._chunked:
             self._conn.write(LAST_CHUNK)
         self.ended = True
@@ -123,15 +134,24 @@
         body: bytes,
     ) -> None:
         """Send a whole answer."""
+        if self._is_over('answer'):
+            return
         self.start(status, reason, headers, len(body))
         self.write(body)
         self.finish()
 
     def abort(self) -> None:
         """Break the connection off, so that the answer looks incomplete."""
+        if self._is_over('abort'):
+            return
         self.ended = True
         self._conn.abort()
 
+    def _is_over(self, asked: str) -> bool:
+        if self.ended:
+            self._conn.failed(EndedError(f'{asked} after the end'))
+        return self.ended
+
 
 Respond = Callable[[Exchange], Awaitable[None]]
 
@@ -263,6 +283,10 @@
         if self._transport is not None:
             self._transport.write(payload)
 
+    def failed(self, exc: Exception) -> None:
+        """Tell of what must not happen."""
+        self._server.failed(exc)
+
     def may_keep(self) -> bool:
         """Return whether the connection may carry another request."""
         return self._keeps and not self._server.stopping
@@ -322,7 +346,7 @@
         except asyncio.CancelledError:
             raise
         except Exception as exc:  # noqa: BLE001
-            self._server.failed(exc)
+            self.failed(exc)
             if not exchange.ended:
                 exchange.abort()
         if not exchange.ended:
--- a/tests/platform/test_edge_server.py
+++ b/tests/platform/test_edge_server.py
@@ -6,6 +6,7 @@
 
 import pytest
 from tallyhall_bench.ports import free_ports
+from tallyhall_edge.errors import EndedError
 from tallyhall_edge.server import Exchange, HttpServer, ServerLimits
 
 from tests.platform.harness import HOST, until
@@ -219,4 +220,4 @@
             served.hold.set()
             answer = await reader.readuntil(b'two')
             assert answer == _ANSWER_TWO
-    assert len(served.failures) == len(_LATE_ACTS)
+    assert [type(exc) for exc in served.failures] == [EndedError] * 5
