A request sent ahead has 100 Continue written into the answer before it (failing test)

Found by reading for the class of the stray end of an answer: bytes for one request on a connection that carries the answer of another.

--- a/tests/platform/test_edge_server.py
+++ b/tests/platform/test_edge_server.py
@@ -221,3 +221,33 @@
             answer = await reader.readuntil(b'two')
             assert answer == _ANSWER_TWO
     assert [type(exc) for exc in served.failures] == [EndedError] * 5
+
+
+async def test_continue_for_a_request_ahead_waits_for_the_answer() -> None:
+    """A caller that sends ahead reads each answer whole.
+
+    The head of the next request may ask for `100 Continue` while an answer is
+    under way; written at once, it stood in the middle of that answer. Proof:
+    the parts of the answer below come with the interim one between them.
+    """
+    served = _Served()
+    served.hold.clear()
+    reader, writer = await served.open()
+    with contextlib.closing(writer):
+        writer.write(_post(b'one'))
+        await until(lambda: bool(served.exchanges))
+        exchange = served.exchanges[0]
+        exchange.start(200, b'OK', (), 6)
+        exchange.write(b'one')
+        assert await reader.readuntil(b'\r\n\r\none')
+        ahead = _post(b'two', b'Expect: 100-continue')
+        writer.write(ahead.removesuffix(b'two'))
+        await asyncio.sleep(0.05)
+        exchange.write(b'one')
+        exchange.finish()
+        assert await reader.readuntil(b'\r\n\r\n') == (
+            b'oneHTTP/1.1 100 Continue\r\n\r\n'
+        )
+        served.hold.set()
+        writer.write(b'two')
+        assert await reader.readuntil(b'two') == _ANSWER_TWO
