100 Continue for a request sent ahead waits for the answer under way

Cause: it was written when the head was read, whatever the connection carried. Change: it is written once no answer is under way. Ruled out: not writing it at all (callers that wait for it would time out).

--- a/packages/edge/src/tallyhall_edge/server.py
+++ b/packages/edge/src/tallyhall_edge/server.py
@@ -249,7 +249,8 @@
         headers = tuple(self._headers)
         expects = find(headers, b'expect')
         if expects is not None and expects.lower() == b'100-continue':
-            self.write(_CONTINUE)
+            self._owes_continue = True
+            self._tell_to_continue()
 
     def on_body(self, body: bytes) -> None:
         """Add to the body."""
@@ -305,6 +306,7 @@
         if self._ahead:
             self._next()
             return
+        self._tell_to_continue()
         self._wait_idle()
 
     def abort(self) -> None:
@@ -359,6 +361,13 @@
         self._head_bytes = 0
         self._body_bytes = 0
         self._began_at = 0
+        self._owes_continue = False
+
+    def _tell_to_continue(self) -> None:
+        # Behind the answer under way; in it, it would be a part of it.
+        if self._owes_continue and self._current is None:
+            self._owes_continue = False
+            self.write(_CONTINUE)
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
