--- a/packages/edge/src/tallyhall_edge/relay.py
+++ b/packages/edge/src/tallyhall_edge/relay.py
@@ -41,6 +41,9 @@
         """Pass on to this caller, after `last_event` where one is known."""
         loop = asyncio.get_running_loop()
         self.done: asyncio.Future[Ending] = loop.create_future()
+        # How the answer ended; who waits for `done` and is cancelled cancels
+        # that future, so it does not tell.
+        self.ending: Ending | None = None
         self.last_event = last_event
         # Set with the first byte of an answer that is passed on or held.
         self.begun = asyncio.Event()
@@ -94,11 +97,6 @@
             b''.join(self._held),
         )
 
-    @property
-    def ending(self) -> Ending | None:
-        """Return how the answer ended, None while it has not."""
-        return self.done.result() if self.done.done() else None
-
     # -- from the connection
 
     def on_head(self, head: ResponseHead) -> None:
@@ -226,6 +224,7 @@
     def _finish(self, ending: Ending) -> None:
         self.begun.set()
         if not self.done.done():
+            self.ending = ending
             self.done.set_result(ending)
 
     def _on_writable(self, writable: bool) -> None:  # noqa: FBT001
