Batches are read withdrawals first; silent owners wait for an answer; a stopping fleet keeps owners

Change: of a batch, running, begun and done are read first, then withdrawals, then asks; a withdrawal takes back an ask that has not left. Owners are the hubs where all stop. A suspected owner is asked again after 0.3 s and once it answered what was sent with the ask or later.

Ruled out: heard since the suspicion instead of answered: an owner that is heard but does not hear would be asked every 0.3 s. An urgent withdrawal: one more message, and it may still share a batch with the new ask.

Tests: the last one lets two beats pass instead of one before the owner must be asked again: the first carries the question, the second its answer.

--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -41,7 +41,8 @@
 # An owner that has not answered within this time is passed by; its answer
 # normally takes 3 ms.
 _ANSWER_S = 0.06
-# A silent owner is not asked again for this long.
+# A silent owner is not asked again for this long, and until it has answered
+# something that was sent with or after the ask.
 _SUSPECT_S = 0.3
 # A request that is held must be decided this long before it is given up; a
 # tick, at which held ones are looked at, takes 50 ms.
@@ -49,6 +50,14 @@
 _MILLI = 1000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Suspect:
+    """An owner that has left an ask of `asked_at` unanswered."""
+
+    asked_at: float
+    until: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Ticket:
     """A job of this instance; `owner` None while it is decided here."""
@@ -57,6 +66,8 @@
     fut: asyncio.Future[Upstream]
     owner: str | None = None
     timer: asyncio.TimerHandle | None = None
+    # When the owner was asked.
+    asked_at: float = 0
     upstream: Upstream | None = None
     begun: bool = False
     # Decided nowhere until this instance's part of the places allows it.
@@ -104,13 +115,12 @@
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._tickets: dict[str, _Ticket] = {}
-        self._suspects: dict[str, float] = {}
+        self._suspects: dict[str, _Suspect] = {}
         self._origins: dict[str, _PeerOrigin] = {}
         self._dropped: set[str] = set()
         # Jobs that wait or run by a decision made alone, by service.
         self._alone: dict[str, set[str]] = collections.defaultdict(set)
         self._neighbours = Neighbours(name, links)
-        self._hubs = frozenset((name,))
         self._known = Known()
         self.ownership.take_live(frozenset((name,)))
 
@@ -184,10 +194,6 @@
             self._dispatcher.note_running(job, running.upstream)
             if running.begun:
                 self._dispatcher.first_byte(job.key, job.service)
-        for ask in batch.asks:
-            self._take_ask(name, decode_job(ask, now))
-        for key in batch.withdrawn:
-            self._dispatcher.withdraw(key)
         for key in batch.begun:
             self._dispatcher.first_byte_of(key)
         for done in batch.done:
@@ -197,6 +203,12 @@
                 done.upstream,
                 decode_done(done),
             )
+        # Before the asks: a job that is asked again may still have its old
+        # withdrawal, or the refusal of a crossed grant, in the same batch.
+        for key in batch.withdrawn:
+            self._dispatcher.withdraw(key)
+        for ask in batch.asks:
+            self._take_ask(name, decode_job(ask, now))
         self._take_answers(name, batch)
 
     # -- an `Origin`, for jobs that this instance decides itself
@@ -234,14 +246,16 @@
                 self._dropped.add(peer.name)
                 self._dispatcher.drop_jobs(f'{peer.name}/')
         seen = self._neighbours.look(now, leaving=self.leaving)
-        self._hubs = seen.hubs
         self._links.hears = seen.hears
         self._links.hears_directly = seen.hears_directly
         self._known = known(self._links, now, is_hub=self._name in seen.hubs)
-        if self.ownership.take_live(seen.owners):
+        # Where all stop, those that hear all go on to own the services:
+        # without an owner each would fill all places.
+        owners = seen.owners or seen.hubs
+        if self.ownership.take_live(owners):
             self._log(
                 Event.instances_changed,
-                live=sorted(seen.owners),
+                live=sorted(owners),
                 hears=seen.hears,
             )
         for ticket in tuple(self._tickets.values()):
@@ -250,9 +264,9 @@
     def is_first(self, work: str) -> bool:
         """Return whether this instance does what one must do for all.
 
-        Also where all are stopping and services have no owners any more.
+        Also where all are stopping.
         """
-        return rank(work, self.ownership.live or self._hubs)[:1] == [self._name]
+        return rank(work, self.ownership.live)[:1] == [self._name]
 
     # -- inner steps
 
@@ -314,7 +328,8 @@
             return
         ticket.held = False
         ticket.owner = owner
-        batch.asks.append(encode_job(ticket.job, self._loop.time()))
+        ticket.asked_at = self._loop.time()
+        batch.asks.append(encode_job(ticket.job, ticket.asked_at))
         ticket.timer = self._loop.call_later(
             _ANSWER_S,
             self._unanswered,
@@ -324,14 +339,30 @@
     def _usable_owner(self, service: str) -> str | None:
         if not self._dispatcher.is_model(service):
             return None
-        now = self._loop.time()
         for owner in self.ownership.owners(service):
             if owner == self._name:
                 return None
-            if now >= self._suspects.get(owner, 0):
+            if not self._is_suspect(owner):
                 return owner
         return None
 
+    def _is_suspect(self, owner: str) -> bool:
+        """Return whether an owner is taken for silent.
+
+        By time alone, what waits here would leave its queue every 0.3 s to
+        ask owners that are cut off, until their loss is noticed.
+        """
+        suspect = self._suspects.get(owner)
+        if suspect is None:
+            return False
+        if self._loop.time() < suspect.until:
+            return True
+        peer = self._links.peers.get(owner)
+        if peer is not None and peer.answered_at < suspect.asked_at:
+            return True
+        self._suspects.pop(owner)
+        return False
+
     def _is_alone(self, service: str) -> bool:
         """Return whether others own a service and none of them answers."""
         if not self._dispatcher.is_model(service):
@@ -369,7 +400,10 @@
         owner = ticket.owner
         if owner is None or ticket.fut.done():
             return
-        self._suspects[owner] = self._loop.time() + _SUSPECT_S
+        self._suspects[owner] = _Suspect(
+            ticket.asked_at,
+            self._loop.time() + _SUSPECT_S,
+        )
         self._log(Event.peer_down, peer=owner, cause='asks unanswered')
         self._tell_withdrawn(ticket)
         # The next one counts for all who ask it; alone each counts its own.
@@ -418,8 +452,16 @@
         if ticket.owner is None:
             return
         batch = self._links.outgoing(ticket.owner, urgent=False)
-        if batch is not None:
-            batch.withdrawn.append(ticket.job.key)
+        if batch is None:
+            return
+        key = ticket.job.key
+        batch.withdrawn.append(key)
+        # Withdrawals are read before asks, so an ask that has not left yet
+        # must not leave after all.
+        for number, ask in enumerate(batch.asks):
+            if ask.key == key:
+                batch.asks.pop(number)
+                break
 
     def _tell_done(self, peer: str, done: peers_pb2.Done) -> None:
         batch = self._links.outgoing(peer, urgent=True)
--- a/tests/platform/test_asks.py
+++ b/tests/platform/test_asks.py
@@ -121,8 +121,11 @@
     await net.run(1)
     assert net.asks() == list(net.owners())
     # It hears again, and whoever waits asks it.
+    # One beat carries the question, the next one its answer.
     net.lost.clear()
     net.flush_all()
+    await net.run(0.1)
+    net.flush_all()
     await net.run(0.2)
     assert net.asks()[3:]
     asked.cancel()
