A request due soon is decided after two silent owners

Change: a third candidate is asked only if its answer (60 ms) takes at most a quarter of the time until the request is due. A request that an owner has queued stays there; one that is decided here after two silent owners goes back to an owner only by the same rule.

--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -44,6 +44,10 @@
 # A silent owner is not asked again for this long, and until it has answered
 # something that was sent with or after the ask.
 _SUSPECT_S = 0.3
+# So many silent owners are asked in any case; one more only if its answer takes
+# at most this part of the time that the request has left until it is due.
+_SILENT_ASKED = 2
+_ANSWER_PART = 0.25
 # A request that is held must be decided this long before it is given up; a
 # tick, at which held ones are looked at, takes 50 ms.
 _HELD_MARGIN_S = 0.15
@@ -68,6 +72,8 @@
     timer: asyncio.TimerHandle | None = None
     # When the owner was asked.
     asked_at: float = 0
+    # Owners that have not answered it.
+    unanswered: int = 0
     upstream: Upstream | None = None
     begun: bool = False
     # Decided nowhere until this instance's part of the places allows it.
@@ -136,7 +142,7 @@
         fut: asyncio.Future[Upstream] = self._loop.create_future()
         ticket = _Ticket(job, fut)
         self._tickets[job.key] = ticket
-        self._ask(ticket)
+        self._ask(ticket, self._usable_owner(job.service))
         try:
             upstream = await fut
         except BaseException:
@@ -312,10 +318,9 @@
         report = RunReport(Ending.left, 0)
         self._tell_done(peer, encode_done(key, service, incarnation, report))
 
-    def _ask(self, ticket: _Ticket) -> None:
+    def _ask(self, ticket: _Ticket, owner: str | None) -> None:
         service = ticket.job.service
         self._alone[service].discard(ticket.job.key)
-        owner = self._usable_owner(service)
         if owner is None:
             if self._is_alone(service):
                 self._decide_alone(ticket)
@@ -336,6 +341,14 @@
             ticket,
         )
 
+    def _next_owner(self, ticket: _Ticket) -> str | None:
+        """Return whom a request asks that no owner has queued."""
+        if ticket.unanswered >= _SILENT_ASKED:
+            left_s = ticket.job.due_at - self._loop.time()
+            if _ANSWER_S > _ANSWER_PART * left_s:
+                return None
+        return self._usable_owner(ticket.job.service)
+
     def _usable_owner(self, service: str) -> str | None:
         if not self._dispatcher.is_model(service):
             return None
@@ -405,9 +418,10 @@
             self._loop.time() + _SUSPECT_S,
         )
         self._log(Event.peer_down, peer=owner, cause='asks unanswered')
+        ticket.unanswered += 1
         self._tell_withdrawn(ticket)
         # The next one counts for all who ask it; alone each counts its own.
-        self._ask(ticket)
+        self._ask(ticket, self._next_owner(ticket))
 
     def _withdraw(self, ticket: _Ticket) -> None:
         _stop_timer(ticket)
@@ -428,6 +442,8 @@
             return
         if ticket.fut.done():
             return
+        if ticket.owner is None:
+            owner = self._next_owner(ticket)
         if ticket.owner == owner and not ticket.held:
             return
         if ticket.owner is None:
@@ -435,7 +451,7 @@
         else:
             self._tell_withdrawn(ticket)
         _stop_timer(ticket)
-        self._ask(ticket)
+        self._ask(ticket, owner)
 
     def _tell_running(self, owner: str, ticket: _Ticket) -> None:
         batch = self._links.outgoing(owner, urgent=False)
