--- a/packages/dispatch/src/tallyhall_dispatch/quota.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota.py
@@ -5,9 +5,10 @@
 what it admits itself at once, what others admit when they report it.
 Between two reports, and until a cut is noticed, nobody knows what the others
 admit. So each instance holds back: until the others have counted it, it admits
-no more than its share of what is left, and the shares together are no more
-than that. While little is used, a share is generous, since what all admit
-within a beat fits; once more is used, or somebody is silent, it is strict.
+no more than its share of what is left. Strict shares together are no more than
+that. Two things go beyond them: a first request may be larger than any share,
+and while little is used a share is generous, since what all admit within a
+beat then fits.
 
 What cannot be known is assumed on the safe side. An instance that hears
 only a part of the fleet uses only that part of the quota, so that two
