--- a/packages/entry/src/tallyhall_entry/knowledge.py
+++ b/packages/entry/src/tallyhall_entry/knowledge.py
@@ -34,12 +34,7 @@
 
     Whoever answers a question has counted all that was told before it.
     """
-    lost_s = links.lost_s
-    live = [
-        peer
-        for peer in links.peers.values()
-        if now - peer.heard_at < lost_s and now - peer.answered_at < 2 * lost_s
-    ]
+    live = [peer for peer in links.peers.values() if links.answers(peer, now)]
     if not live:
         return Known()
     known_at = min(peer.answered_at for peer in live)
--- a/packages/entry/src/tallyhall_entry/neighbours.py
+++ b/packages/entry/src/tallyhall_entry/neighbours.py
@@ -48,7 +48,7 @@
         for peer in links.peers.values():
             if now - peer.heard_at < _ANSWERED_LOSSES * links.lost_s:
                 heard.add(peer.name)
-            if self._answers(peer, now):
+            if links.answers(peer, now):
                 answering.add(peer.name)
             elif self._had_time(peer, now):
                 silent.add(peer.name)
@@ -81,12 +81,6 @@
             retiring.add(self._name)
         return frozenset(retiring)
 
-    def _answers(self, peer: Peer, now: float) -> bool:
-        lost_s = self._links.lost_s
-        if now - peer.heard_at >= lost_s:
-            return False
-        return now - peer.answered_at < 2 * lost_s
-
     def _had_time(self, peer: Peer, now: float) -> bool:
         if peer.linked_at is None:
             return False
--- a/packages/transport/src/tallyhall_transport/peers.py
+++ b/packages/transport/src/tallyhall_transport/peers.py
@@ -298,6 +298,12 @@
         """Return after how long a stream without answers is opened anew."""
         return _SILENT_BEATS * self.beat_s
 
+    def answers(self, peer: Peer, now: float) -> bool:
+        """Return whether a peer is heard and hears this instance."""
+        if now - peer.heard_at >= self.lost_s:
+            return False
+        return now - peer.answered_at < 2 * self.lost_s
+
     async def listen(self, address: str, read_state: ReadState) -> None:
         """Open the address; raise OSError where it is taken."""
         server = aio.server(options=(('grpc.so_reuseport', 0),))
