The writer of the use of quotas is the owner of it again

Cause: a second way to the first instance in rendezvous order stood beside Instance.owner, from when a fleet that stops had no owners. It has them since owners fall back to the hubs, so both rank the same instances; the owner keeps its ranking, the other ranked anew at each renewal.

--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -344,7 +344,7 @@
 
     def _owns_use(self) -> bool:
         # One instance writes for all: each write wakes every watch.
-        return self._scheduler.is_first(_USE)
+        return self.owner(_USE) == self.options.instance
 
     def _spawn(self, name: str, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work, name=name)
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -23,7 +23,6 @@
 from tallyhall_dispatch.jobs import Ending, Grant, Job, RunReport
 from tallyhall_dispatch.ownership import Ownership
 from tallyhall_edge.scheduling import Dispatcher, given_up_error
-from tallyhall_membership.rendezvous import rank
 from tallyhall_transport.generated import peers_pb2
 from tallyhall_transport.peer_codec import (
     decode_done,
@@ -267,13 +266,6 @@
         for ticket in tuple(self._tickets.values()):
             self._move(ticket)
 
-    def is_first(self, work: str) -> bool:
-        """Return whether this instance does what one must do for all.
-
-        Also where all are stopping.
-        """
-        return rank(work, self.ownership.live)[:1] == [self._name]
-
     # -- inner steps
 
     def _take_ask(self, peer: str, job: Job) -> None:
