Quotas: one sum a decision, one ceiling, the longest return without a search

Cause: each admission summed the use of all twice, the ceiling of quota and what is given beyond it was written twice, and each batch to each peer searched the returns of 2.5 s for the longest. The sum is handed on, the ceiling has a name, and returns that a later one outlasts are dropped as it comes, so the first is the longest.

--- a/packages/dispatch/src/tallyhall_dispatch/quota.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota.py
@@ -165,8 +165,9 @@
         self.own = SlidingSum(window_s, _STEPS)
         self.others = SlidingSum(window_s, _STEPS)
         self.outstanding = Outstanding()
-        # Returned since the start, and times and waits of the last returns.
         self.returned: float = 0
+        # Times and waits of the last returns, but for those that a later one
+        # outlasts: the first is the longest.
         self._returns: collections.deque[tuple[float, float]] = (
             collections.deque()
         )
@@ -184,8 +185,11 @@
         self.own.take_back(amount, charged_at, now)
         self.outstanding.take_back(amount, charged_at)
         self.returned += amount
-        self._returns.append((now, now - charged_at))
         self.fleet_total -= amount
+        wait_s = now - charged_at
+        while self._returns and self._returns[-1][1] <= wait_s:
+            self._returns.pop()
+        self._returns.append((now, wait_s))
 
     def oldest_return_s(self, now: float) -> float:
         """Return the longest wait among the last returns.
@@ -197,7 +201,7 @@
         returns = self._returns
         while returns and now - returns[0][0] > _RETURNS_TOLD_S:
             returns.popleft()
-        return max((wait_s for _, wait_s in returns), default=0)
+        return returns[0][1] if returns else 0
 
 
 class Quotas:
@@ -256,10 +260,11 @@
         use = self._uses.get(name)
         if use is None or not use.workspace.rate:
             return 0
-        over = self._used(use, now) + amount - self._allowed(use.workspace)
+        used = self._used(use, now)
+        over = used + amount - self._allowed(use.workspace)
         if over > 0:
             return max(_LEAST_WAIT_S, over / use.workspace.rate)
-        if amount > self._share(use, now, within_quota=True):
+        if amount > self._share(use, used, now, within_quota=True):
             return _LEAST_WAIT_S
         use.admit(amount, now)
         return 0
@@ -273,11 +278,10 @@
         use = self._uses.get(name)
         if use is None or self._fleet.heard < 1 or not self.knows_past(now):
             return False
-        limit = self._limit(use.workspace)
-        limit += _SPARE_PART * self._beyond(use.workspace)
-        if self._used(use, now) + amount > limit:
+        used = self._used(use, now)
+        if used + amount > self._ceiling(use.workspace):
             return False
-        if amount > self._share(use, now, within_quota=False):
+        if amount > self._share(use, used, now, within_quota=False):
             return False
         use.admit(amount, now)
         return True
@@ -429,7 +433,14 @@
         faded = _WRITTEN_PART * left_s / self._bounds.window_s
         return faded * self._limit(use.workspace)
 
-    def _share(self, use: _Use, now: float, *, within_quota: bool) -> float:
+    def _share(
+        self,
+        use: _Use,
+        used: float,
+        now: float,
+        *,
+        within_quota: bool,
+    ) -> float:
         """Return what may be admitted before the others have counted it.
 
         Strict shares add up to what is left, whatever each instance admits
@@ -439,7 +450,6 @@
         fleet = self._fleet
         if fleet.known_at is None:
             return math.inf
-        used = self._used(use, now)
         mesh = is_mesh(fleet.instances)
         calm_part = _CALM_PART_MESH if mesh else _CALM_PART
         calm = used < calm_part * self._limit(use.workspace)
@@ -465,13 +475,14 @@
         return (1 / heard + own / max(known, high)) / 2
 
     def _left(self, use: _Use, known: float) -> float:
-        left = self._allowed(use.workspace)
+        workspace = use.workspace
+        left = self._allowed(workspace)
         if self._fleet.heard >= 1:
-            left += _SPARE_PART * self._beyond(use.workspace)
+            left = self._ceiling(workspace)
         if is_mesh(self._fleet.instances):
             return left - known
         # Hubs do not tell of less.
-        return left - max(known, _HIGH_PART * self._limit(use.workspace))
+        return left - max(known, _HIGH_PART * self._limit(workspace))
 
     def _allowed(self, workspace: Workspace) -> float:
         limit = self._limit(workspace)
@@ -480,6 +491,11 @@
         alone = self._beyond(workspace) * _SLACK_PART / self._fleet.instances
         return min(limit, limit * self._fleet.heard + alone)
 
+    def _ceiling(self, workspace: Workspace) -> float:
+        """Return a quota with what requests above it may have together."""
+        beyond = _SPARE_PART * self._beyond(workspace)
+        return self._limit(workspace) + beyond
+
     def _beyond(self, workspace: Workspace) -> float:
         """Return by how much the operators let a quota be exceeded."""
         limit = self._limit(workspace)
