Tests: a desired state, a watch and streams at once are asked of the deployment

Deployment.change, ask_all, next_watch and the constant TOKENS serve all; the state is put after the deployment is ready instead of before, and is in force before the first request as it was. Assertions are the same.

--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -10,7 +10,8 @@
 import os
 import random
 import time
-from collections.abc import AsyncIterator, Callable
+import types
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from typing import Any
 
 from tallyhall_bench.ports import free_ports
@@ -34,6 +35,10 @@
 KEY = 'key-1'
 MODEL = 'model-svc'
 PLAIN = 'plain-svc'
+# Prompt and output tokens that a request for a stream states.
+TOKENS: Mapping[str, Any] = types.MappingProxyType(
+    {'X_Tallyhall_Token_Counts': '100,30'},
+)
 
 
 async def until(holds: Callable[[], bool], within_s: float = 5) -> None:
@@ -269,6 +274,25 @@
         """Return a caller of an instance."""
         return Caller(self.options[instance].front)
 
+    async def change(self, state: dict[str, Any]) -> None:
+        """Put a desired state and wait until all instances have it."""
+        self.store.put('op/config', state)
+        for instance in self.instances:
+            await until(lambda: instance.state_version == state['version'])
+
+    async def next_watch(self) -> None:
+        """Wait until an instance begins to watch the store."""
+        watches = self.store.watches
+        await until(lambda: self.store.watches > watches)
+
+    async def ask_all(self, numbers: Iterable[int]) -> list[int]:
+        """Ask these instances for a stream each, at once; return statuses."""
+        asks = [
+            self.caller(number).ask('/stream/x', f'r{serial}', **TOKENS)
+            for serial, number in enumerate(numbers)
+        ]
+        return [answer.status for answer in await asyncio.gather(*asks)]
+
     async def ready(self) -> None:
         """Wait until all instances serve and see each other."""
         for serving in self.options:
--- a/tests/platform/test_absence.py
+++ b/tests/platform/test_absence.py
@@ -97,8 +97,7 @@
         await made.ready()
         instance = made.instances[0]
         made.store.fault = fault
-        watches = made.store.watches
-        await until(lambda: made.store.watches > watches)
+        await made.next_watch()
         made.store.fault = StoreFault.none
         made.store.remove(_GONE)
         # A silent connection is given up after 1.5 s.
@@ -118,8 +117,7 @@
         instance = made.instances[0]
         await asyncio.sleep(1)
         made.store.fault = StoreFault.silent
-        watches = made.store.watches
-        await until(lambda: made.store.watches > watches)
+        await made.next_watch()
         made.store.fault = StoreFault.none
         made.store.remove(_GONE)
         await until(lambda: instance.usable_upstreams == 1, 1.3)
@@ -180,8 +178,7 @@
         # A watch that has just begun brings the removal at once, unless it
         # ends with what the instance itself wrote at its start.
         await asyncio.sleep(1)
-        watches = made.store.watches
-        await until(lambda: made.store.watches > watches)
+        await made.next_watch()
         answered = await made.caller().start('/once/x', 'r1')
         await slow.began.wait()
         made.store.remove(_GONE)
@@ -221,8 +218,7 @@
     await asyncio.sleep(_LAST_WATCH_S)
     made.store.remove(_GONE)
     await asyncio.sleep(more_s)
-    watches = made.store.watches
-    await until(lambda: made.store.watches > watches)
+    await made.next_watch()
     made.store.fault = StoreFault.none
     return asyncio.get_running_loop().time()
 
--- a/tests/platform/test_asks.py
+++ b/tests/platform/test_asks.py
@@ -39,9 +39,8 @@
 from tallyhall_transport.generated import peers_pb2
 from tallyhall_transport.peers import Peer
 
-from tests.platform.harness import MODEL, deployment, desired, patient, until
+from tests.platform.harness import MODEL, deployment, desired, patient
 
-_TOKENS: dict[str, Any] = {'X_Tallyhall_Token_Counts': '100,30'}
 _OWNERS = ('o1', 'o2', 'o3', 'o4')
 _TICK_S = 0.05
 
@@ -88,21 +87,15 @@
 
 async def test_a_stopping_fleet_counts_places() -> None:
     async with deployment(6) as made:
-        made.store.put('op/config', patient(2))
         engine = await made.add_engine('model-0', event_s=0.02)
         await made.ready()
-        for instance in made.instances:
-            await until(lambda: instance.state_version == 2)
+        await made.change(patient(2))
         stops = [
             asyncio.create_task(stopping.stop()) for stopping in made.instances
         ]
         await asyncio.sleep(0.8)
-        asks = [
-            made.caller(number % 6).ask('/stream/x', f'r{number}', **_TOKENS)
-            for number in range(24)
-        ]
-        answers = await asyncio.gather(*asks)
-        assert {answer.status for answer in answers} == {200}
+        statuses = await made.ask_all([number % 6 for number in range(24)])
+        assert set(statuses) == {200}
         # A busy machine may have an owner passed by: then each fills a part.
         assert engine.most_running <= 6
         await asyncio.gather(*stops)
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -1,6 +1,7 @@
 """A request's way through a whole instance, with sound and bad upstreams."""
 
 import asyncio
+from collections.abc import Mapping
 from typing import Any
 
 import pytest
@@ -9,6 +10,7 @@
 from tests.platform.harness import (
     KEY,
     PLAIN,
+    TOKENS,
     Caller,
     Deployment,
     deployment,
@@ -16,7 +18,6 @@
     until,
 )
 
-_TOKENS: dict[str, Any] = {'X_Tallyhall_Token_Counts': '100,30'}
 _EVENTS = b''.join(
     b'id: %d\ndata: t%d\n\n' % (number, number) for number in range(1, 7)
 )
@@ -73,7 +74,7 @@
         await made.add_engine('model-0', event_s=0.1)
         await made.ready()
         caller = made.caller()
-        fut = await caller.start('/stream/x', 'r1', **_TOKENS)
+        fut = await caller.start('/stream/x', 'r1', **TOKENS)
         await until(lambda: caller.parts.count(b'id:') == 2)
         assert not fut.done()
         answer = await fut
@@ -194,7 +195,7 @@
             engine.faults.append(fault)
         engines[1].faults.clear()
         answers = [
-            await made.caller().ask('/stream/x', f'r{number}', **_TOKENS)
+            await made.caller().ask('/stream/x', f'r{number}', **TOKENS)
             for number in range(4)
         ]
         assert [answer.body for answer in answers] == [_EVENTS] * 4
@@ -204,15 +205,15 @@
 @pytest.mark.parametrize(
     ('path', 'more', 'runs'),
     [
-        ('/stream/x', _TOKENS, 2),
+        ('/stream/x', TOKENS, 2),
         ('/safe/x', {}, 2),
-        ('/brittle/x', _TOKENS, 1),
+        ('/brittle/x', TOKENS, 1),
         ('/once/x', {}, 1),
     ],
 )
 async def test_silence_sends_on_only_what_may_repeat(
     path: str,
-    more: dict[str, Any],
+    more: Mapping[str, Any],
     runs: int,
 ) -> None:
     async with deployment() as made:
@@ -235,7 +236,7 @@
     async with deployment() as made:
         engines = await _models(made, 1)
         engines[0].faults.append(EngineFault.breaks_in_event)
-        answer = await made.caller().ask('/brittle/x', 'r1', **_TOKENS)
+        answer = await made.caller().ask('/brittle/x', 'r1', **TOKENS)
         assert not answer.whole
         assert answer.body == b'id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n'
         assert len(engines[0].ran) == 1
@@ -246,7 +247,7 @@
         engines = [await made.add_engine('model-0', event_s=0.2)]
         await made.ready()
         caller = made.caller()
-        await caller.start('/stream/x', 'r1', **_TOKENS)
+        await caller.start('/stream/x', 'r1', **TOKENS)
         await until(lambda: b'id: 1' in caller.parts)
         assert caller.conn is not None
         caller.conn.close()
@@ -261,8 +262,7 @@
         state = desired(2)
         for entry in state['routes']:
             entry['timeout-ms'] = 300
-        made.store.put('op/config', state)
-        await until(lambda: made.instances[0].state_version == 2)
+        await made.change(state)
         answer = await made.caller().ask('/once/x', 'r1')
         assert answer.status == 504
         await until(lambda: not engines[0].running, within_s=0.5)
@@ -292,7 +292,7 @@
         await made.add_engine('model-0', event_s=0.2)
         await made.ready()
         caller = made.caller()
-        fut = await caller.start('/stream/x', 'r1', **_TOKENS)
+        fut = await caller.start('/stream/x', 'r1', **TOKENS)
         await until(lambda: b'id: 1' in caller.parts)
         stopping = asyncio.create_task(made.instances[0].stop())
         await asyncio.sleep(0.05)
@@ -301,7 +301,7 @@
         assert ready.status == 503
         await _until_not_offered(made)
         # Callers that still know the address are served to the end.
-        late = await made.caller().ask('/stream/x', 'r2', **_TOKENS)
+        late = await made.caller().ask('/stream/x', 'r2', **TOKENS)
         assert late.body == _EVENTS
         assert late.header('connection') == 'close'
         answer = await fut
@@ -339,11 +339,11 @@
         await made.add_engine('plain-0', PLAIN)
         await made.ready()
         caller = made.caller()
-        fut = await caller.start('/stream/x', 'r1', **_TOKENS)
+        fut = await caller.start('/stream/x', 'r1', **TOKENS)
         await until(lambda: b'id: 1' in caller.parts)
         stopping = asyncio.create_task(made.instances[0].stop())
         await asyncio.sleep(3)
-        late = await made.caller().ask('/stream/x', 'r2', **_TOKENS)
+        late = await made.caller().ask('/stream/x', 'r2', **TOKENS)
         assert (late.status, late.whole) == (503, True)
         assert float(late.header('retry-after')) < 1
         assert [seen.request_id for seen in model.ran] == ['r1']
@@ -363,6 +363,14 @@
     return state
 
 
+async def _hold_places(made: Deployment, engine: EngineStandIn) -> None:
+    """Have all four places of an upstream taken by requests that hang."""
+    engine.faults.extend([EngineFault.hangs] * 4)
+    for number in range(4):
+        await made.caller().start('/once/x', f'held-{number}')
+    await until(lambda: engine.running == 4)
+
+
 async def test_what_waits_for_a_place_is_refused_before_the_end() -> None:
     """A stop cuts no request that was never sent.
 
@@ -373,14 +381,10 @@
     this test, in which it had no answer when the stop was over.
     """
     async with deployment(1, grace_s=4) as made:
-        made.store.put('op/config', _long_limits())
         engine = await made.add_engine('plain-0', PLAIN)
         await made.ready()
-        await until(lambda: made.instances[0].state_version == 2)
-        engine.faults.extend([EngineFault.hangs] * 4)
-        for number in range(4):
-            await made.caller().start('/once/x', f'held-{number}')
-        await until(lambda: engine.running == 4)
+        await made.change(_long_limits())
+        await _hold_places(made, engine)
         fut = await made.caller().start('/once/x', 'waits')
         await asyncio.sleep(0.1)
         assert not fut.done()
@@ -401,10 +405,9 @@
     Proof: this test, in which the request ran.
     """
     async with deployment(1) as made:
-        made.store.put('op/config', _long_limits())
         engine = await made.add_engine('plain-0', PLAIN)
         await made.ready()
-        await until(lambda: made.instances[0].state_version == 2)
+        await made.change(_long_limits())
         engine.faults.append(EngineFault.hangs)
         stopping = asyncio.create_task(made.instances[0].stop())
         await asyncio.sleep(2.7)
@@ -427,14 +430,10 @@
 async def test_what_waits_to_be_sent_again_is_answered_before_the_end() -> None:
     """The same for one that an upstream turned away and that waits again."""
     async with deployment(1, grace_s=4) as made:
-        made.store.put('op/config', _long_limits())
         full = await made.add_engine('plain-0', PLAIN)
         await made.ready()
-        await until(lambda: made.instances[0].state_version == 2)
-        full.faults.extend([EngineFault.hangs] * 4)
-        for number in range(4):
-            await made.caller().start('/once/x', f'held-{number}')
-        await until(lambda: full.running == 4)
+        await made.change(_long_limits())
+        await _hold_places(made, full)
         other = await made.add_engine('plain-1', PLAIN)
         other.faults.append(EngineFault.rejects)
         await made.ready()
--- a/tests/platform/test_follow.py
+++ b/tests/platform/test_follow.py
@@ -75,8 +75,7 @@
             }
             made.store.put(f'tallyhall/instances/{number}', fields)
         await asyncio.sleep(3)
-        watches = made.store.watches
-        await until(lambda: made.store.watches > watches)
+        await made.next_watch()
         made.store.put('op/config', desired(2))
         await until(lambda: instance.state_version == 2, 0.5)
         made.store.remove('servers/plain-1')
--- a/tests/platform/test_quota_returns.py
+++ b/tests/platform/test_quota_returns.py
@@ -157,8 +157,7 @@
         changed = json.loads(_state(1, 10_000)) | {'version': 2}
         free = {'kind': 'streaming', 'service': MODEL, 'public': True}
         changed['routes'].append(route('free', **free))
-        made.store.put('op/config', changed)
-        await until(lambda: made.instances[0].state_version == 2)
+        await made.change(changed)
         counts: dict[str, Any] = {'X_Tallyhall_Token_Counts': '100,100'}
         holding = [made.caller() for _ in range(4)]
         runs = [
--- a/tests/platform/test_shared.py
+++ b/tests/platform/test_shared.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import random
-from typing import Any
 
 import pytest
 from tallyhall_dispatch.desired import Upstream
@@ -12,9 +11,14 @@
 from tallyhall_entry import shared
 from tallyhall_platform.decode import decode_state
 
-from tests.platform.harness import MODEL, deployment, desired, patient, until
-
-_TOKENS: dict[str, Any] = {'X_Tallyhall_Token_Counts': '100,30'}
+from tests.platform.harness import (
+    MODEL,
+    TOKENS,
+    deployment,
+    desired,
+    patient,
+    until,
+)
 
 
 async def test_places_are_counted_over_all_instances(
@@ -23,17 +27,11 @@
     # The instances share a loop, whose lateness is not their owner's.
     monkeypatch.setattr(shared, '_ANSWER_S', 5)
     async with deployment(3) as made:
-        made.store.put('op/config', patient(2))
         engine = await made.add_engine('model-0', event_s=0.02)
         await made.ready()
-        for instance in made.instances:
-            await until(lambda: instance.state_version == 2)
-        asks = [
-            made.caller(number % 3).ask('/stream/x', f'r{number}', **_TOKENS)
-            for number in range(18)
-        ]
-        answers = await asyncio.gather(*asks)
-        assert {answer.status for answer in answers} == {200}
+        await made.change(patient(2))
+        statuses = await made.ask_all([number % 3 for number in range(18)])
+        assert set(statuses) == {200}
         assert len(engine.ran) == 18
         assert engine.most_running <= 4
 
@@ -49,7 +47,7 @@
         await made.instances[owner].close()
         for number in range(6):
             caller = made.caller(others[number % 2])
-            answer = await caller.ask('/stream/x', f'r{number}', **_TOKENS)
+            answer = await caller.ask('/stream/x', f'r{number}', **TOKENS)
             assert answer.status == 200
         survivor = made.instances[others[0]]
         await until(lambda: survivor.owner(MODEL) != names[owner])
@@ -70,25 +68,17 @@
     # Asking the next one takes 3 ms; a busy machine must not decide here.
     monkeypatch.setattr(shared, '_ANSWER_S', 0.25)
     async with deployment(6) as made:
-        made.store.put('op/config', patient(2))
         engine = await made.add_engine('model-0', event_s=0.02)
         await made.ready()
-        for instance in made.instances:
-            await until(lambda: instance.state_version == 2)
+        await made.change(patient(2))
         names = [options.instance for options in made.options]
         owner = names.index(made.instances[0].owner(MODEL) or '')
         others = [number for number in range(6) if number != owner]
         await made.instances[owner].close()
-        asks = [
-            made.caller(others[number % 5]).ask(
-                '/stream/x',
-                f'r{number}',
-                **_TOKENS,
-            )
-            for number in range(18)
-        ]
-        answers = await asyncio.gather(*asks)
-        assert {answer.status for answer in answers} == {200}
+        statuses = await made.ask_all(
+            [others[number % 5] for number in range(18)]
+        )
+        assert set(statuses) == {200}
         assert engine.most_running <= 4
 
 
@@ -96,17 +86,14 @@
     async with deployment(2) as made:
         await made.add_engine('model-0')
         await made.ready()
-        state = made.store
         changed = desired(2)
         changed['tenants'][0] |= {'rate-per-s': 50, 'burst': 260}
-        state.put('op/config', changed)
-        for instance in made.instances:
-            await until(lambda: instance.state_version == 2)
+        await made.change(changed)
         # 660 tokens in 8 s, less what two restarts may have used.
         statuses = []
         for number in range(6):
             caller = made.caller(number % 2)
-            answer = await caller.ask('/stream/x', f'r{number}', **_TOKENS)
+            answer = await caller.ask('/stream/x', f'r{number}', **TOKENS)
             statuses.append(answer.status)
             await asyncio.sleep(0.25)
         assert 429 in statuses
--- a/tests/platform/test_topology.py
+++ b/tests/platform/test_topology.py
@@ -1,8 +1,5 @@
 """Fleets in which not every instance hears every other."""
 
-import asyncio
-from typing import Any
-
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -11,7 +8,7 @@
 from tallyhall_dispatch.topology import Topology
 from tallyhall_entry import shared
 
-from tests.platform.harness import MODEL, deployment, patient, until
+from tests.platform.harness import MODEL, deployment, patient
 from tests.platform.windows import most_in_window
 
 _NOBODY: frozenset[str] = frozenset()
@@ -21,7 +18,6 @@
 _BURST = 50.0
 _WINDOW_S = 8
 _LIMIT = _RATE * _WINDOW_S + _BURST
-_TOKENS: dict[str, Any] = {'X_Tallyhall_Token_Counts': '100,30'}
 
 
 def _same(name: str) -> float:
@@ -144,22 +140,16 @@
     # All 18 share one loop, whose lateness must not count as their owner's.
     monkeypatch.setattr(shared, '_ANSWER_S', 5)
     async with deployment(18) as made:
-        made.store.put('op/config', patient(2))
         engine = await made.add_engine('model-0', event_s=0.01)
         await made.ready()
-        for instance in made.instances:
-            await until(lambda: instance.state_version == 2)
+        await made.change(patient(2))
         first = made.instances[0]
         assert len(first.live_instances) == 4
         assert {one.owner(MODEL) for one in made.instances} == {
             first.owner(MODEL),
         }
-        asks = [
-            made.caller(number).ask('/stream/x', f'r{number}', **_TOKENS)
-            for number in range(18)
-        ]
-        answers = await asyncio.gather(*asks)
-        assert {one.status for one in answers} == {200}
+        statuses = await made.ask_all(range(18))
+        assert set(statuses) == {200}
         assert engine.most_running <= 4
 
 
@@ -176,16 +166,10 @@
     """
     monkeypatch.setattr(shared, '_ANSWER_S', 0)
     async with deployment(18) as made:
-        made.store.put('op/config', patient(2))
         engine = await made.add_engine('model-0', event_s=0.01)
         await made.ready()
-        for instance in made.instances:
-            await until(lambda: instance.state_version == 2)
-        asks = [
-            made.caller(number).ask('/stream/x', f'r{number}', **_TOKENS)
-            for number in range(18)
-        ]
-        answers = await asyncio.gather(*asks)
-        assert {one.status for one in answers} == {200}
+        await made.change(patient(2))
+        statuses = await made.ask_all(range(18))
+        assert set(statuses) == {200}
         # The three candidates own the service each, others draw for 4 places.
         assert engine.most_running <= 9
