Headers that are the system's to set are never passed on

A name that only a second Connection header lists was passed on too.

Change: one list in the adapter, compared without regard to case and with underscores read as dashes. Tests (failing before): a property over spellings, repeats and order, and an upstream that is asked.

--- a/packages/edge/src/tallyhall_edge/messages.py
+++ b/packages/edge/src/tallyhall_edge/messages.py
@@ -70,19 +70,25 @@
 def forwarded(headers: Headers, without: Iterable[bytes] = ()) -> Headers:
     """Return the headers that a message keeps on its next connection.
 
-    Left out are those that concern one connection, those that `Connection`
-    names, and the lower-case names given.
+    Left out are those that concern one connection, those that any `Connection`
+    names, and the lower-case names given. Some servers read an underscore as
+    a dash, so a name that is left out is so in that spelling too.
     """
     left_out = _ONE_CONNECTION.union(without)
-    listed = find(headers, b'connection')
-    if listed is not None:
-        names = (name.strip().lower() for name in listed.split(b','))
-        left_out = left_out.union(names)
+    for name, listed in headers:
+        if name.lower() == b'connection':
+            left_out = left_out.union(
+                part.strip().lower() for part in listed.split(b',')
+            )
     return tuple(
-        (key, text) for key, text in headers if key.lower() not in left_out
+        (key, text) for key, text in headers if _dashed(key) not in left_out
     )
 
 
+def _dashed(name: bytes) -> bytes:
+    return name.lower().replace(b'_', b'-')
+
+
 def head_bytes(first_line: bytes, headers: Headers) -> bytes:
     """Return a head as it is sent, with the empty line at its end."""
     lines = [first_line]
--- a/packages/platform/src/tallyhall_platform/dialect.py
+++ b/packages/platform/src/tallyhall_platform/dialect.py
@@ -29,6 +29,13 @@
 _LAST_EVENT = b'last-event-id'
 _AUTHORIZATION = b'authorization'
 _EXPECTED = b'x-tallyhall-expect-instance'
+_EXPECTED_VERSION = b'x-tallyhall-expect-version'
+# Memory and places at an engine, kept back or copied for one request.
+_HOLD = b'x-tallyhall-hold'
+_PIN = b'x-tallyhall-pin-ms'
+_BACKUP = b'x-tallyhall-kv-backup'
+_KV_FROM = b'kv-from'
+_KV_FETCH = b'kv-fetch'
 _WORKSPACE = b'x-tallyhall-tenant'
 # Proof that the answer is the upstream's own.
 _SIGNATURE = b'x-tallyhall-response-signature'
@@ -36,8 +43,20 @@
 _SCHEME = 'bearer '
 _MILLI = 1000
 _MISDIRECTED = 421
-# Headers that this system sets itself, whatever the caller sent.
-_SET_HERE = (_DEADLINE, _EXPECTED, _WORKSPACE, _AUTHORIZATION)
+# Headers that this system sets itself, whatever the caller sent: with them a
+# caller could name an upstream, its workspace or memory of other requests.
+SET_HERE = (
+    _DEADLINE,
+    _EXPECTED,
+    _EXPECTED_VERSION,
+    _WORKSPACE,
+    _AUTHORIZATION,
+    _HOLD,
+    _PIN,
+    _BACKUP,
+    _KV_FROM,
+    _KV_FETCH,
+)
 
 
 class PlatformDialect:
@@ -75,9 +94,9 @@
         info: SendInfo,
     ) -> Headers:
         """Return the headers of a request for one upstream."""
-        without: tuple[bytes, ...] = _SET_HERE
+        without: tuple[bytes, ...] = SET_HERE
         if info.last_event is not None:
-            without = (*_SET_HERE, _LAST_EVENT)
+            without = (*SET_HERE, _LAST_EVENT)
         headers = list(forwarded(head.headers, without))
         left_ms = max(1, int(info.left_s * _MILLI))
         headers.append((b'X-Tallyhall-Deadline-Ms', b'%d' % left_ms))
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,118 @@
+"""Headers that the system sets itself never come from a caller."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+from tallyhall_edge.dialect import SendInfo
+from tallyhall_edge.messages import Headers, RequestHead
+from tallyhall_platform.dialect import PlatformDialect
+
+from tests.platform.harness import TOKENS, deployment
+
+# As the platform's pages name them.
+_SYSTEMS = (
+    'X-Tallyhall-Deadline-Ms',
+    'X-Tallyhall-Expect-Instance',
+    'X-Tallyhall-Expect-Version',
+    'X-Tallyhall-Tenant',
+    'X-Tallyhall-Hold',
+    'X-Tallyhall-Pin-Ms',
+    'X-Tallyhall-Kv-Backup',
+    'Kv-From',
+    'Kv-Fetch',
+    'Authorization',
+)
+_CALLERS = (
+    'X-Tallyhall-Request-Id',
+    'X-Tallyhall-Model',
+    'X-Tallyhall-Token-Counts',
+    'X-Tallyhall-Prompt-Prefix',
+    'X-Tallyhall-Length-Hint',
+    'Accept',
+)
+_FORGED = b'as the caller sent it'
+_INFO = SendInfo(1.5, 'i-1', 'shop', None)
+
+
+def _spelt(name: str, upper: list[bool], dash: str) -> bytes:
+    letters = [
+        letter.upper() if is_upper else letter.lower()
+        for letter, is_upper in zip(name, upper, strict=False)
+    ]
+    return ''.join(letters).replace('-', dash).encode()
+
+
+_spelling = st.builds(
+    _spelt,
+    st.sampled_from(_SYSTEMS),
+    st.lists(st.booleans(), min_size=40, max_size=40),
+    st.sampled_from('-_'),
+)
+_callers_header = st.sampled_from(_CALLERS).map(str.encode)
+
+
+@given(
+    st.lists(_spelling, min_size=1, max_size=8),
+    st.lists(_callers_header, max_size=4, unique=True),
+    st.randoms(use_true_random=False),
+)
+def test_no_spelling_or_repeat_passes(
+    systems: list[bytes],
+    callers: list[bytes],
+    rng: random.Random,
+) -> None:
+    sent = [(name, _FORGED) for name in systems]
+    sent.extend((name, b'kept') for name in callers)
+    rng.shuffle(sent)
+    written = _written(tuple(sent))
+    assert _FORGED not in [text for _, text in written]
+    assert {name for name, text in written if text == b'kept'} == set(callers)
+
+
+def test_each_that_is_written_is_written_once() -> None:
+    sent = tuple((name.encode(), _FORGED) for name in _SYSTEMS * 2)
+    names = [name.lower() for name, _ in _written(sent)]
+    assert len(names) == len(set(names))
+
+
+def test_every_connection_header_names_what_stays() -> None:
+    sent = (
+        (b'Connection', b'close'),
+        (b'connection', b'X-One, x-two'),
+        (b'X-One', b'1'),
+        (b'X-Two', b'2'),
+        (b'X-Three', b'3'),
+    )
+    names = [name for name, _ in _written(sent)]
+    assert b'X-Three' in names
+    assert b'X-One' not in names
+    assert b'X-Two' not in names
+
+
+async def test_an_upstream_sees_none_of_them() -> None:
+    async with deployment() as made:
+        engine = await made.add_engine('engine-0')
+        await made.ready()
+        forged = {
+            'X_Tallyhall_Hold': 'h-1',
+            'X_Tallyhall_Pin_Ms': '4000',
+            'X_Tallyhall_Kv_Backup': '10.0.0.1:80',
+            'X_Tallyhall_Expect_Version': '3',
+            'X_Tallyhall_Tenant': 'another',
+            'Kv_From': '10.0.0.1:80/1',
+            'Kv_Fetch': '10.0.0.1:80',
+        }
+        answer = await made.caller().ask('/stream/x', 'r1', **TOKENS, **forged)
+        assert answer.status == 200
+        seen = engine.ran[0].headers
+        for name in forged:
+            wire = name.replace('_', '-').lower()
+            if wire != 'x-tallyhall-tenant':
+                assert wire not in seen
+        assert seen['x-tallyhall-tenant'] == 'shop'
+
+
+def _written(sent: Headers) -> Headers:
+    head = RequestHead(b'POST', b'/stream/x', sent)
+    return PlatformDialect().upstream_headers(head, 5, _INFO)
