Entries of other writers name nothing; one quick decoder for all values

Cause: an entry that lacked zone, version, slots, state, seq or cold-left-ms named an upstream (ready, one place), as did an empty service, a state that is not known, slots of any type and addresses that are none. A deeply nested value raised past the decoder of instances' entries and ended the task that follows the store; a value that is no base64 kept all others from being read. A damaged entry left the upstream that it had named in use. What is rejected was logged at every write.

Change: msgspec in place of pydantic, every documented field asked for, one function that turns all that bytes can raise into DecodeError. An upstream whose entry was replaced is dropped, one log line for each key. Settings say in their errors which key, what is wanted and an example; their test asks for the new wording, all of it, and more cases. Removals that were read while the store is doubted are held 0.2 s less than a change may take at most, whatever the doubt: who has read that an upstream leaves is bound by it.

--- a/packages/dispatch/src/tallyhall_dispatch/desired.py
+++ b/packages/dispatch/src/tallyhall_dispatch/desired.py
@@ -121,14 +121,24 @@
 class Upstream:
     """One incarnation of an engine or of a service's instance.
 
-    incarnation: its id, new at each start. slots: requests it runs at once.
-    leaving: it has said that it takes no new work.
+    name: the id that it goes by, which it may keep when it starts again.
+    slots: requests it runs at once. leaving: it has said that it takes no
+    new work. started_ms: Unix time of its start in milliseconds, 0 where an
+    id is new at each start.
     """
 
-    incarnation: str
+    name: str
     service: str
     host: str
     port: int
     zone: str
     slots: int
     leaving: bool
+    started_ms: int = 0
+
+    @property
+    def incarnation(self) -> str:
+        """Return what no other start of any upstream is called."""
+        if not self.started_ms:
+            return self.name
+        return f'{self.name}@{self.started_ms}'
--- a/packages/edge/src/tallyhall_edge/dialect.py
+++ b/packages/edge/src/tallyhall_edge/dialect.py
@@ -47,7 +47,7 @@
     """What is added to a request on its way to one upstream."""
 
     left_s: float
-    incarnation: str
+    upstream: str
     workspace: str | None
     last_event: int | None
 
--- a/packages/entry/src/tallyhall_entry/beliefs.py
+++ b/packages/entry/src/tallyhall_entry/beliefs.py
@@ -12,7 +12,7 @@
 from tallyhall_edge.connections import ConnectionPool
 from tallyhall_edge.scheduling import Dispatcher
 from tallyhall_edge.server import HttpServer, ServerLimits
-from tallyhall_platform.registry import InstanceEntry
+from tallyhall_platform.entries import InstanceEntry
 from tallyhall_transport.peers import PeerLinks, PeerPlace
 
 from .logs import EventLog
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -26,12 +26,9 @@
 from tallyhall_edge.server import HttpServer, Respond, ServerLimits
 from tallyhall_platform.absence import Absence
 from tallyhall_platform.dialect import PlatformDialect
+from tallyhall_platform.entries import InstanceEntry
 from tallyhall_platform.follow import Follower
-from tallyhall_platform.registry import (
-    LEAST_UNSEEN_S,
-    InstanceEntry,
-    Registration,
-)
+from tallyhall_platform.registry import LEAST_UNSEEN_S, Registration
 from tallyhall_platform.store import StoreClient
 from tallyhall_transport.generated import peers_pb2
 from tallyhall_transport.peers import Peer, PeerLinks
--- a/packages/entry/src/tallyhall_entry/locate.py
+++ b/packages/entry/src/tallyhall_entry/locate.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Sequence
 
-from tallyhall_platform.registry import InstanceEntry
+from tallyhall_platform.entries import InstanceEntry
 
 # Addresses in one answer at the most; more are not read.
 _MOST_ADDRESSES = 64
--- a/packages/platform/src/tallyhall_platform/decode.py
+++ b/packages/platform/src/tallyhall_platform/decode.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
+import dataclasses
 import types
 from collections.abc import Mapping
 from typing import Annotated, Literal, TypeVar
 
-import pydantic
+import msgspec
 from tallyhall_dispatch.desired import (
     DesiredState,
     Limits,
@@ -22,91 +23,79 @@
     Workspace,
 )
 
+from .addresses import listening
 from .errors import DecodeError
-from .settings import listening
+from .parse import Count, Millis, Name, parsed
 
 _MILLI = 1000
 # Used where a route states no time limit, no objective or no pause.
 _TIMEOUT_MS = 30_000
 _OBJECTIVE_MS = 1000
-Millis = Annotated[float, pydantic.Field(ge=0)]
+# More places than any engine has; a number above it is no count of places.
+_MOST_SLOTS = 100_000
 _Kept = TypeVar('_Kept')
 
 
-class _Part(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
+class _Part(msgspec.Struct, frozen=True, rename='kebab'):
+    """Fields that are not named here are ignored."""
 
 
-class _Split(_Part):
+class _Split(_Part, frozen=True):
     service: str
-    weight: Annotated[int, pydantic.Field(ge=0)] = 1
+    weight: Count = 1
 
 
-class _Route(_Part):
+class _Route(_Part, frozen=True):
     name: str
     host: str
-    prefix: Annotated[str, pydantic.Field(pattern='^/')]
+    prefix: Annotated[str, msgspec.Meta(pattern='^/')]
     kind: Literal['safe', 'non_idempotent', 'streaming']
-    timeout_ms: Annotated[Millis, pydantic.Field(alias='timeout-ms')] = (
-        _TIMEOUT_MS
-    )
+    timeout_ms: Millis = _TIMEOUT_MS
     # The time to the first byte that earns the full benefit.
-    slo_ms: Annotated[Millis, pydantic.Field(alias='slo-ms')] = _OBJECTIVE_MS
+    slo_ms: Millis = _OBJECTIVE_MS
     priority: int = 0
     service: str | None = None
     split: tuple[_Split, ...] = ()
-    attempts: Annotated[int, pydantic.Field(ge=1)] = 1
+    attempts: Annotated[int, msgspec.Meta(ge=1)] = 1
     public: bool = False
     # Says that the route's requests carry prompt parts, not that they must
     # stay with one engine.
     sticky: bool = False
     resumable: bool = False
     # The longest pause between two events of an answer that is on time.
-    gap_target_ms: Annotated[Millis, pydantic.Field(alias='gap-target-ms')] = 0
+    gap_target_ms: Millis = 0
 
 
-class _Engine(_Part):
+class _Engine(_Part, frozen=True):
     # How many tokens one event holds.
     stride: int = 1
 
 
-class _Service(_Part):
+class _Service(_Part, frozen=True):
     name: str
-    max_conns: Annotated[int, pydantic.Field(alias='max-conns')] = 0
+    max_conns: int = 0
     engine: _Engine | None = None
 
 
-class _Limits(_Part):
-    max_header_bytes: Annotated[
-        int,
-        pydantic.Field(alias='max-header-bytes'),
-    ] = 16_384
-    max_body_bytes: Annotated[
-        int,
-        pydantic.Field(alias='max-body-bytes'),
-    ] = 4_194_304
-    header_timeout_ms: Annotated[
-        Millis,
-        pydantic.Field(alias='header-timeout-ms'),
-    ] = 3000
-    idle_timeout_ms: Annotated[
-        Millis,
-        pydantic.Field(alias='idle-timeout-ms'),
-    ] = 15_000
-
-
-class _Tenant(_Part):
+class _Limits(_Part, frozen=True):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: Millis = 3000
+    idle_timeout_ms: Millis = 15_000
+
+
+class _Tenant(_Part, frozen=True):
     name: str
-    api_keys: Annotated[tuple[str, ...], pydantic.Field(alias='api-keys')] = ()
+    api_keys: tuple[str, ...] = ()
     priority: int | None = None
     unit: str = 'requests'
-    plain_tokens: Annotated[int, pydantic.Field(alias='plain-tokens')] = 1
+    plain_tokens: int = 1
     # Both in `unit`; left out or 0 means that nothing is limited.
-    rate_per_s: Annotated[float, pydantic.Field(alias='rate-per-s')] = 0
+    rate_per_s: float = 0
     burst: float = 0
 
 
-class _Config(_Part):
+class _Config(_Part, frozen=True):
     version: int
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
@@ -114,20 +103,24 @@
     tenants: tuple[_Tenant, ...] | None = None
 
 
-class _Server(_Part):
-    service: str
+class _Server(_Part, frozen=True):
+    """An upstream's entry; one of another writer lacks some of it."""
+
+    service: Name
     address: str
-    zone: str = ''
-    slots: Annotated[int, pydantic.Field(ge=1)] = 1
-    state: str = 'ready'
+    zone: str
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MOST_SLOTS)]
+    state: Literal['ready', 'draining']
+    seq: Count
+    cold_left_ms: Millis
+    # Where the platform states no start, an id is new at each start.
+    born: Count = 0
 
 
 def decode_state(raw: bytes) -> DesiredState:
     """Return the desired state; raise DecodeError."""
-    try:
-        config = _Config.model_validate_json(raw)
-    except pydantic.ValidationError as exc:
-        raise DecodeError(_first_fault(exc)) from exc
+    config = parsed(raw, _Config)
     workspaces = [_workspace(tenant) for tenant in config.tenants or ()]
     by_name = {workspace.name: workspace for workspace in workspaces}
     keys = {
@@ -151,30 +144,32 @@
     )
 
 
-def decode_upstream(incarnation: str, raw: bytes) -> Upstream:
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamEntry:
+    """An upstream, and which of its start's reports tells of it."""
+
+    upstream: Upstream
+    serial: int
+
+
+def decode_upstream(name: str, raw: bytes) -> UpstreamEntry:
     """Return an upstream from its entry in the store; raise DecodeError."""
+    entry = parsed(raw, _Server)
     try:
-        entry = _Server.model_validate_json(raw)
         address = listening(entry.address)
-    except pydantic.ValidationError as exc:
-        raise DecodeError(_first_fault(exc)) from exc
     except ValueError as exc:
         raise DecodeError(f'address: {exc}') from exc
-    return Upstream(
-        incarnation,
+    upstream = Upstream(
+        name,
         entry.service,
         address.host,
         address.port,
         entry.zone,
         entry.slots,
         leaving=entry.state != 'ready',
+        started_ms=entry.born,
     )
-
-
-def _first_fault(exc: pydantic.ValidationError) -> str:
-    fault = exc.errors(include_input=False, include_url=False)[0]
-    key = '.'.join(str(part) for part in fault['loc'])
-    return f'{key or "value"}: {fault["msg"]}'
+    return UpstreamEntry(upstream, entry.seq)
 
 
 def _frozen(table: dict[str, _Kept]) -> Mapping[str, _Kept]:
--- a/packages/platform/src/tallyhall_platform/dialect.py
+++ b/packages/platform/src/tallyhall_platform/dialect.py
@@ -101,7 +101,7 @@
         left_ms = max(1, int(info.left_s * _MILLI))
         headers.append((b'X-Tallyhall-Deadline-Ms', b'%d' % left_ms))
         headers.append(
-            (b'X-Tallyhall-Expect-Instance', info.incarnation.encode()),
+            (b'X-Tallyhall-Expect-Instance', info.upstream.encode()),
         )
         if info.workspace is not None:
             headers.append((b'X-Tallyhall-Tenant', info.workspace.encode()))
--- a/packages/platform/src/tallyhall_platform/follow.py
+++ b/packages/platform/src/tallyhall_platform/follow.py
@@ -24,7 +24,14 @@
 from tallyhall_dispatch.quota import Written
 
 from .absence import Absence
-from .decode import decode_state, decode_upstream
+from .decode import decode_state
+from .entries import (
+    INSTANCE_PREFIX,
+    USE_KEY,
+    InstanceEntry,
+    decode_instance,
+    decode_use,
+)
 from .errors import (
     DecodeError,
     HistoryGoneError,
@@ -33,17 +40,10 @@
     StoreRefusedError,
     StoreUnavailableError,
 )
-from .registry import (
-    INSTANCE_PREFIX,
-    USE_KEY,
-    InstanceEntry,
-    decode_instance,
-    decode_use,
-)
 from .store import Change, StoreClient
+from .upstreams import UPSTREAM_PREFIX, Upstreams
 
 _STATE_KEY = 'op/config'
-_UPSTREAM_PREFIX = 'servers/'
 # A watch confirms the state as of its start, so its length adds to the age
 # of every confirmation; each one is a priced call, 8,400 in a minute at 87
 # instances with watches of a second. In a large fleet the others, whose
@@ -80,9 +80,16 @@
 # of 1.1 where connections fail after half a second, and 2.7 of 2.2 where they
 # are reset at once.
 _NOTICE_S = 0.65
+# Kept of the time that a change may take when a removal is held: timers that
+# fire late under load, and the way of a request to its upstream.
+_HELD_KEPT_S = 0.2
 # The first question after a failed call is answered at once, so that the
 # return is known before the next change; one call more for each return.
 _PROBE_S = 0.01
+# Of a key and of the reason why its value was rejected, so many characters are
+# logged; both are another writer's choice.
+_SHOWN_KEY = 200
+_SHOWN_CAUSE = 200
 
 
 class Listener(Protocol):
@@ -144,9 +151,13 @@
         self._loop = asyncio.get_running_loop()
         self._cursor: int | None = None
         self._revisions: dict[str, int] = {}
-        self._upstreams: dict[str, Upstream] = {}
+        self._upstreams = Upstreams()
+        self._told: tuple[Upstream, ...] = ()
         self._instances: dict[str, InstanceEntry] = {}
-        self._held_removals: set[str] = set()
+        # Until when each removal may be held.
+        self._held_removals: dict[str, float] = {}
+        # Keys whose value was rejected: whoever writes it writes it again.
+        self._rejected: set[str] = set()
         self._release_timer: asyncio.TimerHandle | None = None
         self._news = _News()
         self._version = -1
@@ -155,7 +166,7 @@
         self._failures = 0
         self._takers = (
             (_STATE_KEY, self._take_state),
-            (_UPSTREAM_PREFIX, self._take_upstream),
+            (UPSTREAM_PREFIX, self._take_upstream),
             (INSTANCE_PREFIX, self._take_instance),
             (USE_KEY, self._take_use),
         )
@@ -169,7 +180,7 @@
         try:
             self._take_state(_STATE_KEY, raw)
         except DecodeError as exc:
-            self._log(Event.value_rejected, key=_STATE_KEY, cause=str(exc))
+            self._reject(_STATE_KEY, exc)
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -248,7 +259,19 @@
         try:
             self._take(change)
         except DecodeError as exc:
-            self._log(Event.value_rejected, key=change.key, cause=str(exc))
+            self._reject(change.key, exc)
+            return
+        self._rejected.discard(change.key)
+
+    def _reject(self, key: str, exc: DecodeError) -> None:
+        if key in self._rejected:
+            return
+        self._rejected.add(key)
+        self._log(
+            Event.value_rejected,
+            key=key[:_SHOWN_KEY],
+            cause=str(exc)[:_SHOWN_CAUSE],
+        )
 
     def _take(self, change: Change) -> None:
         if change.content is None:
@@ -266,16 +289,19 @@
         if not self._absence.doubts(now):
             self._remove(key)
             return
-        self._held_removals.add(key)
+        # Who has read that an upstream leaves is bound by it from then on,
+        # also while the store is in disturbance.
+        until = now + self.change_s - _HELD_KEPT_S
+        self._held_removals[key] = until
         self._log(
             Event.removal_held,
             key=key,
-            held_s=round(self._absence.until - now, 3),
+            held_s=round(min(until, self._absence.until) - now, 3),
             cause='the store was away',
         )
 
     def _remove(self, key: str) -> None:
-        if self._upstreams.pop(key, None) is not None:
+        if self._upstreams.drop(key):
             self._news.upstreams = True
         if self._instances.pop(key, None) is not None:
             self._news.instances = True
@@ -289,9 +315,11 @@
         self._listener.on_state(state)
 
     def _take_instance(self, key: str, content: bytes) -> None:
-        self._held_removals.discard(key)
-        self._instances[key] = decode_instance(content)
+        self._held_removals.pop(key, None)
         self._news.instances = True
+        self._instances.pop(key, None)
+        instance = key.removeprefix(INSTANCE_PREFIX)
+        self._instances[key] = decode_instance(instance, content)
 
     def _take_use(self, key: str, content: bytes) -> None:
         # Only what was written before this process began matters to it.
@@ -299,53 +327,61 @@
             self._listener.on_use(decode_use(content))
 
     def _take_upstream(self, key: str, content: bytes) -> None:
-        self._held_removals.discard(key)
-        incarnation = key.removeprefix(_UPSTREAM_PREFIX)
-        upstream = decode_upstream(incarnation, content)
-        if self._upstreams.get(key) == upstream:
-            return
-        self._upstreams[key] = upstream
+        self._held_removals.pop(key, None)
         self._news.upstreams = True
+        self._upstreams.take(key, content)
 
     def _tell(self) -> None:
         """Pass on what the last answer changed, all of it at once."""
         news = self._news
         self._news = _News()
         if news.upstreams:
-            self._listener.on_upstreams(tuple(self._upstreams.values()))
+            self._tell_upstreams()
         if news.instances:
             self._listener.on_instances(tuple(self._instances.values()))
 
+    def _tell_upstreams(self) -> None:
+        # Upstreams repeat their entries, of which only the number differs.
+        upstreams = self._upstreams.all()
+        if upstreams != self._told:
+            self._told = upstreams
+            self._listener.on_upstreams(upstreams)
+
     def _release_removals(self, now: float) -> None:
-        if not self._absence.doubts(now):
-            for key in self._held_removals:
-                self._remove(key)
-            self._held_removals.clear()
+        doubts = self._absence.doubts(now)
+        for key, until in tuple(self._held_removals.items()):
+            if doubts and now < until:
+                continue
+            self._held_removals.pop(key)
+            self._remove(key)
         self._tell()
+        self._start_timer(now)
 
     def _found(self) -> None:
         self._failures = 0
         self._absence.answered(self._loop.time())
-        self._start_timer()
         if self._reachable:
             return
         self._reachable = True
         self._listener.on_store(reachable=True)
 
-    def _start_timer(self) -> None:
+    def _start_timer(self, now: float) -> None:
         """Release what is held at the end of the doubt, not of a watch.
 
         A watch lasts a second and more, the doubt ends 0.2 s before removals
         must count.
         """
         self._stop_timer()
-        until = self._absence.until
-        if self._absence.doubts(self._loop.time()):
-            self._release_timer = self._loop.call_at(
-                until,
-                self._release_removals,
-                until,
-            )
+        if not self._held_removals:
+            return
+        release_at = min(self._held_removals.values())
+        if now < self._absence.until:
+            release_at = min(release_at, self._absence.until)
+        self._release_timer = self._loop.call_at(
+            release_at,
+            self._release_removals,
+            release_at,
+        )
 
     def _stop_timer(self) -> None:
         if self._release_timer is not None:
--- a/packages/platform/src/tallyhall_platform/registry.py
+++ b/packages/platform/src/tallyhall_platform/registry.py
@@ -9,20 +9,24 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
-import json
 import random
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
+import msgspec
 from tallyhall_core.events import Event
 from tallyhall_dispatch.quota import Written
 
-from .errors import DecodeError, LeaseEndedError, StoreError
+from .entries import (
+    INSTANCE_PREFIX,
+    USE_KEY,
+    InstanceEntry,
+    encode_instance,
+    encode_use,
+)
+from .errors import LeaseEndedError, StoreError
 from .store import StoreClient
 
-INSTANCE_PREFIX = 'tallyhall/instances/'
-USE_KEY = 'tallyhall/use'
 # A dead instance is offered to callers for at most this long; the lease is
 # renewed three times within it, so that one lost answer does not end it.
 _LEASE_S = 2.4
@@ -33,29 +37,6 @@
 _NO_LEASE = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class InstanceEntry:
-    """What an instance tells the others about itself."""
-
-    instance: str
-    incarnation: str
-    front: str
-    peer: str
-    zone: str
-    region: str
-    # What it can do beside its own requests; 0 where it is not stated.
-    cores: float = 0
-    leaving: bool = False
-
-
-def decode_instance(raw: bytes) -> InstanceEntry:
-    """Return an entry; raise DecodeError."""
-    try:
-        return InstanceEntry(**json.loads(raw))
-    except (TypeError, ValueError) as exc:
-        raise DecodeError(f'instance entry: {exc}') from exc
-
-
 class UseSource(Protocol):
     """The use of quotas that must outlast all processes."""
 
@@ -115,7 +96,7 @@
         Until cancelled the use of quotas is written as before: after a stop
         of all, those that follow have nobody to ask.
         """
-        self._entry = dataclasses.replace(self._entry, leaving=True)
+        self._entry = msgspec.structs.replace(self._entry, leaving=True)
         self._lease_s = max(self._lease_s, life_s)
         await self._repeat(self._leaving_step)
 
@@ -146,9 +127,8 @@
         use = self._uses.due()
         if use is None:
             return
-        raw = json.dumps(dict(use)).encode()
         # Under no lease: it matters after the end of this process.
-        await self._client.put(USE_KEY, raw, _NO_LEASE)
+        await self._client.put(USE_KEY, encode_use(use), _NO_LEASE)
         self._uses.written(use)
 
     async def _leaving_step(self) -> None:
@@ -202,21 +182,6 @@
         self._lease = lease
 
     async def _write(self, lease: int) -> None:
-        fields = dataclasses.asdict(self._entry)
-        if not self._entry.leaving:
-            fields.pop('leaving')
-        raw = json.dumps(fields).encode()
         key = f'{INSTANCE_PREFIX}{self._entry.instance}'
-        await self._client.put(key, raw, lease)
+        await self._client.put(key, encode_instance(self._entry), lease)
         self._written_at = asyncio.get_running_loop().time()
-
-
-def decode_use(raw: bytes) -> Written:
-    """Return what an instance wrote of its use; raise DecodeError."""
-    try:
-        return {
-            str(name): tuple((float(age), float(use)) for age, use in parts)
-            for name, parts in json.loads(raw).items()
-        }
-    except (AttributeError, TypeError, ValueError) as exc:
-        raise DecodeError(f'use of quotas: {exc}') from exc
--- a/packages/platform/src/tallyhall_platform/settings.py
+++ b/packages/platform/src/tallyhall_platform/settings.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import pathlib
+import re
 from typing import Annotated, Any
 
-import pydantic
-import yaml
+import msgspec
 from tallyhall_dispatch.options import (
     Bounds,
     Listening,
@@ -14,7 +14,9 @@
     StoreOptions,
 )
 
+from .addresses import listening
 from .errors import SettingsError
+from .parse import Millis, Name
 
 # The platform names the settings file in this variable.
 SETTINGS_VARIABLE = 'TALLYHALL_CONFIG'
@@ -22,53 +24,28 @@
 # Offsets into the range of ports that is free for traffic between instances.
 _PEER_PORT = 0
 _METRICS_PORT = 1
+_Positive = Annotated[float, msgspec.Meta(gt=0)]
 
-_MOST_PORT = 65_535
 
+class _Section(msgspec.Struct, frozen=True, rename='kebab'):
+    """New keys may come at any time and are not an error."""
 
-def _checked_port(text: str) -> str:
-    if int(text.rpartition(':')[2]) > _MOST_PORT:
-        raise ValueError(f'a port is at most {_MOST_PORT}')
-    return text
 
+class _Listen(_Section, frozen=True):
+    front: str
+    ready: str
+    directory: str
 
-Address = Annotated[
-    str,
-    pydantic.Field(pattern=r'^[0-9.]+:[0-9]{1,5}$'),
-    pydantic.AfterValidator(_checked_port),
-]
-Millis = Annotated[float, pydantic.Field(ge=0)]
 
-
-def _dashed(name: str) -> str:
-    return name.replace('_', '-')
-
-
-class _Section(pydantic.BaseModel):
-    # New keys may come at any time and are not an error.
-    model_config = pydantic.ConfigDict(
-        extra='ignore',
-        frozen=True,
-        alias_generator=_dashed,
-        populate_by_name=True,
-    )
-
-
-class _Listen(_Section):
-    front: Address
-    ready: Address
-    directory: Address
-
-
-class _Limits(_Section):
-    max_fds: Annotated[int, pydantic.Field(gt=0)] = 1024
+class _Limits(_Section, frozen=True):
+    max_fds: Annotated[int, msgspec.Meta(gt=0)] = 1024
     # The part of one core that a process gets, and how much faster than a
     # usual one that core is; not a number of cores.
-    cpu_share: Annotated[float, pydantic.Field(gt=0)] = 1
-    cores: Annotated[float, pydantic.Field(gt=0)] = 1
+    cpu_share: _Positive = 1
+    cores: _Positive = 1
 
 
-class _Bounds(_Section):
+class _Bounds(_Section, frozen=True):
     revoke_ms: Millis = 0
     grace_s: float = 8
     retry_budget_ratio: float = 0.2
@@ -82,48 +59,74 @@
     config_apply_ms: Millis = 2000
 
 
-class _Store(_Section):
-    address: Address
+class _Store(_Section, frozen=True):
+    address: str
     ttl_min_ms: Millis = 1000
 
 
-class _Whole(_Section):
-    node: Annotated[str, pydantic.Field(min_length=1)]
+class _Whole(_Section, frozen=True):
+    node: Name
     zone: str
-    region: str = ''
-    ip: Annotated[str, pydantic.Field(pattern=r'^[0-9.]+$')]
+    ip: Annotated[str, msgspec.Meta(pattern='^[0-9.]+$')]
     listen: _Listen
     port_range: tuple[int, int]
+    platform: _Store
+    region: str = ''
     heartbeat_ms: Millis = 1200
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
-    platform: _Store
 
 
 def load_options(path: pathlib.Path) -> Options:
     """Read and check the file; raise SettingsError naming the key."""
     try:
-        text = path.read_text(encoding='utf-8')
+        raw = path.read_bytes()
     except OSError as exc:
         raise SettingsError(f'{path}: cannot be read: {exc.strerror}') from exc
     try:
-        raw = yaml.load(text, Loader=yaml.CSafeLoader)  # noqa: S506
-    except yaml.YAMLError as exc:
+        return _options(msgspec.convert(_tree(raw), _Whole))
+    except _FaultError as exc:
+        raise SettingsError(_describe(path, exc.key, exc.text)) from exc
+    except msgspec.ValidationError as exc:
+        raise SettingsError(_describe(path, *_fault(str(exc)))) from exc
+    except (ValueError, RecursionError) as exc:
         first = str(exc).partition('\n')[0]
         raise SettingsError(f'{path}: no valid YAML: {first}') from exc
-    try:
-        return _options(_Whole.model_validate(raw))
-    except pydantic.ValidationError as exc:
-        fault = exc.errors(include_input=False, include_url=False)[0]
-        raise SettingsError(_describe(path, dict(fault))) from exc
 
 
-def _describe(path: pathlib.Path, fault: dict[str, Any]) -> str:
-    key = '.'.join(str(part) for part in fault['loc'])
+def _tree(raw: bytes) -> Any:
+    """Return what the file holds; JSON is YAML and is read in a tenth."""
+    if raw.lstrip().startswith(b'{'):
+        return msgspec.json.decode(raw)
+    return msgspec.yaml.decode(raw)
+
+
+class _FaultError(Exception):
+    """The text under a key is not what it must be."""
+
+    def __init__(self, key: str, text: str) -> None:
+        super().__init__(f'{key}: {text}')
+        self.key = key
+        self.text = text
+
+
+def _fault(text: str) -> tuple[str, str]:
+    """Return the key that a checker's message names, and what is wrong."""
+    wrong, _, place = text.partition(' - at `$')
+    key = place.strip('.`')
+    missing = _MISSING.fullmatch(wrong)
+    if missing is not None:
+        key = f'{key}.{missing[1]}'.strip('.')
+        wrong = 'is required'
+    return key, wrong
+
+
+def _describe(path: pathlib.Path, key: str, wrong: str) -> str:
     wanted = _EXAMPLES.get(key, 'see docs/SETTINGS.md')
-    return f'{path}: {key or "the file"}: {fault["msg"]} (example: {wanted})'
+    return f'{path}: {key or "the file"}: {wrong} (example: {wanted})'
 
 
+_MISSING = re.compile('Object missing required field `(.+)`')
 _EXAMPLES = {  # noqa: WPS407
     'node': 'node: "front-a-1"',
     'zone': 'zone: "walu-a"',
@@ -138,10 +141,11 @@
 }
 
 
-def listening(text: str) -> Listening:
-    """Return the address in HOST:PORT; raise ValueError."""
-    host, _, port = text.rpartition(':')
-    return Listening(host, int(port))
+def _address(key: str, text: str) -> Listening:
+    try:
+        return listening(text)
+    except ValueError as exc:
+        raise _FaultError(key, str(exc)) from exc
 
 
 def _options(raw: _Whole) -> Options:
@@ -151,13 +155,13 @@
         instance=raw.node,
         zone=raw.zone,
         region=raw.region,
-        front=listening(raw.listen.front),
-        ready=listening(raw.listen.ready),
-        locate=listening(raw.listen.directory),
+        front=_address('listen.front', raw.listen.front),
+        ready=_address('listen.ready', raw.listen.ready),
+        locate=_address('listen.directory', raw.listen.directory),
         peer=Listening(raw.ip, first_port + _PEER_PORT),
         metrics=Listening(raw.ip, first_port + _METRICS_PORT),
         store=StoreOptions(
-            listening(raw.platform.address),
+            _address('platform.address', raw.platform.address),
             raw.platform.ttl_min_ms / _MILLI,
             raw.heartbeat_ms / _MILLI,
         ),
--- a/packages/platform/src/tallyhall_platform/store.py
+++ b/packages/platform/src/tallyhall_platform/store.py
@@ -9,12 +9,11 @@
 
 import asyncio
 import base64
-import binascii
 import dataclasses
-import json
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
 
+import msgspec
 from tallyhall_dispatch.options import Listening
 from tallyhall_edge.client import ClientConnection
 from tallyhall_edge.errors import EdgeError
@@ -45,6 +44,37 @@
 _REFUSED = 503
 
 
+_Model = TypeVar('_Model')
+
+
+class _Part(msgspec.Struct, frozen=True, rename='kebab'):
+    """Fields that are not named here are ignored."""
+
+
+class _Row(_Part, frozen=True):
+    """A key with its value, or with the sign that it is gone."""
+
+    key: str
+    revision: int
+    value: str = ''
+    deleted: bool = False
+
+
+class _Page(_Part, frozen=True):
+    as_of: int
+    items: tuple[_Row, ...]  # noqa: WPS110
+    more_pages: bool = False
+
+
+class _News(_Part, frozen=True):
+    as_of: int
+    events: tuple[_Row, ...]
+
+
+class _Lease(_Part, frozen=True):
+    lease: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Item:
     """A key with its value; the revision is that of its last change."""
@@ -115,12 +145,15 @@
             query = {'prefix': prefix}
             if after:
                 query['after'] = after
-            page = await self._read(f'/kv-range?{urlencode(query)}')
-            found.extend(_item(raw) for raw in page['items'])
+            page = await self._read(f'/kv-range?{urlencode(query)}', _Page)
+            found.extend(
+                Item(row.key, _content(row.value), row.revision)
+                for row in page.items
+            )
             # Pages are read one after another: only what stood at the first
             # one is certain to be in all of them.
-            revision = revision or int(page['as-of'])
-            if not page.get('more-pages') or not page['items']:
+            revision = revision or page.as_of
+            if not page.more_pages or not page.items:
                 return Snapshot(tuple(found), revision)
             after = found[-1].key
 
@@ -135,10 +168,11 @@
         )
         answer = await self._read(
             f'/kv-watch?{query}',
+            _News,
             max(wait_s + _WATCH_EXTRA_S, _CALL_S),
         )
-        changes = tuple(_change(raw) for raw in answer['events'])
-        return Changes(changes, int(answer['as-of']))
+        changes = tuple(_change(row) for row in answer.events)
+        return Changes(changes, answer.as_of)
 
     async def put(self, key: str, content: bytes, lease: int) -> None:
         """Write a key under a lease, whatever it holds now."""
@@ -153,14 +187,14 @@
             '/kv-lease',
             {'ttl-ms': int(ttl_s * _MILLI)},
         )
-        return int(_checked(answer)['lease'])
+        return _checked(answer, _Lease).lease
 
     async def keep_lease(self, lease: int) -> None:
         """Renew a lease; raise LeaseEndedError."""
         answer = await self._call('POST', f'/kv-keep/{lease}', {})
         if answer.status == _NOT_FOUND:
             raise LeaseEndedError(str(lease))
-        _checked(answer)
+        _check_status(answer)
 
     async def end_lease(self, lease: int) -> None:
         """End a lease and remove its keys; one that has ended is no error."""
@@ -180,11 +214,16 @@
             self._conn.close()
             self._conn = None
 
-    async def _read(self, path: str, wait_s: float = _CALL_S) -> dict[str, Any]:
+    async def _read(
+        self,
+        path: str,
+        model: type[_Model],
+        wait_s: float = _CALL_S,
+    ) -> _Model:
         answer = await self._call('GET', path, None, wait_s)
         if answer.status == _GONE:
             raise HistoryGoneError(path)
-        return _checked(answer)
+        return _checked(answer, model)
 
     async def _write(self, body: dict[str, Any]) -> None:
         answer = await self._call('POST', '/kv-txn', body)
@@ -192,7 +231,7 @@
             raise ConditionFailedError('the keys have changed')
         if answer.status == _NOT_FOUND:
             raise LeaseEndedError('the lease of a write has ended')
-        _checked(answer)
+        _check_status(answer)
 
     async def _call(
         self,
@@ -201,7 +240,7 @@
         body: dict[str, Any] | None,
         wait_s: float = _CALL_S,
     ) -> WholeAnswer:
-        raw = b'' if body is None else json.dumps(body).encode()
+        raw = b'' if body is None else msgspec.json.encode(body)
         headers = (
             (b'Host', str(self._address).encode()),
             (b'Content-Type', b'application/json'),
@@ -250,28 +289,25 @@
         raise StoreUnavailableError(f'status {answer.status}')
 
 
-def _checked(answer: WholeAnswer) -> dict[str, Any]:
+def _checked(answer: WholeAnswer, model: type[_Model]) -> _Model:
     _check_status(answer)
     try:
-        fields = json.loads(answer.body)
-    except ValueError as exc:
-        raise StoreUnavailableError('the answer is no JSON') from exc
-    if not isinstance(fields, dict):
-        raise StoreUnavailableError('the answer is no JSON object')
-    return fields
-
+        return msgspec.json.decode(answer.body, type=model)
+    except (ValueError, RecursionError) as exc:
+        raise StoreUnavailableError(f'no answer in its form: {exc}') from exc
 
-def _item(raw: dict[str, Any]) -> Item:
-    return Item(str(raw['key']), _content(raw), int(raw['revision']))
 
+def _change(row: _Row) -> Change:
+    content = None if row.deleted else _content(row.value)
+    return Change(row.key, content, row.revision)
 
-def _change(raw: dict[str, Any]) -> Change:
-    content = None if raw.get('deleted') else _content(raw)
-    return Change(str(raw['key']), content, int(raw['revision']))
 
+def _content(text: str) -> bytes:
+    """Return a value, without bytes where it cannot be read.
 
-def _content(raw: dict[str, Any]) -> bytes:
+    The value of one key must not keep those of all others from being read.
+    """
     try:
-        return base64.b64decode(raw['value'])
-    except binascii.Error as exc:
-        raise StoreUnavailableError('a value is no base64') from exc
+        return base64.b64decode(text, validate=True)
+    except ValueError:
+        return b''
--- a/packages/standins/src/tallyhall_standins/platform_store.py
+++ b/packages/standins/src/tallyhall_standins/platform_store.py
@@ -109,6 +109,10 @@
         self._write(key, text, lease)
         return self.revision
 
+    def put_text(self, key: str, text: str) -> None:
+        """Write a value whose encoding is as given."""
+        self._write(key, text, 0)
+
     def remove(self, key: str) -> None:
         """Delete a key."""
         if self._kept.pop(key, None) is None:
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -257,6 +257,7 @@
             'slots': 4,
             'state': 'ready',
             'seq': 1,
+            'cold-left-ms': 0,
         }
         self.store.put(f'servers/{name}', fields | changes)
 
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -26,7 +26,7 @@
 from tallyhall_bench.ports import free_ports
 from tallyhall_dispatch.options import Listening
 from tallyhall_entry.instance import Instance
-from tallyhall_platform.registry import USE_KEY, decode_use
+from tallyhall_platform.entries import USE_KEY, decode_use
 from tallyhall_platform.store import StoreClient
 from tallyhall_standins.platform_engine import EngineFault, EngineStandIn
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import pytest
+import yaml
 from tallyhall_platform.decode import decode_state, decode_upstream
 from tallyhall_platform.errors import DecodeError, SettingsError
 from tallyhall_platform.settings import load_options
@@ -35,9 +36,12 @@
 """
 
 
-def test_names_and_units_are_translated(tmp_path: Path) -> None:
+@pytest.mark.parametrize('form', ['yaml', 'json'])
+def test_names_and_units_are_translated(tmp_path: Path, form: str) -> None:
     path = tmp_path / 'settings.yaml'
     path.write_text(_GOOD)
+    if form == 'json':
+        path.write_text(json.dumps(yaml.safe_load(_GOOD)))
     options = load_options(path)
     assert options.instance == 'front-a-1'
     assert str(options.locate) == '127.0.0.1:8220'
@@ -51,11 +55,26 @@
 
 
 _WRONG = [
-    ('node: "front-a-1"', '', 'node: Field required (example: node:'),
-    ('"127.0.0.1:8221"', '"here"', 'listen.front: String should match'),
-    ('[7600, 7615]', '"x"', 'port-range:'),
-    ('8224', '99999', 'listen.ready: Value error, a port is at most'),
+    ('node: "front-a-1"', '', 'node: is required (example: node: "front'),
+    (
+        '"127.0.0.1:8221"',
+        '"here"',
+        "listen.front: 'here' is not IP:PORT (example: front: ",
+    ),
+    (
+        'directory: "127.0.0.1:8220"',
+        '',
+        'listen.directory: is required (example: directory: ',
+    ),
+    ('[7600, 7615]', '"x"', 'port-range: Expected `array`, got `str` (ex'),
+    ('8224', '99999', 'listen.ready: a port is at most 65535 (example: '),
+    ('8225', '0', 'platform.address: a port is at most 65535 (example: '),
+    ('max-fds: 4100', 'max-fds: 0', 'limits.max-fds: Expected `int` >= 1'),
     ('zone: "a"', 'zone: [', 'no valid YAML'),
+    (_GOOD, '', 'the file: Expected `object`, got `null`'),
+    (_GOOD, '{"node": "front-a-1"}', 'zone: is required (example: zone: '),
+    (_GOOD, '{"node": ', 'no valid YAML'),
+    (_GOOD, '[' * 100_000, 'no valid YAML'),
 ]
 
 
