An upstream that starts again under its id is another incarnation

Cause: an incarnation was its id. One that starts again kept what was learned of the start before, its runs, its places, its connections and what other instances told of it.

Change: an incarnation is its id with the time of its start. Connections are kept by incarnation; what is asked of one that has started again is broken off at once and, where it may be, sent again.

--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -14,7 +14,7 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 
 from .desired import Upstream
 from .engines import FIRST_FIXED_S, EngineView
@@ -107,6 +107,7 @@
         self._rng = rng
         self._event_tokens = event_tokens
         self._views: dict[str, EngineView] = {}
+        self._misplaced: set[str] = set()
         self._waiting = WaitingJobs()
         self._places: dict[str, EngineView] = {}
         self._shares = ServedShares()
@@ -123,6 +124,11 @@
         """Return whether the upstreams are model engines."""
         return self._event_tokens > 0
 
+    @property
+    def views(self) -> Mapping[str, EngineView]:
+        """Return what is known of each upstream, by incarnation."""
+        return self._views
+
     @property
     def waiting(self) -> int:
         """Return how many jobs wait."""
@@ -142,7 +148,10 @@
         known = {upstream.incarnation: upstream for upstream in upstreams}
         for gone in self._views.keys() - known.keys():
             self._views.pop(gone)
+        self._misplaced &= known.keys()
         for incarnation, upstream in known.items():
+            if incarnation in self._misplaced:
+                continue
             view = self._views.get(incarnation)
             if view is None:
                 self._views[incarnation] = EngineView(upstream)
@@ -150,8 +159,13 @@
             view.upstream = upstream
 
     def misplaced(self, incarnation: str) -> None:
-        """Forget an upstream whose address another one has."""
-        self._views.pop(incarnation, None)
+        """Forget an upstream whose address another one has, while it is named.
+
+        A last report of one that has gone may come after its end and name it
+        for three heartbeats more; each look at it would cost a request's time.
+        """
+        if self._views.pop(incarnation, None) is not None:
+            self._misplaced.add(incarnation)
 
     def ask(self, job: Job) -> None:
         """Queue a job."""
--- a/packages/edge/src/tallyhall_edge/client.py
+++ b/packages/edge/src/tallyhall_edge/client.py
@@ -119,6 +119,12 @@
             # A reset tells the upstream at once that nobody reads on.
             self._transport.abort()
 
+    def fail(self, exc: BrokenError) -> None:
+        """End the connection now; an answer under way ends as broken."""
+        self._tainted = True
+        self._end(exc)
+        self.close()
+
     # -- transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/packages/edge/src/tallyhall_edge/connections.py
+++ b/packages/edge/src/tallyhall_edge/connections.py
@@ -1,8 +1,9 @@
-"""Kept connections to upstreams, by address.
+"""Connections to upstreams, by incarnation: kept ones and those in use.
 
 A kept connection saves the upstream a set-up, but it may have died without
 a sign. What cannot be sent twice therefore takes only connections used a
-moment ago.
+moment ago. One that starts again at the same address is another incarnation,
+and what was said on connections to the one before has no answer any more.
 """
 
 from __future__ import annotations
@@ -10,9 +11,10 @@
 import asyncio
 import collections
 
-from .client import ClientConnection
+from tallyhall_dispatch.desired import Upstream
 
-Address = tuple[str, int]
+from .client import ClientConnection
+from .errors import BrokenError
 
 # An upstream that states no time keeps idle connections for seconds; half
 # of the shortest time stated is never reached.
@@ -29,49 +31,74 @@
         """Wait at most `connect_s` for a new connection."""
         self._id_header = id_header
         self._connect_s = connect_s
-        self._idle: dict[Address, collections.deque[ClientConnection]] = {}
+        self._idle: dict[str, collections.deque[ClientConnection]] = {}
+        self._busy: dict[str, set[ClientConnection]] = {}
         self._loop = asyncio.get_running_loop()
 
-    async def take(self, address: Address, idle_s: float) -> ClientConnection:
+    async def take(self, upstream: Upstream, idle_s: float) -> ClientConnection:
         """Return a connection idle for at most `idle_s`, or a new one.
 
         Raises NotSentError where no connection can be had.
         """
-        kept = self._idle.get(address)
-        while kept:
-            conn = kept.pop()
-            if self._is_usable(conn, idle_s):
-                return conn
-            conn.close()
-        return await ClientConnection.open(
-            *address,
-            self._connect_s,
-            self._id_header,
-        )
+        incarnation = upstream.incarnation
+        conn = self._kept(incarnation, idle_s)
+        if conn is None:
+            conn = await ClientConnection.open(
+                upstream.host,
+                upstream.port,
+                self._connect_s,
+                self._id_header,
+            )
+        self._busy.setdefault(incarnation, set()).add(conn)
+        return conn
 
-    def give_back(self, address: Address, conn: ClientConnection) -> None:
+    def give_back(self, upstream: Upstream, conn: ClientConnection) -> None:
         """Keep a connection if it can carry another request."""
+        incarnation = upstream.incarnation
+        busy = self._busy.get(incarnation, set())
+        busy.discard(conn)
+        if not busy:
+            self._busy.pop(incarnation, None)
         if not conn.reusable:
             conn.close()
             return
         conn.idle_since = self._loop.time()
-        kept = self._idle.setdefault(address, collections.deque())
+        kept = self._idle.setdefault(incarnation, collections.deque())
         kept.append(conn)
         if len(kept) > _MOST_KEPT:
             kept.popleft().close()
 
-    def drop(self, address: Address) -> None:
-        """Close all kept connections to an address."""
-        for conn in self._idle.pop(address, ()):
+    def drop(self, incarnation: str) -> None:
+        """Close all kept connections to one that takes no new requests."""
+        for conn in self._idle.pop(incarnation, ()):
             conn.close()
 
+    def end(self, incarnation: str) -> None:
+        """Break off what is asked of an incarnation that has ended."""
+        self.drop(incarnation)
+        for conn in tuple(self._busy.get(incarnation, ())):
+            conn.fail(BrokenError('the upstream has started again'))
+
     def close_old(self) -> None:
         """Close what has been idle for too long to be used again."""
-        for address, kept in tuple(self._idle.items()):
+        for incarnation, kept in tuple(self._idle.items()):
             while kept and not self._is_usable(kept[0], _UNSTATED_KEEP_S):
                 kept.popleft().close()
             if not kept:
-                self._idle.pop(address)
+                self._idle.pop(incarnation)
+
+    def _kept(
+        self,
+        incarnation: str,
+        idle_s: float,
+    ) -> ClientConnection | None:
+        kept = self._idle.get(incarnation)
+        while kept:
+            conn = kept.pop()
+            if self._is_usable(conn, idle_s):
+                return conn
+            conn.close()
+        return None
 
     def _is_usable(self, conn: ClientConnection, idle_s: float) -> bool:
         if not conn.reusable or not conn.is_open:
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -321,9 +321,8 @@
         relay: Relay,
     ) -> Ending:
         repeatable = visit.admitted.route.repeatable
-        address = (upstream.host, upstream.port)
         idle_s = _IDLE_REPEATABLE_S if repeatable else _IDLE_ONCE_S
-        conn = await self._conns.take(address, idle_s)
+        conn = await self._conns.take(upstream, idle_s)
         try:
             # A connection takes up to 0.3 s, and the upstream may leave
             # meanwhile.
@@ -343,7 +342,7 @@
             ending = await self._answer(visit, relay)
         finally:
             visit.exchange.on_writable = None
-            self._conns.give_back(address, conn)
+            self._conns.give_back(upstream, conn)
         if ending in _SAFE_TO_RESEND:
             visit.may_have_run -= 1
         return ending
@@ -384,7 +383,7 @@
         resumes = visit.last_event != visit.call.last_event
         info = SendInfo(
             visit.end_at - self._loop.time(),
-            upstream.incarnation,
+            upstream.name,
             None if workspace is None else workspace.name,
             visit.last_event if resumes else None,
         )
--- a/packages/entry/src/tallyhall_entry/beliefs.py
+++ b/packages/entry/src/tallyhall_entry/beliefs.py
@@ -70,15 +70,7 @@
 
     def on_upstreams(self, upstreams: tuple[Upstream, ...]) -> None:
         """Take all upstreams as they stand."""
-        usable = {
-            (upstream.host, upstream.port)
-            for upstream in upstreams
-            if not upstream.leaving
-        }
-        for upstream in self.upstreams:
-            address = (upstream.host, upstream.port)
-            if address not in usable:
-                self._conns.drop(address)
+        self._end_connections(upstreams)
         self._log_changes(frozenset(upstreams))
         self.upstreams = frozenset(upstreams)
         self._dispatcher.take_upstreams(upstreams)
@@ -130,6 +122,15 @@
         event = Event.kv_up if reachable else Event.kv_down
         self._log.event(event, age=self._gate.freshness.age(self._loop.time()))
 
+    def _end_connections(self, upstreams: tuple[Upstream, ...]) -> None:
+        usable = {one.incarnation for one in upstreams if not one.leaving}
+        starts = {one.name: one.started_ms for one in upstreams}
+        for known in self.upstreams:
+            if starts.get(known.name, 0) > known.started_ms:
+                self._conns.end(known.incarnation)
+            elif known.incarnation not in usable:
+                self._conns.drop(known.incarnation)
+
     def _counted(self) -> FleetCount:
         heard = {
             peer.name: peer.heard_at for peer in self._links.peers.values()
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from tallyhall_core.events import Event
+from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.fleet import Membership
 from tallyhall_dispatch.freshness import Freshness
 from tallyhall_dispatch.gate import Gate
@@ -285,10 +286,15 @@
         """Return the version in force, -1 before the first."""
         return self._gate.version
 
+    @property
+    def upstreams(self) -> frozenset[Upstream]:
+        """Return the upstreams that it knows."""
+        return self._beliefs.upstreams
+
     @property
     def usable_upstreams(self) -> int:
         """Return how many upstreams take new requests."""
-        return sum(not known.leaving for known in self._beliefs.upstreams)
+        return sum(not known.leaving for known in self.upstreams)
 
     def owner(self, service: str) -> str | None:
         """Return the instance that queues a service's jobs."""
