Sight: forecast and longest pause of each send are logged

Cause: lateness by a pause could not be told from lateness of the first event, and what was expected stood nowhere. 409 now has forecast_ms, pause_ms and pause_after; the forecast comes with the grant.

--- a/packages/dispatch/src/tallyhall_dispatch/jobs.py
+++ b/packages/dispatch/src/tallyhall_dispatch/jobs.py
@@ -34,11 +34,15 @@
 
 
 class Grant(msgspec.Struct, frozen=True):
-    """Leave to send a job to an upstream: who gave it, after what wait."""
+    """Leave to send a job to an upstream: who gave it, after what wait.
+
+    forecast_s: time that is expected until the first event from there.
+    """
 
     upstream: Upstream
     by: str
     waited_s: float
+    forecast_s: float = 0
 
 
 @enum.unique
@@ -67,6 +71,7 @@
 
     first_s: time to the first byte of the answer, None without one. events:
     events that came. stream_s: time between the first and the last of them.
+    pause_s: the longest time between two of them, after pause_after events.
     """
 
     ending: Ending
@@ -74,3 +79,5 @@
     first_s: float | None = None
     events: int = 0
     stream_s: float = 0
+    pause_s: float = 0
+    pause_after: int = 0
--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -25,10 +25,14 @@
 
 
 class Granted(msgspec.Struct, frozen=True):
-    """A job may be sent to this upstream, once."""
+    """A job may be sent to this upstream, once.
+
+    forecast_s: time that is expected until the first event from there.
+    """
 
     key: str
     upstream: Upstream
+    forecast_s: float = 0
 
 
 class GivenUp(msgspec.Struct, frozen=True):
@@ -236,8 +240,9 @@
             view = self._best(job, free, forecast)
             if view is None:
                 continue
+            forecast_s = view.first_s(job)
             self._take_place(job, view, now)
-            yield Granted(job.key, view.upstream)
+            yield Granted(job.key, view.upstream, forecast_s)
             if view.free(self.share) <= 0:
                 free.remove(view)
             if not free:
--- a/packages/edge/src/tallyhall_edge/relay.py
+++ b/packages/edge/src/tallyhall_edge/relay.py
@@ -62,6 +62,9 @@
         self._first_at: float | None = None
         self._last_at: float = 0
         self._events = 0
+        # The longest pause between two events, and how many came before it.
+        self._pause_s: float = 0
+        self._pause_after = 0
         self._conn: ClientConnection | None = None
 
     def bind(self, conn: ClientConnection) -> None:
@@ -83,6 +86,8 @@
             first_s,
             self._events,
             stream_s,
+            self._pause_s,
+            self._pause_after,
         )
 
     def deliver(self) -> None:
@@ -187,6 +192,9 @@
             self.begun.set()
             if self.on_first is not None:
                 self.on_first()
+        elif now - self._last_at > self._pause_s:
+            self._pause_s = now - self._last_at
+            self._pause_after = self._events
         self._last_at = now
         self._events += 1
         if event.number is not None:
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -114,6 +114,7 @@
     may_have_run: int = 0
     repeat_paid: bool = False
     waited_s: float = 0
+    forecast_s: float = 0
     begun: bool = False
     outcome: str = ''
     # The answer of the last send.
@@ -237,6 +238,7 @@
             upstream = grant.upstream
             visit.sends += 1
             visit.waited_s = grant.waited_s
+            visit.forecast_s = grant.forecast_s
             self._log_grant(visit, grant)
             ending, relay = await self._send(visit, job, upstream)
             if ending is Ending.answered:
@@ -622,7 +624,10 @@
             upstream=upstream.incarnation,
             ending=report.ending.value,
             first_ms=first_ms,
+            forecast_ms=round(visit.forecast_s * _MILLI),
             events=report.events,
+            pause_ms=round(report.pause_s * _MILLI),
+            pause_after=report.pause_after,
             total_ms=round(report.total_s * _MILLI),
         )
 
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -46,8 +46,13 @@
 class Origin(Protocol):
     """Where a job came from."""
 
-    def granted(self, key: str, upstream: Upstream) -> None:
-        """Hear that a job may be sent."""
+    def granted(
+        self,
+        key: str,
+        upstream: Upstream,
+        forecast_s: float,
+    ) -> None:
+        """Hear that a job may be sent, and when an answer is expected."""
 
     def given_up(self, key: str, retry_after_s: float) -> None:
         """Hear that a job cannot be answered in time."""
@@ -204,7 +209,11 @@
             if origin is None:
                 continue
             if isinstance(decision, Granted):
-                origin.granted(decision.key, decision.upstream)
+                origin.granted(
+                    decision.key,
+                    decision.upstream,
+                    decision.forecast_s,
+                )
             elif isinstance(decision, GivenUp):
                 origin.given_up(decision.key, decision.retry_after_s)
         if pool.waiting and self._timer is None:
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -75,6 +75,7 @@
     # Owners that have not answered it.
     unanswered: int = 0
     upstream: Upstream | None = None
+    forecast_s: float = 0
     begun: bool = False
     # Decided nowhere until this instance's part of the places allows it.
     held: bool = False
@@ -88,10 +89,19 @@
         self._links = links
         self._peer = peer
 
-    def granted(self, key: str, upstream: Upstream) -> None:
+    def granted(
+        self,
+        key: str,
+        upstream: Upstream,
+        forecast_s: float,
+    ) -> None:
         batch = self._links.outgoing(self._peer, urgent=True)
         if batch is not None:
-            batch.grants.add(key=key, upstream=upstream.incarnation)
+            batch.grants.add(
+                key=key,
+                upstream=upstream.incarnation,
+                forecast_ms=int(forecast_s * _MILLI),
+            )
 
     def given_up(self, key: str, retry_after_s: float) -> None:
         batch = self._links.outgoing(self._peer, urgent=True)
@@ -149,7 +159,12 @@
             self._withdraw(ticket)
             raise
         waited_s = self._loop.time() - job.asked_at
-        return Grant(upstream, ticket.owner or self._name, waited_s)
+        return Grant(
+            upstream,
+            ticket.owner or self._name,
+            waited_s,
+            ticket.forecast_s,
+        )
 
     def is_usable(self, upstream: Upstream) -> bool:
         """Return whether an upstream still takes new requests."""
@@ -218,8 +233,13 @@
 
     # -- an `Origin`, for jobs that this instance decides itself
 
-    def granted(self, key: str, upstream: Upstream) -> None:
-        """Hear that a job may be sent."""
+    def granted(
+        self,
+        key: str,
+        upstream: Upstream,
+        forecast_s: float,
+    ) -> None:
+        """Hear that a job may be sent, and when an answer is expected."""
         ticket = self._tickets.get(key)
         if ticket is None or ticket.fut.done():
             report = RunReport(Ending.left, 0)
@@ -232,6 +252,7 @@
             return
         _stop_timer(ticket)
         ticket.upstream = upstream
+        ticket.forecast_s = forecast_s
         ticket.fut.set_result(upstream)
 
     def given_up(self, key: str, retry_after_s: float) -> None:
@@ -284,13 +305,15 @@
             if ticket is not None and ticket.owner == peer:
                 _stop_timer(ticket)
         for grant in batch.grants:
-            self._take_grant(peer, grant.key, grant.upstream)
+            self._take_grant(peer, grant)
         for give_up in batch.give_ups:
             ticket = self._tickets.get(give_up.key)
             if ticket is not None and ticket.owner == peer:
                 self.given_up(give_up.key, give_up.retry_after_ms / _MILLI)
 
-    def _take_grant(self, peer: str, key: str, incarnation: str) -> None:
+    def _take_grant(self, peer: str, grant: peers_pb2.Grant) -> None:
+        key = grant.key
+        incarnation = grant.upstream
         ticket = self._tickets.get(key)
         upstream = self._dispatcher.upstream(incarnation)
         waits = ticket is not None and ticket.owner == peer
@@ -303,7 +326,7 @@
             return
         ticket.told.add(peer)
         self._dispatcher.note_running(ticket.job, incarnation)
-        self.granted(key, upstream)
+        self.granted(key, upstream, grant.forecast_ms / _MILLI)
 
     def _refuse_grant(self, peer: str, key: str, incarnation: str) -> None:
         service = self._dispatcher.service_of(incarnation)
--- a/tests/platform/test_decisions.py
+++ b/tests/platform/test_decisions.py
@@ -179,6 +179,17 @@
     return Job(key, 'svc', 'a', urgency, 500, 50, now, now + 0.8, now + 2)
 
 
+def _places(pool: ServicePool, now: float) -> list[tuple[str, Upstream]]:
+    """Decide; all that comes of it must be grants."""
+    decisions = pool.decide(now)
+    assert all(isinstance(decision, Granted) for decision in decisions)
+    return [
+        (decision.key, decision.upstream)
+        for decision in decisions
+        if isinstance(decision, Granted)
+    ]
+
+
 @given(st.integers(0, 10_000))
 def test_pool_never_fills_more_places_than_there_are(seed: int) -> None:
     """Each job gets one decision; no upstream more jobs than places."""
@@ -216,7 +227,7 @@
     pool = ServicePool('svc', 5, random.Random(1))
     pool.set_upstreams([_upstream('u', 1)])
     pool.ask(_job('runs', 0, 0))
-    assert pool.decide(0) == [Granted('runs', _upstream('u', 1))]
+    assert _places(pool, 0) == [('runs', _upstream('u', 1))]
     pool.ask(_job('late', 0, 0))
     pool.ask(_job('fresh', 2, 1.5))
     pool.finish('runs', RunReport(Ending.answered, 0.1), 1.5)
@@ -353,7 +364,7 @@
     pool.ask(_long('waits', 1))
     assert not pool.decide(1)
     pool.finish('runs', RunReport(Ending.answered, 0.6, 0.13, 50, 0.5), 1.1)
-    assert pool.decide(1.1) == [Granted('waits', fast)]
+    assert _places(pool, 1.1) == [('waits', fast)]
 
 
 def test_an_urgency_that_gets_no_places_is_given_up_at_once() -> None:
--- a/tests/platform/test_shared.py
+++ b/tests/platform/test_shared.py
@@ -121,7 +121,12 @@
     def __init__(self) -> None:
         self.granted_keys: list[str] = []
 
-    def granted(self, key: str, upstream: Upstream) -> None:
+    def granted(
+        self,
+        key: str,
+        upstream: Upstream,
+        forecast_s: float,
+    ) -> None:
         self.granted_keys.append(key)
 
     def given_up(self, key: str, retry_after_s: float) -> None:
