--- a/packages/dispatch/src/tallyhall_dispatch/engines.py
+++ b/packages/dispatch/src/tallyhall_dispatch/engines.py
@@ -106,12 +106,11 @@
         tokens = self.reading_tokens + job.prompt_tokens
         return FIRST_FIXED_S + tokens * self.token_s
 
-    def total_s(self, job: Job, event_tokens: int) -> float:
-        """Return the expected time to the last event of a job."""
+    def total_s(self, job: Job, events: float) -> float:
+        """Return the expected time to the last of so many events of a job."""
         if not job.output_tokens:
             load = 1 + len(self.runs) / self.upstream.slots
             return load * (self._plain_s or FIRST_PLAIN_S)
-        events = job.output_tokens / max(1, event_tokens)
         return self.first_s(job) + events * (self._pace_s or FIRST_PACE_S)
 
     def keeps_pace(self, job: Job, event_tokens: int) -> bool:
--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -19,8 +19,8 @@
 
 from .desired import Upstream
 from .engines import FIRST_FIXED_S, EngineView
-from .jobs import Job, RunReport
-from .shares import GrantRates, ServedShares
+from .jobs import Ending, Job, RunReport
+from .shares import AnswerLengths, GrantRates, ServedShares
 from .waiting import WaitingJobs
 
 
@@ -117,6 +117,7 @@
         self._places: dict[str, EngineView] = {}
         self._shares = ServedShares()
         self._rates = GrantRates()
+        self._lengths = AnswerLengths()
         self._unseen: list[str] = []
         self._swept_at: float = 0
         # Made anew at most once a sweep: it looks at all upstreams.
@@ -190,8 +191,12 @@
     def finish(self, key: str, report: RunReport, now: float) -> None:
         """Take that a granted job no longer runs."""
         view = self._places.pop(key, None)
-        if view is not None:
-            view.finish(key, report, now)
+        if view is None:
+            return
+        run = view.runs.get(key)
+        if run is not None and report.ending is Ending.answered:
+            self._lengths.note(run.job.urgency, report.events)
+        view.finish(key, report, now)
 
     def note_running(self, job: Job, incarnation: str) -> None:
         """Take that a job runs that was not granted here."""
@@ -292,9 +297,11 @@
             return None
         best: EngineView | None = None
         least: float = 0
+        stated = job.output_tokens / max(1, self._event_tokens)
+        events = min(stated, self._lengths.events(job.urgency, stated))
         for view in self._acceptable(job, free, forecast):
             # Instances that know nothing yet must not all choose the same.
-            cost = view.total_s(job, self._event_tokens)
+            cost = view.total_s(job, events)
             cost *= self._rng.uniform(1, _SPREAD)
             if view.upstream.zone != job.zone:
                 cost *= _OTHER_ZONE
--- a/packages/dispatch/src/tallyhall_dispatch/shares.py
+++ b/packages/dispatch/src/tallyhall_dispatch/shares.py
@@ -43,6 +43,27 @@
         return self._shares.get(urgency, 1) + _HEAD_START * urgency
 
 
+class AnswerLengths:
+    """How many events the answers of each urgency have.
+
+    Callers state the most tokens that they take, ten times what comes; by
+    that, the pace of an engine would hide how much it has to read first.
+    """
+
+    def __init__(self) -> None:
+        """Start without answers."""
+        self._events: dict[int, float] = {}
+
+    def note(self, urgency: int, events: int) -> None:
+        """Take how long an answer was."""
+        known = self._events.get(urgency, events)
+        self._events[urgency] = known + _NEWEST * (events - known)
+
+    def events(self, urgency: int, unknown: float) -> float:
+        """Return the expected events of an answer, or what is given."""
+        return self._events.get(urgency, unknown)
+
+
 class GrantRates:
     """How many places a second went to each urgency."""
 
