--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -416,7 +416,9 @@
             return None
         hopeless = starts_at > job.give_up_at
         if hopeless or self._in_time >= _IN_TIME_MANY:
-            return GivenUp(job.key, retry_s)
+            # Whoever was told to come back waits for what is left over: it
+            # would not come a third time.
+            return None if job.returned else GivenUp(job.key, retry_s)
         return None
 
     def _wait_s(
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -15,6 +15,7 @@
 import msgspec
 from tallyhall_core.events import Event
 from tallyhall_core.refusals import Executed, Reason, Refusal, RefusedError
+from tallyhall_dispatch.callers import FirstTries
 from tallyhall_dispatch.desired import RouteKind, Upstream
 from tallyhall_dispatch.gate import Admitted, Gate, OverQuotaError
 from tallyhall_dispatch.jobs import Ending, Grant, Job, RunReport
@@ -109,6 +110,8 @@
     admitted: Admitted
     end_at: float
     last_event: int | None
+    # Time between the caller's first try and this one, in seconds.
+    since_first_s: float = 0
     excluded: set[str] = msgspec.field(default_factory=set)
     sends: int = 0
     may_have_run: int = 0
@@ -149,6 +152,7 @@
         self._instance = instance
         self._zone = zone
         self._jobs = itertools.count()
+        self._first_tries = FirstTries()
         # Set once the instance is told to stop.
         self._stop: Stop | None = None
         # Requests that wait for an upstream.
@@ -228,6 +232,11 @@
             admitted,
             exchange.received_at + limit_s,
             call.last_event,
+            self._first_tries.since_s(
+                admitted.route.name,
+                call.deadline_s,
+                exchange.received_at,
+            ),
         )
 
     async def _serve(self, visit: Visit) -> None:
@@ -418,11 +427,16 @@
             prompt_tokens=call.prompt_tokens,
             output_tokens=call.output_tokens,
             asked_at=self._loop.time(),
-            due_at=visit.exchange.received_at + route.objective_s,
+            due_at=(
+                visit.exchange.received_at
+                - visit.since_first_s
+                + route.objective_s
+            ),
             give_up_at=min(visit.end_at, received_at + wait_s),
             excluded=frozenset(visit.excluded),
             spare=visit.admitted.over_quota_s > 0,
             pause_s=route.gap_s,
+            returned=visit.since_first_s > 0,
         )
 
     def _may_send_again(self, visit: Visit, ending: Ending) -> bool:
