--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -418,7 +418,7 @@
         if hopeless or self._in_time >= _IN_TIME_MANY:
             # Whoever was told to come back waits for what is left over: it
             # would not come a third time.
-            return None if job.returned else GivenUp(job.key, retry_s)
+            return GivenUp(job.key, retry_s)
         return None
 
     def _wait_s(
