--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -53,6 +53,9 @@
 # Part of all places that must be free for a job above its quota: what arrives
 # within the next tenth of a second finds a place without waiting.
 _SPARE_FREE_PART = 0.25
+# The same for a late job, which holds a place for as long as one in time and is
+# worth a part of it: what arrives meanwhile should not wait for its end.
+_LATE_FREE_PART = 0.08
 # Jobs that can be in time and wait, from which on a late job is given up:
 # fewer are the ordinary jitter of arrivals.
 _IN_TIME_MANY = 3
@@ -244,7 +247,9 @@
         free = self._free_views(now)
         if not free:
             return
-        for job in self._candidates(forecast):
+        for job, late in self._candidates(forecast):
+            if late and not self._has_free(_LATE_FREE_PART, now):
+                return
             view = self._best(job, free, forecast)
             if view is None:
                 continue
@@ -256,8 +261,14 @@
             if not free:
                 return
 
-    def _candidates(self, forecast: _Forecast) -> Iterator[Job]:
-        """Yield the jobs that are next, those that can be in time first."""
+    def _candidates(
+        self,
+        forecast: _Forecast,
+    ) -> Iterator[tuple[Job, bool]]:
+        """Yield the jobs that are next, and whether they are late.
+
+        Those that can be in time come first.
+        """
         waiting = self._waiting
         waiting.set_late_aside(
             lambda job: not forecast.may_be_in_time(job, forecast.now),
@@ -265,7 +276,8 @@
         for late in (False, True):
             ranked = sorted(waiting.urgencies(late=late), key=self._shares.rank)
             for urgency in ranked:
-                yield from waiting.first(urgency, _TRIED, late=late)
+                for job in waiting.first(urgency, _TRIED, late=late):
+                    yield job, late
 
     def _take_place(self, job: Job, view: EngineView, now: float) -> None:
         view.grant(job)
@@ -293,7 +305,7 @@
         forecast: _Forecast,
     ) -> EngineView | None:
         """Return the free upstream that is done first, None to wait on."""
-        if job.spare and not self._has_spare(forecast.now):
+        if job.spare and not self._has_free(_SPARE_FREE_PART, forecast.now):
             return None
         best: EngineView | None = None
         least: float = 0
@@ -348,11 +360,11 @@
             for view in self._usable(now)
         )
 
-    def _has_spare(self, now: float) -> bool:
+    def _has_free(self, part: float, now: float) -> bool:
         usable = self._usable(now)
         places = sum(view.upstream.slots for view in usable)
         free = sum(max(0, view.free(self.share)) for view in usable)
-        return free >= _SPARE_FREE_PART * places
+        return free >= part * places
 
     # -- giving up
 
