One that knows no desired state sends no callers to itself

Change: until it has a desired state it answers 503 where callers ask for addresses; they ask another instance. The test failed before.

--- a/packages/entry/src/tallyhall_entry/answers.py
+++ b/packages/entry/src/tallyhall_entry/answers.py
@@ -45,7 +45,14 @@
         exchange.answer(*(_OK if ready else _UNAVAILABLE), (), b'')
 
     async def locate(self, exchange: Exchange) -> None:
-        """Tell where to connect."""
+        """Tell where to connect, once this instance knows what is served.
+
+        One that starts while the store is away may know for long neither the
+        others nor what to serve; callers then ask another instance.
+        """
+        if self._gate.version < 0:
+            exchange.answer(*_UNAVAILABLE, (), b'')
+            return
         addresses = front_addresses(
             self._beliefs.offered,
             self._own,
--- a/tests/platform/test_store_disturbed.py
+++ b/tests/platform/test_store_disturbed.py
@@ -5,7 +5,7 @@
 from tallyhall_standins.platform_engine import EngineStandIn
 from tallyhall_standins.platform_store import StoreFault
 
-from tests.platform.harness import PLAIN, Deployment, deployment, until
+from tests.platform.harness import PLAIN, Caller, Deployment, deployment, until
 
 _GONE = 'servers/plain-1'
 # Longer than two heartbeats and a watch, so that entries may have lapsed.
@@ -96,3 +96,18 @@
         statuses.append(answer.status)
     await stop
     return statuses
+
+
+async def test_one_that_knows_nothing_sends_no_callers_to_itself() -> None:
+    async with deployment() as made:
+        await made.ready()
+        made.store.fault = StoreFault.silent
+        await made.add_instance()
+        known, blank = (Caller(options.locate) for options in made.options)
+        path = '/resolve?name=shop.example&region=r&zone=a'
+        asked = {'method': 'GET', 'body': b''}
+        assert (await known.ask(path, 'r1', **asked)).status == 200
+        assert (await blank.ask(path, 'r2', **asked)).status == 503
+        made.store.fault = StoreFault.none
+        await made.ready()
+        assert (await blank.ask(path, 'r3', **asked)).status == 200
