--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -292,11 +292,16 @@
         return [view for view in self._usable(now) if view.free(self.share) > 0]
 
     def _usable(self, now: float) -> list[EngineView]:
-        return [
-            view
-            for view in self._views.values()
-            if not view.upstream.leaving and not view.is_aside(now)
+        """Return the upstreams that take jobs: where all fail, all of them.
+
+        Most of what is sent to one that fails in part succeeds, and what is
+        kept from all of them is refused with their places free.
+        """
+        staying = [
+            view for view in self._views.values() if not view.upstream.leaving
         ]
+        sound = [view for view in staying if not view.is_aside(now)]
+        return sound or staying
 
     def _best(
         self,
