--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -50,6 +50,7 @@
 # between now and its end for the answer.
 _GIVE_UP_MARGIN_S = 0.05
 _LONGEST_RETRY_S = 3.0
+_LATE_RETRY_S = 1.0
 # Part of all places that must be free for a job above its quota: what arrives
 # within the next tenth of a second finds a place without waiting.
 _SPARE_FREE_PART = 0.25
@@ -426,6 +427,11 @@
             return GivenUp(job.key, _LEAST_RETRY_S)
         wait_s = self._wait_s(job.urgency, ahead, forecast)
         retry_s = min(_LONGEST_RETRY_S, max(_LEAST_RETRY_S, 2 * wait_s))
+        if forecast.now + _LEAST_RETRY_S > job.due_at:
+            # It will be late whenever it comes back, so it comes when there
+            # is less to do, and not all of them at once.
+            longer_s = self._rng.uniform(_LATE_RETRY_S, _LONGEST_RETRY_S)
+            retry_s = max(retry_s, longer_s)
         if job.spare or forecast.now >= job.give_up_at - _GIVE_UP_MARGIN_S:
             return GivenUp(job.key, retry_s)
         starts_at = forecast.now + wait_s
