--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -392,7 +392,7 @@
         for key in unseen:
             job = self._waiting.get(key)
             if job is not None:
-                yield job, self._ahead_of(job)
+                yield job, self._ahead_of(job, forecast)
 
     def _sweep(self, forecast: _Forecast) -> Iterator[tuple[Job, int]]:
         self._swept_at = forecast.now
@@ -403,11 +403,15 @@
         ahead: collections.Counter[int] = collections.Counter()
         for job in sorted(self._waiting.all(), key=_due_at):
             yield job, ahead[job.urgency]
-            ahead[job.urgency] += self._waiting.get(job.key) is not None
+            # Late ones take what is left over, so nobody waits behind them.
+            if forecast.may_be_in_time(job, forecast.now):
+                ahead[job.urgency] += self._waiting.get(job.key) is not None
 
-    def _ahead_of(self, job: Job) -> int:
+    def _ahead_of(self, job: Job, forecast: _Forecast) -> int:
         return sum(
-            other.urgency == job.urgency and other.due_at < job.due_at
+            other.urgency == job.urgency
+            and other.due_at < job.due_at
+            and forecast.may_be_in_time(other, forecast.now)
             for other in self._waiting.all()
         )
 
