--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -50,6 +50,7 @@
 # between now and its end for the answer.
 _GIVE_UP_MARGIN_S = 0.05
 _LONGEST_RETRY_S = 3.0
+_LATE_RETRY_S = 1.0
 # Part of all places that must be free for a job above its quota: what arrives
 # within the next tenth of a second finds a place without waiting.
 _SPARE_FREE_PART = 0.25
@@ -391,7 +392,7 @@
         for key in unseen:
             job = self._waiting.get(key)
             if job is not None:
-                yield job, self._ahead_of(job)
+                yield job, self._ahead_of(job, forecast)
 
     def _sweep(self, forecast: _Forecast) -> Iterator[tuple[Job, int]]:
         self._swept_at = forecast.now
@@ -402,11 +403,15 @@
         ahead: collections.Counter[int] = collections.Counter()
         for job in sorted(self._waiting.all(), key=_due_at):
             yield job, ahead[job.urgency]
-            ahead[job.urgency] += self._waiting.get(job.key) is not None
+            # Late ones take what is left over, so nobody waits behind them.
+            if forecast.may_be_in_time(job, forecast.now):
+                ahead[job.urgency] += self._waiting.get(job.key) is not None
 
-    def _ahead_of(self, job: Job) -> int:
+    def _ahead_of(self, job: Job, forecast: _Forecast) -> int:
         return sum(
-            other.urgency == job.urgency and other.due_at < job.due_at
+            other.urgency == job.urgency
+            and other.due_at < job.due_at
+            and forecast.may_be_in_time(other, forecast.now)
             for other in self._waiting.all()
         )
 
@@ -426,6 +431,11 @@
             return GivenUp(job.key, _LEAST_RETRY_S)
         wait_s = self._wait_s(job.urgency, ahead, forecast)
         retry_s = min(_LONGEST_RETRY_S, max(_LEAST_RETRY_S, 2 * wait_s))
+        if forecast.now + _LEAST_RETRY_S > job.due_at:
+            # It will be late whenever it comes back, so it comes when there
+            # is less to do, and not all of them at once.
+            longer_s = self._rng.uniform(_LATE_RETRY_S, _LONGEST_RETRY_S)
+            retry_s = max(retry_s, longer_s)
         if job.spare or forecast.now >= job.give_up_at - _GIVE_UP_MARGIN_S:
             return GivenUp(job.key, retry_s)
         starts_at = forecast.now + wait_s
