--- a/packages/dispatch/src/tallyhall_dispatch/jobs.py
+++ b/packages/dispatch/src/tallyhall_dispatch/jobs.py
@@ -19,7 +19,7 @@
     incarnations that must not be used again for this request. spare: above
     the quota of its workspace, so that it only uses places left over.
     pause_s: the longest pause between two events of an answer that is on
-    time, 0 where any is. returned: its caller was told to come back.
+    time, 0 where any is.
     """
 
     key: str
@@ -34,7 +34,6 @@
     excluded: frozenset[str] = frozenset()
     spare: bool = False
     pause_s: float = 0
-    returned: bool = False
 
 
 class Grant(msgspec.Struct, frozen=True):
--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -443,8 +443,6 @@
             return None
         hopeless = starts_at > job.give_up_at
         if hopeless or self._in_time >= _IN_TIME_MANY:
-            # Whoever was told to come back waits for what is left over: it
-            # would not come a third time.
             return GivenUp(job.key, retry_s)
         return None
 
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -436,7 +436,6 @@
             excluded=frozenset(visit.excluded),
             spare=visit.admitted.over_quota_s > 0,
             pause_s=route.gap_s,
-            returned=visit.since_first_s > 0,
         )
 
     def _may_send_again(self, visit: Visit, ending: Ending) -> bool:
--- a/packages/transport/src/tallyhall_transport/peer_codec.py
+++ b/packages/transport/src/tallyhall_transport/peer_codec.py
@@ -33,7 +33,6 @@
     ask.excluded.extend(job.excluded)
     ask.spare = job.spare
     ask.pause_ms = int(job.pause_s * _MILLI)
-    ask.returned = job.returned
 
 
 def decode_job(ask: peers_pb2.Ask, now: float) -> Job:
@@ -51,7 +50,6 @@
         excluded=frozenset(ask.excluded),
         spare=ask.spare,
         pause_s=ask.pause_ms / _MILLI,
-        returned=ask.returned,
     )
 
 
--- a/tests/platform/test_placing.py
+++ b/tests/platform/test_placing.py
@@ -12,7 +12,7 @@
 from tallyhall_dispatch.callers import FirstTries
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.jobs import Ending, Job, RunReport
-from tallyhall_dispatch.pool import Granted, ServicePool
+from tallyhall_dispatch.pool import GivenUp, Granted, ServicePool
 
 from tests.platform.harness import (
     TOKENS,
@@ -216,6 +216,51 @@
     assert _granted(pool, 1.1) == {'late': 'u'}
 
 
+def test_nobody_waits_behind_late_jobs() -> None:
+    """Late jobs in the queue do not make the forecast for one in time worse."""
+    pool = _pool(_upstream('u'))
+    _ran(pool, 'u', RunReport(Ending.answered, 0.3, 0.05, 20, 0.2, 0.04))
+    pool.note_running(_job('runs', 1), 'u')
+    for number in range(2):
+        pool.ask(_job(f'late/{number}', 0.1, give_up_at=9))
+    assert not pool.decide(1)
+    pool.ask(_job('fresh', 1))
+    assert not pool.decide(1.01)
+    pool.finish('runs', _QUICK, 1.1)
+    assert _granted(pool, 1.1) == {'fresh': 'u'}
+
+
+# -- callers that are told to return
+
+
+def _told(due_in_s: float) -> list[float]:
+    """Return what callers are told whom one engine cannot serve in time."""
+    told: list[float] = []
+    for seed in range(20):
+        pool = ServicePool('svc', _EVENT_TOKENS, random.Random(seed))
+        pool.set_upstreams([_upstream('u', 10)])
+        _ran(pool, 'u', RunReport(Ending.answered, 0.3, 0.05, 20, 0.2, 0.04))
+        for number in range(10):
+            pool.note_running(_job(f'runs/{number}', 1), 'u')
+        for number in range(30):
+            due_at = 1 + due_in_s
+            pool.ask(_job(f'{number}', 1, due_at=due_at, give_up_at=2))
+        told.extend(
+            decision.retry_after_s
+            for decision in pool.decide(1)
+            if isinstance(decision, GivenUp)
+        )
+    return told
+
+
+def test_who_will_be_late_returns_later_and_not_with_all_others() -> None:
+    told = _told(0.2)
+    assert told
+    assert min(told) >= 1
+    assert max(told) <= 3
+    assert len(set(told)) > 1
+
+
 # -- failures
 
 
