--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 # of processor time.
 TEST_WORKERS ?= 3
 
-.PHONY: run run-platform proto days soak test check fmt faults bench slopes overhead start-cost
+.PHONY: run run-platform proto days soak test check fmt faults bench slopes overhead start-cost return-run
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -81,3 +81,7 @@
 # Processor time of a start; OLD is another checkout to compare with.
 start-cost: $(STAMP)
 	$(BIN)/python -m tallyhall_bench.start_cost $(if $(OLD),--old $(OLD))
+
+# Callers that come back after the loss of all; OLD as above.
+return-run: $(STAMP)
+	$(BIN)/python -m tallyhall_bench.return_run $(if $(OLD),--old $(OLD))
--- a/packages/bench/src/tallyhall_bench/platform_fleet.py
+++ b/packages/bench/src/tallyhall_bench/platform_fleet.py
@@ -15,6 +15,7 @@
 import signal
 import sys
 import tempfile
+import time
 from collections.abc import AsyncIterator, Mapping, Sequence
 from typing import Any
 
@@ -29,6 +30,7 @@
 _PORTS = 5
 _STARTING_S = 10
 _ENDING_S = 12
+_MILLI = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,6 +85,13 @@
             return await self.process.wait()
 
 
+@dataclasses.dataclass(slots=True)
+class _Named:
+    engine: EngineStandIn
+    port: int
+    fields: dict[str, Any]
+
+
 class PlatformFleet:
     """A store, upstreams and entry processes."""
 
@@ -93,6 +102,7 @@
         self.entries: list[EntryProcess] = []
         self.engines: list[EngineStandIn] = []
         self._folder = folder
+        self._named: dict[str, _Named] = {}
 
     async def add_engine(
         self,
@@ -122,8 +132,21 @@
             'cold-left-ms': 0,
         }
         self.store.put(f'servers/{name}', fields)
+        self._named[name] = _Named(engine, port, fields)
         return engine
 
+    def lose_engines(self) -> None:
+        """End all upstreams at once; their entries stay for now."""
+        for named in self._named.values():
+            named.engine.close()
+
+    async def start_engines_again(self) -> None:
+        """Start all upstreams under their ids, at their addresses."""
+        for name, named in self._named.items():
+            await named.engine.listen(HOST, named.port)
+            named.fields['born'] = int(time.time() * _MILLI)
+            self.store.put(f'servers/{name}', named.fields)
+
     async def add_entry(
         self,
         store_at: Listening | None = None,
--- a/packages/bench/src/tallyhall_bench/start_cost.py
+++ b/packages/bench/src/tallyhall_bench/start_cost.py
@@ -28,8 +28,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[4]
 _RUNS = 10
 # As deploy/system.toml starts it: without the machine's own packages.
-_INTERPRETER = (sys.executable, '-S')
-_BARE = (*_INTERPRETER, '-c', 'import asyncio')
+INTERPRETER = (sys.executable, '-S')
+_BARE = (*INTERPRETER, '-c', 'import asyncio')
 _STARTING_S = 20.0
 _LOOK_S = 0.002
 # The streams to other instances are ready by then.
@@ -95,8 +95,8 @@
 async def _start(fleet: PlatformFleet, root: pathlib.Path) -> Start:
     entry = fleet.prepare_entry()
     await entry.start(
-        (*_INTERPRETER, str(root / 'deploy' / 'entry.py')),
-        PYTHONPATH=_library(root),
+        (*INTERPRETER, str(root / 'deploy' / 'entry.py')),
+        PYTHONPATH=library(root),
     )
     pid = _pid(entry)
     caller = Caller(random.Random(1))
@@ -124,7 +124,7 @@
     return tried.status == _OK
 
 
-def _library(root: pathlib.Path) -> str:
+def library(root: pathlib.Path) -> str:
     """Return where a checkout's libraries are: built, or this run's own."""
     built = root / 'target' / 'deps'
     return str(built) if built.exists() else sysconfig.get_path('purelib')
@@ -166,8 +166,8 @@
         "runpy.run_path(sys.argv[0], run_name='imports')"
     )
     told = subprocess.run(
-        (*_INTERPRETER, '-X', 'importtime', '-c', code),
-        env=os.environ | {'PYTHONPATH': _library(ROOT)},
+        (*INTERPRETER, '-X', 'importtime', '-c', code),
+        env=os.environ | {'PYTHONPATH': library(ROOT)},
         capture_output=True,
         text=True,
         check=False,
