First tries are told by workspace, within the route's own limit

Cause, found by reading: one caller with a longer limit than usual made all others of its route look as if they had come back, for up to ten seconds.

Change: the longest limit is known by route and workspace, and one above the route's own limit says nothing.

--- a/packages/dispatch/src/tallyhall_dispatch/callers.py
+++ b/packages/dispatch/src/tallyhall_dispatch/callers.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from .desired import Route
+
 # A limit that is stated counts for a route for this long, in seconds; another
 # desired state may come with other limits.
 _KEPT_S = 10.0
@@ -28,26 +30,37 @@
 
 
 class FirstTries:
-    """The longest limits that callers of each route state."""
+    """The longest limits that callers of a workspace state on each route.
+
+    Those of another workspace cannot make them look late.
+    """
 
     def __init__(self) -> None:
         """Start without callers."""
-        self._stated: dict[str, _Stated] = {}
+        self._stated: dict[tuple[str, str], _Stated] = {}
 
-    def since_s(self, route: str, limit_s: float | None, now: float) -> float:
+    def since_s(
+        self,
+        route: Route,
+        workspace: str,
+        limit_s: float | None,
+        now: float,
+    ) -> float:
         """Return the seconds since the first try, 0 for a first one.
 
-        limit_s: how long the caller waits yet, as it states.
+        limit_s: how long the caller waits yet, as it states. One above the
+        route's own limit tells nothing of the others'.
         """
-        if limit_s is None:
+        if limit_s is None or limit_s > route.timeout_s:
             return 0
-        known = self._stated.get(route)
-        if (
-            known is None
-            or limit_s >= known.limit_s
-            or (now - known.at > _KEPT_S)
-        ):
-            self._stated[route] = _Stated(limit_s, now)
+        callers = (route.name, workspace)
+        known = self._stated.get(callers)
+        if known is None or now - known.at > _KEPT_S:
+            known = _Stated(0, now)
+            self._stated[callers] = known
+        if limit_s >= known.limit_s:
+            known.limit_s = limit_s
+            known.at = now
             return 0
         lacks_s = known.limit_s - limit_s
         if lacks_s < _WAY_S or lacks_s > _LONGEST_S:
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -232,11 +232,21 @@
             admitted,
             exchange.received_at + limit_s,
             call.last_event,
-            self._first_tries.since_s(
-                admitted.route.name,
-                call.deadline_s,
-                exchange.received_at,
-            ),
+            self._since_first_s(exchange, call, admitted),
+        )
+
+    def _since_first_s(
+        self,
+        exchange: Exchange,
+        call: CallInfo,
+        admitted: Admitted,
+    ) -> float:
+        workspace = admitted.workspace
+        return self._first_tries.since_s(
+            admitted.route,
+            '' if workspace is None else workspace.name,
+            call.deadline_s,
+            exchange.received_at,
         )
 
     async def _serve(self, visit: Visit) -> None:
