The interpreter's turns are as usual after two loads at a time

Cause, found while three tests of fleets in one process were traced: two instances that load the library of the streams at the same time left the short turns in force for the rest of the process.

--- a/packages/transport/src/tallyhall_transport/peers.py
+++ b/packages/transport/src/tallyhall_transport/peers.py
@@ -37,6 +37,8 @@
 # loop waits for the end of one, 0.8 ms in place of 1.6 with the interpreter's
 # usual 5 ms (mean of 38 to 57 wake-ups, three runs each).
 _LOADING_TURN_S = 0.0005
+# Put back by whoever has loaded it, also where two load it at a time.
+_USUAL_TURN_S = sys.getswitchinterval()
 
 
 class Peer(msgspec.Struct):
@@ -158,12 +160,11 @@
         Until then no stream is kept, and requests are decided alone. The
         library is loaded by a thread, so that callers are answered meanwhile.
         """
-        usual_s = sys.getswitchinterval()
         sys.setswitchinterval(_LOADING_TURN_S)
         try:
             make = await self._loop.run_in_executor(None, _load_streams)
         finally:
-            sys.setswitchinterval(usual_s)
+            sys.setswitchinterval(_USUAL_TURN_S)
         streams = make(self)
         await streams.listen(address, self.take, read_state)
         self.use(streams)
--- a/tests/platform/test_links.py
+++ b/tests/platform/test_links.py
@@ -15,6 +15,7 @@
 """
 
 import asyncio
+import sys
 
 from tallyhall_bench.ports import free_ports
 from tallyhall_transport.generated import peers_pb2
@@ -35,6 +36,20 @@
     return PeerLinks(name, incarnation, _ignore, _ignore, _ignore, _ignore)
 
 
+async def test_turns_are_as_usual_once_the_library_is_loaded() -> None:
+    """Also where two load it at a time: each wake-up would cost more."""
+    usual_s = sys.getswitchinterval()
+    one, other = _links('a', 'a1'), _links('b', 'b1')
+    first, second = (f'{HOST}:{port}' for port in free_ports(2))
+    await asyncio.gather(
+        one.listen(first, _no_state),
+        other.listen(second, _no_state),
+    )
+    assert sys.getswitchinterval() == usual_s
+    await one.close()
+    await other.close()
+
+
 async def test_a_stream_is_opened_anew_to_one_that_ended_and_came_back() -> (
     None
 ):
