--- a/tests/platform/test_asks.py
+++ b/tests/platform/test_asks.py
@@ -85,7 +85,11 @@
     assert not net.holds(first, 'a/1')
 
 
-async def test_a_stopping_fleet_counts_places() -> None:
+async def test_a_stopping_fleet_counts_places(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # All share one loop, whose lateness must not count as their owner's.
+    monkeypatch.setattr(shared, '_ANSWER_S', 5)
     async with deployment(6) as made:
         engine = await made.add_engine('model-0', event_s=0.02)
         await made.ready()
@@ -96,8 +100,7 @@
         await asyncio.sleep(0.8)
         statuses = await made.ask_all([number % 6 for number in range(24)])
         assert set(statuses) == {200}
-        # A busy machine may have an owner passed by: then each fills a part.
-        assert engine.most_running <= 6
+        assert engine.most_running <= 4
         await asyncio.gather(*stops)
 
 
--- a/tests/processes/test_start_cost.py
+++ b/tests/processes/test_start_cost.py
@@ -6,8 +6,6 @@
 MB).
 """
 
-import statistics
-
 import pytest
 from tallyhall_bench.start_cost import ROOT, imported, measure
 
@@ -21,8 +19,10 @@
 @pytest.mark.processes
 async def test_the_first_answer_costs_little_beside_the_interpreter() -> None:
     bare, starts = await measure([ROOT], _RUNS)
-    first_s = statistics.median(start.first_s for start in starts[ROOT])
-    assert first_s / statistics.median(bare) < _MOST_RATIO
+    # The least of each: load only adds, also by what the process goes on to do
+    # while nobody looks whether it answers.
+    first_s = min(start.first_s for start in starts[ROOT])
+    assert first_s / min(bare) < _MOST_RATIO
 
 
 def test_nothing_is_imported_that_the_first_answer_does_not_need() -> None:
