--- a/packages/dispatch/src/tallyhall_dispatch/jobs.py
+++ b/packages/dispatch/src/tallyhall_dispatch/jobs.py
@@ -13,12 +13,12 @@
     """What a request needs of an upstream.
 
     key: unique among all jobs of all instances. zone: of the instance that
-    sends it. urgency: sorts jobs, least first. due_at: when the first byte should reach the caller. give_up_at:
-    after this an upstream could no longer answer in time. excluded:
-    incarnations that must not be used again for this request. spare: above
-    the quota of its workspace, so that it only uses places left over.
-    pause_s: the longest pause between two events of an answer that is on
-    time, 0 where any is.
+    sends it. urgency: sorts jobs, least first. due_at: when the first byte
+    should reach the caller. give_up_at: after this an upstream could no
+    longer answer in time. excluded: incarnations that must not be used again
+    for this request. spare: above the quota of its workspace, so that it
+    only uses places left over. pause_s: the longest pause between two events
+    of an answer that is on time, 0 where any is.
     """
 
     key: str
