--- a/packages/dispatch/src/tallyhall_dispatch/engines.py
+++ b/packages/dispatch/src/tallyhall_dispatch/engines.py
@@ -37,7 +37,8 @@
 _FAILURES_BORNE = 3
 
 # Events from which on the longest pause of an answer is learned: on slow
-# engines 9 of 87 answers of four events were late by a pause, 43 of 84 of fifty.
+# engines 9 of 87 answers of four events were late by a pause, 43 of 84 answers
+# of fifty.
 _PAUSE_EVENTS = 6
 # Deviations that are added to the mean of the longest pauses, so that answers
 # are on time that pause longer than most.
