--- a/tests/processes/test_start_cost.py
+++ b/tests/processes/test_start_cost.py
@@ -11,8 +11,8 @@
 import pytest
 from tallyhall_bench.start_cost import ROOT, imported, measure
 
-# 3.25 on the idle machine, 2.63 beside 16 busy processes, and a quarter more, as
-# single starts differ by a tenth.
+# 3.25 on the idle machine, 2.63 beside 16 busy processes; and a quarter more,
+# as single starts differ by a tenth.
 _MOST_RATIO = 4.1
 _RUNS = 7
 # What once was imported at the start and takes long: 150, 45, 20 and 20 ms.
