One base of the adapter's models, one decoding of bytes

The store's client, the settings and the decoder each had the same base class, and the client repeated what parse.py does with bytes from elsewhere. No change of behaviour.

--- a/packages/platform/src/tallyhall_platform/decode.py
+++ b/packages/platform/src/tallyhall_platform/decode.py
@@ -24,7 +24,7 @@
 
 from .addresses import listening
 from .errors import DecodeError
-from .parse import Count, Millis, Name, parsed
+from .parse import Count, Millis, Name, Part, parsed
 
 _MILLI = 1000
 # Used where a route states no time limit, no objective or no pause.
@@ -35,16 +35,12 @@
 _Kept = TypeVar('_Kept')
 
 
-class _Part(msgspec.Struct, frozen=True, rename='kebab'):
-    """Fields that are not named here are ignored."""
-
-
-class _Split(_Part, frozen=True):
+class _Split(Part, frozen=True):
     service: str
     weight: Count = 1
 
 
-class _Route(_Part, frozen=True):
+class _Route(Part, frozen=True):
     name: str
     host: str
     prefix: Annotated[str, msgspec.Meta(pattern='^/')]
@@ -65,25 +61,25 @@
     gap_target_ms: Millis = 0
 
 
-class _Engine(_Part, frozen=True):
+class _Engine(Part, frozen=True):
     # How many tokens one event holds.
     stride: int = 1
 
 
-class _Service(_Part, frozen=True):
+class _Service(Part, frozen=True):
     name: str
     max_conns: int = 0
     engine: _Engine | None = None
 
 
-class _Limits(_Part, frozen=True):
+class _Limits(Part, frozen=True):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
     header_timeout_ms: Millis = 3000
     idle_timeout_ms: Millis = 15_000
 
 
-class _Tenant(_Part, frozen=True):
+class _Tenant(Part, frozen=True):
     name: str
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
@@ -94,7 +90,7 @@
     burst: float = 0
 
 
-class _Config(_Part, frozen=True):
+class _Config(Part, frozen=True):
     version: int
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
@@ -102,7 +98,7 @@
     tenants: tuple[_Tenant, ...] | None = None
 
 
-class _Server(_Part, frozen=True):
+class _Server(Part, frozen=True):
     """An upstream's entry; one of another writer lacks some of it."""
 
     service: Name
--- a/packages/platform/src/tallyhall_platform/parse.py
+++ b/packages/platform/src/tallyhall_platform/parse.py
@@ -19,6 +19,13 @@
 _Model = TypeVar('_Model')
 
 
+class Part(msgspec.Struct, frozen=True, rename='kebab'):
+    """An object in the platform's spelling.
+
+    New fields may come at any time: those that are not named are ignored.
+    """
+
+
 def parsed(raw: bytes, model: type[_Model]) -> _Model:
     """Return what the bytes hold; raise DecodeError naming the place."""
     try:
--- a/packages/platform/src/tallyhall_platform/settings.py
+++ b/packages/platform/src/tallyhall_platform/settings.py
@@ -16,7 +16,7 @@
 
 from .addresses import listening
 from .errors import SettingsError
-from .parse import Millis, Name
+from .parse import Millis, Name, Part
 
 # The platform names the settings file in this variable.
 SETTINGS_VARIABLE = 'TALLYHALL_CONFIG'
@@ -27,17 +27,13 @@
 _Positive = Annotated[float, msgspec.Meta(gt=0)]
 
 
-class _Section(msgspec.Struct, frozen=True, rename='kebab'):
-    """New keys may come at any time and are not an error."""
-
-
-class _Listen(_Section, frozen=True):
+class _Listen(Part, frozen=True):
     front: str
     ready: str
     directory: str
 
 
-class _Limits(_Section, frozen=True):
+class _Limits(Part, frozen=True):
     max_fds: Annotated[int, msgspec.Meta(gt=0)] = 1024
     # The part of one core that a process gets, and how much faster than a
     # usual one that core is; not a number of cores.
@@ -45,7 +41,7 @@
     cores: _Positive = 1
 
 
-class _Bounds(_Section, frozen=True):
+class _Bounds(Part, frozen=True):
     revoke_ms: Millis = 0
     grace_s: float = 8
     retry_budget_ratio: float = 0.2
@@ -59,12 +55,12 @@
     config_apply_ms: Millis = 2000
 
 
-class _Store(_Section, frozen=True):
+class _Store(Part, frozen=True):
     address: str
     ttl_min_ms: Millis = 1000
 
 
-class _Whole(_Section, frozen=True):
+class _Whole(Part, frozen=True):
     node: Name
     zone: str
     ip: Annotated[str, msgspec.Meta(pattern='^[0-9.]+$')]
--- a/packages/platform/src/tallyhall_platform/store.py
+++ b/packages/platform/src/tallyhall_platform/store.py
@@ -21,12 +21,14 @@
 
 from .errors import (
     ConditionFailedError,
+    DecodeError,
     HistoryGoneError,
     LeaseEndedError,
     StoreLimitedError,
     StoreRefusedError,
     StoreUnavailableError,
 )
+from .parse import Part, parsed
 
 # A store that works answers in milliseconds; one that is slow by design of
 # its operators answers within a second.
@@ -46,11 +48,7 @@
 _Model = TypeVar('_Model')
 
 
-class _Part(msgspec.Struct, frozen=True, rename='kebab'):
-    """Fields that are not named here are ignored."""
-
-
-class _Row(_Part, frozen=True):
+class _Row(Part, frozen=True):
     """A key with its value, or with the sign that it is gone."""
 
     key: str
@@ -59,18 +57,18 @@
     deleted: bool = False
 
 
-class _Page(_Part, frozen=True):
+class _Page(Part, frozen=True):
     as_of: int
     items: tuple[_Row, ...]  # noqa: WPS110
     more_pages: bool = False
 
 
-class _News(_Part, frozen=True):
+class _News(Part, frozen=True):
     as_of: int
     events: tuple[_Row, ...]
 
 
-class _Lease(_Part, frozen=True):
+class _Lease(Part, frozen=True):
     lease: int
 
 
@@ -287,8 +285,8 @@
 def _checked(answer: WholeAnswer, model: type[_Model]) -> _Model:
     _check_status(answer)
     try:
-        return msgspec.json.decode(answer.body, type=model)
-    except (ValueError, RecursionError) as exc:
+        return parsed(answer.body, model)
+    except DecodeError as exc:
         raise StoreUnavailableError(f'no answer in its form: {exc}') from exc
 
 
