--- a/packages/dispatch/src/tallyhall_dispatch/engines.py
+++ b/packages/dispatch/src/tallyhall_dispatch/engines.py
@@ -63,6 +63,8 @@
     def __init__(self, upstream: Upstream) -> None:
         """Start with nothing observed."""
         self.upstream = upstream
+        # Looked at for each job and upstream; it stays while the rest changes.
+        self.incarnation = upstream.incarnation
         self.runs: dict[str, Run] = {}
         # Prompt tokens of the runs whose answer has not begun.
         self.reading_tokens = 0
--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -346,7 +346,7 @@
         may_wait = forecast.may_be_in_time(job, forecast.now)
         wants_pace = may_wait and self._waits_for_pace(job, forecast.now)
         for view in free:
-            if view.upstream.incarnation in job.excluded:
+            if view.incarnation in job.excluded:
                 continue
             if may_wait and view.first_s(job) > slack_s:
                 continue
@@ -399,15 +399,17 @@
 
     def _sweep(self, forecast: _Forecast) -> Iterator[tuple[Job, int]]:
         self._swept_at = forecast.now
-        self._in_time = sum(
-            forecast.may_be_in_time(job, forecast.now)
+        in_time = {
+            job.key
             for job in self._waiting.all()
-        )
+            if forecast.may_be_in_time(job, forecast.now)
+        }
+        self._in_time = len(in_time)
         ahead: collections.Counter[int] = collections.Counter()
         for job in sorted(self._waiting.all(), key=_due_at):
             yield job, ahead[job.urgency]
             # Late ones take what is left over, so nobody waits behind them.
-            if forecast.may_be_in_time(job, forecast.now):
+            if job.key in in_time:
                 ahead[job.urgency] += self._waiting.get(job.key) is not None
 
     def _ahead_of(self, job: Job, forecast: _Forecast) -> int:
@@ -470,8 +472,7 @@
     def _has_usable(self, job: Job) -> bool:
         # One that is left out for its failures comes back soon.
         return any(
-            not view.upstream.leaving
-            and view.upstream.incarnation not in job.excluded
+            not view.upstream.leaving and view.incarnation not in job.excluded
             for view in self._views.values()
         )
 
