The queue, its upstreams, placing and refusing stand apart, with switches

Each is a module now; what is free is counted once a job. Each mechanism has a switch for experiments. No change of what is decided: the tests of decisions and placing pass.

--- /dev/null
+++ b/packages/dispatch/src/tallyhall_dispatch/group.py
@@ -0,0 +1,113 @@
+"""The upstreams of one service as one instance sees them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from .desired import Upstream
+from .engines import FIRST_FIXED_S, EngineView
+from .forecast import Forecast
+from .jobs import Job
+from .switches import Switches
+
+# A forecast looks at all upstreams, so it is made anew after this long, in
+# seconds; a fortieth of the shortest objective.
+_FORECAST_S = 0.02
+
+
+class UpstreamGroup:
+    """Views of the upstreams that are named, by incarnation."""
+
+    def __init__(self, switches: Switches) -> None:
+        """Start without upstreams."""
+        # The part of all places that may be filled from here: what instances
+        # that are not heard may be filling themselves is left alone.
+        self.share: float = 1
+        self._switches = switches
+        self._views: dict[str, EngineView] = {}
+        self._misplaced: set[str] = set()
+        self._known: Forecast | None = None
+
+    @property
+    def views(self) -> Mapping[str, EngineView]:
+        """Return what is known of each upstream."""
+        return self._views
+
+    @property
+    def places(self) -> int:
+        """Return how many places the upstreams have that stay."""
+        return sum(view.upstream.slots for view in self._staying())
+
+    def take(self, upstreams: Iterable[Upstream]) -> None:
+        """Take the upstreams of the service as they stand now."""
+        known = {upstream.incarnation: upstream for upstream in upstreams}
+        for gone in self._views.keys() - known.keys():
+            self._views.pop(gone)
+        self._misplaced &= known.keys()
+        for incarnation, upstream in known.items():
+            if incarnation in self._misplaced:
+                continue
+            view = self._views.get(incarnation)
+            if view is None:
+                self._views[incarnation] = EngineView(upstream)
+                continue
+            view.upstream = upstream
+
+    def misplaced(self, incarnation: str) -> None:
+        """Forget an upstream whose address another one has, while it is named.
+
+        A last report of one that has gone may come after its end and name it
+        for three heartbeats more; each look at it would cost a request's time.
+        """
+        if self._views.pop(incarnation, None) is not None:
+            self._misplaced.add(incarnation)
+
+    def usable(self, now: float) -> list[EngineView]:
+        """Return the upstreams that take jobs: where all fail, all of them.
+
+        Most of what is sent to one that fails in part succeeds, and what is
+        kept from all of them is refused with their places free.
+        """
+        staying = self._staying()
+        if not self._switches.aside:
+            return staying
+        return [view for view in staying if not view.is_aside(now)] or staying
+
+    def free(self, now: float) -> list[EngineView]:
+        """Return the usable upstreams that have a free place."""
+        return [view for view in self.usable(now) if view.free(self.share) > 0]
+
+    def has_free(self, part: float, now: float) -> bool:
+        """Return whether at least this part of the usable places is free."""
+        usable = self.usable(now)
+        places = sum(view.upstream.slots for view in usable)
+        free = sum(max(0, view.free(self.share)) for view in usable)
+        return free >= part * places
+
+    def may_serve(self, job: Job) -> bool:
+        """Return whether there is an upstream that this job may be sent to.
+
+        One that is left out for its failures comes back soon.
+        """
+        return any(
+            view.incarnation not in job.excluded for view in self._staying()
+        )
+
+    def forecast(self, now: float) -> Forecast:
+        """Return what the usable upstreams can do from now on."""
+        known = self._known
+        if known is not None and now - known.now < _FORECAST_S:
+            return msgspec.structs.replace(known, now=now)
+        usable = self.usable(now)
+        rate = sum(view.free_rate for view in usable)
+        first_s = FIRST_FIXED_S if usable else 0
+        token_s = min((view.token_s for view in usable), default=0)
+        self._known = Forecast(now, rate, first_s, token_s)
+        return self._known
+
+    def _staying(self) -> list[EngineView]:
+        return [
+            view for view in self._views.values() if not view.upstream.leaving
+        ]
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -20,6 +20,7 @@
 from tallyhall_dispatch.gate import Admitted, Gate, OverQuotaError
 from tallyhall_dispatch.jobs import Ending, Grant, Job, RunReport
 from tallyhall_dispatch.quota import QuotaSeen
+from tallyhall_dispatch.switches import ALL_ON, Switches
 
 from .connections import ConnectionPool
 from .dialect import BadCallError, CallInfo, Dialect, SendInfo
@@ -141,6 +142,7 @@
         telemetry: Telemetry,
         instance: str,
         zone: str,
+        switches: Switches = ALL_ON,
     ) -> None:
         """Work with these parts of the instance."""
         self._gate = gate
@@ -151,6 +153,7 @@
         # Job keys begin with the instance, which makes them unique.
         self._instance = instance
         self._zone = zone
+        self._switches = switches
         self._jobs = itertools.count()
         self._first_tries = FirstTries()
         # Set once the instance is told to stop.
@@ -241,6 +244,8 @@
         call: CallInfo,
         admitted: Admitted,
     ) -> float:
+        if not self._switches.first_tries:
+            return 0
         workspace = admitted.workspace
         return self._first_tries.since_s(
             admitted.route,
@@ -379,6 +384,8 @@
         """
         route = visit.admitted.route
         last = visit.may_have_run >= route.attempts
+        if not self._switches.silence:
+            return await relay.done
         if last or not route.repeatable or visit.waited_s > _LOADED_WAIT_S:
             return await relay.done
         try:
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -15,7 +15,8 @@
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
 from tallyhall_dispatch.desired import DesiredState, Upstream
 from tallyhall_dispatch.jobs import Ending, Grant, Job, RunReport
-from tallyhall_dispatch.pool import GivenUp, Granted, ServicePool
+from tallyhall_dispatch.pool import Granted, ServicePool
+from tallyhall_dispatch.refusing import GivenUp
 
 # How often waiting jobs are looked at when nothing else happens, seconds: a
 # fifth of the shortest objective.
@@ -176,7 +177,7 @@
         """Fill at most this part of the places of model engines."""
         for pool in self._pools.values():
             if pool.is_model:
-                pool.share = share
+                pool.take_share(share)
 
     def may_fill(self, service: str, filled: int, instances: int) -> bool:
         """Return whether one of so many instances may fill one place more.
--- a/tests/platform/test_decisions.py
+++ b/tests/platform/test_decisions.py
@@ -9,7 +9,8 @@
 from tallyhall_dispatch.freshness import Freshness
 from tallyhall_dispatch.jobs import Ending, Job, RunReport
 from tallyhall_dispatch.ownership import Ownership
-from tallyhall_dispatch.pool import GivenUp, Granted, ServicePool
+from tallyhall_dispatch.pool import Granted, ServicePool
+from tallyhall_dispatch.refusing import GivenUp
 from tallyhall_dispatch.quota import Fleet, QuotaBounds, Quotas, Written
 from tallyhall_dispatch.retries import RetryBudget, RetryLimits
 from tallyhall_dispatch.windows import SlidingSum
@@ -254,11 +255,11 @@
 def test_a_pool_leaves_unheard_instances_their_places() -> None:
     pool = ServicePool('svc', 5, random.Random(1))
     pool.set_upstreams([_upstream('u', 9)])
-    pool.share = 1 / 3
+    pool.take_share(1 / 3)
     for number in range(9):
         pool.ask(_job(f'j{number}', 0, 0))
     assert len(pool.decide(0)) == 3
-    pool.share = 1
+    pool.take_share(1)
     assert len(pool.decide(0)) == 6
 
 
--- a/tests/platform/test_placing.py
+++ b/tests/platform/test_placing.py
@@ -12,7 +12,8 @@
 from tallyhall_dispatch.callers import FirstTries
 from tallyhall_dispatch.desired import Route, RouteKind, Upstream
 from tallyhall_dispatch.jobs import Ending, Job, RunReport
-from tallyhall_dispatch.pool import GivenUp, Granted, ServicePool
+from tallyhall_dispatch.pool import Granted, ServicePool
+from tallyhall_dispatch.refusing import GivenUp
 
 from tests.platform.harness import (
     TOKENS,
