--- a/packages/admission/src/tallyhall_admission/waiting.py
+++ b/packages/admission/src/tallyhall_admission/waiting.py
@@ -13,7 +13,6 @@
 
 from .jobs import Job
 
-
 _Queues = dict[str, list[Job]]
 
 
--- a/packages/bench/src/tallyhall_bench/summary.py
+++ b/packages/bench/src/tallyhall_bench/summary.py
@@ -7,7 +7,6 @@
 
 from hdrh.histogram import HdrHistogram
 from pydantic.dataclasses import dataclass
-
 from tallyhall_standins.batch import BLOCK_TOKENS
 
 from .load import DoneCall
--- a/packages/bench/src/tallyhall_bench/tables.py
+++ b/packages/bench/src/tallyhall_bench/tables.py
@@ -7,8 +7,8 @@
 import uuid
 from typing import Any
 
-from tallyhall_sources.kv import EtcdKeyValue
 from tallyhall_sources.errors import PlatformError
+from tallyhall_sources.kv import EtcdKeyValue
 from tallyhall_table.edits import RowEdit, rows_of
 from tallyhall_table.model import Table
 from tallyhall_table.store import TableStore
--- a/packages/daemon/src/tallyhall_daemon/command_explain.py
+++ b/packages/daemon/src/tallyhall_daemon/command_explain.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-import sys
-from collections.abc import Iterator
-from pathlib import Path
-
 from cleo.helpers import argument
 from tallyhall_entry.explain import check_line, explain, shown
 
-from .command_base import EXIT_FAILED, EXIT_USAGE, OperatorCommand
+from .command_base import EXIT_FAILED, OperatorCommand
 from .errors import OperatorError
+from .log_files import log_lines
 
 _FILES = argument(
     'file',
@@ -20,21 +17,6 @@
 )
 
 
-def _texts(paths: list[str]) -> Iterator[str]:
-    if not paths:
-        yield from sys.stdin
-        return
-    for path in paths:
-        try:
-            with Path(path).open(encoding='utf-8', errors='replace') as lines:
-                yield from lines
-        except OSError as exc:
-            raise OperatorError(
-                f'{path}: cannot be read ({exc.strerror})',
-                EXIT_USAGE,
-            ) from exc
-
-
 class ExplainCommand(OperatorCommand):
     """Prints one request's way over all instances and its cause."""
 
@@ -48,7 +30,7 @@
     def execute_command(self) -> int:
         """Print lines and cause; fail where no line has the id."""
         request_id = self.argument('request')
-        found = explain(request_id, _texts(self.argument('file')))
+        found = explain(request_id, log_lines(self.argument('file')))
         if found is None:
             raise OperatorError(
                 f'no line about request {request_id!r}; it reached none of '
@@ -72,7 +54,7 @@
         """Print each line that the catalogue does not know."""
         wrong = 0
         count = 0
-        for text in _texts(self.argument('file')):
+        for text in log_lines(self.argument('file')):
             count += 1
             fault = check_line(text)
             if fault is not None:
--- a/packages/daemon/src/tallyhall_daemon/commands.py
+++ b/packages/daemon/src/tallyhall_daemon/commands.py
@@ -6,6 +6,7 @@
 
 from .command_bench import BenchCommand
 from .command_explain import ExplainCommand, LogsCommand
+from .command_losses import LossesCommand
 from .command_request import RequestCommand, StatusCommand
 from .command_serve import CheckCommand, ServeCommand
 from .command_table import (
@@ -31,4 +32,5 @@
     BenchCommand,
     ExplainCommand,
     LogsCommand,
+    LossesCommand,
 )
--- a/packages/daemon/src/tallyhall_daemon/instance.py
+++ b/packages/daemon/src/tallyhall_daemon/instance.py
@@ -19,6 +19,8 @@
 from tallyhall_core.ids import new_incarnation
 from tallyhall_core.messages import MemberEntry, Message, Progress, SharedValue
 from tallyhall_core.refusals import Refusal
+from tallyhall_gateway.calls import Call
+from tallyhall_gateway.ticket import Ticket
 from tallyhall_membership.assignment import Edit
 from tallyhall_membership.shared import INSTANCES, NAMES
 from tallyhall_node.actions import (
@@ -38,9 +40,6 @@
 from tallyhall_node.orders import Order
 from tallyhall_table.model import Table
 
-from tallyhall_gateway.calls import Call
-from tallyhall_gateway.ticket import Ticket
-
 from .settings import Settings
 
 _MILLI = 1000
--- /dev/null
+++ b/packages/daemon/src/tallyhall_daemon/plots.py
@@ -0,0 +1,47 @@
+"""Plots of the command line's tables, written as SVG or PNG."""
+
+from __future__ import annotations
+
+import pathlib
+from collections.abc import Mapping
+
+import matplotlib as mpl
+from matplotlib.figure import Figure
+from tallyhall_entry.losses import Cause
+
+_WIDTH_IN = 9.0
+_HEIGHT_IN = 4.5
+_COLOURS = 'tab20'
+
+
+def plot_losses(
+    path: pathlib.Path,
+    rows: Mapping[int, Mapping[Cause, float]],
+) -> None:
+    """Write stacked bars, one a second; raise OSError or ValueError.
+
+    The file's ending says the format.
+    """
+    figure = Figure(figsize=(_WIDTH_IN, _HEIGHT_IN), layout='constrained')
+    axes = figure.subplots()
+    seconds = sorted(rows)
+    colours = mpl.colormaps[_COLOURS]
+    base: list[float] = [0 for _ in seconds]
+    for number, cause in enumerate(Cause):
+        heights = [rows[second].get(cause, 0) for second in seconds]
+        if not any(heights):
+            continue
+        axes.bar(
+            seconds,
+            heights,
+            bottom=base,
+            width=1,
+            align='edge',
+            color=colours(number),
+            label=cause.value,
+        )
+        base = [low + high for low, high in zip(base, heights, strict=True)]
+    axes.set_xlabel('second in which requests came')
+    axes.set_ylabel('lost')
+    axes.legend(fontsize='small')
+    figure.savefig(path)
--- a/packages/daemon/src/tallyhall_daemon/serve.py
+++ b/packages/daemon/src/tallyhall_daemon/serve.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 import pykka
-from waitress.server import create_server
 from tallyhall_core.events import Event
 from tallyhall_core.refusals import Reason
 from tallyhall_gateway.app import Application, AppSettings
@@ -24,6 +23,7 @@
 from tallyhall_transport.errors import TransportError
 from tallyhall_transport.sender import Sender
 from tallyhall_transport.server import Receiver, start_server
+from waitress.server import create_server
 
 from .effects import DaemonEffects
 from .errors import OperatorError
--- a/packages/dispatch/src/tallyhall_dispatch/adoption.py
+++ b/packages/dispatch/src/tallyhall_dispatch/adoption.py
@@ -10,7 +10,6 @@
 
 import msgspec
 
-
 # Each other has reported to each twice within this time, beats being 0.15 s
 # apart in fleets in which all hear each other.
 _LAG_S = 0.3
--- a/packages/dispatch/src/tallyhall_dispatch/gate.py
+++ b/packages/dispatch/src/tallyhall_dispatch/gate.py
@@ -14,7 +14,7 @@
 
 from .desired import DesiredState, Route, Workspace
 from .freshness import Freshness
-from .quota import QuotaBounds, QuotaSeen, Quotas
+from .quota import QuotaBounds, Quotas, QuotaSeen
 from .retries import RetryBudget, RetryLimits
 from .routing import Router, pick_service
 
--- a/packages/dispatch/src/tallyhall_dispatch/group.py
+++ b/packages/dispatch/src/tallyhall_dispatch/group.py
@@ -81,10 +81,12 @@
 
     def has_free(self, part: float, now: float) -> bool:
         """Return whether at least this part of the usable places is free."""
-        usable = self.usable(now)
-        places = sum(view.upstream.slots for view in usable)
-        free = sum(max(0, view.free(self.share)) for view in usable)
-        return free >= part * places
+        places = sum(view.upstream.slots for view in self.usable(now))
+        return self.free_places(now) >= part * places
+
+    def free_places(self, now: float) -> int:
+        """Return how many places of the usable upstreams are free."""
+        return sum(max(0, view.free(self.share)) for view in self.usable(now))
 
     def may_serve(self, job: Job) -> bool:
         """Return whether there is an upstream that this job may be sent to.
--- a/packages/dispatch/src/tallyhall_dispatch/ownership.py
+++ b/packages/dispatch/src/tallyhall_dispatch/ownership.py
@@ -9,7 +9,6 @@
 
 from tallyhall_membership.rendezvous import rank
 
-
 # Instances that are asked in turn before an instance decides alone.
 _CANDIDATES = 3
 
--- a/packages/dispatch/src/tallyhall_dispatch/refusing.py
+++ b/packages/dispatch/src/tallyhall_dispatch/refusing.py
@@ -20,7 +20,7 @@
 # What a refused caller is told to wait, in seconds: at least, at most, and at
 # least where it will be late whenever it comes back. Spread between the last
 # two, the price of refusing it again fell from 0.015 to 0.014.
-LEAST_RETRY_S = 0.25
+_LEAST_RETRY_S = 0.25
 _LONGEST_RETRY_S = 3.0
 _LATE_RETRY_S = 1.0
 # A job is given up this long before an upstream could no longer answer it, in
@@ -33,11 +33,25 @@
 _LEAST_RATE = 0.5
 
 
+class Outlook(msgspec.Struct, frozen=True):
+    """What was foreseen of a job's wait.
+
+    ahead: jobs that are served before it. rate: places that become free in a
+    second. free: places that were free.
+    """
+
+    ahead: int = 0
+    wait_s: float = 0
+    rate: float = 0
+    free: int = 0
+
+
 class GivenUp(msgspec.Struct, frozen=True):
     """A job cannot be answered in time; it was not sent."""
 
     key: str
     retry_after_s: float
+    outlook: Outlook = Outlook()
 
 
 class Refusing:
@@ -64,10 +78,19 @@
         ahead: how many of its urgency are served before it.
         """
         if not self._group.may_serve(job):
-            return GivenUp(job.key, LEAST_RETRY_S)
+            return GivenUp(job.key, _LEAST_RETRY_S)
         wait_s = self._wait_s(job.urgency, ahead, forecast)
         if self._must_go(job, wait_s, forecast):
-            return GivenUp(job.key, self._retry_s(job, wait_s, forecast.now))
+            return GivenUp(
+                job.key,
+                self._retry_s(job, wait_s, forecast.now),
+                Outlook(
+                    ahead,
+                    wait_s,
+                    forecast.rate,
+                    self._group.free_places(forecast.now),
+                ),
+            )
         return None
 
     def _must_go(self, job: Job, wait_s: float, forecast: Forecast) -> bool:
@@ -87,8 +110,8 @@
         Who will be late whenever it comes back comes when there is less to
         do, and not all of them at once.
         """
-        retry_s = min(_LONGEST_RETRY_S, max(LEAST_RETRY_S, 2 * wait_s))
-        will_be_late = now + LEAST_RETRY_S > job.due_at
+        retry_s = min(_LONGEST_RETRY_S, max(_LEAST_RETRY_S, 2 * wait_s))
+        will_be_late = now + _LEAST_RETRY_S > job.due_at
         if not will_be_late or not self._switches.late_returns:
             return retry_s
         longer_s = self._rng.uniform(_LATE_RETRY_S, _LONGEST_RETRY_S)
--- a/packages/dispatch/src/tallyhall_dispatch/retries.py
+++ b/packages/dispatch/src/tallyhall_dispatch/retries.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-
 import msgspec
 
 from .windows import SlidingSum
--- a/packages/edge/src/tallyhall_edge/events.py
+++ b/packages/edge/src/tallyhall_edge/events.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-
 _ID_FIELD = b'id:'
 _SEPARATOR = b'\n\n'
 # An event larger than this is no event; bytes.
--- a/packages/edge/src/tallyhall_edge/relay.py
+++ b/packages/edge/src/tallyhall_edge/relay.py
@@ -60,7 +60,8 @@
         self._passing = False
         self._started_at = loop.time()
         self._first_at: float | None = None
-        self._last_at: float = 0
+        # When the newest event came, 0 before the first.
+        self.last_at: float = 0
         self._events = 0
         # The longest pause between two events, and how many came before it.
         self._pause_s: float = 0
@@ -79,7 +80,7 @@
         stream_s: float = 0
         if self._first_at is not None:
             first_s = self._first_at - self._started_at
-            stream_s = self._last_at - self._first_at
+            stream_s = self.last_at - self._first_at
         return RunReport(
             ending,
             now - self._started_at,
@@ -192,10 +193,10 @@
             self.begun.set()
             if self.on_first is not None:
                 self.on_first()
-        elif now - self._last_at > self._pause_s:
-            self._pause_s = now - self._last_at
+        elif now - self.last_at > self._pause_s:
+            self._pause_s = now - self.last_at
             self._pause_after = self._events
-        self._last_at = now
+        self.last_at = now
         self._events += 1
         if event.number is not None:
             self.last_event = event.number
--- /dev/null
+++ b/packages/edge/src/tallyhall_edge/request_log.py
@@ -0,0 +1,190 @@
+"""What is logged and counted of each request."""
+
+from __future__ import annotations
+
+import msgspec
+from tallyhall_core.events import Event
+from tallyhall_core.refusals import Refusal, RefusedError
+from tallyhall_dispatch.desired import Upstream
+from tallyhall_dispatch.gate import Admitted, OverQuotaError
+from tallyhall_dispatch.jobs import Ending, Grant, RunReport
+
+from .dialect import CallInfo
+from .lateness import lateness
+from .scheduling import GivenUpError
+from .telemetry import Telemetry
+from .visit import ANSWERED, Visit
+
+_MILLI = 1000
+
+
+class RequestLog:
+    """Tells of requests by their ids."""
+
+    def __init__(self, telemetry: Telemetry) -> None:
+        """Tell it to this."""
+        self._telemetry = telemetry
+
+    def admitted(
+        self,
+        call: CallInfo,
+        admitted: Admitted,
+        confirmed_s_ago: float | None,
+    ) -> None:
+        """Log an admission and what decided it."""
+        workspace = admitted.workspace
+        self._telemetry.event(
+            Event.admitted,
+            served=True,
+            request=call.id_text,
+            route=admitted.route.name,
+            workspace=None if workspace is None else workspace.name,
+            service=admitted.service,
+            version=admitted.version,
+            confirmed_ms_ago=_millis(confirmed_s_ago),
+            tokens=call.prompt_tokens + call.output_tokens,
+            over_quota_s=admitted.over_quota_s,
+            **_quota_inputs(admitted),
+        )
+
+    def permitted(self, visit: Visit, grant: Grant) -> None:
+        """Log where a request is sent."""
+        self._telemetry.event(
+            Event.permitted,
+            served=True,
+            request=visit.request_id,
+            upstream=grant.upstream.incarnation,
+            by=grant.by,
+            waited_ms=_millis(grant.waited_s),
+            send=visit.sends,
+            after_event=visit.last_event,
+        )
+
+    def send_ended(
+        self,
+        visit: Visit,
+        upstream: Upstream,
+        report: RunReport,
+    ) -> None:
+        """Log how a send ended, beside what was forecast of it."""
+        self._telemetry.event(
+            Event.send_ended,
+            served=report.ending is Ending.answered,
+            request=visit.request_id,
+            upstream=upstream.incarnation,
+            ending=report.ending.value,
+            first_ms=_millis(report.first_s),
+            forecast_ms=_millis(visit.forecast_s),
+            events=report.events,
+            pause_ms=_millis(report.pause_s),
+            pause_after=report.pause_after,
+            total_ms=_millis(report.total_s),
+        )
+
+    def budget_binds(self, visit: Visit) -> None:
+        """Log that a request is not sent again, for the retry budget."""
+        self._telemetry.event(
+            Event.budget_binds,
+            request=visit.request_id,
+            service=visit.admitted.service,
+        )
+
+    def caller_left(self, visit: Visit) -> None:
+        """Log that nobody waits for an answer any more."""
+        self._telemetry.event(
+            Event.caller_left,
+            request=visit.request_id,
+            sends=visit.sends,
+            begun=visit.exchange.started,
+        )
+
+    def refused(
+        self,
+        request_id: str,
+        refusal: Refusal,
+        cause: RefusedError | None = None,
+    ) -> None:
+        """Log a refusal, and what decided it where that is known."""
+        self._telemetry.event(
+            Event.refused,
+            request=request_id,
+            reason=refusal.reason.value,
+            detail=refusal.detail,
+            retry_after=refusal.retry_after,
+            **_refusal_inputs(cause),
+        )
+
+    def ended(self, visit: Visit, now: float) -> None:
+        """Log and count the end of a request."""
+        total_s = now - visit.exchange.received_at
+        self._telemetry.ended(
+            visit.outcome,
+            total_s,
+            visit.admitted.route.kind.value,
+        )
+        served = visit.outcome == ANSWERED
+        # Without the lines before it, this one still tells what decided.
+        inputs = _late_inputs(visit, now) if served else _inputs(visit)
+        self._telemetry.event(
+            Event.finished,
+            served=served,
+            request=visit.request_id,
+            outcome=visit.outcome,
+            total_ms=_millis(total_s),
+            sends=visit.sends,
+            **inputs,
+        )
+
+
+def _inputs(visit: Visit) -> dict[str, object]:
+    admitted = visit.admitted
+    workspace = admitted.workspace
+    return {
+        'route': admitted.route.name,
+        'workspace': None if workspace is None else workspace.name,
+        'service': admitted.service,
+        'version': admitted.version,
+        'tried': sorted(visit.excluded),
+        'may_have_run': visit.may_have_run,
+        'begun': visit.begun,
+        'since_first_ms': _millis(visit.since_first_s),
+        'waited_ms': _millis(visit.all_waits_s),
+        'limit_ms': _millis(visit.end_at - visit.exchange.received_at),
+    }
+
+
+def _late_inputs(visit: Visit, now: float) -> dict[str, object]:
+    late = lateness(visit, now)
+    if late is None:
+        return {}
+    return {'route': visit.admitted.route.name, **msgspec.structs.asdict(late)}
+
+
+def _refusal_inputs(cause: RefusedError | None) -> dict[str, object]:
+    if isinstance(cause, OverQuotaError):
+        return _quota_inputs(cause)
+    if isinstance(cause, GivenUpError):
+        outlook = cause.outlook
+        return {
+            'ahead': outlook.ahead,
+            'wait_ms': _millis(outlook.wait_s),
+            'rate': round(outlook.rate, 1),
+            'free': outlook.free,
+        }
+    return {}
+
+
+def _quota_inputs(decided: Admitted | OverQuotaError) -> dict[str, object]:
+    seen = decided.seen
+    if seen is None:
+        return {}
+    return {
+        'used': round(seen.used),
+        'limit': round(seen.limit),
+        'heard': round(seen.heard, 3),
+        'known_ms_ago': _millis(seen.known_s_ago),
+    }
+
+
+def _millis(span_s: float | None) -> int | None:
+    return None if span_s is None else round(span_s * _MILLI)
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -26,6 +26,9 @@
 _TURN_S = 0.5
 # The least chance in a draw, so that one has a place within 2 s on the average.
 _LEAST_PART = 0.25
+# Told to callers of a service that the desired state does not name, in seconds;
+# the next state may.
+_NO_SERVICE_RETRY_S = 1.0
 
 
 class Scheduler(Protocol):
@@ -47,15 +50,10 @@
 class Origin(Protocol):
     """Where a job came from."""
 
-    def granted(
-        self,
-        key: str,
-        upstream: Upstream,
-        forecast_s: float,
-    ) -> None:
+    def granted(self, granted: Granted) -> None:
         """Hear that a job may be sent, and when an answer is expected."""
 
-    def given_up(self, key: str, retry_after_s: float) -> None:
+    def given_up(self, given_up: GivenUp) -> None:
         """Hear that a job cannot be answered in time."""
 
 
@@ -119,7 +117,7 @@
         """Queue a job; the origin hears of it, maybe before this returns."""
         pool = self._pools.get(job.service)
         if pool is None:
-            origin.given_up(job.key, 1)
+            origin.given_up(GivenUp(job.key, _NO_SERVICE_RETRY_S))
             return
         self._origins[job.key] = origin
         pool.ask(job)
@@ -210,13 +208,9 @@
             if origin is None:
                 continue
             if isinstance(decision, Granted):
-                origin.granted(
-                    decision.key,
-                    decision.upstream,
-                    decision.forecast_s,
-                )
+                origin.granted(decision)
             elif isinstance(decision, GivenUp):
-                origin.given_up(decision.key, decision.retry_after_s)
+                origin.given_up(decision)
         if pool.waiting and self._timer is None:
             self._timer = self._loop.call_later(_LOOK_S, self._look)
 
@@ -227,10 +221,14 @@
                 self._pump(pool)
 
 
-def given_up_error(retry_after_s: float) -> RefusedError:
-    """Return the refusal of a job that cannot be answered in time."""
-    refusal = Refusal.of(
-        Reason.deadline_unreachable,
-        retry_after=retry_after_s,
-    )
-    return RefusedError(refusal)
+class GivenUpError(RefusedError):
+    """A job cannot be answered in time."""
+
+    def __init__(self, given_up: GivenUp) -> None:
+        """Keep when to return, and what was foreseen."""
+        refusal = Refusal.of(
+            Reason.deadline_unreachable,
+            retry_after=given_up.retry_after_s,
+        )
+        super().__init__(refusal)
+        self.outlook = given_up.outlook
--- /dev/null
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -0,0 +1,235 @@
+"""One send of a request to an upstream, and whether another one may follow.
+
+What must not run twice is written to one upstream, and written again only if
+that upstream says that it did not run it or nothing was written at all.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from tallyhall_core.refusals import Reason, Refusal, RefusedError
+from tallyhall_dispatch.desired import RouteKind, Upstream
+from tallyhall_dispatch.gate import Gate
+from tallyhall_dispatch.jobs import Ending, Job, RunReport
+from tallyhall_dispatch.switches import Switches
+
+from .connections import ConnectionPool
+from .dialect import Dialect, SendInfo
+from .errors import NotSentError
+from .messages import head_bytes
+from .relay import Relay
+from .request_log import RequestLog
+from .scheduling import Scheduler
+from .visit import Visit
+
+# A kept connection may have died unnoticed. What may be sent again uses any
+# that is kept; what may not uses only one that worked a moment ago. Seconds.
+_IDLE_REPEATABLE_S = 10.0
+_IDLE_ONCE_S = 1.0
+# Sends of one request at the most, with those that upstreams rejected.
+_MOST_SENDS = 4
+# An answer that has not begun after this part of its objective is taken as
+# lost, so that another upstream can still be in time; longer by the time that
+# a slow engine with others ahead needs for each token of the prompt.
+_SILENCE_PART = 0.65
+_SLOW_TOKEN_S = 0.00006
+# A request that waited longer for its place met full engines; asking an owner
+# takes 3 ms.
+_LOADED_WAIT_S = 0.03
+
+_SAFE_TO_RESEND = frozenset(
+    (Ending.rejected, Ending.misplaced, Ending.unsent),
+)
+
+
+class Sending:
+    """Sends requests of one instance to upstreams."""
+
+    def __init__(
+        self,
+        gate: Gate,
+        scheduler: Scheduler,
+        conns: ConnectionPool,
+        dialect: Dialect,
+        log: RequestLog,
+        switches: Switches,
+    ) -> None:
+        """Send over these connections."""
+        self._gate = gate
+        self._scheduler = scheduler
+        self._conns = conns
+        self._dialect = dialect
+        self._log = log
+        self._switches = switches
+        self._loop = asyncio.get_running_loop()
+
+    async def send(
+        self,
+        visit: Visit,
+        job: Job,
+        upstream: Upstream,
+    ) -> tuple[Ending, Relay]:
+        """Return how the send ended, and its answer."""
+        relay = self._relay(visit, job)
+        visit.relay = relay
+        ending = Ending.left
+        try:
+            ending = await self._exchange(visit, upstream, relay)
+        except NotSentError:
+            ending = Ending.unsent
+        finally:
+            # Before an answer of this instance's own is written.
+            visit.begun = visit.exchange.started
+            # What ended before the wait for it was broken off has ended.
+            report = relay.report(relay.ending or ending)
+            self._scheduler.finish(job, upstream, report)
+            self._note_end(visit, upstream, report)
+        return report.ending, relay
+
+    def may_send_again(self, visit: Visit, ending: Ending) -> bool:
+        """Return whether a request may be sent once more; spend its budget."""
+        if visit.sends >= _MOST_SENDS:
+            return False
+        if ending in _SAFE_TO_RESEND:
+            # What did not arrive anywhere costs no budget.
+            if ending is Ending.unsent:
+                return True
+            return self._spend(visit)
+        route = visit.admitted.route
+        if not route.repeatable or visit.may_have_run >= route.attempts:
+            return False
+        if visit.exchange.started and not route.resumable:
+            return False
+        return self._spend(visit)
+
+    # -- steps
+
+    def _note_end(
+        self,
+        visit: Visit,
+        upstream: Upstream,
+        report: RunReport,
+    ) -> None:
+        visit.pause_s = max(visit.pause_s, report.pause_s)
+        self._log.send_ended(visit, upstream, report)
+
+    def _relay(self, visit: Visit, job: Job) -> Relay:
+        streaming = visit.admitted.route.kind is RouteKind.streaming
+        relay = Relay(
+            visit.exchange,
+            self._dialect,
+            visit.last_event,
+            streaming=streaming,
+        )
+        earlier = visit.relay
+
+        def on_first() -> None:  # noqa: WPS430  (of this relay and no other)
+            self._scheduler.first_byte(job)
+            if earlier is not None and earlier.last_at:
+                pause_s = self._loop.time() - earlier.last_at
+                visit.resumed_pause_s = max(visit.resumed_pause_s, pause_s)
+
+        relay.on_first = on_first
+        return relay
+
+    async def _exchange(
+        self,
+        visit: Visit,
+        upstream: Upstream,
+        relay: Relay,
+    ) -> Ending:
+        repeatable = visit.admitted.route.repeatable
+        idle_s = _IDLE_REPEATABLE_S if repeatable else _IDLE_ONCE_S
+        conn = await self._conns.take(upstream, idle_s)
+        try:
+            # A connection takes up to 0.3 s, and the upstream may leave
+            # meanwhile.
+            if not self._scheduler.is_usable(upstream):
+                conn.close()
+                raise NotSentError('the upstream has left')
+            if not self._gate.still_holds(visit.admitted, self._loop.time()):
+                refusal = Refusal.of(Reason.state_not_confirmed, retry_after=1)
+                raise RefusedError(refusal)
+            relay.bind(conn)
+            conn.send(
+                self._request(visit, upstream),
+                relay,
+                visit.call.request_id,
+            )
+            visit.may_have_run += 1
+            ending = await self._answer(visit, relay)
+        finally:
+            visit.exchange.on_writable = None
+            self._conns.give_back(upstream, conn)
+        if ending in _SAFE_TO_RESEND:
+            visit.may_have_run -= 1
+        return ending
+
+    async def _answer(self, visit: Visit, relay: Relay) -> Ending:
+        """Wait for the end of an answer, or for one that never begins.
+
+        An upstream may hang, or lose the answer of a request that it ran. A
+        request that may run again goes elsewhere then, if the retry budget
+        bears it; otherwise waiting on is the better chance.
+
+        After a standstill one turn of the loop reads an answer and finds the
+        timer due, so what counts is whether it has begun, not the timer.
+        """
+        if not self._takes_silence_as_loss(visit):
+            return await relay.done
+        try:
+            async with asyncio.timeout(self._patience_s(visit)):
+                await relay.begun.wait()
+        except TimeoutError:
+            silent = not relay.begun.is_set()
+            if silent and self._spend(visit):
+                visit.repeat_paid = True
+                return Ending.unknown
+        return await relay.done
+
+    def _takes_silence_as_loss(self, visit: Visit) -> bool:
+        """Return whether a request may go elsewhere if no answer begins.
+
+        Where requests wait for places, silence is more likely the load.
+        """
+        route = visit.admitted.route
+        if not self._switches.silence or not route.repeatable:
+            return False
+        if visit.may_have_run >= route.attempts:
+            return False
+        return visit.waited_s <= _LOADED_WAIT_S
+
+    def _patience_s(self, visit: Visit) -> float:
+        objective_s = visit.admitted.route.objective_s
+        reading_s = visit.call.prompt_tokens * _SLOW_TOKEN_S
+        return _SILENCE_PART * objective_s + reading_s
+
+    def _request(self, visit: Visit, upstream: Upstream) -> bytes:
+        exchange = visit.exchange
+        workspace = visit.admitted.workspace
+        resumes = visit.last_event != visit.call.last_event
+        info = SendInfo(
+            visit.end_at - self._loop.time(),
+            upstream.name,
+            None if workspace is None else workspace.name,
+            visit.last_event if resumes else None,
+        )
+        head = exchange.head
+        headers = self._dialect.upstream_headers(
+            head,
+            len(exchange.body),
+            info,
+        )
+        line = b'%b %b HTTP/1.1' % (head.method, head.target)
+        return head_bytes(line, headers) + exchange.body
+
+    def _spend(self, visit: Visit) -> bool:
+        if visit.repeat_paid:
+            visit.repeat_paid = False
+            return True
+        service = visit.admitted.service
+        allowed = self._gate.may_repeat(service, self._loop.time())
+        if not allowed:
+            self._log.budget_binds(visit)
+        return allowed
--- a/packages/edge/src/tallyhall_edge/server.py
+++ b/packages/edge/src/tallyhall_edge/server.py
@@ -78,6 +78,8 @@
         self.body = body
         self.received_at = received_at
         self.started = False
+        # When the first byte was written, None before.
+        self.started_at: float | None = None
         self.ended = False
         self.keep_alive = True
         self.on_writable: Callable[[bool], None] | None = None
@@ -95,6 +97,7 @@
         if self._is_over('start'):
             return
         self.started = True
+        self.started_at = asyncio.get_running_loop().time()
         framing: list[tuple[bytes, bytes]] = []
         if length is None and self._conn.speaks_chunks:
             self._chunked = True
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -22,9 +22,10 @@
 from tallyhall_dispatch.quota import Fleet, QuotaBounds
 from tallyhall_dispatch.retries import RetryLimits
 from tallyhall_edge.connections import ConnectionPool
-from tallyhall_edge.runner import Runner, Stop
+from tallyhall_edge.runner import Runner
 from tallyhall_edge.scheduling import Dispatcher
 from tallyhall_edge.server import HttpServer, Respond, ServerLimits
+from tallyhall_edge.stopping import Stop
 from tallyhall_platform.absence import Absence
 from tallyhall_platform.dialect import PlatformDialect
 from tallyhall_platform.entries import InstanceEntry
--- a/packages/entry/src/tallyhall_entry/neighbours.py
+++ b/packages/entry/src/tallyhall_entry/neighbours.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-
 import msgspec
 from tallyhall_dispatch.topology import Topology, is_mesh
 from tallyhall_transport.peers import Peer, PeerLinks
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -23,11 +23,15 @@
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.jobs import Ending, Grant, Job, RunReport
 from tallyhall_dispatch.ownership import Ownership
-from tallyhall_edge.scheduling import Dispatcher, given_up_error
+from tallyhall_dispatch.pool import Granted
+from tallyhall_dispatch.refusing import GivenUp
+from tallyhall_edge.scheduling import Dispatcher, GivenUpError
 from tallyhall_transport.peer_codec import (
     decode_done,
+    decode_give_up,
     decode_job,
     fill_done,
+    fill_give_up,
     fill_job,
 )
 from tallyhall_transport.peers import Peer, PeerLinks
@@ -89,27 +93,19 @@
         self._links = links
         self._peer = peer
 
-    def granted(
-        self,
-        key: str,
-        upstream: Upstream,
-        forecast_s: float,
-    ) -> None:
+    def granted(self, granted: Granted) -> None:
         batch = self._links.outgoing(self._peer, urgent=True)
         if batch is not None:
             batch.grants.add(
-                key=key,
-                upstream=upstream.incarnation,
-                forecast_ms=int(forecast_s * _MILLI),
+                key=granted.key,
+                upstream=granted.upstream.incarnation,
+                forecast_ms=int(granted.forecast_s * _MILLI),
             )
 
-    def given_up(self, key: str, retry_after_s: float) -> None:
+    def given_up(self, given_up: GivenUp) -> None:
         batch = self._links.outgoing(self._peer, urgent=True)
         if batch is not None:
-            batch.give_ups.add(
-                key=key,
-                retry_after_ms=int(retry_after_s * _MILLI),
-            )
+            fill_give_up(batch.give_ups.add(), given_up)
 
 
 class SharedScheduler:
@@ -233,18 +229,14 @@
 
     # -- an `Origin`, for jobs that this instance decides itself
 
-    def granted(
-        self,
-        key: str,
-        upstream: Upstream,
-        forecast_s: float,
-    ) -> None:
+    def granted(self, granted: Granted) -> None:
         """Hear that a job may be sent, and when an answer is expected."""
-        ticket = self._tickets.get(key)
+        ticket = self._tickets.get(granted.key)
+        upstream = granted.upstream
         if ticket is None or ticket.fut.done():
             report = RunReport(Ending.left, 0)
             self._dispatcher.finish(
-                key,
+                granted.key,
                 upstream.service,
                 upstream.incarnation,
                 report,
@@ -252,15 +244,15 @@
             return
         _stop_timer(ticket)
         ticket.upstream = upstream
-        ticket.forecast_s = forecast_s
+        ticket.forecast_s = granted.forecast_s
         ticket.fut.set_result(upstream)
 
-    def given_up(self, key: str, retry_after_s: float) -> None:
+    def given_up(self, given_up: GivenUp) -> None:
         """Hear that a job cannot be answered in time."""
-        ticket = self._tickets.get(key)
+        ticket = self._tickets.get(given_up.key)
         if ticket is not None and not ticket.fut.done():
             _stop_timer(ticket)
-            ticket.fut.set_exception(given_up_error(retry_after_s))
+            ticket.fut.set_exception(GivenUpError(given_up))
 
     def tick(self) -> None:
         """Look who is live, and move jobs to the owners of now."""
@@ -309,7 +301,7 @@
         for give_up in batch.give_ups:
             ticket = self._tickets.get(give_up.key)
             if ticket is not None and ticket.owner == peer:
-                self.given_up(give_up.key, give_up.retry_after_ms / _MILLI)
+                self.given_up(decode_give_up(give_up))
 
     def _take_grant(self, peer: str, grant: peers_pb2.Grant) -> None:
         key = grant.key
@@ -326,7 +318,7 @@
             return
         ticket.told.add(peer)
         self._dispatcher.note_running(ticket.job, incarnation)
-        self.granted(key, upstream, grant.forecast_ms / _MILLI)
+        self.granted(Granted(key, upstream, grant.forecast_ms / _MILLI))
 
     def _refuse_grant(self, peer: str, key: str, incarnation: str) -> None:
         service = self._dispatcher.service_of(incarnation)
--- a/packages/gateway/src/tallyhall_gateway/calls.py
+++ b/packages/gateway/src/tallyhall_gateway/calls.py
@@ -18,7 +18,6 @@
 from tallyhall_node.actions import RequestSpec
 from tallyhall_table.model import MAX_DEADLINE_S, LimitRow, Table
 
-
 BLOCK_CHARS = 256
 CHARS_A_TOKEN = 4
 MAX_BLOCKS = 48
--- a/packages/node/src/tallyhall_node/node.py
+++ b/packages/node/src/tallyhall_node/node.py
@@ -31,8 +31,8 @@
     Withdraw,
 )
 from tallyhall_core.refusals import Reason, Refusal
-from tallyhall_membership import rendezvous
 from tallyhall_membership import assignment as assignments
+from tallyhall_membership import rendezvous
 from tallyhall_membership.shared import ASSIGNMENT, INSTANCES, TABLE
 
 from .actions import (
--- a/packages/node/src/tallyhall_node/owner.py
+++ b/packages/node/src/tallyhall_node/owner.py
@@ -10,8 +10,8 @@
 import dataclasses
 
 from tallyhall_admission import memory
-from tallyhall_admission.policy import make_policy
 from tallyhall_admission.outgoing import Outgoing
+from tallyhall_admission.policy import make_policy
 from tallyhall_admission.pool import Pool, PoolCounts
 from tallyhall_core.events import Event
 from tallyhall_core.ids import RequestId
--- a/packages/transport/src/tallyhall_transport/peer_codec.py
+++ b/packages/transport/src/tallyhall_transport/peer_codec.py
@@ -12,12 +12,15 @@
 from typing import TYPE_CHECKING
 
 from tallyhall_dispatch.jobs import Ending, Job, RunReport
+from tallyhall_dispatch.refusing import GivenUp, Outlook
 
 if TYPE_CHECKING:
     from .generated import peers_pb2
 
 _MILLI = 1000
 _NO_FIRST = -1
+# A longer wait is told as an hour, in milliseconds.
+_LONGEST_MS = 3_600_000
 
 
 def fill_job(ask: peers_pb2.Ask, job: Job, now: float) -> None:
@@ -53,6 +56,31 @@
     )
 
 
+def fill_give_up(give_up: peers_pb2.GiveUp, given_up: GivenUp) -> None:
+    """Write that a job cannot be answered in time."""
+    give_up.key = given_up.key
+    give_up.retry_after_ms = int(given_up.retry_after_s * _MILLI)
+    outlook = given_up.outlook
+    give_up.wait_ms = min(_LONGEST_MS, int(outlook.wait_s * _MILLI))
+    give_up.ahead = outlook.ahead
+    give_up.rate = outlook.rate
+    give_up.free = outlook.free
+
+
+def decode_give_up(give_up: peers_pb2.GiveUp) -> GivenUp:
+    """Return what another instance decided."""
+    return GivenUp(
+        give_up.key,
+        give_up.retry_after_ms / _MILLI,
+        Outlook(
+            give_up.ahead,
+            give_up.wait_ms / _MILLI,
+            give_up.rate,
+            give_up.free,
+        ),
+    )
+
+
 def fill_done(
     done: peers_pb2.Done,
     key: str,
--- a/tests/platform/test_decisions.py
+++ b/tests/platform/test_decisions.py
@@ -10,8 +10,8 @@
 from tallyhall_dispatch.jobs import Ending, Job, RunReport
 from tallyhall_dispatch.ownership import Ownership
 from tallyhall_dispatch.pool import Granted, ServicePool
-from tallyhall_dispatch.refusing import GivenUp
 from tallyhall_dispatch.quota import Fleet, QuotaBounds, Quotas, Written
+from tallyhall_dispatch.refusing import GivenUp
 from tallyhall_dispatch.retries import RetryBudget, RetryLimits
 from tallyhall_dispatch.windows import SlidingSum
 from tallyhall_edge.events import BadEventError, EventSplitter
--- a/tests/platform/test_late_writes.py
+++ b/tests/platform/test_late_writes.py
@@ -26,8 +26,8 @@
 
 from tallyhall_dispatch.options import Listening
 from tallyhall_dispatch.quota import Written
-from tallyhall_platform.errors import StoreError, StoreUnavailableError
 from tallyhall_platform.entries import InstanceEntry
+from tallyhall_platform.errors import StoreError, StoreUnavailableError
 from tallyhall_platform.registry import Registration
 from tallyhall_platform.store import StoreClient
 from tallyhall_standins.platform_store import StoreStandIn
--- /dev/null
+++ b/tests/platform/test_lateness.py
@@ -0,0 +1,107 @@
+"""What made an answer late is told in parts, and travels between instances."""
+
+from __future__ import annotations
+
+import types
+from typing import Any, cast
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from tallyhall_dispatch.desired import Route, RouteKind
+from tallyhall_dispatch.jobs import Grant
+from tallyhall_dispatch.refusing import GivenUp, Outlook
+from tallyhall_edge.lateness import lateness
+from tallyhall_edge.visit import Visit, note_send
+from tallyhall_transport.generated import peers_pb2
+from tallyhall_transport.peer_codec import decode_give_up, fill_give_up
+
+_OBJECTIVE_S = 0.5
+_ROUTE = Route(
+    name='chat',
+    host='h',
+    prefix='/',
+    kind=RouteKind.streaming,
+    targets=(),
+    timeout_s=10,
+    objective_s=_OBJECTIVE_S,
+    priority=0,
+    attempts=1,
+    public=False,
+    sticky=False,
+    resumable=True,
+    gap_s=0.25,
+)
+
+
+def _visit(begun_at: float | None, **fields: Any) -> Visit:
+    exchange: Any = types.SimpleNamespace(started_at=begun_at, received_at=10)
+    admitted: Any = types.SimpleNamespace(route=_ROUTE)
+    call = cast('Any', None)
+    return Visit(exchange, call, admitted, 20, None, **fields)
+
+
+def _sent(visit: Visit, waited_s: float, forecast_s: float, at: float) -> None:
+    note_send(visit, Grant(cast('Any', None), 'x', waited_s, forecast_s), at)
+
+
+def test_an_answer_that_began_in_time_is_not_late() -> None:
+    assert lateness(_visit(10 + _OBJECTIVE_S), 12) is None
+
+
+def test_the_parts_of_the_way_add_up_to_it() -> None:
+    visit = _visit(11.5, since_first_s=0.4)
+    _sent(visit, 0.2, 0.1, 10.2)
+    _sent(visit, 0.3, 0.1, 11.0)
+    late = lateness(visit, 13)
+    assert late is not None
+    assert late.late_ms == 1400
+    assert late.since_first_ms == 400
+    assert late.waited_ms == 500
+    assert late.resent_ms == 500
+    assert (late.first_ms, late.forecast_ms) == (500, 100)
+
+
+def test_what_was_held_begins_when_it_ends() -> None:
+    visit = _visit(None)
+    _sent(visit, 0, 0.1, 10)
+    late = lateness(visit, 11)
+    assert late is not None
+    assert (late.late_ms, late.first_ms) == (500, 1000)
+
+
+@pytest.mark.parametrize('resumed', [False, True])
+def test_a_pause_alone_makes_late(*, resumed: bool) -> None:
+    name = 'resumed_pause_s' if resumed else 'pause_s'
+    visit = _visit(10.1, **{name: 0.3})
+    _sent(visit, 0, 0.1, 10)
+    late = lateness(visit, 13)
+    assert late is not None
+    assert (late.late_ms, late.pause_ms, late.pause_aim_ms) == (0, 300, 250)
+    assert late.is_resumed is resumed
+
+
+@given(
+    st.floats(0.001, 3),
+    st.integers(0, 1000),
+    st.floats(0, 1e9),
+    st.floats(0, 10_000, width=32),
+    st.integers(0, 6000),
+)
+def test_an_outlook_is_told_to_other_instances(
+    retry_s: float,
+    ahead: int,
+    wait_s: float,
+    rate: float,
+    free: int,
+) -> None:
+    message = peers_pb2.GiveUp()
+    told = GivenUp('one/1', retry_s, Outlook(ahead, wait_s, rate, free))
+    fill_give_up(message, told)
+    sent = message.SerializeToString()
+    heard = decode_give_up(peers_pb2.GiveUp.FromString(sent))
+    assert heard.key == told.key
+    assert heard.retry_after_s == pytest.approx(retry_s, abs=0.001)
+    outlook = heard.outlook
+    assert (outlook.ahead, outlook.rate, outlook.free) == (ahead, rate, free)
+    assert outlook.wait_s == pytest.approx(min(wait_s, 3600), abs=0.001)
--- /dev/null
+++ b/tests/platform/test_losses.py
@@ -0,0 +1,188 @@
+"""What was late or not served is found in log lines, each once."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import subprocess
+import sys
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+from tallyhall_core.events import Event
+from tallyhall_entry.losses import Cause, losses
+
+_LATE = {
+    'late_ms': 120,
+    'since_first_ms': 0,
+    'waited_ms': 10,
+    'resent_ms': 0,
+    'first_ms': 60,
+    'forecast_ms': 50,
+    'pause_ms': 20,
+    'pause_aim_ms': 250,
+    'is_resumed': False,
+}
+
+
+def _line(
+    event: Event,
+    at_s: float = 0,
+    instance: str = 'one',
+    **fields: Any,
+) -> str:
+    return json.dumps(
+        {
+            'time': f'2026-01-01T00:00:{at_s:09.6f}+00:00',
+            'level': 'INFO',
+            'event': event.name,
+            'number': int(event),
+            'instance': instance,
+            **fields,
+        },
+    )
+
+
+def _visit(request: str, at_s: float, outcome: str, **fields: Any) -> list[str]:
+    return [
+        _line(Event.admitted, at_s, request=request, route='chat'),
+        _line(
+            Event.finished,
+            at_s + 0.1,
+            request=request,
+            outcome=outcome,
+            **fields,
+        ),
+    ]
+
+
+def _cause(*lines: str) -> Cause | None:
+    found = losses(lines).lost
+    assert len(found) <= 1
+    return found[0].cause if found else None
+
+
+def test_what_was_answered_in_time_is_not_lost() -> None:
+    found = losses(_visit('a', 0, 'answered'))
+    assert (found.lost, found.seen, found.open) == ((), 1, 0)
+
+
+def test_a_late_answer_has_its_longest_part_as_the_cause() -> None:
+    for part, cause in (
+        ('since_first_ms', Cause.came_back),
+        ('waited_ms', Cause.waited),
+        ('resent_ms', Cause.resent),
+        ('first_ms', Cause.unforeseen),
+    ):
+        late = _LATE | {part: 900}
+        assert _cause(*_visit('a', 0, 'answered', **late)) is cause
+    foreseen = _LATE | {'first_ms': 900, 'forecast_ms': 800}
+    assert _cause(*_visit('a', 0, 'answered', **foreseen)) is Cause.foreseen
+
+
+def test_an_answer_that_began_in_time_was_late_by_a_pause() -> None:
+    late = _LATE | {'late_ms': 0, 'pause_ms': 300}
+    assert _cause(*_visit('a', 0, 'answered', **late)) is Cause.paused
+    late |= {'is_resumed': True}
+    assert _cause(*_visit('a', 0, 'answered', **late)) is Cause.resent
+
+
+def test_what_was_refused_says_whether_its_caller_had_come_back() -> None:
+    refused = 'deadline_unreachable'
+    assert _cause(*_visit('a', 0, refused)) is Cause.refused
+    again = _visit('a', 0, refused, since_first_ms=700)
+    assert _cause(*again) is Cause.refused_again
+    entry = _line(Event.refused, request='a', reason='unknown_key')
+    assert _cause(entry) is Cause.not_allowed
+
+
+def test_what_may_have_run_was_failed_by_upstreams() -> None:
+    failed = _visit('a', 0, 'upstream_error', may_have_run=1)
+    assert _cause(*failed) is Cause.failed
+    assert _cause(*_visit('a', 0, 'caller_left')) is Cause.caller_left
+
+
+def test_what_ends_with_its_instance_is_lost_with_it() -> None:
+    begun = _line(Event.admitted, 1, request='a', route='chat')
+    assert losses([begun]).open == 1
+    silent = _line(Event.admitted, 9, 'two', request='b', route='chat')
+    found = losses([begun, silent])
+    assert [loss.cause for loss in found.lost] == [Cause.instance_lost]
+    assert found.open == 1
+    assert _cause(begun, _line(Event.started, 2)) is Cause.instance_lost
+
+
+def test_callers_tell_of_requests_that_reached_no_instance() -> None:
+    found = losses(_visit('a', 0, 'answered'), ('a', 'b'))
+    assert [(one.request, one.cause) for one in found.lost] == [
+        ('b', Cause.unreached),
+    ]
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(
+                ('answered', 'late', 'deadline_unreachable', 'upstream_error'),
+            ),
+            st.floats(0, 30),
+            st.sampled_from(('chat', 'plan')),
+        ),
+        max_size=20,
+    ),
+)
+def test_sums_are_what_is_listed(drawn: list[tuple[str, float, str]]) -> None:
+    lines: list[str] = []
+    for number, (outcome, at_s, route) in enumerate(drawn):
+        late: dict[str, Any] = _LATE if outcome == 'late' else {}
+        ended = 'answered' if outcome == 'late' else outcome
+        lines += [
+            _line(Event.admitted, at_s, request=str(number), route=route),
+            _line(
+                Event.finished,
+                at_s,
+                request=str(number),
+                outcome=ended,
+                **late,
+            ),
+        ]
+    found = losses(lines)
+    expected = [one for one in drawn if one[0] != 'answered']
+    assert len(found.lost) == len(expected)
+    weights = {'plan': 3.0}
+    total = sum(weights.get(one[2], 1) for one in expected)
+    for rows in (found.table(weights), found.by_second(weights)):
+        assert sum(sum(row.values()) for row in rows.values()) == total
+
+
+def test_the_command_prints_tables_and_a_plot(tmp_path: pathlib.Path) -> None:
+    log = tmp_path / 'one.log'
+    log.write_text('\n'.join(_visit('a', 0, 'deadline_unreachable')) + '\n')
+    plot = tmp_path / 'lost.svg'
+    command = (
+        sys.executable,
+        '-m',
+        'tallyhall_daemon.main',
+        'losses',
+        str(log),
+        '--weight',
+        'chat=2.5',
+    )
+    told = subprocess.run(
+        (*command, '--plot', str(plot)),
+        capture_output=True,
+        text=True,
+        check=True,
+    ).stdout
+    assert '1 requests, 1 late or not served' in told
+    assert 'chat: 2.5' in told
+    assert plot.read_text().lstrip().startswith('<?xml')
+    wrong = subprocess.run(
+        (*command, '--plot', str(tmp_path / 'lost.none')),
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert wrong.returncode == 2
+    assert 'cannot be written' in wrong.stderr
--- a/tests/platform/test_shared.py
+++ b/tests/platform/test_shared.py
@@ -7,6 +7,8 @@
 import pytest
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.jobs import Job
+from tallyhall_dispatch.pool import Granted
+from tallyhall_dispatch.refusing import GivenUp
 from tallyhall_edge.scheduling import Dispatcher
 from tallyhall_entry import shared
 from tallyhall_platform.decode import decode_state
@@ -121,13 +123,8 @@
     def __init__(self) -> None:
         self.granted_keys: list[str] = []
 
-    def granted(
-        self,
-        key: str,
-        upstream: Upstream,
-        forecast_s: float,
-    ) -> None:
-        self.granted_keys.append(key)
+    def granted(self, granted: Granted) -> None:
+        self.granted_keys.append(granted.key)
 
-    def given_up(self, key: str, retry_after_s: float) -> None:
-        raise AssertionError(key)
+    def given_up(self, given_up: GivenUp) -> None:
+        raise AssertionError(given_up)
--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -26,8 +26,8 @@
 from tallyhall_dispatch.options import Listening
 from tallyhall_dispatch.quota import Written
 from tallyhall_platform.absence import Absence
-from tallyhall_platform.follow import Follower
 from tallyhall_platform.entries import InstanceEntry
+from tallyhall_platform.follow import Follower
 from tallyhall_platform.store import StoreClient
 from tallyhall_standins.platform_store import StoreStandIn
 
--- a/tests/unit/cluster.py
+++ b/tests/unit/cluster.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Callable
 
+from tallyhall_admission.settings import PoolSettings
 from tallyhall_core.ids import RequestId, new_incarnation
 from tallyhall_core.messages import MemberEntry, Message, SharedValue
 from tallyhall_core.refusals import Refusal
@@ -21,7 +22,6 @@
 from tallyhall_node import instances as lists
 from tallyhall_node.node import Node
 from tallyhall_node.settings import NodeSettings
-from tallyhall_admission.settings import PoolSettings
 
 from tests.unit import admission as build
 
--- a/tests/unit/gateway.py
+++ b/tests/unit/gateway.py
@@ -3,7 +3,6 @@
 import threading
 import time
 
-from waitress.server import create_server
 from tallyhall_bench.checks import expected_answer
 from tallyhall_bench.ports import free_ports
 from tallyhall_gateway.calls import CallerHeaders, model_call
@@ -15,6 +14,7 @@
 from tallyhall_standins.batch import EngineSpeed
 from tallyhall_standins.engine import EngineConfig, EngineStandIn
 from tallyhall_standins.web import RequestHandler, wsgi
+from waitress.server import create_server
 
 from tests.unit import admission as build
 
--- a/tests/unit/test_pool.py
+++ b/tests/unit/test_pool.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 import pytest
-
 from tallyhall_admission.pool import Pool
 from tallyhall_admission.upstream import UpstreamInfo
 from tallyhall_core.messages import Progress
