--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := core sources table membership admission node transport gateway \
 	dispatch edge platform entry \
-	client standins bench daemon
+	client standins bench emulator daemon
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 SOURCES := packages tests
 SEED ?= 1
--- a/packages/daemon/src/tallyhall_daemon/commands.py
+++ b/packages/daemon/src/tallyhall_daemon/commands.py
@@ -5,6 +5,7 @@
 from cleo.commands.command import Command
 
 from .command_bench import BenchCommand
+from .command_experiment import ExperimentCommand
 from .command_explain import ExplainCommand, LogsCommand
 from .command_losses import LossesCommand
 from .command_request import RequestCommand, StatusCommand
@@ -33,4 +34,5 @@
     ExplainCommand,
     LogsCommand,
     LossesCommand,
+    ExperimentCommand,
 )
--- a/packages/daemon/src/tallyhall_daemon/plots.py
+++ b/packages/daemon/src/tallyhall_daemon/plots.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import pathlib
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import matplotlib as mpl
 from matplotlib.figure import Figure
+from tallyhall_emulator.experiment import Experiment
 from tallyhall_entry.losses import Cause
 
 _WIDTH_IN = 9.0
@@ -45,3 +46,27 @@
     axes.set_ylabel('lost')
     axes.legend(fontsize='small')
     figure.savefig(path)
+
+
+def plot_gains(path: pathlib.Path, played: Sequence[Experiment]) -> None:
+    """Write what each mechanism is worth in benefit, with its interval.
+
+    Raise OSError or ValueError; the file's ending says the format.
+    """
+    figure = Figure(figsize=(_WIDTH_IN, _HEIGHT_IN), layout='constrained')
+    axes = figure.subplots()
+    for number, found in enumerate(played):
+        rows = found.compared[1:]
+        height = 1 / (len(played) + 1)
+        axes.barh(
+            [place + number * height for place in range(len(rows))],
+            [-row.gained['benefit'].mean for row in rows],
+            height,
+            xerr=[row.gained['benefit'].half for row in rows],
+            label=found.scenario,
+        )
+    names = [row.without for row in played[0].compared[1:]] if played else []
+    axes.set_yticks(range(len(names)), names)
+    axes.set_xlabel('benefit that it adds, part of what is owed')
+    axes.legend(fontsize='small')
+    figure.savefig(path)
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -11,9 +11,9 @@
 
 from tallyhall_core.refusals import Executed, Reason, Refusal, RefusedError
 from tallyhall_dispatch.callers import FirstTries
-from tallyhall_dispatch.desired import RouteKind
 from tallyhall_dispatch.gate import Admitted, Gate
 from tallyhall_dispatch.jobs import Ending, Grant, Job
+from tallyhall_dispatch.patience import longest_wait_s
 from tallyhall_dispatch.switches import ALL_ON, Switches
 
 from .connections import ConnectionPool
@@ -27,14 +27,6 @@
 from .telemetry import Telemetry
 from .visit import ANSWERED, Visit, note_send
 
-# Callers leave a stream after this long without an event: the longest of
-# 2 s, four objectives and eight of its longest pauses.
-_PATIENCE_S = 2.0
-_PATIENCE_OBJECTIVES = 4
-_PATIENCE_GAPS = 8
-# Part of a caller's patience after which a waiting request is given up: it
-# leaves the upstream time for the first event.
-_WAIT_PART = 0.7
 # Told to callers whose request an upstream turned away, in seconds.
 _FULL_RETRY_S = 0.3
 # A starting instance reads the desired state within 10 ms where the store
@@ -223,14 +215,7 @@
         route = visit.admitted.route
         call = visit.call
         received_at = visit.exchange.received_at
-        wait_s = _WAIT_PART * (visit.end_at - received_at)
-        if route.kind is RouteKind.streaming:
-            patience_s = max(
-                _PATIENCE_S,
-                _PATIENCE_OBJECTIVES * route.objective_s,
-                _PATIENCE_GAPS * route.gap_s,
-            )
-            wait_s = min(wait_s, _WAIT_PART * patience_s)
+        wait_s = longest_wait_s(route, visit.end_at - received_at)
         if visit.sends:
             received_at = self._loop.time()
         return Job(
--- /dev/null
+++ b/packages/emulator/src/tallyhall_emulator/callers.py
@@ -0,0 +1,240 @@
+"""Callers: each sends a request, and comes back when it is told to."""
+
+from __future__ import annotations
+
+import enum
+import itertools
+import random
+
+import msgspec
+import simpy
+from tallyhall_dispatch.callers import FirstTries
+from tallyhall_dispatch.desired import Route, RouteKind, Upstream
+from tallyhall_dispatch.jobs import Ending, Job, RunReport
+from tallyhall_dispatch.patience import longest_wait_s
+from tallyhall_dispatch.pool import Granted
+from tallyhall_dispatch.refusing import GivenUp
+from tallyhall_dispatch.retries import RetryBudget, RetryLimits
+from tallyhall_dispatch.switches import Switches
+
+from .arrivals import Arrival
+from .clock import Waiting
+from .engine import Run
+from .scenario import Fault, Kind, Scenario
+from .service import SERVICE, Service
+
+_ZONE = 'zone'
+# As deployments set it: a fifth of the requests of ten seconds, and 50.
+_RETRY_RATIO = 0.2
+_RETRY_ALLOWANCE = 50
+_RETRY_WINDOW_S = 10
+_AGAIN = frozenset((Ending.unsent, Ending.rejected))
+
+
+@enum.unique
+class Outcome(enum.Enum):
+    """What a caller got."""
+
+    in_time = 'in time'
+    late = 'late'
+    refused = 'refused'
+    refused_again = 'refused again'
+    failed = 'failed'
+
+
+class Served(msgspec.Struct, frozen=True):
+    """What became of one request; waited_s: for places, over all its tries."""
+
+    arrival: Arrival
+    outcome: Outcome
+    waited_s: float
+
+
+class Callers:
+    """All callers of one play."""
+
+    def __init__(
+        self,
+        env: simpy.Environment,
+        scenario: Scenario,
+        service: Service,
+        rng: random.Random,
+        switches: Switches,
+    ) -> None:
+        """Call this service."""
+        self.served: list[Served] = []
+        self._env = env
+        self._scenario = scenario
+        self._service = service
+        self._rng = rng
+        self._switches = switches
+        self._routes = {kind.name: _route(kind) for kind in scenario.kinds}
+        self._first_tries = FirstTries()
+        self._budget = RetryBudget(
+            RetryLimits(_RETRY_RATIO, _RETRY_ALLOWANCE, _RETRY_WINDOW_S),
+        )
+        self._keys = itertools.count()
+
+    def call(self, arrival: Arrival) -> Waiting[None]:
+        """Send one request until it is answered, refused or failed."""
+        yield self._env.timeout(arrival.at_s)
+        visit = _Visit(arrival, self._env.now)
+        outcome = yield from self._try(visit)
+        for _ in range(arrival.kind.returns):
+            if outcome is not Outcome.refused:
+                break
+            yield self._env.timeout(visit.retry_after_s)
+            if self._env.now >= visit.end_at:
+                break
+            outcome = yield from self._try(visit)
+            if outcome is Outcome.refused:
+                outcome = Outcome.refused_again
+        self.served.append(Served(arrival, outcome, visit.waited_s))
+
+    # -- one try
+
+    def _try(self, visit: _Visit) -> Waiting[Outcome]:
+        self._budget.request(self._env.now)
+        group = self._service.group_of(
+            self._rng.randrange(self._scenario.instances),
+        )
+        yield self._env.timeout(self._scenario.ask_s)
+        job = self._job(visit)
+        while True:
+            asked_at = self._env.now
+            decision: Granted | GivenUp = yield self._service.ask(job, group)
+            visit.waited_s += self._env.now - asked_at
+            if isinstance(decision, GivenUp):
+                visit.retry_after_s = decision.retry_after_s
+                return Outcome.refused
+            ending = yield from self._send(visit, job, decision.upstream)
+            if ending is Ending.answered:
+                return self._judged(visit)
+            if not self._may_send_again(visit, ending):
+                return Outcome.failed
+            job = msgspec.structs.replace(
+                self._job(visit),
+                excluded=job.excluded | {decision.upstream.incarnation},
+            )
+
+    def _send(
+        self,
+        visit: _Visit,
+        job: Job,
+        upstream: Upstream,
+    ) -> Waiting[Ending]:
+        arrival = visit.arrival
+        run = self._service.send(job, upstream, arrival)
+        if run is None:
+            self._service.finish(job, RunReport(Ending.unsent, 0))
+            return Ending.unsent
+        fault = self._fault(upstream)
+        yield run.begun | run.ended
+        if fault is None:
+            self._service.first_byte(job)
+        else:
+            yield from self._break(visit, run, upstream, fault)
+        report: RunReport = yield run.ended
+        self._service.finish(job, report)
+        if report.ending is Ending.answered:
+            visit.begun_at = run.started_at + (report.first_s or 0)
+            visit.pause_s = report.pause_s
+        return report.ending
+
+    def _break(
+        self,
+        visit: _Visit,
+        run: Run,
+        upstream: Upstream,
+        fault: Fault,
+    ) -> Waiting[None]:
+        """Fail a run at its first event, or lose its answer for good."""
+        if fault.kind == 'fail':
+            self._service.cut(upstream, run, Ending.failed)
+            return
+        left_s = visit.end_at - self._env.now
+        yield run.ended | self._env.timeout(max(0, left_s))
+        self._service.cut(upstream, run, Ending.unknown)
+
+    def _fault(self, upstream: Upstream) -> Fault | None:
+        number = int(upstream.name.lstrip('u'))
+        for fault in self._scenario.faults:
+            if fault.kind not in {'fail', 'lose'} or number >= fault.count:
+                continue
+            if not fault.at_s <= self._env.now < fault.at_s + fault.for_s:
+                continue
+            if self._rng.random() < fault.chance:
+                return fault
+        return None
+
+    def _may_send_again(self, visit: _Visit, ending: Ending) -> bool:
+        visit.sends += 1
+        if self._env.now >= visit.end_at:
+            return False
+        if ending in _AGAIN:
+            return True
+        if visit.sends >= visit.arrival.kind.attempts:
+            return False
+        return self._budget.take(self._env.now, self._scenario.instances)
+
+    def _judged(self, visit: _Visit) -> Outcome:
+        kind = visit.arrival.kind
+        late = visit.begun_at - visit.first_at > kind.objective_s
+        paused = 0 < kind.pause_s < visit.pause_s
+        return Outcome.late if late or paused else Outcome.in_time
+
+    def _job(self, visit: _Visit) -> Job:
+        arrival = visit.arrival
+        kind = arrival.kind
+        route = self._routes[kind.name]
+        now = self._env.now
+        left_s = visit.end_at - now
+        since_s: float = 0
+        if self._switches.first_tries:
+            since_s = self._first_tries.since_s(route, '', left_s, now)
+        events_stated = arrival.events * kind.stated
+        tokens = round(events_stated * self._scenario.engines.event_tokens)
+        return Job(
+            key=f'emulated/{next(self._keys)}',
+            service=SERVICE,
+            zone=_ZONE,
+            urgency=kind.urgency,
+            prompt_tokens=arrival.prompt_tokens,
+            output_tokens=tokens,
+            asked_at=now,
+            due_at=now - since_s + kind.objective_s,
+            give_up_at=now + longest_wait_s(route, left_s),
+            pause_s=kind.pause_s,
+        )
+
+
+class _Visit(msgspec.Struct):
+    arrival: Arrival
+    first_at: float
+    waited_s: float = 0
+    retry_after_s: float = 0
+    sends: int = 0
+    begun_at: float = 0
+    pause_s: float = 0
+
+    @property
+    def end_at(self) -> float:
+        return self.first_at + self.arrival.kind.timeout_s
+
+
+def _route(kind: Kind) -> Route:
+    return Route(
+        name=kind.name,
+        host='emulated',
+        prefix='/',
+        kind=RouteKind.streaming,
+        targets=(),
+        timeout_s=kind.timeout_s,
+        objective_s=kind.objective_s,
+        priority=kind.urgency,
+        attempts=kind.attempts,
+        public=True,
+        sticky=False,
+        resumable=False,
+        gap_s=kind.pause_s,
+    )
--- /dev/null
+++ b/packages/emulator/src/tallyhall_emulator/play.py
@@ -0,0 +1,59 @@
+"""One play of a scenario under the decision code."""
+
+from __future__ import annotations
+
+import random
+
+import simpy
+from tallyhall_dispatch.switches import ALL_ON, Switches
+
+from .arrivals import arrivals
+from .callers import Callers, Served
+from .clock import Waiting
+from .scenario import Fault, Scenario
+from .service import Service
+
+
+def play(
+    scenario: Scenario,
+    seed: int,
+    switches: Switches = ALL_ON,
+) -> list[Served]:
+    """Return what became of all requests that are counted.
+
+    Load and faults depend on the scenario and the seed alone, so that two
+    sets of switches meet the same ones.
+    """
+    env = simpy.Environment()
+    rng = random.Random(f'{seed}/decisions')
+    service = Service(env, scenario, rng, switches)
+    callers = Callers(
+        env,
+        scenario,
+        service,
+        random.Random(f'{seed}/callers'),
+        switches,
+    )
+    for arrival in arrivals(scenario, seed):
+        env.process(callers.call(arrival))
+    for fault in scenario.faults:
+        env.process(_play_fault(env, service, fault))
+    env.run()
+    return [
+        one for one in callers.served if one.arrival.at_s >= scenario.warm_s
+    ]
+
+
+def _play_fault(
+    env: simpy.Environment,
+    service: Service,
+    fault: Fault,
+) -> Waiting[None]:
+    yield env.timeout(fault.at_s)
+    if fault.kind == 'crash':
+        for number in range(fault.count):
+            env.process(service.crash(number, fault.for_s))
+    if fault.kind == 'split':
+        service.set_groups(fault.count)
+        yield env.timeout(fault.for_s)
+        service.set_groups(1)
