--- a/packages/emulator/src/tallyhall_emulator/bound.py
+++ b/packages/emulator/src/tallyhall_emulator/bound.py
@@ -1,14 +1,15 @@
 """What no policy can exceed, with all knowledge of the future.
 
-A request that is answered in time uses the engines for at least its least
-work, on a usual engine with nobody beside it, at some moment between its
-arrival and its objective plus that work. All engines together have so much to
-give in each span of time. The most worth of requests that fit, parts of them
-allowed, is found by taking them in order of worth for their work: for work
-that may be done at any time within an interval that is optimal (Hall's
-condition on all spans decides what still fits). Late answers are counted as if
-all the others could be had. Real policies also pay for what shares a batch and
-for what they do not know.
+A request that is answered in time takes at least its least work from the
+engines, at some moment between its arrival and its objective and the time that
+it lasts alone on the slowest engine. Reading a prompt stops the whole batch, so
+it counts for all places; a token counts for one place during one step. All
+engines together have so much to give in each span of time. The most worth of
+requests that fit, parts of them allowed, is found by taking them in order of
+worth for their work: for work that may be done at any time within an interval
+that is optimal (Hall's condition on all spans decides what still fits). Late
+answers are counted as if all the others could be had. Real policies also pay
+for what they do not know, for whole requests and for steps that grow.
 """
 
 from __future__ import annotations
@@ -53,7 +54,7 @@
     if not owed:
         return 1
     engines = scenario.engines
-    spans = _Spans(scenario.seconds, _rate(engines))
+    spans = _Spans(scenario)
     earned = sum(one.kind.late_worth for one in arrivals)
     ordered = sorted(
         arrivals,
@@ -62,21 +63,52 @@
     )
     for one in ordered:
         work_s = _work_s(engines, one)
-        until_s = one.at_s + one.kind.objective_s + work_s
+        lasts_s = _alone_s(engines, one) * max(engines.speeds)
+        until_s = one.at_s + one.kind.objective_s + lasts_s
         done = spans.fill(one.at_s, until_s, work_s) / work_s
         earned += done * (one.kind.worth - one.kind.late_worth)
     return earned / owed
 
 
-def _rate(engines: Engines) -> float:
-    """Return the places of all engines, in those of a usual one."""
-    speeds = itertools.islice(itertools.cycle(engines.speeds), engines.count)
+def _rate(scenario: Scenario, at_s: float) -> float:
+    """Return the places of all engines that run, in those of a usual one."""
+    engines = scenario.engines
+    down = max(
+        (
+            fault.count
+            for fault in scenario.faults
+            if fault.kind == 'crash'
+            and fault.at_s <= at_s < fault.at_s + fault.for_s
+        ),
+        default=0,
+    )
+    speeds = itertools.islice(
+        itertools.cycle(engines.speeds),
+        down,
+        engines.count,
+    )
     return sum(engines.places / speed for speed in speeds)
 
 
+def _alone_s(engines: Engines, arrival: Arrival) -> float:
+    """Return how long a request lasts on a usual engine of its own."""
+    return _reading_s(engines, arrival) + _telling_s(engines, arrival)
+
+
 def _work_s(engines: Engines, arrival: Arrival) -> float:
-    tokens = arrival.events * engines.event_tokens
-    return arrival.prompt_tokens * engines.read_s + tokens * engines.step_s
+    """Return the least work, in seconds of one place of a usual engine."""
+    reading_s = _reading_s(engines, arrival)
+    return engines.places * reading_s + _telling_s(engines, arrival)
+
+
+def _reading_s(engines: Engines, arrival: Arrival) -> float:
+    return arrival.prompt_tokens * engines.read_s
+
+
+def _telling_s(engines: Engines, arrival: Arrival) -> float:
+    """Return the steps of an answer, whose first event holds one token."""
+    tokens = 1 + (arrival.events - 1) * engines.event_tokens
+    return tokens * engines.step_s
 
 
 def _density(engines: Engines, arrival: Arrival) -> float:
@@ -87,12 +119,15 @@
 class _Spans:
     """Work that is taken within each span of bins, and what they can do."""
 
-    def __init__(self, seconds: float, rate: float) -> None:
-        bins = int((seconds + _AFTER_S) / _BIN_S) + 1
-        starts = np.arange(bins)
-        lengths = 1 - np.subtract.outer(starts, starts)
+    def __init__(self, scenario: Scenario) -> None:
+        bins = int((scenario.seconds + _AFTER_S) / _BIN_S) + 1
+        # A fault that begins or ends within a bin counts from its end.
+        done = [_rate(scenario, number * _BIN_S) for number in range(bins)]
+        ends = np.cumsum(np.array(done) * _BIN_S)
+        starts = ends - np.array(done) * _BIN_S
+        spans = -np.subtract.outer(starts, ends)
         # Work left within bins [row, column].
-        self._left = np.where(lengths > 0, lengths * _BIN_S * rate, np.inf)
+        self._left = np.where(spans > 0, spans, np.inf)
         self._bins = bins
 
     def fill(self, from_s: float, until_s: float, work_s: float) -> float:
