The emulator strikes each caller with the same faults; reading's mends

Faults and the instance of a caller were drawn in the order of decisions, so two sets of switches met different ones; each caller draws for itself. One constant each for the zone and the windows; what nobody read is gone.

--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
 from tallyhall_dispatch.desired import RouteKind, Upstream
@@ -122,17 +123,26 @@
             visit.last_event,
             streaming=streaming,
         )
-        earlier = visit.relay
-
-        def on_first() -> None:  # noqa: WPS430  (of this relay and no other)
-            self._scheduler.first_byte(job)
-            if earlier is not None and earlier.last_at:
-                pause_s = self._loop.time() - earlier.last_at
-                visit.resumed_pause_s = max(visit.resumed_pause_s, pause_s)
-
-        relay.on_first = on_first
+        relay.on_first = functools.partial(
+            self._note_first,
+            visit,
+            job,
+            visit.relay,
+        )
         return relay
 
+    def _note_first(
+        self,
+        visit: Visit,
+        job: Job,
+        earlier: Relay | None,
+    ) -> None:
+        """Take that an answer has begun, maybe where an earlier one broke."""
+        self._scheduler.first_byte(job)
+        if earlier is not None and earlier.last_at:
+            pause_s = self._loop.time() - earlier.last_at
+            visit.resumed_pause_s = max(visit.resumed_pause_s, pause_s)
+
     async def _exchange(
         self,
         visit: Visit,
--- a/packages/emulator/src/tallyhall_emulator/bound.py
+++ b/packages/emulator/src/tallyhall_emulator/bound.py
@@ -15,12 +15,14 @@
 from __future__ import annotations
 
 import itertools
+import statistics
 from collections.abc import Sequence
 
 import msgspec
 import numpy as np
 
 from .arrivals import Arrival
+from .figures import WINDOW_S, WORST
 from .scenario import Engines, Scenario
 
 # Spans are counted in steps of this, in seconds; a fifth of a usual objective.
@@ -42,11 +44,16 @@
     windows = []
     start = scenario.warm_s
     while start < scenario.seconds:
-        inside = [one for one in counted if start <= one.at_s < start + 2]
+        ends = start + WINDOW_S
+        inside = [one for one in counted if start <= one.at_s < ends]
         if inside:
             windows.append(_part(scenario, inside))
-        start += 2
-    return Bound(_part(scenario, counted), sum(sorted(windows)[:2]) / 2)
+        start = ends
+    worst = sorted(windows)[:WORST]
+    return Bound(
+        _part(scenario, counted),
+        statistics.fmean(worst) if worst else 1,
+    )
 
 
 def _part(scenario: Scenario, arrivals: Sequence[Arrival]) -> float:
--- a/packages/emulator/src/tallyhall_emulator/callers.py
+++ b/packages/emulator/src/tallyhall_emulator/callers.py
@@ -21,9 +21,8 @@
 from .clock import Waiting
 from .engine import Run
 from .scenario import Fault, Kind, Scenario
-from .service import SERVICE, Service
+from .service import SERVICE, ZONE, Service, engine_number
 
-_ZONE = 'zone'
 # As deployments set it: a fifth of the requests of ten seconds, and 50.
 _RETRY_RATIO = 0.2
 _RETRY_ALLOWANCE = 50
@@ -58,15 +57,15 @@
         env: simpy.Environment,
         scenario: Scenario,
         service: Service,
-        rng: random.Random,
+        seed: int,
         switches: Switches,
     ) -> None:
-        """Call this service."""
+        """Call this service; by the seed each is struck by the same faults."""
         self.served: list[Served] = []
         self._env = env
         self._scenario = scenario
         self._service = service
-        self._rng = rng
+        self._seed = seed
         self._switches = switches
         self._routes = {kind.name: _route(kind) for kind in scenario.kinds}
         self._first_tries = FirstTries()
@@ -78,7 +77,8 @@
     def call(self, arrival: Arrival) -> Waiting[None]:
         """Send one request until it is answered, refused or failed."""
         yield self._env.timeout(arrival.at_s)
-        visit = _Visit(arrival, self._env.now)
+        rng = random.Random(f'{self._seed}/{arrival.number}')
+        visit = _Visit(arrival, self._env.now, rng)
         outcome = yield from self._try(visit)
         for _ in range(arrival.kind.returns):
             if outcome is not Outcome.refused:
@@ -96,7 +96,7 @@
     def _try(self, visit: _Visit) -> Waiting[Outcome]:
         self._budget.request(self._env.now)
         group = self._service.group_of(
-            self._rng.randrange(self._scenario.instances),
+            visit.rng.randrange(self._scenario.instances),
         )
         yield self._env.timeout(self._scenario.ask_s)
         job = self._job(visit)
@@ -128,7 +128,7 @@
         if run is None:
             self._service.finish(job, RunReport(Ending.unsent, 0))
             return Ending.unsent
-        fault = self._fault(upstream)
+        fault = self._fault(visit, upstream)
         yield run.begun | run.ended
         if fault is None:
             self._service.first_byte(job)
@@ -156,14 +156,14 @@
         yield run.ended | self._env.timeout(max(0, left_s))
         self._service.cut(upstream, run, Ending.unknown)
 
-    def _fault(self, upstream: Upstream) -> Fault | None:
-        number = int(upstream.name.lstrip('u'))
+    def _fault(self, visit: _Visit, upstream: Upstream) -> Fault | None:
+        number = engine_number(upstream)
         for fault in self._scenario.faults:
             if fault.kind not in {'fail', 'lose'} or number >= fault.count:
                 continue
             if not fault.at_s <= self._env.now < fault.at_s + fault.for_s:
                 continue
-            if self._rng.random() < fault.chance:
+            if visit.rng.random() < fault.chance:
                 return fault
         return None
 
@@ -197,7 +197,7 @@
         return Job(
             key=f'emulated/{next(self._keys)}',
             service=SERVICE,
-            zone=_ZONE,
+            zone=ZONE,
             urgency=kind.urgency,
             prompt_tokens=arrival.prompt_tokens,
             output_tokens=tokens,
@@ -211,6 +211,7 @@
 class _Visit(msgspec.Struct):
     arrival: Arrival
     first_at: float
+    rng: random.Random
     waited_s: float = 0
     retry_after_s: float = 0
     sends: int = 0
--- a/packages/emulator/src/tallyhall_emulator/engine.py
+++ b/packages/emulator/src/tallyhall_emulator/engine.py
@@ -52,7 +52,6 @@
         self._held_tokens = 0
         self._woken = env.event()
         self._dead = False
-        self.idle_s: float = 0
         env.process(self._steps())
 
     def start(self, arrival: Arrival) -> Run | None:
@@ -97,10 +96,8 @@
         while not self._dead:
             self._admit()
             if not self._runs:
-                slept_at = self._env.now
                 self._woken = self._env.event()
                 yield self._woken
-                self.idle_s += self._env.now - slept_at
                 continue
             reading = self._reading()
             chunk = 0
--- a/packages/emulator/src/tallyhall_emulator/figures.py
+++ b/packages/emulator/src/tallyhall_emulator/figures.py
@@ -13,8 +13,8 @@
 from .scenario import Scenario
 
 # Length of the windows whose worst count, in seconds.
-_WINDOW_S = 2.0
-_WORST = 2
+WINDOW_S = 2.0
+WORST = 2
 # Factor on the standard error for an interval of 95%, for few seeds (Student's
 # t by degrees of freedom, the last for all more).
 _STUDENT = (12.71, 4.3, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.0)
@@ -58,14 +58,14 @@
     """Return the figures of one play."""
     windows = _parts(
         served,
-        lambda one: int((one.arrival.at_s - scenario.warm_s) / _WINDOW_S),
+        lambda one: int((one.arrival.at_s - scenario.warm_s) / WINDOW_S),
     )
     kinds = _parts(served, lambda one: one.arrival.kind.name)
     counts = collections.Counter(one.outcome for one in served)
     total = max(1, len(served))
     return Figures(
         _part(served),
-        statistics.fmean(sorted(windows)[:_WORST]) if windows else 0,
+        statistics.fmean(sorted(windows)[:WORST]) if windows else 0,
         min(kinds, default=0),
         counts[Outcome.in_time] / total,
         counts[Outcome.late] / total,
--- a/packages/emulator/src/tallyhall_emulator/play.py
+++ b/packages/emulator/src/tallyhall_emulator/play.py
@@ -21,19 +21,13 @@
 ) -> list[Served]:
     """Return what became of all requests that are counted.
 
-    Load and faults depend on the scenario and the seed alone, so that two
-    sets of switches meet the same ones.
+    Arrivals, and which of them faults strike at their n-th send, depend on the
+    scenario and the seed alone, so that two sets of switches meet the same.
     """
     env = simpy.Environment()
     rng = random.Random(f'{seed}/decisions')
     service = Service(env, scenario, rng, switches)
-    callers = Callers(
-        env,
-        scenario,
-        service,
-        random.Random(f'{seed}/callers'),
-        switches,
-    )
+    callers = Callers(env, scenario, service, seed, switches)
     for arrival in arrivals(scenario, seed):
         env.process(callers.call(arrival))
     for fault in scenario.faults:
--- a/packages/emulator/src/tallyhall_emulator/service.py
+++ b/packages/emulator/src/tallyhall_emulator/service.py
@@ -22,7 +22,7 @@
 from .scenario import Scenario
 
 SERVICE = 'service'
-_ZONE = 'zone'
+ZONE = 'zone'
 # How often waiting jobs are looked at when nothing else happens, in seconds,
 # as instances do.
 _LOOK_S = 0.02
@@ -164,7 +164,7 @@
             SERVICE,
             '127.0.0.1',
             number + 1,
-            _ZONE,
+            ZONE,
             spec.places,
             leaving=False,
             started_ms=int(self._env.now * _MILLI) + 1,
@@ -193,5 +193,10 @@
             self._pump(group)
 
 
+def engine_number(upstream: Upstream) -> int:
+    """Return which of the engines this is, from 0."""
+    return upstream.port - 1
+
+
 def _name(number: int) -> str:
     return f'u{number}'
