Tools: one reader of log lines, one argument of files, one way to save a plot

Recorded arrivals parsed log lines beside explain.read_line; losses and explain had the argument of files each, both plots their own figure and error, the two tables of losses the same loop, and an experiment sorted its plays back by name. No change of what is printed; the lines of one test got the fields that every log line has, its assertion stands. make check, tests of both tools: 26 passed.

--- a/packages/daemon/src/tallyhall_daemon/command_experiment.py
+++ b/packages/daemon/src/tallyhall_daemon/command_experiment.py
@@ -65,18 +65,9 @@
             for line in table_lines(found):
                 self.line(line)
         if self.option('plot'):
-            self._plot(pathlib.Path(self.option('plot')), played)
+            plot_gains(pathlib.Path(self.option('plot')), played)
         return 0
 
-    def _plot(self, path: pathlib.Path, played: list[Experiment]) -> None:
-        try:
-            plot_gains(path, played)
-        except (OSError, ValueError) as exc:
-            raise OperatorError(
-                f'--plot {path}: cannot be written ({exc}).',
-                EXIT_USAGE,
-            ) from exc
-
 
 def table_lines(found: Experiment) -> Iterator[str]:
     """Yield the figures with all on, then what each mechanism gains."""
--- a/packages/daemon/src/tallyhall_daemon/command_explain.py
+++ b/packages/daemon/src/tallyhall_daemon/command_explain.py
@@ -7,14 +7,7 @@
 
 from .command_base import EXIT_FAILED, OperatorCommand
 from .errors import OperatorError
-from .log_files import log_lines
-
-_FILES = argument(
-    'file',
-    'log files; standard input where none is given',
-    optional=True,
-    multiple=True,
-)
+from .log_files import FILES, log_lines
 
 
 class ExplainCommand(OperatorCommand):
@@ -24,7 +17,7 @@
     description = 'Tell from log lines what happened to a request.'
     arguments = [  # noqa: WPS115
         argument('request', 'the id of the request'),
-        _FILES,
+        FILES,
     ]
 
     def execute_command(self) -> int:
@@ -48,7 +41,7 @@
 
     name = 'logs'
     description = 'Check log lines against the catalogue of events.'
-    arguments = [_FILES]  # noqa: WPS115
+    arguments = [FILES]  # noqa: WPS115
 
     def execute_command(self) -> int:
         """Print each line that the catalogue does not know."""
--- a/packages/daemon/src/tallyhall_daemon/command_losses.py
+++ b/packages/daemon/src/tallyhall_daemon/command_losses.py
@@ -5,12 +5,12 @@
 import pathlib
 from collections.abc import Iterator, Mapping
 
-from cleo.helpers import argument, option
+from cleo.helpers import option
 from tallyhall_entry.losses import Cause, Losses, losses
 
 from .command_base import EXIT_FAILED, EXIT_USAGE, OperatorCommand
 from .errors import OperatorError
-from .log_files import log_lines
+from .log_files import FILES, log_lines
 from .plots import plot_losses
 
 _NO_ROUTE = '(no route)'
@@ -21,14 +21,7 @@
 
     name = 'losses'
     description = 'Tell which requests were late or not served, and why.'
-    arguments = [  # noqa: WPS115
-        argument(
-            'file',
-            'log files; standard input where none is given',
-            optional=True,
-            multiple=True,
-        ),
-    ]
+    arguments = [FILES]  # noqa: WPS115
     options = [  # noqa: WPS115
         option(
             'weight',
@@ -67,22 +60,9 @@
                     f'{loss.cause.value} ({loss.reason})',
                 )
         if self.option('plot'):
-            self._plot(pathlib.Path(self.option('plot')), found, weights)
-        return 0
-
-    def _plot(
-        self,
-        path: pathlib.Path,
-        found: Losses,
-        weights: Mapping[str, float],
-    ) -> None:
-        try:
+            path = pathlib.Path(self.option('plot'))
             plot_losses(path, found.by_second(weights))
-        except (OSError, ValueError) as exc:
-            raise OperatorError(
-                f'--plot {path}: cannot be written ({exc}).',
-                EXIT_USAGE,
-            ) from exc
+        return 0
 
 
 def table_lines(
--- a/packages/daemon/src/tallyhall_daemon/log_files.py
+++ b/packages/daemon/src/tallyhall_daemon/log_files.py
@@ -6,9 +6,18 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from cleo.helpers import argument
+
 from .command_base import EXIT_USAGE
 from .errors import OperatorError
 
+FILES = argument(
+    'file',
+    'log files; standard input where none is given',
+    optional=True,
+    multiple=True,
+)
+
 
 def log_lines(paths: list[str]) -> Iterator[str]:
     """Yield the lines of files, of standard input where none is named.
--- a/packages/daemon/src/tallyhall_daemon/plots.py
+++ b/packages/daemon/src/tallyhall_daemon/plots.py
@@ -10,6 +10,9 @@
 from tallyhall_emulator.experiment import Experiment
 from tallyhall_entry.losses import Cause
 
+from .command_base import EXIT_USAGE
+from .errors import OperatorError
+
 _WIDTH_IN = 9.0
 _HEIGHT_IN = 4.5
 _COLOURS = 'tab20'
@@ -19,11 +22,8 @@
     path: pathlib.Path,
     rows: Mapping[int, Mapping[Cause, float]],
 ) -> None:
-    """Write stacked bars, one a second; raise OSError or ValueError.
-
-    The file's ending says the format.
-    """
-    figure = Figure(figsize=(_WIDTH_IN, _HEIGHT_IN), layout='constrained')
+    """Write stacked bars, one a second; raise OperatorError."""
+    figure = _figure()
     axes = figure.subplots()
     seconds = sorted(rows)
     colours = mpl.colormaps[_COLOURS]
@@ -45,15 +45,15 @@
     axes.set_xlabel('second in which requests came')
     axes.set_ylabel('lost')
     axes.legend(fontsize='small')
-    figure.savefig(path)
+    _save(figure, path)
 
 
 def plot_gains(path: pathlib.Path, played: Sequence[Experiment]) -> None:
     """Write what each mechanism is worth in benefit, with its interval.
 
-    Raise OSError or ValueError; the file's ending says the format.
+    Raise OperatorError.
     """
-    figure = Figure(figsize=(_WIDTH_IN, _HEIGHT_IN), layout='constrained')
+    figure = _figure()
     axes = figure.subplots()
     for number, found in enumerate(played):
         rows = found.compared[1:]
@@ -69,4 +69,19 @@
     axes.set_yticks(range(len(names)), names)
     axes.set_xlabel('benefit that it adds, part of what is owed')
     axes.legend(fontsize='small')
-    figure.savefig(path)
+    _save(figure, path)
+
+
+def _figure() -> Figure:
+    return Figure(figsize=(_WIDTH_IN, _HEIGHT_IN), layout='constrained')
+
+
+def _save(figure: Figure, path: pathlib.Path) -> None:
+    """Write the plot; the file's ending says the format."""
+    try:
+        figure.savefig(path)
+    except (OSError, ValueError) as exc:
+        raise OperatorError(
+            f'--plot {path}: cannot be written ({exc}).',
+            EXIT_USAGE,
+        ) from exc
--- a/packages/emulator/src/tallyhall_emulator/arrivals.py
+++ b/packages/emulator/src/tallyhall_emulator/arrivals.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import datetime
-import json
 import math
 import pathlib
 import random
 from collections.abc import Iterator
 
 import msgspec
+from tallyhall_core.events import Event
+from tallyhall_entry.explain import read_line
 
 from .scenario import Burst, Kind, Length, Scenario, ScenarioError
 
@@ -103,27 +103,15 @@
     except OSError as exc:
         raise ScenarioError(f'arrivals: {scenario.arrivals}: {exc}') from exc
     for text in texts.splitlines():
-        line = _admitted(text)
-        if line is None or line['route'] not in kinds:
+        line = read_line(text)
+        if line is None or line.event != Event.admitted.name:
             continue
-        at = datetime.datetime.fromisoformat(line['time']).timestamp()
-        found.append((at, kinds[line['route']]))
+        kind = kinds.get(line.fields['route'])
+        if kind is not None:
+            found.append((line.at_s, kind))
     if not found:
         raise ScenarioError(
             f'arrivals: {scenario.arrivals} has no admitted line of any kind',
         )
     first_at = min(at for at, _ in found)
     return [(at - first_at, kind) for at, kind in found]
-
-
-def _admitted(text: str) -> dict[str, str] | None:
-    start = text.find('{')
-    if start < 0 or '"admitted"' not in text:
-        return None
-    try:
-        fields = json.loads(text[start:])
-    except ValueError:
-        return None
-    if isinstance(fields, dict) and {'route', 'time'} <= fields.keys():
-        return fields
-    return None
--- a/packages/emulator/src/tallyhall_emulator/experiment.py
+++ b/packages/emulator/src/tallyhall_emulator/experiment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import multiprocessing
 from collections.abc import Iterator, Sequence
 from concurrent.futures import ProcessPoolExecutor
@@ -53,49 +54,37 @@
     workers: int = 1,
 ) -> Experiment:
     """Play each seed with all on and with each mechanism off."""
-    names = ('', *without)
-    tasks = [(name, seed) for name in names for seed in range(1, seeds + 1)]
+    numbers = range(1, seeds + 1)
     # A process that is forked off one with threads may join a thread that it
     # does not have.
     context = multiprocessing.get_context('spawn')
     with ProcessPoolExecutor(workers, context) as executor:
-        bounds = list(
-            executor.map(
-                _bound,
-                (scenario for _ in range(seeds)),
-                range(1, seeds + 1),
-            ),
-        )
-        played = list(
-            executor.map(
+        bounds = executor.map(_bound, itertools.repeat(scenario), numbers)
+        under_way = {
+            name: executor.map(
                 _figures,
-                (scenario for _ in tasks),
-                (name for name, _ in tasks),
-                (seed for _, seed in tasks),
-            ),
-        )
-    by_name = {
-        name: [
-            one
-            for (other, _), one in zip(tasks, played, strict=True)
-            if other == name
-        ]
-        for name in names
-    }
+                itertools.repeat(scenario),
+                itertools.repeat(name),
+                numbers,
+            )
+            for name in ('', *without)
+        }
+        played = {name: list(found) for name, found in under_way.items()}
+        most = list(bounds)
     compared = tuple(
         Compared(
             name,
-            dict(_intervals(by_name[name])),
-            dict(_gains(by_name[name], by_name[''])),
+            dict(_intervals(found)),
+            dict(_gains(found, played[''])),
         )
-        for name in names
+        for name, found in played.items()
     )
     return Experiment(
         scenario.name,
         seeds,
         compared,
-        interval([one.benefit for one in bounds]),
-        interval([one.windows for one in bounds]),
+        interval([one.benefit for one in most]),
+        interval([one.windows for one in most]),
     )
 
 
--- a/packages/emulator/src/tallyhall_emulator/service.py
+++ b/packages/emulator/src/tallyhall_emulator/service.py
@@ -52,8 +52,7 @@
         self._switches = switches
         self._engines: dict[str, Engine] = {}
         self._upstreams: dict[str, Upstream] = {}
-        self._numbers = range(scenario.engines.count)
-        for number in self._numbers:
+        for number in range(scenario.engines.count):
             self._start_engine(number)
         self._pools: list[ServicePool] = []
         # Jobs that wait: who hears of each, and in which group.
@@ -151,16 +150,16 @@
         self._pump(0)
 
     def _running_upstream(self, number: int) -> Upstream | None:
-        name = _name(number)
         for upstream in self._upstreams.values():
-            if upstream.name == name and upstream.incarnation in self._engines:
+            runs = upstream.incarnation in self._engines
+            if runs and engine_number(upstream) == number:
                 return upstream
         return None
 
     def _start_engine(self, number: int) -> None:
         spec = self._scenario.engines
         upstream = Upstream(
-            _name(number),
+            f'u{number}',
             SERVICE,
             '127.0.0.1',
             number + 1,
@@ -196,7 +195,3 @@
 def engine_number(upstream: Upstream) -> int:
     """Return which of the engines this is, from 0."""
     return upstream.port - 1
-
-
-def _name(number: int) -> str:
-    return f'u{number}'
--- a/packages/entry/src/tallyhall_entry/explain.py
+++ b/packages/entry/src/tallyhall_entry/explain.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import datetime
 import json
 import types
 from collections.abc import Iterable, Mapping
@@ -63,6 +64,11 @@
     event: str
     fields: Mapping[str, Any]
 
+    @property
+    def at_s(self) -> float:
+        """Return the time in seconds since 1970."""
+        return datetime.datetime.fromisoformat(self.time).timestamp()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Explanation:
--- a/packages/entry/src/tallyhall_entry/losses.py
+++ b/packages/entry/src/tallyhall_entry/losses.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 import collections
-import datetime
 import enum
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
+from typing import TypeVar
 
 import msgspec
 from tallyhall_core.events import Event
@@ -21,6 +21,7 @@
 # lines is taken as lost with what it had under way, in seconds: it tells of its
 # knowledge of the others more often.
 _SILENT_S = 3.0
+_Key = TypeVar('_Key')
 # What a request may not have, however much is free.
 _NOT_ALLOWED = frozenset(
     reason.value
@@ -82,21 +83,23 @@
         weights: Mapping[str, float],
     ) -> dict[str, dict[Cause, float]]:
         """Return what was lost by route and cause, a request's weight each."""
-        rows: dict[str, dict[Cause, float]] = {}
-        for loss in self.lost:
-            row = rows.setdefault(loss.route, collections.defaultdict(float))
-            row[loss.cause] += weights.get(loss.route, 1)
-        return rows
+        return self._summed(weights, lambda loss: loss.route)
 
     def by_second(
         self,
         weights: Mapping[str, float],
     ) -> dict[int, dict[Cause, float]]:
         """Return the same by the second in which requests came."""
-        rows: dict[int, dict[Cause, float]] = {}
+        return self._summed(weights, lambda loss: int(loss.at_s))
+
+    def _summed(
+        self,
+        weights: Mapping[str, float],
+        key: Callable[[Loss], _Key],
+    ) -> dict[_Key, dict[Cause, float]]:
+        rows: dict[_Key, dict[Cause, float]] = {}
         for loss in self.lost:
-            second = int(loss.at_s)
-            row = rows.setdefault(second, collections.defaultdict(float))
+            row = rows.setdefault(key(loss), collections.defaultdict(float))
             row[loss.cause] += weights.get(loss.route, 1)
         return rows
 
@@ -136,7 +139,7 @@
         self.dropped = 0
 
     def take(self, line: Line) -> None:
-        at = _at(line)
+        at = line.at_s
         self.first_at = min(self.first_at, at)
         self.last_at = max(self.last_at, at)
         instance = line.instance
@@ -155,7 +158,7 @@
 
     def is_lost(self, line: Line) -> bool:
         """Return whether the instance of a line ended after it."""
-        at = _at(line)
+        at = line.at_s
         if any(started > at for started in self.starts.get(line.instance, ())):
             return True
         return self.last_at - self.newest[line.instance] > _SILENT_S
@@ -179,7 +182,7 @@
     if found is None:
         return None
     cause, reason = found
-    at_s = _at(lines[0]) - journal.first_at
+    at_s = lines[0].at_s - journal.first_at
     return Loss(request, at_s, _route(lines), cause, reason)
 
 
@@ -263,7 +266,3 @@
 
 def _time(line: Line) -> str:
     return line.time
-
-
-def _at(line: Line) -> float:
-    return datetime.datetime.fromisoformat(line.time).timestamp()
--- a/tests/unit/test_emulator.py
+++ b/tests/unit/test_emulator.py
@@ -203,6 +203,8 @@
             json.dumps(
                 {
                     'event': 'admitted',
+                    'level': 'INFO',
+                    'instance': 'one',
                     'route': route,
                     'time': f'2026-01-01T00:00:0{second}+00:00',
                 },
