Free places look at the upstreams once; what follows from other state is derived

has_free listed the usable upstreams twice for each candidate since it shared the count with refusals. started follows from started_at, the first send from the number of sends. make check, six test files of the path: 121 passed.

--- a/packages/dispatch/src/tallyhall_dispatch/group.py
+++ b/packages/dispatch/src/tallyhall_dispatch/group.py
@@ -81,12 +81,13 @@
 
     def has_free(self, part: float, now: float) -> bool:
         """Return whether at least this part of the usable places is free."""
-        places = sum(view.upstream.slots for view in self.usable(now))
-        return self.free_places(now) >= part * places
+        usable = self.usable(now)
+        places = sum(view.upstream.slots for view in usable)
+        return self._free_in(usable) >= part * places
 
     def free_places(self, now: float) -> int:
         """Return how many places of the usable upstreams are free."""
-        return sum(max(0, view.free(self.share)) for view in self.usable(now))
+        return self._free_in(self.usable(now))
 
     def may_serve(self, job: Job) -> bool:
         """Return whether there is an upstream that this job may be sent to.
@@ -109,6 +110,9 @@
         self._known = Forecast(now, rate, first_s, token_s)
         return self._known
 
+    def _free_in(self, views: Iterable[EngineView]) -> int:
+        return sum(max(0, view.free(self.share)) for view in views)
+
     def _staying(self) -> list[EngineView]:
         return [
             view for view in self._views.values() if not view.upstream.leaving
--- a/packages/edge/src/tallyhall_edge/lateness.py
+++ b/packages/edge/src/tallyhall_edge/lateness.py
@@ -42,11 +42,10 @@
     paused = 0 < route.gap_s < pause_s
     if not late_s and not paused:
         return None
-    first_sent_at = visit.first_sent_at or visit.sent_at
     # The last send of a stream that went on may come after its first byte.
     sent_at = min(visit.sent_at, begun_at)
     waits_s = min(visit.all_waits_s, begun_at - visit.exchange.received_at)
-    between_s = sent_at - first_sent_at - visit.later_waits_s
+    between_s = sent_at - visit.first_sent_at - visit.later_waits_s
     return Lateness(
         _millis(late_s),
         _millis(visit.since_first_s),
--- a/packages/edge/src/tallyhall_edge/server.py
+++ b/packages/edge/src/tallyhall_edge/server.py
@@ -77,7 +77,6 @@
         self.head = head
         self.body = body
         self.received_at = received_at
-        self.started = False
         # When the first byte was written, None before.
         self.started_at: float | None = None
         self.ended = False
@@ -86,6 +85,11 @@
         self._conn = conn
         self._chunked = False
 
+    @property
+    def started(self) -> bool:
+        """Return whether a part of the answer was written."""
+        return self.started_at is not None
+
     def start(
         self,
         status: int,
@@ -96,7 +100,6 @@
         """Send the head; a length of None means that it is not known."""
         if self._is_over('start'):
             return
-        self.started = True
         self.started_at = asyncio.get_running_loop().time()
         framing: list[tuple[bytes, bytes]] = []
         if length is None and self._conn.speaks_chunks:
--- a/packages/edge/src/tallyhall_edge/visit.py
+++ b/packages/edge/src/tallyhall_edge/visit.py
@@ -38,7 +38,7 @@
     all_waits_s: float = 0
     later_waits_s: float = 0
     forecast_s: float = 0
-    first_sent_at: float | None = None
+    first_sent_at: float = 0
     sent_at: float = 0
     pause_s: float = 0
     resumed_pause_s: float = 0
@@ -60,7 +60,7 @@
     visit.all_waits_s += grant.waited_s
     visit.forecast_s = grant.forecast_s
     visit.sent_at = now
-    if visit.first_sent_at is None:
+    if visit.sends == 1:
         visit.first_sent_at = now
         return
     visit.later_waits_s += grant.waited_s
