Dropped log lines are counted once for each start of an instance

Cause: 501 tells how many were dropped since the start, and losses added up each of its lines. The test gave 13 for 8 before. make check passes.

--- a/packages/entry/src/tallyhall_entry/losses.py
+++ b/packages/entry/src/tallyhall_entry/losses.py
@@ -22,6 +22,8 @@
 # knowledge of the others more often.
 _SILENT_S = 3.0
 _Key = TypeVar('_Key')
+# The counts of a line that tells of dropped ones.
+_DROPPED = ('served', 'others', 'unread')
 # What a request may not have, however much is free.
 _NOT_ALLOWED = frozenset(
     reason.value
@@ -136,7 +138,8 @@
         self.newest: dict[str, float] = {}
         self.first_at = float('inf')
         self.last_at: float = 0
-        self.dropped = 0
+        # What each start of an instance has told last: counts since then.
+        self._dropped: dict[tuple[str, int], int] = {}
 
     def take(self, line: Line) -> None:
         at = line.at_s
@@ -147,15 +150,19 @@
         if line.event == Event.started.name:
             self.starts.setdefault(instance, []).append(at)
         if line.event == Event.logs_dropped.name:
-            self.dropped += sum(
-                count
-                for count in line.fields.values()
-                if isinstance(count, int)
-            ) - int(line.fields.get('number', 0))
+            start = len(self.starts.get(instance, ()))
+            self._dropped[instance, start] = sum(
+                int(line.fields.get(kind, 0)) for kind in _DROPPED
+            )
         request = line.fields.get('request')
         if request:
             self.by_request.setdefault(str(request), []).append(line)
 
+    @property
+    def dropped(self) -> int:
+        """Return how many lines all starts of all instances dropped."""
+        return sum(self._dropped.values())
+
     def is_lost(self, line: Line) -> bool:
         """Return whether the instance of a line ended after it."""
         at = line.at_s
--- a/tests/platform/test_losses.py
+++ b/tests/platform/test_losses.py
@@ -113,6 +113,16 @@
     assert _cause(begun, _line(Event.started, 2)) is Cause.instance_lost
 
 
+def test_dropped_lines_are_counted_once_a_start() -> None:
+    lines = [
+        _line(Event.logs_dropped, at_s, served=served, others=2, unread=0)
+        for at_s, served in ((1, 3), (2, 5))
+    ]
+    again = _line(Event.logs_dropped, 4, served=1, others=0, unread=0)
+    found = losses([*lines, _line(Event.started, 3), again])
+    assert found.dropped == 8
+
+
 def test_callers_tell_of_requests_that_reached_no_instance() -> None:
     found = losses(_visit('a', 0, 'answered'), ('a', 'b'))
     assert [(one.request, one.cause) for one in found.lost] == [
