Calls to the store are counted by kind, cause and outcome

Store calls are the dearest loss of a large fleet; which of them, and why, could only be guessed. Counts in the metrics, a line every 2 s while they change, and tallyhall calls, which sums up the lines of a whole fleet.

--- a/packages/core/src/tallyhall_core/events.py
+++ b/packages/core/src/tallyhall_core/events.py
@@ -29,6 +29,7 @@
     removal_held = 220
     fleet_counted = 221
     use_adopted = 222
+    store_calls = 223
     peer_down = 308
     fenced = 303
     owner_started = 304
--- a/packages/daemon/src/tallyhall_daemon/commands.py
+++ b/packages/daemon/src/tallyhall_daemon/commands.py
@@ -5,6 +5,7 @@
 from cleo.commands.command import Command
 
 from .command_bench import BenchCommand
+from .command_calls import CallsCommand
 from .command_experiment import ExperimentCommand
 from .command_explain import ExplainCommand, LogsCommand
 from .command_losses import LossesCommand
@@ -34,5 +35,6 @@
     ExplainCommand,
     LogsCommand,
     LossesCommand,
+    CallsCommand,
     ExperimentCommand,
 )
--- a/packages/entry/src/tallyhall_entry/exposition.py
+++ b/packages/entry/src/tallyhall_entry/exposition.py
@@ -41,6 +41,14 @@
         for labels, count in self._metrics.requests.items():
             requests.add_metric(labels, count)
         yield requests
+        calls = CounterMetricFamily(
+            'tallyhall_store_calls',
+            'Calls to the store, by kind, cause and outcome.',
+            labels=('kind', 'cause', 'outcome'),
+        )
+        for labels, count in self._metrics.store_calls.items():
+            calls.add_metric(labels, count)
+        yield calls
         for name, text, label, counts in (
             (
                 'tallyhall_refusals',
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -27,6 +27,7 @@
 from tallyhall_edge.server import HttpServer, Respond, ServerLimits
 from tallyhall_edge.stopping import Stop
 from tallyhall_platform.absence import Absence
+from tallyhall_platform.calls import CallCounts
 from tallyhall_platform.dialect import PlatformDialect
 from tallyhall_platform.entries import InstanceEntry
 from tallyhall_platform.follow import Follower
@@ -57,6 +58,9 @@
 # What a caller sends 3 s after the signal takes at most this long to arrive.
 _WAY_S = 0.1
 _CHORES_S = 0.5
+# Calls to the store are logged this often: a line of 300 bytes each 2 s is a
+# hundredth of what an instance may log.
+_CALLS_LOGGED_S = 2.0
 _TICK_S = 0.05
 _STOP_LOOK_S = 0.05
 # Others are of use once there is a desired state to serve by, which a store
@@ -146,8 +150,9 @@
             self._server(self._answers.locate),
             self._server(self._answers.metrics),
         )
-        self._store_registers = StoreClient(options.store.address)
-        self._store_follows = StoreClient(options.store.address)
+        self._calls = CallCounts()
+        self._store_registers = StoreClient(options.store.address, self._calls)
+        self._store_follows = StoreClient(options.store.address, self._calls)
         self._registration = Registration(
             self._store_registers,
             self._entry,
@@ -210,7 +215,9 @@
             incarnation=self._entry.incarnation,
         )
         await self._until_state()
-        await self._links.listen(str(options.peer), self._follower.raw_state)
+        await self._links.listen(
+            str(options.peer), self._follower.raw_state
+        )
 
     async def stop(self) -> None:
         """Send callers elsewhere and finish what runs."""
@@ -233,6 +240,7 @@
         await self._links.close()
         # Last, so that nobody counts this one without hearing it.
         await self._registration.end(_END_LEASE_S)
+        self._log_calls()
         self.log.event(Event.stopped, unfinished=self._front.busy)
 
     def reload(self, options: Options) -> None:
@@ -410,9 +418,24 @@
             self._counted = counted
             self.log.event(Event.fleet_counted, **counted)
 
+    def _log_calls(self) -> None:
+        calls = self._calls.by_labels()
+        if calls == self._metrics.store_calls:
+            return
+        self._metrics.store_calls = calls
+        self.log.event(
+            Event.store_calls,
+            incarnation=self._entry.incarnation,
+            calls={'/'.join(labels): count for labels, count in calls.items()},
+        )
+
     async def _chores(self) -> None:
+        calls_logged_at = self._loop.time()
         while True:
             await asyncio.sleep(_CHORES_S)
+            if self._loop.time() - calls_logged_at >= _CALLS_LOGGED_S:
+                calls_logged_at = self._loop.time()
+                self._log_calls()
             self._conns.close_old()
             self.log.report_dropped()
             self._metrics.connections = self._front.open_connections
--- a/packages/entry/src/tallyhall_entry/metrics.py
+++ b/packages/entry/src/tallyhall_entry/metrics.py
@@ -11,6 +11,7 @@
 import collections
 import itertools
 import math
+from collections.abc import Mapping
 
 from .logs import BoundedStream
 
@@ -49,6 +50,8 @@
         self.request_seconds: dict[str, Histogram] = {}
         self.refusals: collections.Counter[str] = collections.Counter()
         self.sends: collections.Counter[str] = collections.Counter()
+        # By kind, cause and outcome.
+        self.store_calls: Mapping[tuple[str, str, str], int] = {}
         self.first_event_seconds = Histogram()
         self.connections = 0
         self.turned_away = 0
--- a/packages/platform/src/tallyhall_platform/registry.py
+++ b/packages/platform/src/tallyhall_platform/registry.py
@@ -17,6 +17,7 @@
 from tallyhall_core.events import Event
 from tallyhall_dispatch.quota import Written
 
+from .calls import CallCause
 from .entries import (
     INSTANCE_PREFIX,
     USE_KEY,
@@ -115,10 +116,12 @@
             pause_s = _RENEW_S
             try:
                 await step()
+                self._client.cause = CallCause.steady
             except LeaseEndedError:
                 self._lease = None
                 pause_s = 0
             except StoreError as exc:
+                self._client.cause = CallCause.retry
                 self._log(Event.store_call_failed, cause=str(exc))
                 pause_s = self._rng.uniform(_PAUSE_S, _RENEW_S)
             await asyncio.sleep(pause_s)
@@ -128,7 +131,9 @@
         if use is None:
             return
         # Under no lease: it matters after the end of this process.
+        self._client.cause = CallCause.use
         await self._client.put(USE_KEY, encode_use(use), _NO_LEASE)
+        self._client.cause = CallCause.steady
         self._uses.written(use)
 
     async def _leaving_step(self) -> None:
--- a/packages/platform/src/tallyhall_platform/store.py
+++ b/packages/platform/src/tallyhall_platform/store.py
@@ -19,6 +19,7 @@
 from tallyhall_edge.messages import head_bytes
 from tallyhall_edge.whole import WholeAnswer, read_whole
 
+from .calls import Call, CallCause, CallCounts, CallKind, CallOutcome
 from .errors import (
     ConditionFailedError,
     DecodeError,
@@ -37,6 +38,8 @@
 # What a watch may take beyond the time that it was asked to wait.
 _WATCH_EXTRA_S = 0.5
 _MILLI = 1000
+# Each change in the answer to a watch names its key.
+_KEY_FIELD = b'"key"'
 _OK = 200
 _NOT_FOUND = 404
 _GONE = 410
@@ -105,13 +108,19 @@
 class StoreClient:
     """Calls on one kept connection, one at a time."""
 
-    def __init__(self, address: Listening) -> None:
-        """Connect at the first call."""
+    def __init__(
+        self,
+        address: Listening,
+        counts: CallCounts | None = None,
+    ) -> None:
+        """Connect at the first call; count calls in `counts`."""
+        # Why the next call is made, for the counts.
+        self.cause = CallCause.start
         self._address = address
+        self._counts = counts or CallCounts()
         self._conn: ClientConnection | None = None
         self._turn = asyncio.Lock()
         self._proved_at = float('-inf')
-        self.calls = 0
 
     @property
     def proved_at(self) -> float:
@@ -138,7 +147,11 @@
             query = {'prefix': prefix}
             if after:
                 query['after'] = after
-            page = await self._read(f'/kv-range?{urlencode(query)}', _Page)
+            page = await self._read(
+                CallKind.scan,
+                f'/kv-range?{urlencode(query)}',
+                _Page,
+            )
             found.extend(
                 Item(row.key, _content(row.value), row.revision)
                 for row in page.items
@@ -160,6 +173,7 @@
             {'prefix': prefix, 'after': after, 'wait-ms': wait_ms},
         )
         answer = await self._read(
+            CallKind.watch,
             f'/kv-watch?{query}',
             _News,
             max(wait_s + _WATCH_EXTRA_S, _CALL_S),
@@ -176,6 +190,7 @@
     async def grant_lease(self, ttl_s: float) -> int:
         """Return a new lease."""
         answer = await self._call(
+            CallKind.lease,
             'POST',
             '/kv-lease',
             {'ttl-ms': int(ttl_s * _MILLI)},
@@ -184,14 +199,16 @@
 
     async def keep_lease(self, lease: int) -> None:
         """Renew a lease; raise LeaseEndedError."""
-        answer = await self._call('POST', f'/kv-keep/{lease}', {})
+        path = f'/kv-keep/{lease}'
+        answer = await self._call(CallKind.renewal, 'POST', path, {})
         if answer.status == _NOT_FOUND:
             raise LeaseEndedError(str(lease))
         _check_status(answer)
 
     async def end_lease(self, lease: int) -> None:
         """End a lease and remove its keys; one that has ended is no error."""
-        answer = await self._call('DELETE', f'/kv-lease-end/{lease}', None)
+        path = f'/kv-lease-end/{lease}'
+        answer = await self._call(CallKind.end, 'DELETE', path, None)
         if answer.status != _NOT_FOUND:
             _check_status(answer)
 
@@ -209,17 +226,18 @@
 
     async def _read(
         self,
+        kind: CallKind,
         path: str,
         model: type[_Model],
         wait_s: float = _CALL_S,
     ) -> _Model:
-        answer = await self._call('GET', path, None, wait_s)
+        answer = await self._call(kind, 'GET', path, None, wait_s)
         if answer.status == _GONE:
             raise HistoryGoneError(path)
         return _checked(answer, model)
 
     async def _write(self, body: dict[str, Any]) -> None:
-        answer = await self._call('POST', '/kv-txn', body)
+        answer = await self._call(CallKind.write, 'POST', '/kv-txn', body)
         if answer.status == _CONDITION_FAILED:
             raise ConditionFailedError('the keys have changed')
         if answer.status == _NOT_FOUND:
@@ -228,6 +246,7 @@
 
     async def _call(
         self,
+        kind: CallKind,
         method: str,
         path: str,
         body: dict[str, Any] | None,
@@ -241,8 +260,16 @@
         )
         line = f'{method} {quote(path, safe="/?=&%-_.")} HTTP/1.1'.encode()
         async with self._turn:
-            self.calls += 1
-            return await self._exchange(head_bytes(line, headers) + raw, wait_s)
+            outcome = CallOutcome.lost
+            try:
+                answer = await self._exchange(
+                    head_bytes(line, headers) + raw,
+                    wait_s,
+                )
+                outcome = _outcome(kind, answer)
+            finally:
+                self._counts.note(Call(kind, self.cause, outcome))
+            return answer
 
     async def _exchange(self, raw: bytes, wait_s: float) -> WholeAnswer:
         try:
@@ -273,6 +300,16 @@
         return conn
 
 
+def _outcome(kind: CallKind, answer: WholeAnswer) -> CallOutcome:
+    if answer.status == _LIMITED:
+        return CallOutcome.limited
+    if answer.status == _REFUSED:
+        return CallOutcome.refused
+    if kind is CallKind.watch and _KEY_FIELD in answer.body:
+        return CallOutcome.changed
+    return CallOutcome.answered
+
+
 def _check_status(answer: WholeAnswer) -> None:
     if answer.status == _LIMITED:
         raise StoreLimitedError(f'status {answer.status}')
