--- a/packages/dispatch/src/tallyhall_dispatch/gate.py
+++ b/packages/dispatch/src/tallyhall_dispatch/gate.py
@@ -14,7 +14,8 @@
 
 from .desired import DesiredState, Route, Workspace
 from .freshness import Freshness
-from .quota import QuotaBounds, Quotas, QuotaSeen
+from .quota import Quotas, QuotaSeen
+from .quota_limits import QuotaBounds
 from .retries import RetryBudget, RetryLimits
 from .routing import Router, pick_service
 
--- a/packages/dispatch/src/tallyhall_dispatch/quota.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota.py
@@ -21,82 +21,37 @@
 
 from __future__ import annotations
 
-import collections
 import math
 from collections.abc import Mapping
 
 import msgspec
 
 from .desired import Workspace
-from .outstanding import Outstanding
-from .topology import is_mesh
-from .windows import SlidingSum
+from .quota_limits import Fleet, QuotaBounds, QuotaLimits
+from .quota_use import FleetUse, Parts, Use, UseReport
 
 # Use above this part of a quota is written to the store; up to it nothing
 # is, and that much counts as used at a restart. Workspaces use 0.55 of their
 # quota on a calm day, which then costs no writes.
 _WRITTEN_PART = 0.6
-# Use above this part of a quota is told to all with every beat, so that
-# those that do not hear each other know it from one that hears all; what is
-# used below it cannot exceed a quota together with their own.
-_HIGH_PART = 0.5
 # The use is written again once a workspace was admitted this part of what its
 # quota may be exceeded by: so much may be forgotten when all processes end,
 # beside what was given to requests above the quota. Each write wakes every
 # watch: 24 of 61 calls of an instance on a calm day, one every 1.6 s.
 _UNWRITTEN_PART = 0.3
-# What another instance knows is repeated with each of its beats, which come
-# at most 1.1 s apart at 87 instances. What is older than the newest that is
-# heard by this is replaced by it; what nobody replaces still counts.
-_HEARD_S = 2.5
-# Returns are told by then: two beats, which come 1.1 s apart at 87 instances.
-_RETURNS_TOLD_S = 2.5
-# Use below this part of a quota is calm: at 8 times a usual load of 0.55 of
-# the quota, what all admit until a silence of 1.5 beats is seen stays in it.
-# A mesh beats each 0.19 s at the most, a large fleet each 1.1 s at 87.
-_CALM_PART = 0.65
-_CALM_PART_MESH = 0.8
 # Of what is left while the use is calm, so much may be admitted here before it
 # is counted, and at any time by one request in a large fleet: requests of
 # 50,000 tokens fit at 87 instances, where an even share of a quota of 4.7
 # million tokens is 27,000.
 _CALM_SHARE = 1 / 8
-# Part of the granted slack that lone instances may use together; the rest
-# covers what is admitted between two reports.
-_SLACK_PART = 0.5
-# Part of what a quota may be exceeded by that is given to requests above it
-# while places are free. The rest is for what is admitted between two reports,
-# 0.15 s apart: half of 140,000 tokens, a usual slack, bears 470,000 a second of
-# one workspace, about all that nine engines can read.
-_SPARE_PART = 0.5
+# In a large fleet at most that many parts of what is left are shared out among
+# all, since the more instances there are, the more of them admit something
+# until they hear of each other: 25 are eighths at 200 instances.
+_SHARES_AT_ONCE = 25
 # Least wait that a caller over its quota is told, in seconds.
 _LEAST_WAIT_S = 0.2
 # Ages and amounts of the use of all, by workspace, as written.
-Written = Mapping[str, tuple[tuple[float, float], ...]]
-# The sum of a window moves in steps of this part of it.
-_STEPS = 40
-
-
-class QuotaBounds(msgspec.Struct, frozen=True):
-    """How quotas are measured and by how much they may be exceeded."""
-
-    window_s: float
-    overshoot: float
-    slack: float
-
-
-class Fleet(msgspec.Struct, frozen=True):
-    """How much of the fleet reports here; heard is a part of one.
-
-    known_at: what this instance had admitted by then is known to all that
-    it hears, None where it hears nobody else. counted_at: to one that tells
-    all, None while any may be cut off.
-    """
-
-    instances: int = 1
-    heard: float = 1
-    known_at: float | None = None
-    counted_at: float | None = None
+Written = Mapping[str, Parts]
 
 
 class QuotaSeen(msgspec.Struct, frozen=True):
@@ -112,37 +67,6 @@
     known_s_ago: float
 
 
-class UseReport(msgspec.Struct, frozen=True):
-    """One workspace's use as an instance reports it.
-
-    total: admitted by the instance since its start. within_window: of that
-    in the last window. fleet: admitted by all instances in the last window,
-    as far as the instance knows. is_high: whether that is much of the quota.
-    returned: of the total, what did not run. oldest_return_s: seconds from
-    charge to return of the one among the last returns that waited longest.
-    """
-
-    total: float
-    within_window: float
-    fleet: float
-    is_high: bool
-    returned: float
-    oldest_return_s: float
-
-
-class FleetUse(msgspec.Struct, frozen=True):
-    """The use of all as another instance, which hears more, has counted it.
-
-    amount: within the last window. counted: of the total of the instance
-    that is told.
-    """
-
-    sender: str
-    amount: float
-    counted: float
-    at: float
-
-
 class _Recalled(msgspec.Struct, frozen=True):
     """A part of the use before a restart, and when it leaves the window."""
 
@@ -150,78 +74,47 @@
     amount: float
 
 
-class _Use:
-    def __init__(self, workspace: Workspace, window_s: float) -> None:
-        self.workspace = workspace
-        self.total: float = 0
-        # Admitted by all since this instance knows them.
-        self.fleet_total: float = 0
-        self.written_total: float | None = None
-        self.own = SlidingSum(window_s, _STEPS)
-        self.others = SlidingSum(window_s, _STEPS)
-        self.outstanding = Outstanding()
-        self.returned: float = 0
-        # Times and waits of the last returns, but for those that a later one
-        # outlasts: the first is the longest.
-        self._returns: collections.deque[tuple[float, float]] = (
-            collections.deque()
-        )
-        self.heard: dict[str, FleetUse] = {}
-
-    def admit(self, amount: float, now: float) -> None:
-        """Add what this instance admits."""
-        self.own.add(amount, now)
-        self.outstanding.add(amount, now)
-        self.total += amount
-        self.fleet_total += amount
-
-    def give_back(self, amount: float, charged_at: float, now: float) -> None:
-        """Take back what did not run, where it was charged."""
-        self.own.take_back(amount, charged_at, now)
-        self.outstanding.take_back(amount, charged_at)
-        self.returned += amount
-        self.fleet_total -= amount
-        wait_s = now - charged_at
-        while self._returns and self._returns[-1][1] <= wait_s:
-            self._returns.pop()
-        self._returns.append((now, wait_s))
-
-    def oldest_return_s(self, now: float) -> float:
-        """Return the longest wait among the last returns.
-
-        Others take all of them back at this age: what leaves the window too
-        early leaves their sum too high. A mean would hide what ran between
-        two charges for as long as they are apart.
-        """
-        returns = self._returns
-        while returns and now - returns[0][0] > _RETURNS_TOLD_S:
-            returns.popleft()
-        return returns[0][1] if returns else 0
-
-
 class Quotas:
     """Use of all workspaces' quotas as known on one instance."""
 
     def __init__(self, bounds: QuotaBounds, started_at: float) -> None:
         """Start without workspaces and without a memory of their use."""
+        self._known_from = started_at
         self._unknown_until = started_at + bounds.window_s
         self._recalled: dict[str, tuple[_Recalled, ...]] = {}
         self._bounds = bounds
-        self._uses: dict[str, _Use] = {}
+        self._uses: dict[str, Use] = {}
         self._fleet = Fleet()
         self._has_written = False
+        # Whether somebody asked for a quota that is used so much that what
+        # others admit meanwhile decides.
+        self._is_pressed = False
 
     def configure(self, workspaces: Mapping[str, Workspace]) -> None:
         """Take new rates; lower ones bind at once."""
         for name, workspace in workspaces.items():
             use = self._uses.get(name)
             if use is None:
-                self._uses[name] = _Use(workspace, self._bounds.window_s)
+                self._uses[name] = Use(
+                    workspace,
+                    self._bounds.window_s,
+                    self._known_from,
+                )
                 continue
             use.workspace = workspace
         for gone in self._uses.keys() - workspaces.keys():
             self._uses.pop(gone)
 
+    @property
+    def pressed_s(self) -> float:
+        """Return how often others are asked where their use decides."""
+        return self._fleet.pressed_s
+
+    @property
+    def known_at(self) -> float | None:
+        """Return until when others know what was admitted here."""
+        return self._fleet.known_at
+
     def take_fleet(self, fleet: Fleet) -> None:
         """Take how much of the fleet's use is known."""
         self._fleet = fleet
@@ -241,14 +134,12 @@
         """Return whether the use before the start matters no more."""
         return now >= self._unknown_until
 
-    def adopt(self, fleet_use: Mapping[str, float], now: float) -> None:
-        """Take the use of all as an instance knows it that did not restart."""
+    def adopt(self, fleet_use: Written, now: float) -> None:
+        """Take the use of all others as one knows it that did not restart."""
+        self._known_from = now
         self._unknown_until = now
-        for use in self._uses.values():
-            # What others reported until now is in the sum that is adopted.
-            use.others = SlidingSum(self._bounds.window_s, _STEPS)
-        for name, amount in fleet_use.items():
-            self.reported(name, amount, now)
+        for name, use in self._uses.items():
+            use.adopt(fleet_use.get(name, ()), now)
 
     def take(self, name: str, amount: float, now: float) -> float:
         """Admit an amount; return 0, or the seconds until it may fit."""
@@ -256,7 +147,11 @@
         if use is None or not use.workspace.rate:
             return 0
         used = self._used(use, now)
-        over = used + amount - self._allowed(use.workspace)
+        limits = self._limits(use)
+        if not limits.is_calm(used):
+            self._is_pressed = True
+        reserve = limits.reserve(use.unheard(now, self._fleet.pressed_s))
+        over = used + reserve + amount - limits.allowed
         if over > 0:
             return max(_LEAST_WAIT_S, over / use.workspace.rate)
         if amount > self._share(use, used, now, within_quota=True):
@@ -264,6 +159,12 @@
         use.admit(amount, now)
         return 0
 
+    def take_pressed(self) -> bool:
+        """Return whether others must hear at once, and of them; once."""
+        pressed = self._is_pressed
+        self._is_pressed = False
+        return pressed
+
     def take_spare(self, name: str, amount: float, now: float) -> bool:
         """Admit an amount above the quota, for places that are free anyway.
 
@@ -274,7 +175,8 @@
         if use is None or self._fleet.heard < 1 or not self.knows_past(now):
             return False
         used = self._used(use, now)
-        if used + amount > self._ceiling(use.workspace):
+        unheard = use.unheard(now, self._fleet.pressed_s)
+        if used + unheard + amount > self._limits(use).ceiling:
             return False
         if amount > self._share(use, used, now, within_quota=False):
             return False
@@ -289,7 +191,7 @@
         known_at = self._fleet.known_at
         return QuotaSeen(
             self._used(use, now),
-            self._allowed(use.workspace),
+            self._limits(use).allowed,
             self._fleet.heard,
             0 if known_at is None else now - known_at,
         )
@@ -312,12 +214,17 @@
         if now - charged_at < self._bounds.window_s:
             use.give_back(amount, charged_at, now)
 
-    def reported(self, name: str, amount: float, now: float) -> None:
-        """Take that another instance admitted this amount."""
+    def reported(
+        self,
+        name: str,
+        amount: float,
+        now: float,
+        age_s: float = 0,
+    ) -> None:
+        """Take that another instance admitted this amount so long ago."""
         use = self._uses.get(name)
         if use is not None:
-            use.others.add(amount, now)
-            use.fleet_total += amount
+            use.reported(amount, now, age_s)
 
     def returned(
         self,
@@ -329,8 +236,7 @@
         """Take that another instance gave back what it had admitted."""
         use = self._uses.get(name)
         if use is not None:
-            use.others.take_back(amount, charged_at, now)
-            use.fleet_total -= amount
+            use.take_back(amount, charged_at, now)
 
     def own_returned(self, name: str) -> float:
         """Return what this instance gave back since its start."""
@@ -348,29 +254,47 @@
         reports = {}
         for name, use in self._uses.items():
             own = use.own.total(now)
-            fleet = own + use.others.total(now)
-            if fleet or use.total:
-                high = _HIGH_PART * self._limit(use.workspace)
+            fleet = own + use.others(now, self._before(use, now))
+            if fleet or use.fleet_total or use.total:
+                high = self._limits(use).high
                 reports[name] = UseReport(
                     use.total,
                     own,
                     fleet,
+                    use.rate(now),
                     0 < high < fleet,
                     use.returned,
                     use.oldest_return_s(now),
                 )
         return reports
 
+    def own_parts(self, name: str, now: float) -> Parts:
+        """Return what this instance admitted in the last window, by age."""
+        use = self._uses.get(name)
+        return () if use is None else use.told_parts(use.own.parts(now))
+
+    def fleet_parts(self, name: str, now: float) -> Parts:
+        """Return what all did, as far as this instance knows."""
+        use = self._uses.get(name)
+        if use is None:
+            return ()
+        return use.told_parts((*use.own.parts(now), *use.others_parts(now)))
+
+    def returns(self, name: str, after: float, now: float) -> Parts:
+        """Return what was given back beyond a sum, by the ages of charges."""
+        use = self._uses.get(name)
+        return () if use is None else use.returns(after, now)
+
     def worth_writing(self, now: float) -> Written:
         """Return the use of all of those quotas that are used much."""
         worth = {}
         for name, use in self._uses.items():
-            high = _WRITTEN_PART * self._limit(use.workspace)
+            high = _WRITTEN_PART * self._limits(use).quota
             if self._used(use, now) > high:
                 worth[name] = (
                     *self._recalled_parts(name, now),
                     *use.own.parts(now),
-                    *use.others.parts(now),
+                    *use.others_parts(now),
                 )
         return worth
 
@@ -384,8 +308,7 @@
             if use.written_total is None:
                 return worth
             unwritten = use.fleet_total - use.written_total
-            beyond = self._beyond(use.workspace)
-            if unwritten > _UNWRITTEN_PART * beyond:
+            if unwritten > _UNWRITTEN_PART * self._limits(use).beyond:
                 return worth
         return None
 
@@ -409,28 +332,33 @@
             if part.ends_at > now
         )
 
-    def _used(self, use: _Use, now: float) -> float:
+    def _used(self, use: Use, now: float) -> float:
         own = use.own.total(now)
-        others = _others_heard(use, own, now - self._bounds.window_s)
-        known = own + max(use.others.total(now), others)
+        told = use.others(now, self._before(use, now))
+        return own + max(told, use.others_heard(own, now))
+
+    def _before(self, use: Use, now: float) -> float:
+        """Return what all used before this start, as far as it counts here.
+
+        A part of the fleet has its part of the quota, so it counts the same
+        part of what the whole fleet used.
+        """
         if self.knows_past(now):
-            return known
-        # A part of the fleet has its part of the quota, so it counts the same
-        # part of what the whole fleet used.
-        return known + self._fleet.heard * self._used_before(use, now)
+            return 0
+        return self._fleet.heard * self._used_before(use, now)
 
-    def _used_before(self, use: _Use, now: float) -> float:
+    def _used_before(self, use: Use, now: float) -> float:
         """Return what all used before this start, as far as it counts yet."""
         recalled = self._recalled.get(use.workspace.name)
         if recalled is not None:
             return sum(part.amount for part in recalled if part.ends_at > now)
         left_s = self._unknown_until - now
         faded = _WRITTEN_PART * left_s / self._bounds.window_s
-        return faded * self._limit(use.workspace)
+        return faded * self._limits(use).quota
 
     def _share(
         self,
-        use: _Use,
+        use: Use,
         used: float,
         now: float,
         *,
@@ -445,9 +373,8 @@
         fleet = self._fleet
         if fleet.known_at is None:
             return math.inf
-        mesh = is_mesh(fleet.instances)
-        calm_part = _CALM_PART_MESH if mesh else _CALM_PART
-        calm = used < calm_part * self._limit(use.workspace)
+        limits = self._limits(use)
+        calm = limits.is_calm(used)
         counted_at = fleet.counted_at if calm else fleet.known_at
         calm = calm and counted_at is not None
         outstanding = use.outstanding.since(
@@ -456,63 +383,21 @@
         )
         known = used - outstanding
         first = within_quota and not outstanding
-        if first and (calm or (mesh and fleet.counted_at is not None)):
-            return self._allowed(use.workspace) - known
+        if first and (calm or (fleet.is_mesh and fleet.counted_at is not None)):
+            return limits.allowed - known
         part = self._part(use.own.total(now) - outstanding, known, use)
-        if calm or (first and not mesh):
-            part = max(part, _CALM_SHARE)
-        return part * self._left(use, known) - outstanding
+        fresh = now - fleet.known_at <= 2 * fleet.pressed_s
+        if calm if fleet.is_mesh else first or (fresh and within_quota):
+            part = max(
+                part, min(_CALM_SHARE, _SHARES_AT_ONCE / fleet.instances)
+            )
+        return part * limits.left(known) - outstanding
 
-    def _part(self, own: float, known: float, use: _Use) -> float:
+    def _part(self, own: float, known: float, use: Use) -> float:
         """Return this instance's part: half even, half by what it used."""
         heard = max(1, self._fleet.heard * self._fleet.instances)
-        high = _HIGH_PART * self._limit(use.workspace)
+        high = self._limits(use).high
         return (1 / heard + own / max(known, high)) / 2
 
-    def _left(self, use: _Use, known: float) -> float:
-        workspace = use.workspace
-        left = self._allowed(workspace)
-        if self._fleet.heard >= 1:
-            left = self._ceiling(workspace)
-        if is_mesh(self._fleet.instances):
-            return left - known
-        # Hubs do not tell of less.
-        return left - max(known, _HIGH_PART * self._limit(workspace))
-
-    def _allowed(self, workspace: Workspace) -> float:
-        limit = self._limit(workspace)
-        if self._fleet.heard >= 1:
-            return limit
-        alone = self._beyond(workspace) * _SLACK_PART / self._fleet.instances
-        return min(limit, limit * self._fleet.heard + alone)
-
-    def _ceiling(self, workspace: Workspace) -> float:
-        """Return a quota with what requests above it may have together."""
-        beyond = _SPARE_PART * self._beyond(workspace)
-        return self._limit(workspace) + beyond
-
-    def _beyond(self, workspace: Workspace) -> float:
-        """Return by how much the operators let a quota be exceeded."""
-        limit = self._limit(workspace)
-        return limit * self._bounds.overshoot + self._bounds.slack
-
-    def _limit(self, workspace: Workspace) -> float:
-        return workspace.rate * self._bounds.window_s + workspace.burst
-
-
-def _others_heard(use: _Use, own: float, since: float) -> float:
-    """Return what others have used, as those say who hear them.
-
-    What they have counted of this instance's own use is not among it. News
-    that stay away do not make the use zero; they count until they have left
-    the window.
-    """
-    most: float = 0
-    newest = max((fleet.at for fleet in use.heard.values()), default=0)
-    oldest = max(since, newest - _HEARD_S)
-    for fleet in use.heard.values():
-        if fleet.at < oldest:
-            continue
-        own_counted = own - max(0, use.total - fleet.counted)
-        most = max(most, fleet.amount - max(0, own_counted))
-    return most
+    def _limits(self, use: Use) -> QuotaLimits:
+        return QuotaLimits(use.workspace, self._bounds, self._fleet)
--- a/packages/dispatch/src/tallyhall_dispatch/topology.py
+++ b/packages/dispatch/src/tallyhall_dispatch/topology.py
@@ -22,6 +22,14 @@
 # Instances up to which each hears all others: 16 make 240 streams and 100
 # beats a second in each direction, under 2% of a core.
 _MOST_IN_MESH = 16
+# Time between two batches without content, in seconds, to up to this many
+# peers; with more it grows in proportion, so that an instance's beats stay
+# below 80 a second in each direction, and up to the longest: what is believed
+# of others is at most two beats old, whatever the fleet. At 410 instances a
+# hub then sends and receives 340 a second, 0.12 of a core.
+_BEAT_S = 0.15
+_FULL_RATE_PEERS = 12
+LONGEST_BEAT_S = 1.2
 # Hubs of a larger fleet: two may be lost at the same moment, and services
 # with model engines have an owner each.
 _HUBS = 4
@@ -46,6 +54,14 @@
     return instances <= _MOST_IN_MESH
 
 
+def beat_s(peers: int) -> float:
+    """Return the time between two beats to so many peers, in seconds."""
+    return _BEAT_S * min(
+        max(1, peers / _FULL_RATE_PEERS),
+        LONGEST_BEAT_S / _BEAT_S,
+    )
+
+
 class Topology:
     """The hubs and links of one instance."""
 
--- a/packages/dispatch/src/tallyhall_dispatch/windows.py
+++ b/packages/dispatch/src/tallyhall_dispatch/windows.py
@@ -21,15 +21,21 @@
         )
         self._total: float = 0
 
-    def add(self, amount: float, now: float) -> None:
-        """Add an amount at this time."""
+    def add(self, amount: float, now: float, age_s: float = 0) -> None:
+        """Add an amount as of so long ago; one beyond the window is gone."""
         self._expire(now)
+        if age_s >= self._window:
+            return
         self._total += amount
-        if self._buckets and now - self._buckets[-1][0] < self._bucket:
-            start, held = self._buckets.pop()
-            self._buckets.append((start, held + amount))
+        at = now - age_s
+        place = len(self._buckets)
+        while place and self._buckets[place - 1][0] > at:
+            place -= 1
+        if place and at - self._buckets[place - 1][0] < self._bucket:
+            start, held = self._buckets[place - 1]
+            self._buckets[place - 1] = (start, held + amount)
             return
-        self._buckets.append((now, amount))
+        self._buckets.insert(place, (at, amount))
 
     def take_back(self, amount: float, added_at: float, now: float) -> None:
         """Take an amount back where it was added, so that both leave at once.
@@ -51,6 +57,16 @@
         self._expire(now)
         return self._total
 
+    def newest(self, now: float, within_s: float) -> float:
+        """Return the sum of what was added in the last seconds."""
+        self._expire(now)
+        total: float = 0
+        for start, amount in reversed(self._buckets):
+            if start < now - within_s:
+                break
+            total += amount
+        return total
+
     def parts(self, now: float) -> tuple[tuple[float, float], ...]:
         """Return the ages and amounts that make up the sum."""
         self._expire(now)
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -8,10 +8,11 @@
 
 import asyncio
 import itertools
+from collections.abc import Awaitable, Callable
 
 from tallyhall_core.refusals import Executed, Reason, Refusal, RefusedError
 from tallyhall_dispatch.callers import FirstTries
-from tallyhall_dispatch.gate import Admitted, Gate
+from tallyhall_dispatch.gate import Admitted, Gate, OverQuotaError
 from tallyhall_dispatch.jobs import Ending, Grant, Job
 from tallyhall_dispatch.patience import longest_wait_s
 from tallyhall_dispatch.switches import ALL_ON, Switches
@@ -50,6 +51,9 @@
         switches: Switches = ALL_ON,
     ) -> None:
         """Work with these parts of the instance."""
+        # Asks others what they have used of quotas; returns whether something
+        # newer is known then.
+        self.ask_use: Callable[[], Awaitable[bool]] = _nobody_asked
         self._gate = gate
         self._scheduler = scheduler
         self._dialect = dialect
@@ -90,7 +94,7 @@
             return
         await self._until_state(exchange.received_at)
         try:
-            visit = self._enter(exchange, call)
+            visit = await self._entered(exchange, call)
         except RefusedError as exc:
             self._refuse(exchange, exc.refusal, call.id_text, exc)
             return
@@ -120,6 +124,15 @@
                 return
             await asyncio.sleep(_STATE_LOOK_S)
 
+    async def _entered(self, exchange: Exchange, call: CallInfo) -> Visit:
+        """Let a request in; refuse nobody for a use that is old news."""
+        try:
+            return self._enter(exchange, call)
+        except OverQuotaError:
+            if not await self.ask_use():
+                raise
+        return self._enter(exchange, call)
+
     def _enter(self, exchange: Exchange, call: CallInfo) -> Visit:
         admitted = self._gate.admit(
             call.host,
@@ -326,3 +339,7 @@
             # Also of callers that left and of time that ended unsent.
             self._gate.give_back(visit.admitted, now)
         self._log.ended(visit, now)
+
+
+async def _nobody_asked() -> bool:
+    return False
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -19,7 +19,7 @@
 from tallyhall_dispatch.freshness import Freshness
 from tallyhall_dispatch.gate import Gate
 from tallyhall_dispatch.options import Options
-from tallyhall_dispatch.quota import Fleet, QuotaBounds
+from tallyhall_dispatch.quota_limits import Fleet, QuotaBounds
 from tallyhall_dispatch.retries import RetryLimits
 from tallyhall_edge.connections import ConnectionPool
 from tallyhall_edge.runner import Runner
@@ -43,6 +43,7 @@
 from .shared import SharedScheduler
 from .talk import Talk
 from .telemetry import RequestTelemetry
+from .use_news import UseNews
 from .uses import WrittenUse
 
 if TYPE_CHECKING:
@@ -182,6 +183,12 @@
             self.log,
         )
         self._news = NewsTalk(options.instance, self._links, self._follower)
+        self._use_news = UseNews(
+            self._links,
+            self._gate.quotas,
+            self._take_known,
+        )
+        self._runner.ask_use = self._use_news.ask
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._stopping = False
         self._counted: dict[str, int] = {}
@@ -323,6 +330,7 @@
     def _on_batch(self, peer: Peer, batch: peers_pb2.Batch) -> None:
         self._talk.take(peer, batch)
         self._news.take(peer, batch)
+        self._use_news.take(peer, batch)
         self._scheduler.on_batch(peer, batch)
         # A store that answers others is not away, whatever this one's way is.
         now = self._loop.time()
@@ -333,6 +341,7 @@
     def _fill_batch(self, peer: Peer, batch: peers_pb2.Batch) -> None:
         self._talk.fill(peer, batch)
         self._news.fill(peer, batch)
+        self._use_news.fill(peer, batch)
 
     def _on_peer_lost(self, peer: Peer, exc: Exception) -> None:
         self.log.event(Event.peer_down, peer=peer.name, cause=repr(exc)[:100])
@@ -395,22 +404,31 @@
             await asyncio.sleep(_TICK_S)
             self._scheduler.tick()
             self._news.look(self._scheduler.hubs)
+            for hub in self._use_news.look(self._scheduler.hubs):
+                self._links.outgoing(hub, urgent=True)
             self._beliefs.look()
-            heard = self._links.hears
-            instances = max(len(self._beliefs.count.members), heard)
-            self._gate.instances = instances
-            self._gate.quotas.take_fleet(
-                Fleet(
-                    instances,
-                    heard / instances,
-                    self._scheduler.known.known_at,
-                    self._scheduler.known.counted_at,
-                ),
-            )
-            holders = max(len(self._beliefs.count.holders), heard)
-            self._dispatcher.take_share(heard / holders)
+            self._take_fleet()
             self._log_count()
 
+    def _take_known(self) -> None:
+        self._scheduler.look()
+        self._take_fleet()
+
+    def _take_fleet(self) -> None:
+        heard = self._links.hears
+        instances = max(len(self._beliefs.count.members), heard)
+        self._gate.instances = instances
+        self._gate.quotas.take_fleet(
+            Fleet(
+                instances,
+                heard / instances,
+                self._scheduler.known.known_at,
+                self._scheduler.known.counted_at,
+            ),
+        )
+        holders = max(len(self._beliefs.count.holders), heard)
+        self._dispatcher.take_share(heard / holders)
+
     def _log_count(self) -> None:
         count = self._beliefs.count
         counted = {
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -258,13 +258,14 @@
 
     def tick(self) -> None:
         """Look who is live, and move jobs to the owners of now."""
+        self._drop_lost()
+        self.look()
+        for ticket in tuple(self._tickets.values()):
+            self._move(ticket)
+
+    def look(self) -> None:
+        """Look who is live and knows what was admitted here."""
         now = self._loop.time()
-        drop_s = max(_DROP_S, self._links.lost_s)
-        for peer in self._links.peers.values():
-            heard_s = now - peer.heard_at
-            if heard_s > drop_s and peer.name not in self._dropped:
-                self._dropped.add(peer.name)
-                self._dispatcher.drop_jobs(f'{peer.name}/')
         seen = self._neighbours.look(now, leaving=self.leaving)
         self._links.hears = seen.hears
         self._links.hears_directly = seen.hears_directly
@@ -279,11 +280,19 @@
                 live=sorted(owners),
                 hears=seen.hears,
             )
-        for ticket in tuple(self._tickets.values()):
-            self._move(ticket)
 
     # -- inner steps
 
+    def _drop_lost(self) -> None:
+        """Forget the jobs of those that are not heard any more."""
+        now = self._loop.time()
+        drop_s = max(_DROP_S, self._links.lost_s)
+        for peer in self._links.peers.values():
+            heard_s = now - peer.heard_at
+            if heard_s > drop_s and peer.name not in self._dropped:
+                self._dropped.add(peer.name)
+                self._dispatcher.drop_jobs(f'{peer.name}/')
+
     def _take_ask(self, peer: str, job: Job) -> None:
         origin = self._origins.setdefault(
             peer,
--- a/packages/entry/src/tallyhall_entry/talk.py
+++ b/packages/entry/src/tallyhall_entry/talk.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING, Any
 
-import msgspec
 from tallyhall_core.events import Event
 from tallyhall_dispatch.adoption import Hearing
 from tallyhall_dispatch.gate import Gate
-from tallyhall_dispatch.quota import FleetUse
+from tallyhall_dispatch.quota_use import FleetUse, Parts, UseReport
 from tallyhall_dispatch.topology import is_mesh
 from tallyhall_transport.peers import Peer, PeerLinks
 
@@ -24,15 +23,6 @@
 # A newer desired state that a peer has is asked of it after this long: the
 # store normally brings it to all instances within a call.
 _FETCH_AFTER_S = 0.3
-# All peers have reported this long after the first one did.
-_ADOPTION_S = 1.5
-
-
-class _Adoption(msgspec.Struct, frozen=True):
-    """From whom and when the use of all was taken."""
-
-    sender: str
-    at: float
 
 
 class Talk:
@@ -52,7 +42,6 @@
         self._take_raw_state = take_raw_state
         self._log = log
         self._loop = asyncio.get_running_loop()
-        self._adopted: _Adoption | None = None
         self._seen: dict[tuple[str, str, str], float] = {}
         self._hearing = Hearing()
         self._returned: dict[tuple[str, str, str], float] = {}
@@ -89,27 +78,59 @@
         if age is not None:
             batch.confirmed_ms_ago = int(age * _MILLI) + 1
         batch.leaving = self.leaving
-        hubs = not is_mesh(self._links.instances)
         # Whom it counts and does not hear may have admitted much.
         hears_all = self._links.hears >= self._gate.instances
         batch.knows_use = hears_all and self._gate.quotas.knows_past(now)
         for name, use in self._gate.quotas.report(now).items():
-            repeats = hubs and use.is_high or not peer.knows_use
+            if self._is_news(peer, name, use):
+                self._add_spent(batch.spent.add(), peer, name, use)
+
+    def _is_news(self, peer: Peer, name: str, use: UseReport) -> bool:
+        """Return whether a peer must be told of a use.
+
+        Hubs repeat what is used much, and tell once more when it is not:
+        others go by what was told last.
+        """
+        if peer.told.get(name) != use.total + use.returned:
             # Both only grow.
-            changes = use.total + use.returned
-            if peer.told.get(name) == changes and not repeats:
-                continue
-            peer.told[name] = changes
-            seen_key = (peer.name, peer.incarnation, name)
-            batch.spent.add(
-                workspace=name,
-                total=use.total,
-                within_window=use.within_window,
-                fleet=use.fleet,
-                counted=self._seen.get(seen_key, 0),
-                returned=use.returned,
-                oldest_return_s=use.oldest_return_s,
-            )
+            return True
+        if not peer.knows_use:
+            return True
+        if is_mesh(self._links.instances):
+            return False
+        return use.is_high or name in peer.told_high
+
+    def _add_spent(
+        self,
+        spent: peers_pb2.Spent,
+        peer: Peer,
+        name: str,
+        use: UseReport,
+    ) -> None:
+        quotas = self._gate.quotas
+        now = self._loop.time()
+        spent.workspace = name
+        spent.total = use.total
+        spent.within_window = use.within_window
+        spent.fleet = use.fleet
+        spent.rate = use.rate
+        seen_key = (peer.name, peer.incarnation, name)
+        spent.counted = self._seen.get(seen_key, 0)
+        spent.returned = use.returned
+        spent.oldest_return_s = use.oldest_return_s
+        if name not in peer.told:
+            _fill_parts(spent.own_parts, quotas.own_parts(name, now))
+        if not peer.knows_use:
+            _fill_parts(spent.fleet_parts, quotas.fleet_parts(name, now))
+        told = peer.told_returned.get(name, 0)
+        if use.returned > told:
+            _fill_parts(spent.returns, quotas.returns(name, told, now))
+        peer.told[name] = use.total + use.returned
+        peer.told_returned[name] = use.returned
+        if use.is_high:
+            peer.told_high.add(name)
+        else:
+            peer.told_high.discard(name)
 
     def _take_spent(
         self,
@@ -119,20 +140,50 @@
     ) -> None:
         seen_key = _seen_key(batch, spent)
         seen = self._seen.get(seen_key)
-        if seen is None:
-            seen = self._counted_before(batch, spent, now)
         self._seen[seen_key] = spent.total
-        amount = spent.total - seen
-        quotas = self._gate.quotas
-        quotas.reported(spent.workspace, amount, now)
-        if not quotas.knows_past(now):
-            sender = batch.sender
-            self._hearing.reported(spent.workspace, sender, amount, now)
+        if seen is None:
+            self._take_first(batch.sender, spent, now)
+        else:
+            # What was told long ago may have left the window.
+            known = self._returned.get(seen_key, spent.returned)
+            within = spent.within_window + spent.returned - known
+            amount = min(spent.total - seen, within)
+            self._take_amount(batch.sender, spent.workspace, (0, amount), now)
         self._take_returned(seen_key, spent, now)
         if not is_mesh(self._links.instances):
-            fleet = FleetUse(batch.sender, spent.fleet, spent.counted, now)
+            fleet = FleetUse(
+                batch.sender,
+                spent.fleet,
+                spent.counted,
+                now,
+                spent.rate,
+            )
             self._gate.quotas.heard(spent.workspace, fleet)
 
+    def _take_first(
+        self,
+        sender: str,
+        spent: peers_pb2.Spent,
+        now: float,
+    ) -> None:
+        """Take what one admitted before it was heard, by its age."""
+        parts = _parts(spent.own_parts) or ((0, spent.within_window),)
+        for part in parts:
+            self._take_amount(sender, spent.workspace, part, now)
+
+    def _take_amount(
+        self,
+        sender: str,
+        workspace: str,
+        part: tuple[float, float],
+        now: float,
+    ) -> None:
+        age_s, amount = part
+        quotas = self._gate.quotas
+        quotas.reported(workspace, amount, now, age_s)
+        if not quotas.knows_past(now):
+            self._hearing.reported(workspace, sender, amount, now)
+
     def _take_returned(
         self,
         seen_key: tuple[str, str, str],
@@ -143,30 +194,17 @@
         # A first report tells of the window less what was returned.
         known = self._returned.get(seen_key, spent.returned)
         self._returned[seen_key] = spent.returned
-        if spent.returned > known:
-            self._gate.quotas.returned(
-                spent.workspace,
-                spent.returned - known,
-                now - spent.oldest_return_s,
-                now,
-            )
-
-    def _counted_before(
-        self,
-        batch: peers_pb2.Batch,
-        spent: peers_pb2.Spent,
-        now: float,
-    ) -> float:
-        """Return how much of a first report is known here already."""
-        adopted = self._adopted
-        hubs = not is_mesh(self._links.instances)
-        if hubs and adopted and batch.sender != adopted.sender:
-            heard = self._hearing.has_heard(batch.sender, batch.incarnation)
-            # The sum that was adopted holds what others had admitted. In a
-            # mesh all others had reported before it was.
-            if now - adopted.at < _ADOPTION_S and not heard:
-                return spent.total
-        return spent.total - spent.within_window
+        left = spent.returned - known
+        quotas = self._gate.quotas
+        for age_s, amount in _parts(spent.returns):
+            # What an earlier report told may be among them.
+            part = min(left, amount)
+            if part > 0:
+                quotas.returned(spent.workspace, part, now - age_s, now)
+                left -= part
+        if left > 0:
+            oldest_at = now - spent.oldest_return_s
+            quotas.returned(spent.workspace, left, oldest_at, now)
 
     def _take_confirmation(self, batch: peers_pb2.Batch, now: float) -> None:
         # The sender saw our question before it said how old its own
@@ -187,7 +225,6 @@
         of = self._links.instances
         if not self._is_whole(batch, now):
             return
-        self._adopted = _Adoption(batch.sender, now)
         self._log.event(
             Event.use_adopted,
             peer=batch.sender,
@@ -196,7 +233,7 @@
         )
         quotas.adopt(
             {
-                spent.workspace: self._others_use(batch.sender, spent, now)
+                spent.workspace: self._others_parts(batch.sender, spent, now)
                 for spent in batch.spent
             },
             now,
@@ -207,19 +244,26 @@
             self._seen[key] = told.total
             self._returned[key] = told.returned
 
-    def _others_use(
+    def _others_parts(
         self,
         sender: str,
         spent: peers_pb2.Spent,
         now: float,
-    ) -> float:
-        """Return the use of all others as the sender of a report knows it."""
+    ) -> Parts:
+        """Return the use of all others as the sender of a report knows it.
+
+        Its sum holds our own part less what we returned, if it knows that
+        already; else the result is too high by it. Ours is the youngest.
+        """
         name = spent.workspace
-        # Its sum holds our own part less what we returned, if it knows that
-        # already; else the result is too high by it.
         own = spent.counted - self._gate.quotas.own_returned(name)
-        just_told = self._hearing.just_told(name, sender, now)
-        return spent.fleet - max(0, own) + just_told
+        parts = _parts(spent.fleet_parts) or ((0, spent.fleet),)
+        others = _without(parts, max(0, own))
+        if not is_mesh(self._links.instances):
+            return others
+        # In a mesh all others have reported; what they told just now may not
+        # be known to the sender.
+        return (*others, (0, self._hearing.just_told(name, sender, now)))
 
     def _is_whole(self, batch: peers_pb2.Batch, now: float) -> bool:
         """Return whether the sender knows the use of all that count here.
@@ -249,3 +293,22 @@
     spent: peers_pb2.Spent,
 ) -> tuple[str, str, str]:
     return batch.sender, batch.incarnation, spent.workspace
+
+
+def _fill_parts(told: Any, parts: Parts) -> None:
+    for age_s, amount in parts:
+        told.add(age_s=age_s, amount=amount)
+
+
+def _parts(told: Iterable[peers_pb2.Part]) -> Parts:
+    return tuple((part.age_s, part.amount) for part in told)
+
+
+def _without(parts: Parts, amount: float) -> Parts:
+    """Return parts less an amount, taken off the youngest."""
+    kept = []
+    for age_s, held in sorted(parts):
+        taken = min(held, amount)
+        amount -= taken
+        kept.append((age_s, held - taken))
+    return tuple(kept)
--- a/packages/transport/src/tallyhall_transport/peers.py
+++ b/packages/transport/src/tallyhall_transport/peers.py
@@ -17,16 +17,12 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from tallyhall_dispatch.topology import beat_s
 
 if TYPE_CHECKING:
     from .generated import peers_pb2
     from .streams import Outbox, Streams
 
-# Time between two batches without content, to up to this many peers; with
-# more it grows in proportion, so that an instance's beats stay below 80 a
-# second in each direction, under 1% of a core.
-_BEAT_S = 0.15
-_FULL_RATE_PEERS = 12
 # Beats after which a peer that was not heard counts as lost.
 _LOST_BEATS = 3.3
 # A stream whose questions stay unanswered for this many beats is opened anew;
@@ -58,6 +54,15 @@
     # Whether it knows the use of all; until then it is told everything.
     knows_use: bool = False
     told: dict[str, float] = msgspec.field(default_factory=dict)
+    # Of quotas: what was returned as told last, and those told as used much.
+    told_returned: dict[str, float] = msgspec.field(default_factory=dict)
+    told_high: set[str] = msgspec.field(default_factory=set)
+
+    def forget_told(self) -> None:
+        """Take that a new stream begins: all that is told is told again."""
+        self.told.clear()
+        self.told_returned.clear()
+        self.told_high.clear()
 
 
 class PeerPlace(msgspec.Struct, frozen=True):
@@ -137,7 +142,7 @@
     @property
     def beat_s(self) -> float:
         """Return the time between two batches without content."""
-        return _BEAT_S * max(1, len(self._places) / _FULL_RATE_PEERS)
+        return beat_s(len(self._places))
 
     @property
     def lost_s(self) -> float:
--- a/packages/transport/src/tallyhall_transport/streams.py
+++ b/packages/transport/src/tallyhall_transport/streams.py
@@ -187,7 +187,7 @@
         write_s = _CONNECT_S
         # What was queued for a first stream goes with its first batch.
         self.pending.opened = True
-        self.peer.told.clear()
+        self.peer.forget_told()
         self._links.on_opened(self.peer)
         while True:
             batch = self.pending
--- a/tests/platform/test_quota_cut.py
+++ b/tests/platform/test_quota_cut.py
@@ -19,7 +19,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from tallyhall_dispatch.desired import Workspace
-from tallyhall_dispatch.quota import QuotaBounds
+from tallyhall_dispatch.quota_limits import QuotaBounds
 
 from tests.platform.quota_fleet import Load, QuotaFleet, simulated
 
--- a/tests/platform/test_quota_returns.py
+++ b/tests/platform/test_quota_returns.py
@@ -21,7 +21,7 @@
 from tallyhall_dispatch.desired import Workspace
 from tallyhall_dispatch.freshness import Freshness
 from tallyhall_dispatch.gate import Admitted, Gate
-from tallyhall_dispatch.quota import QuotaBounds
+from tallyhall_dispatch.quota_limits import QuotaBounds
 from tallyhall_dispatch.retries import RetryLimits
 from tallyhall_platform.decode import decode_state
 
--- a/tests/platform/test_quota_seen.py
+++ b/tests/platform/test_quota_seen.py
@@ -7,7 +7,7 @@
 from tallyhall_core.refusals import Reason
 from tallyhall_dispatch.freshness import Freshness
 from tallyhall_dispatch.gate import Admitted, Gate, OverQuotaError
-from tallyhall_dispatch.quota import Fleet, QuotaBounds
+from tallyhall_dispatch.quota_limits import Fleet, QuotaBounds
 from tallyhall_dispatch.retries import RetryLimits
 from tallyhall_platform.decode import decode_state
 
--- a/tests/platform/test_talk.py
+++ b/tests/platform/test_talk.py
@@ -29,7 +29,7 @@
 from tallyhall_dispatch.desired import Workspace
 from tallyhall_dispatch.freshness import Freshness
 from tallyhall_dispatch.gate import Gate
-from tallyhall_dispatch.quota import QuotaBounds
+from tallyhall_dispatch.quota_limits import QuotaBounds
 from tallyhall_dispatch.retries import RetryLimits
 from tallyhall_entry.logs import EventLog
 from tallyhall_entry.talk import Talk
--- a/tests/platform/test_topology.py
+++ b/tests/platform/test_topology.py
@@ -4,7 +4,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from tallyhall_dispatch.desired import Workspace
-from tallyhall_dispatch.quota import FleetUse, QuotaBounds, Quotas
+from tallyhall_dispatch.quota import Quotas
+from tallyhall_dispatch.quota_limits import QuotaBounds
+from tallyhall_dispatch.quota_use import FleetUse
 from tallyhall_dispatch.topology import Topology
 from tallyhall_entry import shared
 
