Quotas of large fleets: what restarted, fallen and old use counts

A restarted hub counted what it had adopted again from first reports that came later than 1.5 s (beats are 2.4 s apart there); a use that fell below one half was not told any more and held at its last figure for a window; knowledge was 2 to 4 s old, and half of the refusals were for a share of what is left, with use left.

--- a/packages/dispatch/src/tallyhall_dispatch/quota_use.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota_use.py
@@ -24,8 +24,10 @@
 _HEARD_S = 2 * LONGEST_BEAT_S + 0.1
 # Returns are told by then, with one of two beats.
 _RETURNS_TOLD_S = _HEARD_S
-# The sum of a window moves in steps of this part of it.
-_STEPS = 40
+# The sum of a window moves in steps of this part of it, and a step counts until
+# its newest amount is out: with 40 steps a use near its quota was taken for 1.03
+# of what it was, with 160 for 1.005.
+_STEPS = 160
 # The rate of the use of all is taken over this long, in seconds: a surge shows
 # in it as soon as it is told.
 _RATE_S = 0.5
@@ -138,7 +140,7 @@
         """Take that another instance admitted this amount so long ago."""
         self.fleet_total += amount
         self._reported.add(amount, now, age_s)
-        if now - age_s >= self._known_from:
+        if self._needs_past(now) and now - age_s >= self._known_from:
             self._since.add(amount, now, age_s)
 
     def take_back(self, amount: float, charged_at: float, now: float) -> None:
@@ -153,13 +155,15 @@
 
         before: what all had used before this start, where nobody told it.
         """
-        since = before + self._since.total(now)
-        return max(self._reported.total(now), since)
+        reported = self._reported.total(now)
+        if not self._needs_past(now):
+            return reported
+        return max(reported, before + self._since.total(now))
 
     def others_parts(self, now: float) -> Parts:
         """Return the same with its ages."""
         reported = self._reported.total(now)
-        if reported >= self._since.total(now):
+        if not self._needs_past(now) or reported >= self._since.total(now):
             return self._reported.parts(now)
         return self._since.parts(now)
 
@@ -224,6 +228,10 @@
         """Return amounts as they are told to others."""
         return merged(parts, self._window_s / _TOLD_PARTS)
 
+    def _needs_past(self, now: float) -> bool:
+        """Return whether what was used before this start matters yet."""
+        return now - self._known_from <= self._window_s
+
     def _forget_returns(self, now: float) -> None:
         returns = self._returns
         while returns and now - returns[0].at > _RETURNS_TOLD_S:
