Losses tell refusals for a quota of which enough was left

All 429s counted as not allowed. A refusal now says what it asked and of whose quota, an admission what it was charged, and losses works out from the lines of all instances whether the workspace really was above its quota then.

--- a/packages/dispatch/src/tallyhall_dispatch/gate.py
+++ b/packages/dispatch/src/tallyhall_dispatch/gate.py
@@ -47,10 +47,18 @@
 class OverQuotaError(RefusedError):
     """A request is refused for the quota of its workspace."""
 
-    def __init__(self, refusal: Refusal, seen: QuotaSeen | None) -> None:
-        """Keep the refusal and what decided."""
+    def __init__(
+        self,
+        refusal: Refusal,
+        seen: QuotaSeen | None,
+        workspace: str,
+        asked: float,
+    ) -> None:
+        """Keep the refusal and what decided: what was asked, and of whose."""
         super().__init__(refusal)
         self.seen = seen
+        self.workspace = workspace
+        self.asked = asked
 
 
 class _Charge(msgspec.Struct, frozen=True):
@@ -177,6 +185,8 @@
             raise OverQuotaError(
                 Refusal.of(Reason.rate_limited, retry_after=wait_s),
                 seen,
+                workspace.name,
+                amount,
             )
         return _Charge(amount, wait_s, seen)
 
--- a/packages/dispatch/src/tallyhall_dispatch/quota.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota.py
@@ -58,13 +58,16 @@
     """What was known when a request was admitted or refused.
 
     used: by all within the last window. limit: what it is held against.
-    heard: part of the fleet. known_s_ago: age of the knowledge of it.
+    heard: part of the fleet. known_s_ago: age of the knowledge of it. quota:
+    the limit of all together, in any window of `window_s`.
     """
 
     used: float
     limit: float
     heard: float
     known_s_ago: float
+    quota: float
+    window_s: float
 
 
 class _Recalled(msgspec.Struct, frozen=True):
@@ -194,6 +197,8 @@
             self._limits(use).allowed,
             self._fleet.heard,
             0 if known_at is None else now - known_at,
+            self._limits(use).quota,
+            self._bounds.window_s,
         )
 
     def give_back(
@@ -368,7 +373,8 @@
 
         Strict shares add up to what is left, whatever each instance admits
         meanwhile, also one that is cut off and does not know. A calm use gives
-        more; so does a first request, which may be larger than any share.
+        more in a mesh; so does a first request, which may be larger than any
+        share, and in a large fleet any while the others know of the last.
         """
         fleet = self._fleet
         if fleet.known_at is None:
@@ -386,13 +392,19 @@
         if first and (calm or (fleet.is_mesh and fleet.counted_at is not None)):
             return limits.allowed - known
         part = self._part(use.own.total(now) - outstanding, known, use)
-        fresh = now - fleet.known_at <= 2 * fleet.pressed_s
-        if calm if fleet.is_mesh else first or (fresh and within_quota):
+        generous = calm
+        if not fleet.is_mesh:
+            generous = first or (within_quota and self._is_fresh(now))
+        if generous:
             part = max(
                 part, min(_CALM_SHARE, _SHARES_AT_ONCE / fleet.instances)
             )
         return part * limits.left(known) - outstanding
 
+    def _is_fresh(self, now: float) -> bool:
+        known_at = self._fleet.known_at
+        return known_at is None or now - known_at <= 2 * self._fleet.pressed_s
+
     def _part(self, own: float, known: float, use: Use) -> float:
         """Return this instance's part: half even, half by what it used."""
         heard = max(1, self._fleet.heard * self._fleet.instances)
--- a/packages/dispatch/src/tallyhall_dispatch/quota_use.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota_use.py
@@ -25,8 +25,8 @@
 # Returns are told by then, with one of two beats.
 _RETURNS_TOLD_S = _HEARD_S
 # The sum of a window moves in steps of this part of it, and a step counts until
-# its newest amount is out: with 40 steps a use near its quota was taken for 1.03
-# of what it was, with 160 for 1.005.
+# its newest amount is out: with 40 steps a use near its quota was taken for
+# 1.03 of what it was, with 160 for 1.005 (simulated, 195 instances).
 _STEPS = 160
 # The rate of the use of all is taken over this long, in seconds: a surge shows
 # in it as soon as it is told.
--- a/packages/edge/src/tallyhall_edge/request_log.py
+++ b/packages/edge/src/tallyhall_edge/request_log.py
@@ -8,6 +8,7 @@
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.gate import Admitted, OverQuotaError
 from tallyhall_dispatch.jobs import Ending, Grant, RunReport
+from tallyhall_dispatch.quota import QuotaSeen
 
 from .dialect import CallInfo
 from .lateness import lateness
@@ -44,7 +45,7 @@
             confirmed_ms_ago=_millis(confirmed_s_ago),
             tokens=call.prompt_tokens + call.output_tokens,
             over_quota_s=admitted.over_quota_s,
-            **_quota_inputs(admitted),
+            **_charged(admitted),
         )
 
     def permitted(self, visit: Visit, grant: Grant) -> None:
@@ -162,7 +163,7 @@
 
 def _refusal_inputs(cause: RefusedError | None) -> dict[str, object]:
     if isinstance(cause, OverQuotaError):
-        return _quota_inputs(cause)
+        return _over_quota(cause)
     if isinstance(cause, GivenUpError):
         outlook = cause.outlook
         return {
@@ -174,10 +175,25 @@
     return {}
 
 
-def _quota_inputs(decided: Admitted | OverQuotaError) -> dict[str, object]:
-    seen = decided.seen
-    if seen is None:
+def _charged(admitted: Admitted) -> dict[str, object]:
+    if admitted.seen is None:
         return {}
+    return {'charged': admitted.charged, **_quota_inputs(admitted.seen)}
+
+
+def _over_quota(cause: OverQuotaError) -> dict[str, object]:
+    if cause.seen is None:
+        return {}
+    return {
+        'workspace': cause.workspace,
+        'asked': cause.asked,
+        'quota': round(cause.seen.quota),
+        'window_s': cause.seen.window_s,
+        **_quota_inputs(cause.seen),
+    }
+
+
+def _quota_inputs(seen: QuotaSeen) -> dict[str, object]:
     return {
         'used': round(seen.used),
         'limit': round(seen.limit),
--- a/packages/entry/src/tallyhall_entry/losses.py
+++ b/packages/entry/src/tallyhall_entry/losses.py
@@ -16,6 +16,7 @@
 from tallyhall_core.refusals import Reason
 
 from .explain import Line, read_line
+from .quota_uses import QuotaUses
 
 # An instance that has written nothing for this long before the end of all
 # lines is taken as lost with what it had under way, in seconds: it tells of its
@@ -48,6 +49,7 @@
     paused = 'a pause was too long'
     refused = 'it was refused'
     refused_again = 'it came back and was refused'
+    quota_left = 'it was refused for a quota of which enough was left'
     not_allowed = 'it was not allowed'
     failed = 'upstreams failed it'
     caller_left = 'its caller left'
@@ -113,6 +115,9 @@
     found which no instance tells of.
     """
     journal = _read(texts)
+    for refusal in journal.refusals:
+        request = str(refusal.fields['request'])
+        journal.uses.given_back(request, refusal.at_s)
     lost: list[Loss] = []
     unfinished = 0
     for request, lines in journal.by_request.items():
@@ -136,8 +141,10 @@
         self.by_request: dict[str, list[Line]] = {}
         self.starts: dict[str, list[float]] = {}
         self.newest: dict[str, float] = {}
+        self.uses = QuotaUses()
         self.first_at = float('inf')
         self.last_at: float = 0
+        self.refusals: list[Line] = []
         # What each start of an instance has told last: counts since then.
         self._dropped: dict[tuple[str, int], int] = {}
 
@@ -157,6 +164,15 @@
         request = line.fields.get('request')
         if request:
             self.by_request.setdefault(str(request), []).append(line)
+        if 'charged' in line.fields:
+            self.uses.charged(
+                str(request),
+                str(line.fields['workspace']),
+                at,
+                _number(line.fields, 'charged'),
+            )
+        if line.event == Event.refused.name:
+            self.refusals.append(line)
 
     @property
     def dropped(self) -> int:
@@ -207,6 +223,8 @@
     refused = _last(lines, Event.refused)
     if refused is not None:
         reason = str(refused.fields['reason'])
+        if _has_quota(refused, journal.uses):
+            return Cause.quota_left, reason
         return _unserved_cause(reason, refused.fields), reason
     if journal.is_lost(lines[-1]):
         return Cause.instance_lost, ''
@@ -246,6 +264,19 @@
     return Cause.refused
 
 
+def _has_quota(refused: Line, uses: QuotaUses) -> bool:
+    """Return whether a request would have fitted into its quota."""
+    fields = refused.fields
+    if 'quota' not in fields:
+        return False
+    used = uses.used(
+        str(fields['workspace']),
+        refused.at_s,
+        _number(fields, 'window_s'),
+    )
+    return used + _number(fields, 'asked') <= _number(fields, 'quota')
+
+
 def _has_ended(lines: list[Line]) -> bool:
     ends = {Event.finished.name, Event.refused.name}
     return any(line.event in ends for line in lines)
--- a/tests/platform/test_losses.py
+++ b/tests/platform/test_losses.py
@@ -196,3 +196,51 @@
     )
     assert wrong.returncode == 2
     assert 'cannot be written' in wrong.stderr
+
+
+def _charge(request: str, at_s: float, charged: int) -> str:
+    return _line(
+        Event.admitted,
+        at_s,
+        request=request,
+        workspace='w',
+        charged=charged,
+    )
+
+
+def _over_quota(request: str, at_s: float, asked: int) -> str:
+    return _line(
+        Event.refused,
+        at_s,
+        request=request,
+        reason='rate_limited',
+        workspace='w',
+        asked=asked,
+        quota=1000,
+        window_s=8,
+    )
+
+
+def test_a_refusal_is_held_against_what_was_really_used() -> None:
+    """Of 1000 in 8 s 900 were used, then 400; 300 was given back."""
+    lines = [
+        _charge('a', 1, 500),
+        _charge('b', 5, 400),
+        _over_quota('c', 6, 200),
+        _over_quota('d', 6, 100),
+        _over_quota('e', 9.5, 600),
+    ]
+    found = {loss.request: loss.cause for loss in losses(lines).lost}
+    assert found['c'] is Cause.not_allowed
+    assert found['d'] is Cause.quota_left
+    assert found['e'] is Cause.quota_left
+    given_back = _line(
+        Event.refused,
+        5.5,
+        request='b',
+        reason='deadline_unreachable',
+    )
+    found = {
+        loss.request: loss.cause for loss in losses([*lines, given_back]).lost
+    }
+    assert found['c'] is Cause.quota_left
