--- a/packages/dispatch/src/tallyhall_dispatch/quota.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota.py
@@ -7,8 +7,8 @@
 admit. So each instance holds back: until the others have counted it, it admits
 no more than its share of what is left. Strict shares together are no more than
 that. Two things go beyond them: a first request may be larger than any share,
-and while little is used a share is generous, since what all admit within a
-beat then fits.
+and a share is generous while what all admit meanwhile fits: in a small fleet
+while little is used, in a large one while the others' knowledge is new.
 
 What cannot be known is assumed on the safe side. An instance that hears
 only a part of the fleet uses only that part of the quota, so that two
@@ -39,15 +39,6 @@
 # beside what was given to requests above the quota. Each write wakes every
 # watch: 24 of 61 calls of an instance on a calm day, one every 1.6 s.
 _UNWRITTEN_PART = 0.3
-# Of what is left while the use is calm, so much may be admitted here before it
-# is counted, and at any time by one request in a large fleet: requests of
-# 50,000 tokens fit at 87 instances, where an even share of a quota of 4.7
-# million tokens is 27,000.
-_CALM_SHARE = 1 / 8
-# In a large fleet at most that many parts of what is left are shared out among
-# all, since the more instances there are, the more of them admit something
-# until they hear of each other: 25 are eighths at 200 instances.
-_SHARES_AT_ONCE = 25
 # Least wait that a caller over its quota is told, in seconds.
 _LEAST_WAIT_S = 0.2
 # Ages and amounts of the use of all, by workspace, as written.
@@ -396,9 +387,7 @@
         if not fleet.is_mesh:
             generous = first or (within_quota and self._is_fresh(now))
         if generous:
-            part = max(
-                part, min(_CALM_SHARE, _SHARES_AT_ONCE / fleet.instances)
-            )
+            part = max(part, limits.generous_part)
         return part * limits.left(known) - outstanding
 
     def _is_fresh(self, now: float) -> bool:
--- a/packages/dispatch/src/tallyhall_dispatch/quota_limits.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota_limits.py
@@ -24,6 +24,15 @@
 # 0.15 s apart: half of 140,000 tokens, a usual slack, bears 470,000 a second of
 # one workspace, about all that nine engines can read.
 _SPARE_PART = 0.5
+# Of what is left while the use is calm, so much may be admitted here before it
+# is counted, and at any time by one request in a large fleet: requests of
+# 50,000 tokens fit at 87 instances, where an even share of a quota of 4.7
+# million tokens is 27,000.
+_CALM_SHARE = 1 / 8
+# In a large fleet at most that many parts of what is left are shared out among
+# all, since the more instances there are, the more of them admit something
+# until they hear of each other: 25 are eighths at 200 instances.
+_SHARES_AT_ONCE = 25
 # Of what a quota may be exceeded by, so much may be admitted unheard of while
 # all news come in time.
 _UNHEARD_PART = 0.25
@@ -102,6 +111,11 @@
         """Return the use above which all are told of it."""
         return _HIGH_PART * self.quota
 
+    @property
+    def generous_part(self) -> float:
+        """Return the most of what is left that one may admit unheard of."""
+        return min(_CALM_SHARE, _SHARES_AT_ONCE / self.fleet.instances)
+
     def is_calm(self, used: float) -> bool:
         """Return whether what others admit meanwhile does not decide."""
         part = _CALM_PART_MESH if self.fleet.is_mesh else _CALM_PART
