--- /dev/null
+++ b/tests/platform/test_use_news.py
@@ -0,0 +1,118 @@
+"""Nobody is refused for a use of others that is old news."""
+
+import asyncio
+import collections
+from typing import cast
+from unittest import mock
+
+from tallyhall_core.refusals import Reason, Refusal
+from tallyhall_dispatch.gate import OverQuotaError
+from tallyhall_dispatch.quota import Quotas
+from tallyhall_dispatch.quota_limits import Fleet, QuotaBounds
+from tallyhall_entry.use_news import UseNews
+from tallyhall_transport.generated import peers_pb2
+from tallyhall_transport.peers import Peer, PeerLinks, PeerPlace
+
+from tests.platform.harness import PLAIN, deployment
+
+_BOUNDS = QuotaBounds(8, 0.1, 100)
+_MANY = 18
+_HUBS = frozenset(f'n{number}' for number in range(1, 5))
+
+
+def _ignore(*_: object) -> None:
+    """Take anything."""
+
+
+class _Asker:
+    """An instance that asks hubs, which answer after a while or never."""
+
+    def __init__(self, instances: int, answer_s: float) -> None:
+        self.asked = collections.Counter[str]()
+        self.quotas = Quotas(_BOUNDS, -100)
+        self._answer_s = answer_s
+        self._instances = instances
+        self._loop = asyncio.get_running_loop()
+        self._asked_at = float('inf')
+        links = PeerLinks('n0', 'n0', _ignore, _ignore, _ignore, _ignore)
+        names = [f'n{number}' for number in range(1, instances)]
+        links.take_peers(dict.fromkeys(names, PeerPlace('127.0.0.1:1', 1)))
+        peers = cast(dict[str, Peer], links.peers)
+        peers.update({name: Peer(name) for name in _HUBS})
+        links.outgoing = self._outgoing  # type: ignore[method-assign]
+        self.news = UseNews(links, self.quotas, self._take_known)
+        self.news.look(_HUBS)
+        self.knows(self._loop.time() - 1)
+
+    def knows(self, known_at: float) -> None:
+        """Take until when others know what was admitted."""
+        fleet = Fleet(self._instances, 1, known_at, known_at)
+        self.quotas.take_fleet(fleet)
+
+    def _outgoing(self, name: str, *, urgent: bool) -> None:
+        batch = peers_pb2.Batch()
+        self.news.fill(Peer(name), batch)
+        self.asked[name] += batch.answer_now and urgent
+        self._asked_at = self._loop.time()
+
+    def _take_known(self) -> None:
+        if self._loop.time() >= self._asked_at + self._answer_s:
+            self.knows(self._asked_at)
+
+
+async def test_requests_wait_together_for_one_answer_of_each_hub() -> None:
+    asker = _Asker(_MANY, 0.03)
+    began_at = asyncio.get_running_loop().time()
+    answers = [asker.news.ask() for _ in range(5)]
+    assert await asyncio.gather(*answers) == [True] * 5
+    assert asyncio.get_running_loop().time() - began_at < 0.1
+    assert asker.asked == dict.fromkeys(_HUBS, 1)
+    # What is known now is as new as another answer would be.
+    assert not await asker.news.ask()
+
+
+async def test_silent_hubs_hold_a_request_for_a_tenth_of_a_second() -> None:
+    asker = _Asker(_MANY, 60)
+    began_at = asyncio.get_running_loop().time()
+    assert await asker.news.ask()
+    assert 0.09 < asyncio.get_running_loop().time() - began_at < 0.3
+
+
+async def test_a_mesh_knows_what_it_knows() -> None:
+    asker = _Asker(7, 0)
+    assert not await asker.news.ask()
+    assert not asker.asked
+
+
+async def test_a_request_is_decided_again_by_what_was_heard() -> None:
+    """And refused if that does not help, or if nothing newer is known."""
+    async with deployment() as made:
+        await made.add_engine('plain-0', PLAIN)
+        await made.ready()
+        runner = made.instances[0]._runner  # noqa: SLF001
+        refused = OverQuotaError(
+            Refusal.of(Reason.rate_limited, retry_after=1),
+            None,
+            'shop',
+            10,
+        )
+        entered = mock.Mock(
+            wraps=runner._enter,  # noqa: SLF001
+            side_effect=[
+                refused,
+                mock.DEFAULT,
+                refused,
+                refused,
+                refused,
+                mock.DEFAULT,
+            ],
+        )
+        asked = mock.AsyncMock(side_effect=[True, False, True])
+        with (
+            mock.patch.object(runner, '_enter', entered),
+            mock.patch.object(runner, 'ask_use', asked),
+        ):
+            assert (await made.caller().ask('/safe/x', 'r1')).status == 200
+            assert (await made.caller().ask('/safe/x', 'r2')).status == 429
+            assert (await made.caller().ask('/safe/x', 'r3')).status == 429
+            assert (await made.caller().ask('/safe/x', 'r4')).status == 200
