--- a/packages/dispatch/src/tallyhall_dispatch/gate.py
+++ b/packages/dispatch/src/tallyhall_dispatch/gate.py
@@ -14,7 +14,8 @@
 
 from .desired import DesiredState, Route, Workspace
 from .freshness import Freshness
-from .quota import QuotaBounds, Quotas, QuotaSeen
+from .quota import Quotas, QuotaSeen
+from .quota_limits import QuotaBounds
 from .retries import RetryBudget, RetryLimits
 from .routing import Router, pick_service
 
@@ -46,10 +47,18 @@
 class OverQuotaError(RefusedError):
     """A request is refused for the quota of its workspace."""
 
-    def __init__(self, refusal: Refusal, seen: QuotaSeen | None) -> None:
-        """Keep the refusal and what decided."""
+    def __init__(
+        self,
+        refusal: Refusal,
+        seen: QuotaSeen | None,
+        workspace: str,
+        asked: float,
+    ) -> None:
+        """Keep the refusal and what decided: what was asked, and of whose."""
         super().__init__(refusal)
         self.seen = seen
+        self.workspace = workspace
+        self.asked = asked
 
 
 class _Charge(msgspec.Struct, frozen=True):
@@ -176,6 +185,8 @@
             raise OverQuotaError(
                 Refusal.of(Reason.rate_limited, retry_after=wait_s),
                 seen,
+                workspace.name,
+                amount,
             )
         return _Charge(amount, wait_s, seen)
 
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -19,7 +19,7 @@
 from tallyhall_dispatch.freshness import Freshness
 from tallyhall_dispatch.gate import Gate
 from tallyhall_dispatch.options import Options
-from tallyhall_dispatch.quota import Fleet, QuotaBounds
+from tallyhall_dispatch.quota_limits import Fleet, QuotaBounds
 from tallyhall_dispatch.retries import RetryLimits
 from tallyhall_edge.connections import ConnectionPool
 from tallyhall_edge.runner import Runner
@@ -27,6 +27,7 @@
 from tallyhall_edge.server import HttpServer, Respond, ServerLimits
 from tallyhall_edge.stopping import Stop
 from tallyhall_platform.absence import Absence
+from tallyhall_platform.calls import CallCounts
 from tallyhall_platform.dialect import PlatformDialect
 from tallyhall_platform.entries import InstanceEntry
 from tallyhall_platform.follow import Follower
@@ -38,9 +39,11 @@
 from .beliefs import Beliefs
 from .logs import BoundedStream, EventLog
 from .metrics import Metrics
+from .news import NewsTalk
 from .shared import SharedScheduler
 from .talk import Talk
 from .telemetry import RequestTelemetry
+from .use_news import UseNews
 from .uses import WrittenUse
 
 if TYPE_CHECKING:
@@ -57,6 +60,9 @@
 # What a caller sends 3 s after the signal takes at most this long to arrive.
 _WAY_S = 0.1
 _CHORES_S = 0.5
+# Calls to the store are logged this often: a line of 300 bytes each 2 s is a
+# hundredth of what an instance may log.
+_CALLS_LOGGED_S = 2.0
 _TICK_S = 0.05
 _STOP_LOOK_S = 0.05
 # Others are of use once there is a desired state to serve by, which a store
@@ -146,8 +152,9 @@
             self._server(self._answers.locate),
             self._server(self._answers.metrics),
         )
-        self._store_registers = StoreClient(options.store.address)
-        self._store_follows = StoreClient(options.store.address)
+        self._calls = CallCounts()
+        self._store_registers = StoreClient(options.store.address, self._calls)
+        self._store_follows = StoreClient(options.store.address, self._calls)
         self._registration = Registration(
             self._store_registers,
             self._entry,
@@ -172,9 +179,16 @@
         self._talk = Talk(
             self._gate,
             self._links,
-            self._follower.take_raw_state,
+            self._follower.view.take_raw_state,
             self.log,
         )
+        self._news = NewsTalk(options.instance, self._links, self._follower)
+        self._use_news = UseNews(
+            self._links,
+            self._gate.quotas,
+            self._take_known,
+        )
+        self._runner.ask_use = self._use_news.ask
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._stopping = False
         self._counted: dict[str, int] = {}
@@ -210,7 +224,9 @@
             incarnation=self._entry.incarnation,
         )
         await self._until_state()
-        await self._links.listen(str(options.peer), self._follower.raw_state)
+        await self._links.listen(
+            str(options.peer), self._follower.view.raw_state
+        )
 
     async def stop(self) -> None:
         """Send callers elsewhere and finish what runs."""
@@ -233,6 +249,7 @@
         await self._links.close()
         # Last, so that nobody counts this one without hearing it.
         await self._registration.end(_END_LEASE_S)
+        self._log_calls()
         self.log.event(Event.stopped, unfinished=self._front.busy)
 
     def reload(self, options: Options) -> None:
@@ -251,7 +268,7 @@
         self._gate.freshness.bound_s = _freshness_s(options)
         self._absence.heartbeat_s = options.store.heartbeat_s
         self._absence.contact_s = options.bounds.contact_s
-        self._follower.change_s = options.bounds.change_s
+        self._follower.view.change_s = options.bounds.change_s
         self._membership.admits_s = _admits_s(options)
         self.log.event(
             Event.settings_read,
@@ -312,6 +329,8 @@
 
     def _on_batch(self, peer: Peer, batch: peers_pb2.Batch) -> None:
         self._talk.take(peer, batch)
+        self._news.take(peer, batch)
+        self._use_news.take(peer, batch)
         self._scheduler.on_batch(peer, batch)
         # A store that answers others is not away, whatever this one's way is.
         now = self._loop.time()
@@ -321,6 +340,8 @@
 
     def _fill_batch(self, peer: Peer, batch: peers_pb2.Batch) -> None:
         self._talk.fill(peer, batch)
+        self._news.fill(peer, batch)
+        self._use_news.fill(peer, batch)
 
     def _on_peer_lost(self, peer: Peer, exc: Exception) -> None:
         self.log.event(Event.peer_down, peer=peer.name, cause=repr(exc)[:100])
@@ -382,22 +403,32 @@
         while True:
             await asyncio.sleep(_TICK_S)
             self._scheduler.tick()
+            self._news.look(self._scheduler.hubs)
+            for hub in self._use_news.look(self._scheduler.hubs):
+                self._links.outgoing(hub, urgent=True)
             self._beliefs.look()
-            heard = self._links.hears
-            instances = max(len(self._beliefs.count.members), heard)
-            self._gate.instances = instances
-            self._gate.quotas.take_fleet(
-                Fleet(
-                    instances,
-                    heard / instances,
-                    self._scheduler.known.known_at,
-                    self._scheduler.known.counted_at,
-                ),
-            )
-            holders = max(len(self._beliefs.count.holders), heard)
-            self._dispatcher.take_share(heard / holders)
+            self._take_fleet()
             self._log_count()
 
+    def _take_known(self) -> None:
+        self._scheduler.look()
+        self._take_fleet()
+
+    def _take_fleet(self) -> None:
+        heard = self._links.hears
+        instances = max(len(self._beliefs.count.members), heard)
+        self._gate.instances = instances
+        self._gate.quotas.take_fleet(
+            Fleet(
+                instances,
+                heard / instances,
+                self._scheduler.known.known_at,
+                self._scheduler.known.counted_at,
+            ),
+        )
+        holders = max(len(self._beliefs.count.holders), heard)
+        self._dispatcher.take_share(heard / holders)
+
     def _log_count(self) -> None:
         count = self._beliefs.count
         counted = {
@@ -410,9 +441,24 @@
             self._counted = counted
             self.log.event(Event.fleet_counted, **counted)
 
+    def _log_calls(self) -> None:
+        calls = self._calls.by_labels()
+        if calls == self._metrics.store_calls:
+            return
+        self._metrics.store_calls = calls
+        self.log.event(
+            Event.store_calls,
+            incarnation=self._entry.incarnation,
+            calls={'/'.join(labels): count for labels, count in calls.items()},
+        )
+
     async def _chores(self) -> None:
+        calls_logged_at = self._loop.time()
         while True:
             await asyncio.sleep(_CHORES_S)
+            if self._loop.time() - calls_logged_at >= _CALLS_LOGGED_S:
+                calls_logged_at = self._loop.time()
+                self._log_calls()
             self._conns.close_old()
             self.log.report_dropped()
             self._metrics.connections = self._front.open_connections
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -121,6 +121,8 @@
         """Decide with this dispatcher where no owner does."""
         self.leaving = False
         self.ownership = Ownership()
+        # Instances that hear all, as seen from here.
+        self.hubs: frozenset[str] = frozenset()
         self._name = name
         self._dispatcher = dispatcher
         self._links = links
@@ -256,16 +258,18 @@
 
     def tick(self) -> None:
         """Look who is live, and move jobs to the owners of now."""
+        self._drop_lost()
+        self.look()
+        for ticket in tuple(self._tickets.values()):
+            self._move(ticket)
+
+    def look(self) -> None:
+        """Look who is live and knows what was admitted here."""
         now = self._loop.time()
-        drop_s = max(_DROP_S, self._links.lost_s)
-        for peer in self._links.peers.values():
-            heard_s = now - peer.heard_at
-            if heard_s > drop_s and peer.name not in self._dropped:
-                self._dropped.add(peer.name)
-                self._dispatcher.drop_jobs(f'{peer.name}/')
         seen = self._neighbours.look(now, leaving=self.leaving)
         self._links.hears = seen.hears
         self._links.hears_directly = seen.hears_directly
+        self.hubs = seen.hubs
         self._known = known(self._links, self._name, seen.hubs, now)
         # Where all stop, those that hear all go on to own the services:
         # without an owner each would fill all places.
@@ -276,11 +280,19 @@
                 live=sorted(owners),
                 hears=seen.hears,
             )
-        for ticket in tuple(self._tickets.values()):
-            self._move(ticket)
 
     # -- inner steps
 
+    def _drop_lost(self) -> None:
+        """Forget the jobs of those that are not heard any more."""
+        now = self._loop.time()
+        drop_s = max(_DROP_S, self._links.lost_s)
+        for peer in self._links.peers.values():
+            heard_s = now - peer.heard_at
+            if heard_s > drop_s and peer.name not in self._dropped:
+                self._dropped.add(peer.name)
+                self._dispatcher.drop_jobs(f'{peer.name}/')
+
     def _take_ask(self, peer: str, job: Job) -> None:
         origin = self._origins.setdefault(
             peer,
