--- a/packages/dispatch/src/tallyhall_dispatch/quota.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota.py
@@ -82,7 +82,7 @@
         self._has_written = False
         # Whether somebody asked for a quota that is used so much that what
         # others admit meanwhile decides.
-        self._is_pressed = False
+        self._wants_news = False
 
     def configure(self, workspaces: Mapping[str, Workspace]) -> None:
         """Take new rates; lower ones bind at once."""
@@ -100,9 +100,9 @@
             self._uses.pop(gone)
 
     @property
-    def pressed_s(self) -> float:
+    def news_s(self) -> float:
         """Return how often others are asked where their use decides."""
-        return self._fleet.pressed_s
+        return self._fleet.news_s
 
     @property
     def known_at(self) -> float | None:
@@ -143,8 +143,8 @@
         used = self._used(use, now)
         limits = self._limits(use)
         if not limits.is_calm(used):
-            self._is_pressed = True
-        reserve = limits.reserve(use.unheard(now, self._fleet.pressed_s))
+            self._wants_news = True
+        reserve = limits.reserve(use.unheard(now, self._fleet.news_s))
         over = used + reserve + amount - limits.allowed
         if over > 0:
             return max(_LEAST_WAIT_S, over / use.workspace.rate)
@@ -153,11 +153,11 @@
         use.admit(amount, now)
         return 0
 
-    def take_pressed(self) -> bool:
+    def take_wants_news(self) -> bool:
         """Return whether others must hear at once, and of them; once."""
-        pressed = self._is_pressed
-        self._is_pressed = False
-        return pressed
+        wanted = self._wants_news
+        self._wants_news = False
+        return wanted
 
     def take_spare(self, name: str, amount: float, now: float) -> bool:
         """Admit an amount above the quota, for places that are free anyway.
@@ -169,7 +169,7 @@
         if use is None or self._fleet.heard < 1 or not self.knows_past(now):
             return False
         used = self._used(use, now)
-        unheard = use.unheard(now, self._fleet.pressed_s)
+        unheard = use.unheard(now, self._fleet.news_s)
         if used + unheard + amount > self._limits(use).ceiling:
             return False
         if amount > self._share(use, used, now, within_quota=False):
@@ -392,7 +392,7 @@
 
     def _is_fresh(self, now: float) -> bool:
         known_at = self._fleet.known_at
-        return known_at is None or now - known_at <= 2 * self._fleet.pressed_s
+        return known_at is None or now - known_at <= 2 * self._fleet.news_s
 
     def _part(self, own: float, known: float, use: Use) -> float:
         """Return this instance's part: half even, half by what it used."""
--- a/packages/dispatch/src/tallyhall_dispatch/quota_limits.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota_limits.py
@@ -39,8 +39,8 @@
 # Least time between two questions for the use of all from an instance, in
 # seconds, and how many of them a hub gets in a second at most: 0.3 of a core if
 # each instance has a workspace that is at its limit.
-_PRESSED_S = 0.1
-_MOST_PRESSED_PER_S = 1000
+_NEWS_S = 0.1
+_MOST_NEWS_PER_S = 1000
 
 
 class QuotaBounds(msgspec.Struct, frozen=True):
@@ -70,9 +70,9 @@
         return is_mesh(self.instances)
 
     @property
-    def pressed_s(self) -> float:
+    def news_s(self) -> float:
         """Return how often hubs are told and asked of a quota used much."""
-        return max(_PRESSED_S, self.instances / _MOST_PRESSED_PER_S)
+        return max(_NEWS_S, self.instances / _MOST_NEWS_PER_S)
 
 
 class QuotaLimits(msgspec.Struct, frozen=True):
--- a/packages/entry/src/tallyhall_entry/news.py
+++ b/packages/entry/src/tallyhall_entry/news.py
@@ -19,7 +19,7 @@
 import msgspec
 from tallyhall_dispatch.topology import is_mesh
 from tallyhall_membership.rendezvous import rank
-from tallyhall_platform.follow import Follower, Part
+from tallyhall_platform.follow import Follower, Role
 from tallyhall_platform.history import News
 from tallyhall_platform.store import Change
 from tallyhall_transport.peers import Peer, PeerLinks
@@ -71,7 +71,7 @@
     def look(self, hubs: frozenset[str]) -> None:
         """Take who the hubs are, and ask one of them if it is time."""
         now = self._loop.time()
-        self._follower.part = self._part(hubs)
+        self._follower.role = self._role(hubs)
         asked = self._asked
         if asked is not None:
             if now - asked.at < _ANSWER_S:
@@ -79,11 +79,11 @@
             self._pass_by(asked.name, now)
         if not self._needs_news(now):
             return
-        teller = self._teller(hubs, now)
-        if teller is None:
+        relay = self._relay(hubs, now)
+        if relay is None:
             return
-        if self._links.outgoing(teller, urgent=True) is not None:
-            self._asked = _Asked(teller, now)
+        if self._links.outgoing(relay, urgent=True) is not None:
+            self._asked = _Asked(relay, now)
 
     def take(self, peer: Peer, batch: peers_pb2.Batch) -> None:
         """Take what another instance says of the store, and asks."""
@@ -119,28 +119,28 @@
 
     # -- inner steps
 
-    def _part(self, hubs: frozenset[str]) -> Part:
+    def _role(self, hubs: frozenset[str]) -> Role:
         if is_mesh(self._links.instances):
-            return Part.alone
-        return Part.teller if self._name in hubs else Part.told
+            return Role.solo
+        return Role.relay if self._name in hubs else Role.subscriber
 
     def _needs_news(self, now: float) -> bool:
         follower = self._follower
-        if follower.part is Part.alone or follower.view.cursor is None:
+        if follower.role is Role.solo or follower.view.cursor is None:
             return False
-        if follower.part is Part.told:
+        if follower.role is Role.subscriber:
             return now - self._told_at >= follower.ask_s
         late = now - follower.view.followed_at >= follower.untold_s
         return late and now - self._told_at >= follower.ask_s
 
-    def _teller(self, hubs: frozenset[str], now: float) -> str | None:
+    def _relay(self, hubs: frozenset[str], now: float) -> str | None:
         """Return whom to ask now, None where nobody knows more."""
-        if self._follower.part is Part.told:
+        if self._follower.role is Role.subscriber:
             for hub in rank(self._name, hubs - {self._name}):
                 if now >= self._passed.get(hub, now):
                     return hub
             return None
-        # A teller itself is told by whoever knows most.
+        # A relay that is late asks whoever knows most.
         known = self._follower.view.followed_at
         best = None
         for name in self._links.peers:
--- a/packages/entry/src/tallyhall_entry/use_news.py
+++ b/packages/entry/src/tallyhall_entry/use_news.py
@@ -52,13 +52,13 @@
         now = self._loop.time()
         if is_mesh(self._links.instances):
             return frozenset()
-        if now - self._asked_at < self._quotas.pressed_s:
+        if now - self._asked_at < self._quotas.news_s:
             return frozenset()
-        if not self._quotas.take_pressed():
+        if not self._quotas.take_wants_news():
             return frozenset()
-        return self.press()
+        return self.mark_hubs()
 
-    def press(self) -> frozenset[str]:
+    def mark_hubs(self) -> frozenset[str]:
         """Return the hubs; their next batches ask for an answer at once."""
         self._asked_at = self._loop.time()
         self._asked.update(self._hubs)
@@ -69,7 +69,7 @@
         if is_mesh(self._links.instances) or not self._hubs:
             return False
         known_at = self._quotas.known_at
-        return known_at is None or now - known_at >= self._quotas.pressed_s
+        return known_at is None or now - known_at >= self._quotas.news_s
 
     async def ask(self) -> bool:
         """Ask what all have used; return whether something newer is known."""
@@ -94,7 +94,7 @@
     # -- inner steps
 
     async def _ask(self, now: float) -> None:
-        for hub in self.press():
+        for hub in self.mark_hubs():
             self._links.outgoing(hub, urgent=True)
         while self._loop.time() < now + _ANSWER_S:
             await asyncio.sleep(_LOOK_S)
--- a/packages/platform/src/tallyhall_platform/follow.py
+++ b/packages/platform/src/tallyhall_platform/follow.py
@@ -36,8 +36,8 @@
 _WATCH_S = 1.0
 # One that tells others watches for this part of the time that a change may
 # take, in seconds at most, since what it knows grows older on its way to them.
-_TELLER_PART = 0.15
-_TELLER_WATCH_S = 0.6
+_RELAY_PART = 0.15
+_RELAY_WATCH_S = 0.6
 # A watch that is lost silently is known 0.6 s after its end, and the rest is
 # for the call that replaces it; all of that, and the time for which its
 # connection was idle before it, fits into the bound on contact. Shorter ones
@@ -76,16 +76,16 @@
 
 
 @enum.unique
-class Part(enum.Enum):
+class Role(enum.Enum):
     """What an instance does for what is known of the store.
 
-    alone: it watches for itself. teller: also for others, who are told: those
-    watch nothing.
+    solo: it watches for itself. relay: also for subscribers, which watch
+    nothing.
     """
 
-    alone = 'alone'
-    teller = 'teller'
-    told = 'told'
+    solo = 'solo'
+    relay = 'relay'
+    subscriber = 'subscriber'
 
 
 class Follower:
@@ -105,7 +105,7 @@
         change_s: how long a change may take to be in force.
         """
         self.view = StoreView(listener, log, absence, change_s)
-        self.part = Part.alone
+        self.role = Role.solo
         self._client = client
         self._listener = listener
         self._log = log
@@ -118,7 +118,7 @@
 
     @property
     def ask_s(self) -> float:
-        """Return how often one that does not watch asks what changed."""
+        """Return how often a subscriber asks what changed."""
         return min(_LONGEST_ASK_S, _ASK_PART * self.view.change_s)
 
     @property
@@ -128,7 +128,7 @@
         A watch confirms the state as of its start at its end, when the one
         before it is a pause and two watches old.
         """
-        watches_s = 2 * self._teller_watch_s()
+        watches_s = 2 * self._relay_watch_s()
         return watches_s + _LEAST_GAP_S + self.ask_s + _TOLD_LATE_S
 
     def take_news(self, news: News, asked_at: float) -> bool:
@@ -163,7 +163,7 @@
     async def _until_due(self) -> bool:
         """Wait while others tell what changes; return whether they did."""
         is_told = False
-        while self.part is Part.told and self.view.cursor is not None:
+        while self.role is Role.subscriber and self.view.cursor is not None:
             due_at = self.view.followed_at + self.untold_s + self._spread_s
             if self._loop.time() >= due_at:
                 self._spread_s = self._rng.uniform(0, _SPREAD_S)
@@ -199,13 +199,13 @@
             return _PROBE_S
         bound_s = self._absence.contact_s - self._client.idle_s()
         watch_s = _WATCH_S
-        if self.part is Part.teller:
-            watch_s = self._teller_watch_s()
+        if self.role is Role.relay:
+            watch_s = self._relay_watch_s()
         longest_s = bound_s - _LOST_WATCH_S
         return max(_LEAST_WATCH_S, min(watch_s, longest_s))
 
-    def _teller_watch_s(self) -> float:
-        return min(_TELLER_WATCH_S, _TELLER_PART * self.view.change_s)
+    def _relay_watch_s(self) -> float:
+        return min(_RELAY_WATCH_S, _RELAY_PART * self.view.change_s)
 
     def _found(self) -> None:
         self._failures = 0
@@ -232,7 +232,7 @@
             left_s = _NOTICE_S - (now - asked_at)
             longest = min(longest, max(_PAUSE_S, left_s))
         pause_s = self._rng.uniform(_PAUSE_S, longest)
-        if self.part is Part.told:
-            # Tellers notice the return, and are asked for it.
+        if self.role is Role.subscriber:
+            # Relays notice the return, and are asked for it.
             return pause_s + self._rng.uniform(0, _LONGEST_PAUSE_S)
         return pause_s
--- a/tests/platform/quota_fleet.py
+++ b/tests/platform/quota_fleet.py
@@ -198,7 +198,7 @@
             self.denied += amount * fits
             return
         # As a request waits for the answers of the hubs.
-        for hub in sorted(node.use_news.press()):
+        for hub in sorted(node.use_news.mark_hubs()):
             self.tell(node, hub)
         self._at(_ANSWERS_S, lambda: self._ask_again(number, amount))
 
