--- a/tests/platform/test_told.py
+++ b/tests/platform/test_told.py
@@ -28,8 +28,8 @@
 from tests.platform.harness import PLAIN, Deployment, deployment, desired, until
 
 _KEYS = ('servers/a', 'servers/b', 'servers/c')
-_LISTENER = 2
-_TELLERS = (0, 1)
+_SUBSCRIBER = 2
+_RELAYS = (0, 1)
 _MANY = 18
 _CHANGE_S = 4.0
 
@@ -67,7 +67,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Answer:
-    """Of a teller to the listener, on its way."""
+    """Of a relay to the subscriber, on its way."""
 
     asked_at: float
     age_s: float
@@ -121,34 +121,34 @@
         """Lose all that an instance knew, and the streams to it."""
         self.heard[number] = _Upstreams()
         self.views[number] = self._view(number)
-        for teller in _TELLERS:
-            if number in {teller, _LISTENER}:
-                self.asked[teller].clear()
-                self.answers[teller].clear()
-
-    def ask(self, teller: int) -> None:
-        """Send a question of the listener."""
-        cursor = self.views[_LISTENER].cursor
+        for relay in _RELAYS:
+            if number in {relay, _SUBSCRIBER}:
+                self.asked[relay].clear()
+                self.answers[relay].clear()
+
+    def ask(self, relay: int) -> None:
+        """Send a question of the subscriber."""
+        cursor = self.views[_SUBSCRIBER].cursor
         assert cursor is not None
-        self.asked[teller].append((self.now, cursor))
+        self.asked[relay].append((self.now, cursor))
 
-    def answer(self, teller: int) -> None:
-        """Have a teller read a question and answer it."""
-        if not self.asked[teller]:
+    def answer(self, relay: int) -> None:
+        """Have a relay read a question and answer it."""
+        if not self.asked[relay]:
             return
-        asked_at, after = self.asked[teller].pop(0)
-        view = self.views[teller]
+        asked_at, after = self.asked[relay].pop(0)
+        view = self.views[relay]
         age_s = self.now - view.followed_at
-        self.answers[teller].append(_Answer(asked_at, age_s, view.news(after)))
+        self.answers[relay].append(_Answer(asked_at, age_s, view.news(after)))
 
-    def arrive(self, teller: int) -> None:
-        """Have the listener read an answer."""
-        if not self.answers[teller]:
+    def arrive(self, relay: int) -> None:
+        """Have the subscriber read an answer."""
+        if not self.answers[relay]:
             return
-        answer = self.answers[teller].pop(0)
+        answer = self.answers[relay].pop(0)
         if answer.news is not None:
             whole_at = answer.asked_at - answer.age_s
-            self.views[_LISTENER].take_news(answer.news, whole_at)
+            self.views[_SUBSCRIBER].take_news(answer.news, whole_at)
 
     def check(self) -> None:
         """Nothing that the store held when followed is missing."""
@@ -202,11 +202,11 @@
     st.one_of(
         st.tuples(st.just('write'), st.sampled_from(_KEYS)),
         st.tuples(st.just('remove'), st.sampled_from(_KEYS)),
-        st.tuples(st.just('look'), st.integers(0, _LISTENER)),
-        st.tuples(st.just('restart'), st.integers(0, _LISTENER)),
-        st.tuples(st.just('ask'), st.sampled_from(_TELLERS)),
-        st.tuples(st.just('answer'), st.sampled_from(_TELLERS)),
-        st.tuples(st.just('arrive'), st.sampled_from(_TELLERS)),
+        st.tuples(st.just('look'), st.integers(0, _SUBSCRIBER)),
+        st.tuples(st.just('restart'), st.integers(0, _SUBSCRIBER)),
+        st.tuples(st.just('ask'), st.sampled_from(_RELAYS)),
+        st.tuples(st.just('answer'), st.sampled_from(_RELAYS)),
+        st.tuples(st.just('arrive'), st.sampled_from(_RELAYS)),
     ),
     min_size=150,
     max_size=250,
@@ -281,7 +281,7 @@
 # -- with real streams
 
 
-def _tellers(made: Deployment) -> Iterator[int]:
+def _relays(made: Deployment) -> Iterator[int]:
     """Yield the numbers of the instances that watch the store."""
     hubs = made.instances[0].live_instances
     for number, options in enumerate(made.options):
@@ -298,7 +298,7 @@
 
 
 async def test_changes_reach_those_that_do_not_watch() -> None:
-    """Six changes are one call of each teller, whoever is told of them."""
+    """Six changes are one call of each relay, whoever is told of them."""
     async with deployment(_MANY, change_s=_CHANGE_S) as made:
         await _ready(made)
         watches = made.store.watches
@@ -308,16 +308,16 @@
         made.store.remove('servers/plain-1')
         for instance in made.instances:
             await until(lambda: instance.usable_upstreams == 1, 2)
-        # Four tellers, a watch in 0.35 s at the most, and nobody else.
+        # Four relays, a watch in 0.35 s at the most, and nobody else.
         assert made.store.watches - watches < 4 * 8 * 3
 
 
 @pytest.mark.parametrize('lost', [1, 4])
-async def test_a_teller_that_lost_the_store_misleads_nobody(lost: int) -> None:
+async def test_a_relay_that_lost_the_store_misleads_nobody(lost: int) -> None:
     """One tells what it knows, and its age; all others know better in time."""
     async with deployment(_MANY, change_s=_CHANGE_S) as made:
         await _ready(made)
-        cut = list(_tellers(made))[:lost]
+        cut = list(_relays(made))[:lost]
         for number in cut:
             made.instances[number].lose_store()
         made.store.remove('servers/plain-1')
@@ -325,26 +325,26 @@
             await until(lambda: instance.usable_upstreams == 1, _CHANGE_S)
 
 
-async def test_the_loss_of_all_tellers_is_borne() -> None:
-    """The others look for themselves; nobody waits for the next tellers."""
+async def test_the_loss_of_all_relays_is_borne() -> None:
+    """The others look for themselves; nobody waits for the next relays."""
     async with deployment(_MANY, change_s=_CHANGE_S) as made:
         await _ready(made)
-        tellers = set(_tellers(made))
-        assert len(tellers) == 4
+        relays = set(_relays(made))
+        assert len(relays) == 4
         await asyncio.gather(
-            *(made.instances[number].close() for number in tellers),
+            *(made.instances[number].close() for number in relays),
         )
         made.store.remove('servers/plain-1')
         for number, instance in enumerate(made.instances):
-            if number not in tellers:
+            if number not in relays:
                 await until(lambda: instance.usable_upstreams == 1, _CHANGE_S)
 
 
 async def test_half_of_a_fleet_without_the_store_is_told() -> None:
     async with deployment(_MANY, change_s=_CHANGE_S) as made:
         await _ready(made)
-        tellers = set(_tellers(made))
-        told = [number for number in range(_MANY) if number not in tellers]
+        relays = set(_relays(made))
+        told = [number for number in range(_MANY) if number not in relays]
         cut = random.Random(1).sample(told, _MANY // 2)
         for number in cut:
             made.instances[number].lose_store()
@@ -355,11 +355,11 @@
             await until(lambda: instance.usable_upstreams == 1, 2)
 
 
-async def test_a_revoked_key_stops_though_all_tellers_lost_the_store() -> None:
+async def test_a_revoked_key_stops_though_all_relays_lost_the_store() -> None:
     """What they confirm grows old on its way, so none goes on with it."""
     async with deployment(_MANY, change_s=_CHANGE_S, revoke_s=5) as made:
         await _ready(made)
-        for number in _tellers(made):
+        for number in _relays(made):
             made.instances[number].lose_store()
         state = desired(2)
         state['tenants'][0]['api-keys'] = ['key-2']
