--- a/packages/platform/src/tallyhall_platform/follow.py
+++ b/packages/platform/src/tallyhall_platform/follow.py
@@ -57,7 +57,7 @@
 # timers that fire late under load.
 _TOLD_LATE_S = 0.3
 # Those that are not told any more look one after another within this time, so
-# that the store has 650 calls a second of 195 and not all of them at once.
+# that 195 instances make 650 calls a second and not all of them at once.
 _SPREAD_S = 0.3
 # Whether it is told is looked at this often, in seconds.
 _LOOK_S = 0.1
