--- a/packages/dispatch/src/tallyhall_dispatch/quota.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota.py
@@ -7,8 +7,8 @@
 admit. So each instance holds back: until the others have counted it, it admits
 no more than its share of what is left. Strict shares together are no more than
 that. Two things go beyond them: a first request may be larger than any share,
-and while little is used a share is generous, since what all admit within a
-beat then fits.
+and a share is generous while what all admit meanwhile fits: in a small fleet
+while little is used, in a large one while the others' knowledge is new.
 
 What cannot be known is assumed on the safe side. An instance that hears
 only a part of the fleet uses only that part of the quota, so that two
@@ -39,15 +39,6 @@
 # beside what was given to requests above the quota. Each write wakes every
 # watch: 24 of 61 calls of an instance on a calm day, one every 1.6 s.
 _UNWRITTEN_PART = 0.3
-# Of what is left while the use is calm, so much may be admitted here before it
-# is counted, and at any time by one request in a large fleet: requests of
-# 50,000 tokens fit at 87 instances, where an even share of a quota of 4.7
-# million tokens is 27,000.
-_CALM_SHARE = 1 / 8
-# In a large fleet at most that many parts of what is left are shared out among
-# all, since the more instances there are, the more of them admit something
-# until they hear of each other: 25 are eighths at 200 instances.
-_SHARES_AT_ONCE = 25
 # Least wait that a caller over its quota is told, in seconds.
 _LEAST_WAIT_S = 0.2
 # Ages and amounts of the use of all, by workspace, as written.
@@ -58,13 +49,16 @@
     """What was known when a request was admitted or refused.
 
     used: by all within the last window. limit: what it is held against.
-    heard: part of the fleet. known_s_ago: age of the knowledge of it.
+    heard: part of the fleet. known_s_ago: age of the knowledge of it. quota:
+    the limit of all together, in any window of `window_s`.
     """
 
     used: float
     limit: float
     heard: float
     known_s_ago: float
+    quota: float
+    window_s: float
 
 
 class _Recalled(msgspec.Struct, frozen=True):
@@ -194,6 +188,8 @@
             self._limits(use).allowed,
             self._fleet.heard,
             0 if known_at is None else now - known_at,
+            self._limits(use).quota,
+            self._bounds.window_s,
         )
 
     def give_back(
@@ -368,7 +364,8 @@
 
         Strict shares add up to what is left, whatever each instance admits
         meanwhile, also one that is cut off and does not know. A calm use gives
-        more; so does a first request, which may be larger than any share.
+        more in a mesh; so does a first request, which may be larger than any
+        share, and in a large fleet any while the others know of the last.
         """
         fleet = self._fleet
         if fleet.known_at is None:
@@ -386,13 +383,17 @@
         if first and (calm or (fleet.is_mesh and fleet.counted_at is not None)):
             return limits.allowed - known
         part = self._part(use.own.total(now) - outstanding, known, use)
-        fresh = now - fleet.known_at <= 2 * fleet.pressed_s
-        if calm if fleet.is_mesh else first or (fresh and within_quota):
-            part = max(
-                part, min(_CALM_SHARE, _SHARES_AT_ONCE / fleet.instances)
-            )
+        generous = calm
+        if not fleet.is_mesh:
+            generous = first or (within_quota and self._is_fresh(now))
+        if generous:
+            part = max(part, limits.generous_part)
         return part * limits.left(known) - outstanding
 
+    def _is_fresh(self, now: float) -> bool:
+        known_at = self._fleet.known_at
+        return known_at is None or now - known_at <= 2 * self._fleet.pressed_s
+
     def _part(self, own: float, known: float, use: Use) -> float:
         """Return this instance's part: half even, half by what it used."""
         heard = max(1, self._fleet.heard * self._fleet.instances)
