--- a/packages/dispatch/src/tallyhall_dispatch/quota_use.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota_use.py
@@ -45,9 +45,9 @@
     total: admitted by the instance since its start. within_window: of that
     in the last window. fleet: admitted by all instances in the last window,
     as far as the instance knows. rate: the same in a second, of late. is_high:
-    whether that is much of the quota.
-    returned: of the total, what did not run. oldest_return_s: seconds from
-    charge to return of the one among the last returns that waited longest.
+    whether that is much of the quota. returned: of the total, what did not
+    run. oldest_return_s: seconds from charge to return of the one among the
+    last returns that waited longest.
     """
 
     total: float
