--- a/tests/platform/test_quota_large.py
+++ b/tests/platform/test_quota_large.py
@@ -127,7 +127,14 @@
 
 @pytest.mark.parametrize(
     ('size', 'times'),
-    [(87, _SURGE), (195, _SURGE), (410, _SURGE), (195, 1.2)],
+    [
+        (87, _SURGE),
+        (195, _SURGE),
+        (410, _SURGE),
+        (195, 1.2),
+        (195, 8),
+        (410, 8),
+    ],
 )
 async def test_a_hot_workspace_has_its_quota(size: int, times: float) -> None:
     """95 in 100 of its quota is used on the average where more is asked for.
