What the adoption by age left without a caller goes, and a step between

Hearing.has_heard had one caller, which went with the span of an adoption. Follower.take_news only passed on to its view; who tells news asks the view.

--- a/packages/dispatch/src/tallyhall_dispatch/adoption.py
+++ b/packages/dispatch/src/tallyhall_dispatch/adoption.py
@@ -37,11 +37,6 @@
         if run != incarnation:
             self._since[sender] = (incarnation, now)
 
-    def has_heard(self, sender: str, incarnation: str) -> bool:
-        """Return whether this run of another instance was heard before."""
-        run, _ = self._since.get(sender, ('', 0))
-        return run == incarnation
-
     def reported(
         self,
         workspace: str,
--- a/packages/entry/src/tallyhall_entry/news.py
+++ b/packages/entry/src/tallyhall_entry/news.py
@@ -162,7 +162,7 @@
             self._asked = None
         now = self._loop.time()
         news = _news(told)
-        if not self._follower.take_news(news, whole_at):
+        if not self._follower.view.take_news(news, whole_at):
             self._pass_by(name, now)
             return
         if now - whole_at >= self._follower.untold_s:
--- a/packages/platform/src/tallyhall_platform/follow.py
+++ b/packages/platform/src/tallyhall_platform/follow.py
@@ -27,7 +27,6 @@
     StoreRefusedError,
     StoreUnavailableError,
 )
-from .history import News
 from .store import StoreClient
 from .view import Listener, Log, StoreView
 
@@ -131,10 +130,6 @@
         watches_s = 2 * self._relay_watch_s()
         return watches_s + _LEAST_GAP_S + self.ask_s + _TOLD_LATE_S
 
-    def take_news(self, news: News, asked_at: float) -> bool:
-        """Take what another instance tells; return whether it sufficed."""
-        return self.view.take_news(news, asked_at)
-
     async def run(self) -> None:
         """Follow until cancelled."""
         try:
