Sight: lines of sends that fail tell what was asked, and why they broke

Cause: attempts of one request have different ids, and an end by silence, by garbage and by a lost connection were all logged as 'unknown'.

--- a/packages/edge/src/tallyhall_edge/relay.py
+++ b/packages/edge/src/tallyhall_edge/relay.py
@@ -44,6 +44,8 @@
         # How the answer ended; who waits for `done` and is cancelled cancels
         # that future, so it does not tell.
         self.ending: Ending | None = None
+        # Why its connection carried no whole answer, None where it did.
+        self.broken: BrokenError | None = None
         self.last_event = last_event
         # Set with the first byte of an answer that is passed on or held.
         self.begun = asyncio.Event()
@@ -137,6 +139,7 @@
         """Take that the answer is complete, or why it is not."""
         if self.done.done():
             return
+        self.broken = exc
         cut = self._splitter is not None and self._splitter.held
         if exc is not None or cut:
             self._break_off()
--- a/packages/edge/src/tallyhall_edge/request_log.py
+++ b/packages/edge/src/tallyhall_edge/request_log.py
@@ -17,6 +17,8 @@
 from .visit import ANSWERED, Visit
 
 _MILLI = 1000
+# Characters of a cause; it may hold what an upstream sent.
+_SHOWN_CAUSE = 100
 
 
 class RequestLog:
@@ -67,10 +69,16 @@
         upstream: Upstream,
         report: RunReport,
     ) -> None:
-        """Log how a send ended, beside what was forecast of it."""
+        """Log how a send ended, beside what was forecast of it.
+
+        Where it failed, what was asked tells whether the same request fails
+        again and again, and the cause whether its connection was lost.
+        """
+        served = report.ending is Ending.answered
+        failed = {} if served else _failed_inputs(visit)
         self._telemetry.event(
             Event.send_ended,
-            served=report.ending is Ending.answered,
+            served=served,
             request=visit.request_id,
             upstream=upstream.incarnation,
             ending=report.ending.value,
@@ -80,6 +88,7 @@
             pause_ms=_millis(report.pause_s),
             pause_after=report.pause_after,
             total_ms=_millis(report.total_s),
+            **failed,
         )
 
     def budget_binds(self, visit: Visit) -> None:
@@ -145,6 +154,7 @@
         'workspace': None if workspace is None else workspace.name,
         'service': admitted.service,
         'version': admitted.version,
+        'content': visit.content,
         'tried': sorted(visit.excluded),
         'may_have_run': visit.may_have_run,
         'begun': visit.begun,
@@ -154,6 +164,15 @@
     }
 
 
+def _failed_inputs(visit: Visit) -> dict[str, object]:
+    relay = visit.relay
+    broken = None if relay is None else relay.broken
+    return {
+        'content': visit.content,
+        'cause': None if broken is None else str(broken)[:_SHOWN_CAUSE],
+    }
+
+
 def _late_inputs(visit: Visit, now: float) -> dict[str, object]:
     late = lateness(visit, now)
     if late is None:
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -18,6 +18,7 @@
 from tallyhall_dispatch.switches import ALL_ON, Switches
 
 from .connections import ConnectionPool
+from .content import content_digest
 from .dialect import BadCallError, CallInfo, Dialect
 from .relay import Relay
 from .request_log import RequestLog
@@ -152,9 +153,20 @@
             admitted,
             exchange.received_at + limit_s,
             call.last_event,
+            self._content(exchange, call, admitted),
             self._since_first_s(exchange, call, admitted),
         )
 
+    def _content(
+        self,
+        exchange: Exchange,
+        call: CallInfo,
+        admitted: Admitted,
+    ) -> str:
+        workspace = admitted.workspace
+        caller = call.key if workspace is None else workspace.name
+        return content_digest(call.host, exchange.head, caller, exchange.body)
+
     def _since_first_s(
         self,
         exchange: Exchange,
--- a/packages/edge/src/tallyhall_edge/visit.py
+++ b/packages/edge/src/tallyhall_edge/visit.py
@@ -17,9 +17,9 @@
     """A request from its admission to its end; times of the loop, in seconds.
 
     end_at: when its time is over. last_event: the newest event that its
-    caller has. since_first_s: time between the caller's first try and this
-    one. waited_s: for the place of the last send; all_waits_s: for all of them;
-    later_waits_s: for all but the first.
+    caller has. content: digest of what is asked. since_first_s: time between
+    the caller's first try and this one. waited_s: for the place of the last
+    send; all_waits_s: for all of them; later_waits_s: for all but the first.
     pause_s: the longest between two events of one send; resumed_pause_s: the
     longest between the last event of one and the first of the next.
     """
@@ -29,6 +29,7 @@
     admitted: Admitted
     end_at: float
     last_event: int | None
+    content: str
     since_first_s: float = 0
     excluded: set[str] = msgspec.field(default_factory=set)
     sends: int = 0
--- /dev/null
+++ b/tests/platform/test_content.py
@@ -0,0 +1,64 @@
+"""What a request asks, as its lines tell it; attempts have ids of their own."""
+
+import json
+import os
+import time
+from pathlib import Path
+from typing import Any
+
+from tallyhall_edge.content import content_digest
+from tallyhall_edge.messages import RequestHead
+from tallyhall_entry.logs import setup_logging
+from tallyhall_standins.platform_engine import EngineFault
+
+from tests.platform.harness import PLAIN, deployment
+
+_HOST = 'a.example'
+
+
+def _head(target: bytes = b'/x/', method: bytes = b'POST') -> RequestHead:
+    return RequestHead(method, target, ())
+
+
+def test_each_part_of_what_is_asked_counts() -> None:
+    asked = {
+        content_digest(_HOST, _head(), 'shop', b'body'),
+        content_digest('b.example', _head(), 'shop', b'body'),
+        content_digest(_HOST, _head(b'/y/'), 'shop', b'body'),
+        content_digest(_HOST, _head(method=b'PUT'), 'shop', b'body'),
+        content_digest(_HOST, _head(), 'other', b'body'),
+        content_digest(_HOST, _head(), 'shop', b'other'),
+        content_digest(_HOST, _head(), 'sho', b'pbody'),
+    }
+    assert len(asked) == 7
+
+
+async def test_lines_of_failed_sends_tell_what_was_asked(
+    tmp_path: Path,
+) -> None:
+    path = tmp_path / 'log'
+    writer = os.open(path, os.O_WRONLY | os.O_CREAT)
+    async with deployment() as made:
+        setup_logging('entry-1', time.monotonic, writer)
+        engine = await made.add_engine('plain-0', PLAIN)
+        await made.ready()
+        engine.faults.extend([EngineFault.resets_first] * 3)
+        for serial, body in enumerate((b'one', b'other', b'one')):
+            await made.caller().ask('/once/x', f'r{serial}', body=body)
+        await made.caller().ask('/once/x', 'served', body=b'one')
+    os.close(writer)
+    lines = [json.loads(line) for line in path.read_text().splitlines()]
+    for event in ('send_ended', 'finished'):
+        first, other, again = _asked(lines, event)
+        assert first == again
+        assert first != other
+    broken = [line for line in lines if line.get('ending') == 'unknown']
+    assert all('closed' in line['cause'] for line in broken)
+
+
+def _asked(lines: list[dict[str, Any]], event: str) -> list[str]:
+    return [
+        line['content']
+        for line in lines
+        if line['event'] == event and 'content' in line
+    ]
--- a/tests/platform/test_lateness.py
+++ b/tests/platform/test_lateness.py
@@ -38,7 +38,7 @@
     exchange: Any = types.SimpleNamespace(started_at=begun_at, received_at=10)
     admitted: Any = types.SimpleNamespace(route=_ROUTE)
     call = cast('Any', None)
-    return Visit(exchange, call, admitted, 20, None, **fields)
+    return Visit(exchange, call, admitted, 20, None, '', **fields)
 
 
 def _sent(visit: Visit, waited_s: float, forecast_s: float, at: float) -> None:
