--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -40,11 +40,12 @@
     """Let the tests that KNOWN-RED.txt lists fail."""
     by_name = {item.nodeid: item for item in items}
     for known in read_known_red(LIST.read_text()):
-        item = by_name.get(known.test)
-        if item is None and config.args == config.getini('testpaths'):
-            raise pytest.UsageError(f'KNOWN-RED.txt: no test {known.test}')
-        if item is not None:
-            item.add_marker(pytest.mark.xfail(reason=known.cause))
+        for test in known.tests:
+            item = by_name.get(test)
+            if item is None and config.args == config.getini('testpaths'):
+                raise pytest.UsageError(f'KNOWN-RED.txt: no test {test}')
+            if item is not None:
+                item.add_marker(pytest.mark.xfail(reason=known.cause))
 
 
 def pytest_terminal_summary(
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,7 +1,8 @@
 """Tests that fail for a known fault, as KNOWN-RED.txt lists them.
 
-One line each: test, cause, issue, separated by semicolons. A listed test runs
-and may fail; one that is listed and does not exist is an error.
+One line each: test, cause, issue, separated by semicolons; cases of one cause
+share a line that names each, separated by commas. A listed test runs and may
+fail; one that is listed and does not exist is an error.
 """
 
 import dataclasses
@@ -13,15 +14,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownRed:
-    """One listed test."""
+    """One cause, and the tests that fail for it."""
 
-    test: str
+    tests: tuple[str, ...]
     cause: str
     issue: str
 
     def __str__(self) -> str:
         """Return the line that is printed after a run."""
-        return f'{self.test}: {self.cause} (issue {self.issue})'
+        return f'{", ".join(self.tests)}: {self.cause} (issue {self.issue})'
 
 
 def read_known_red(text: str) -> tuple[KnownRed, ...]:
@@ -33,5 +34,8 @@
         fields = [field.strip() for field in line.split(';')]
         if len(fields) != _FIELDS or not all(fields):
             raise ValueError(f'KNOWN-RED.txt: test; cause; issue: {line!r}')
-        listed.append(KnownRed(*fields))
+        tests = tuple(test.strip() for test in fields[0].split(','))
+        if not all(tests):
+            raise ValueError(f'KNOWN-RED.txt: a test without a name: {line!r}')
+        listed.append(KnownRed(tests, *fields[1:]))
     return tuple(listed)
