--- a/packages/standins/src/tallyhall_standins/platform_engine.py
+++ b/packages/standins/src/tallyhall_standins/platform_engine.py
@@ -66,8 +66,15 @@
         events: int = 6,
         first_s: float = 0.005,
         event_s: float = 0.002,
+        fatal: bytes | None = None,
     ) -> None:
-        """Answer streams with this many events at this pace."""
+        """Answer streams with this many events at this pace.
+
+        fatal: a body under which it ends once it begins to run it.
+        """
+        self.fatal = fatal
+        # Set once it has ended, with all that ran.
+        self.ended = asyncio.Event()
         self.incarnation = incarnation
         self.events = events
         self.first_s = first_s
@@ -79,6 +86,7 @@
         self.left = 0
         self.connections = 0
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     @property
     def ran(self) -> list[SeenRequest]:
@@ -94,18 +102,27 @@
         if self._server is not None:
             self._server.close()
 
+    def end(self) -> None:
+        """End as a lost process does: nothing listens, all is reset."""
+        self.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+        self.ended.set()
+
     async def _serve(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         self.connections += 1
+        self._writers.add(writer)
         visit = _Visit(self, writer)
         try:
             await visit.run(reader)
         except (ConnectionError, asyncio.CancelledError):
             self.left += 1
         finally:
+            self._writers.discard(writer)
             with contextlib.suppress(ConnectionError):
                 writer.close()
 
@@ -226,6 +243,9 @@
             self._closed = True
             return
         await asyncio.sleep(self._engine.first_s)
+        if self._engine.fatal is not None and self._body == self._engine.fatal:
+            self._engine.end()
+            return
         if fault is EngineFault.not_http:
             self._writer.write(b'\x00\x01 no answer at all\r\n\r\n')
             return
--- a/tests/unit/test_known_red.py
+++ b/tests/unit/test_known_red.py
@@ -11,7 +11,7 @@
 
 
 def test_cases_of_one_cause_share_a_line() -> None:
-    (known,) = read_known_red('x.py::test_y[1], x.py::test_y[2]; slow; 9\n')
+    known = read_known_red('x.py::test_y[1], x.py::test_y[2]; slow; 9\n')[0]
     assert known.tests == ('x.py::test_y[1]', 'x.py::test_y[2]')
     assert str(known) == 'x.py::test_y[1], x.py::test_y[2]: slow (issue 9)'
 
