A request under which upstreams end is given up by the whole fleet

Callers saw: one caller's request, repeated with new ids, ended upstream after upstream (eight in 13 s), and all who had requests there lost their answers. Cause: nothing of a request outlived it. Each attempt was a new request to each instance, and what may be repeated went on to the next upstream at once. Why this holds: a run whose connection is lost is suspect only if nothing listens at the upstream any more (a cut, a reset or a silence is no end). It counts as one end more than were known when it was sent, so ends all at once are one. From two ends on the request runs as a trial only, claimed in the store by a key that must not exist: one in the fleet, however it is cut apart; three ends and more put trials off by 5 s, a minute, ten minutes. What is served is cleared. All is told to others at once, through hubs in a large fleet, and written to the store, so that those that start or were cut off know. A request that waits, or is sent again, is looked at once more before its first byte. Runner and Sending no longer take switches, which nobody passed.

--- a/packages/core/src/tallyhall_core/events.py
+++ b/packages/core/src/tallyhall_core/events.py
@@ -45,6 +45,8 @@
     resumed = 407
     send_ended = 409
     caller_left = 410
+    upstream_ended = 411
+    suspected = 412
     logs_dropped = 501
     internal_error = 500
     order_sent = 600
--- a/packages/core/src/tallyhall_core/refusals.py
+++ b/packages/core/src/tallyhall_core/refusals.py
@@ -63,6 +63,7 @@
     state_not_confirmed = 'state_not_confirmed'
     upstream_full = 'upstream_full'
     timed_out = 'timed_out'
+    quarantined = 'quarantined'
 
 
 _NOT_RUN = Executed.no
@@ -93,6 +94,9 @@
     Reason.upstream_full: Entry(
         1208, 503, _NOT_RUN, 'The upstreams took no more requests.'
     ),
+    Reason.quarantined: Entry(
+        1209, 503, _NOT_RUN, 'Upstreams ended while they ran this request.'
+    ),
     Reason.timed_out: Entry(
         1305, 504, _UNKNOWN, 'The time was over before the answer came.'
     ),
--- a/packages/edge/src/tallyhall_edge/client.py
+++ b/packages/edge/src/tallyhall_edge/client.py
@@ -15,7 +15,7 @@
 
 import httptools
 
-from .errors import BadMessageError, BrokenError, NotSentError
+from .errors import BadMessageError, BrokenError, LostError, NotSentError
 from .messages import Headers, ResponseHead, find
 
 # A peer that acknowledges nothing for this long is gone, in milliseconds.
@@ -147,7 +147,7 @@
         if ends_here and not self._skipping:
             self._end(None)
             return
-        self._end(BrokenError(f'closed by the peer: {exc!r}'))
+        self._end(LostError(f'closed by the peer: {exc!r}'))
 
     def eof_received(self) -> bool:
         """Close our side too."""
--- a/packages/edge/src/tallyhall_edge/connections.py
+++ b/packages/edge/src/tallyhall_edge/connections.py
@@ -14,7 +14,7 @@
 from tallyhall_dispatch.desired import Upstream
 
 from .client import ClientConnection
-from .errors import BrokenError
+from .errors import LostError
 
 # An upstream that states no time keeps idle connections for seconds; half
 # of the shortest time stated is never reached.
@@ -77,7 +77,7 @@
         """Break off what is asked of an incarnation that has ended."""
         self.drop(incarnation)
         for conn in tuple(self._busy.get(incarnation, ())):
-            conn.fail(BrokenError('the upstream has started again'))
+            conn.fail(LostError('the upstream has started again'))
 
     def close_old(self) -> None:
         """Close what has been idle for too long to be used again."""
--- a/packages/edge/src/tallyhall_edge/errors.py
+++ b/packages/edge/src/tallyhall_edge/errors.py
@@ -15,6 +15,10 @@
     """The connection failed after the request was written."""
 
 
+class LostError(BrokenError):
+    """The connection ended while the request ran."""
+
+
 class EndedError(EdgeError):
     """Something was asked of an exchange that has ended."""
 
--- a/packages/edge/src/tallyhall_edge/relay.py
+++ b/packages/edge/src/tallyhall_edge/relay.py
@@ -70,6 +70,14 @@
         self._pause_after = 0
         self._conn: ClientConnection | None = None
 
+    @property
+    def succeeded(self) -> bool:
+        """Return whether a whole answer with success has come."""
+        head = self.head
+        if head is None or self.ending is not Ending.answered:
+            return False
+        return head.is_success
+
     def bind(self, conn: ClientConnection) -> None:
         """Hold this connection back while the caller does not read."""
         self._conn = conn
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -15,11 +15,11 @@
 from tallyhall_dispatch.gate import Admitted, Gate, OverQuotaError
 from tallyhall_dispatch.jobs import Ending, Grant, Job
 from tallyhall_dispatch.patience import longest_wait_s
-from tallyhall_dispatch.switches import ALL_ON, Switches
 
 from .connections import ConnectionPool
 from .content import content_digest
 from .dialect import BadCallError, CallInfo, Dialect
+from .guard import Guard
 from .relay import Relay
 from .request_log import RequestLog
 from .scheduling import Scheduler
@@ -49,7 +49,7 @@
         telemetry: Telemetry,
         instance: str,
         zone: str,
-        switches: Switches = ALL_ON,
+        guard: Guard,
     ) -> None:
         """Work with these parts of the instance."""
         # Asks others what they have used of quotas; returns whether something
@@ -65,12 +65,12 @@
             conns,
             dialect,
             self._log,
-            switches,
+            guard,
         )
+        self._guard = guard
         # Job keys begin with the instance, which makes them unique.
         self._instance = instance
         self._zone = zone
-        self._switches = switches
         self._jobs = itertools.count()
         self._first_tries = FirstTries()
         # Set once the instance is told to stop.
@@ -173,8 +173,6 @@
         call: CallInfo,
         admitted: Admitted,
     ) -> float:
-        if not self._switches.first_tries:
-            return 0
         workspace = admitted.workspace
         return self._first_tries.since_s(
             admitted.route,
@@ -186,6 +184,7 @@
     async def _serve(self, visit: Visit) -> None:
         self._check_stop(visit)
         while True:
+            self._guard.check(visit.content)
             job = self._job(visit)
             grant = await self._acquire(visit, job)
             note_send(visit, grant, self._loop.time())
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -13,11 +13,11 @@
 from tallyhall_dispatch.desired import RouteKind, Upstream
 from tallyhall_dispatch.gate import Gate
 from tallyhall_dispatch.jobs import Ending, Job, RunReport
-from tallyhall_dispatch.switches import Switches
 
 from .connections import ConnectionPool
 from .dialect import Dialect, SendInfo
-from .errors import NotSentError
+from .errors import LostError, NotSentError
+from .guard import Guard
 from .messages import head_bytes
 from .relay import Relay
 from .request_log import RequestLog
@@ -54,15 +54,15 @@
         conns: ConnectionPool,
         dialect: Dialect,
         log: RequestLog,
-        switches: Switches,
+        guard: Guard,
     ) -> None:
         """Send over these connections."""
+        self._guard = guard
         self._gate = gate
         self._scheduler = scheduler
         self._conns = conns
         self._dialect = dialect
         self._log = log
-        self._switches = switches
         self._loop = asyncio.get_running_loop()
 
     async def send(
@@ -114,6 +114,20 @@
     ) -> None:
         visit.pause_s = max(visit.pause_s, report.pause_s)
         self._log.send_ended(visit, upstream, report)
+        self._tell_guard(visit, upstream)
+
+    def _tell_guard(self, visit: Visit, upstream: Upstream) -> None:
+        permit = visit.permit
+        relay = visit.relay
+        if permit is None or relay is None:
+            return
+        visit.permit = None
+        if isinstance(relay.broken, LostError):
+            self._guard.lost(visit.content, permit, upstream)
+        elif relay.succeeded:
+            self._guard.answered(visit.content)
+        if permit.is_trial:
+            self._guard.release(visit.content)
 
     def _relay(self, visit: Visit, job: Job) -> Relay:
         streaming = visit.admitted.route.kind is RouteKind.streaming
@@ -153,6 +167,8 @@
         idle_s = _IDLE_REPEATABLE_S if repeatable else _IDLE_ONCE_S
         conn = await self._conns.take(upstream, idle_s)
         try:
+            # Its like may have ended an upstream while it waited.
+            visit.permit = await self._guard.permit(visit.content)
             # A connection takes up to 0.3 s, and the upstream may leave
             # meanwhile.
             if not self._scheduler.is_usable(upstream):
@@ -204,7 +220,7 @@
         Where requests wait for places, silence is more likely the load.
         """
         route = visit.admitted.route
-        if not self._switches.silence or not route.repeatable:
+        if not route.repeatable:
             return False
         if visit.may_have_run >= route.attempts:
             return False
--- a/packages/edge/src/tallyhall_edge/visit.py
+++ b/packages/edge/src/tallyhall_edge/visit.py
@@ -7,6 +7,7 @@
 from tallyhall_dispatch.jobs import Grant
 
 from .dialect import CallInfo
+from .guard import Permit
 from .relay import Relay
 from .server import Exchange
 
@@ -35,6 +36,8 @@
     sends: int = 0
     may_have_run: int = 0
     repeat_paid: bool = False
+    # Of the send under way.
+    permit: Permit | None = None
     waited_s: float = 0
     all_waits_s: float = 0
     later_waits_s: float = 0
--- a/packages/entry/src/tallyhall_entry/explain.py
+++ b/packages/entry/src/tallyhall_entry/explain.py
@@ -41,6 +41,10 @@
         ),
         'no_upstream': 'No upstream of its service could be reached',
         'upstream_full': 'Every upstream that it was sent to turned it away',
+        'quarantined': (
+            'Upstreams had ended while they ran the same request, so it was '
+            'not sent for now; look for 411 and 412 of its content'
+        ),
         'upstream_broken': (
             'Its upstream broke off without a whole answer; it may have run, '
             'and what may have run is not sent again on this route'
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -37,6 +37,7 @@
 
 from .answers import LOCATE_KEEP_S, Answers
 from .beliefs import Beliefs
+from .guard import shared_guard
 from .logs import BoundedStream, EventLog
 from .metrics import Metrics
 from .news import NewsTalk
@@ -117,6 +118,15 @@
             self.log.event,
         )
         self._conns = ConnectionPool(PlatformDialect.id_header, _CONNECT_S)
+        self._calls = CallCounts()
+        self._store_ends = StoreClient(options.store.address, self._calls)
+        self._guard = shared_guard(
+            self._links,
+            self._store_ends,
+            self._entry.incarnation,
+            self.log,
+            rng,
+        )
         self._runner = self._new_runner()
         self._front = HttpServer(
             self._runner.handle,
@@ -152,7 +162,6 @@
             self._server(self._answers.locate),
             self._server(self._answers.metrics),
         )
-        self._calls = CallCounts()
         self._store_registers = StoreClient(options.store.address, self._calls)
         self._store_follows = StoreClient(options.store.address, self._calls)
         self._registration = Registration(
@@ -176,6 +185,7 @@
             self._absence,
             options.bounds.change_s,
         )
+        self._follower.view.on_ends = self._guard.take_stored
         self._talk = Talk(
             self._gate,
             self._links,
@@ -215,6 +225,7 @@
         )
         self._spawn('follower', self._follower.run())
         self._spawn('registration', self._registration.run())
+        self._spawn('guard', self._guard.run())
         self._spawn('chores', self._chores())
         self._spawn('tick', self._tick())
         self.log.event(
@@ -265,6 +276,7 @@
         self.options = options
         self._store_follows.move(options.store.address)
         self._store_registers.move(options.store.address)
+        self._store_ends.move(options.store.address)
         self._gate.freshness.bound_s = _freshness_s(options)
         self._absence.heartbeat_s = options.store.heartbeat_s
         self._absence.contact_s = options.bounds.contact_s
@@ -331,6 +343,7 @@
         self._talk.take(peer, batch)
         self._news.take(peer, batch)
         self._use_news.take(peer, batch)
+        self._guard.take(peer, batch)
         self._scheduler.on_batch(peer, batch)
         # A store that answers others is not away, whatever this one's way is.
         now = self._loop.time()
@@ -375,6 +388,7 @@
             RequestTelemetry(self.log, self._metrics),
             self.options.instance,
             self.options.zone,
+            self._guard,
         )
 
     def _server(self, respond: Respond) -> HttpServer:
--- a/packages/platform/src/tallyhall_platform/calls.py
+++ b/packages/platform/src/tallyhall_platform/calls.py
@@ -31,7 +31,8 @@
 
     start: to get a first state or entry. steady: to keep up. retry: the call
     before failed. untold: no other instance told what changed. use: to keep
-    the use of quotas over a restart of all.
+    the use of quotas over a restart of all. ends: to keep what ends upstreams
+    and to try it.
     """
 
     start = 'start'
@@ -39,6 +40,7 @@
     retry = 'retry'
     untold = 'untold'
     use = 'use'
+    ends = 'ends'
 
 
 @enum.unique
--- a/packages/platform/src/tallyhall_platform/store.py
+++ b/packages/platform/src/tallyhall_platform/store.py
@@ -187,6 +187,17 @@
         write = {'key': key, 'value': text, 'lease': lease}
         await self._write({'expected-rev': [], 'writes': [write], 'delete': []})
 
+    async def create(self, key: str, lease: int) -> None:
+        """Write an empty key that does not exist yet.
+
+        Raises ConditionFailedError where it exists.
+        """
+        expected = {'key': key, 'revision': 0}
+        write = {'key': key, 'value': '', 'lease': lease}
+        await self._write(
+            {'expected-rev': [expected], 'writes': [write], 'delete': []},
+        )
+
     async def grant_lease(self, ttl_s: float) -> int:
         """Return a new lease."""
         answer = await self._call(
--- a/packages/platform/src/tallyhall_platform/view.py
+++ b/packages/platform/src/tallyhall_platform/view.py
@@ -23,6 +23,7 @@
 
 from .absence import Absence
 from .decode import decode_state
+from .ends import ENDS_PREFIX, EndRecords, decode_ends
 from .entries import (
     INSTANCE_PREFIX,
     USE_KEY,
@@ -97,6 +98,8 @@
         change_s: how long a change may take to be in force.
         """
         self.change_s = change_s
+        # Takes what was written of upstreams that ended.
+        self.on_ends: Callable[[EndRecords], None] = _ignored
         # Nothing that the store held at this time is missing here, on the
         # loop's clock.
         self.followed_at = float('-inf')
@@ -123,6 +126,7 @@
             (UPSTREAM_PREFIX, self._take_upstream),
             (INSTANCE_PREFIX, self._take_instance),
             (USE_KEY, self._take_use),
+            (ENDS_PREFIX, self._take_ends),
         )
 
     # -- from the store
@@ -277,6 +281,9 @@
         if self.cursor is None:
             self._listener.on_use(decode_use(content))
 
+    def _take_ends(self, key: str, content: bytes) -> None:
+        self.on_ends(decode_ends(content))
+
     def _take_upstream(self, key: str, content: bytes) -> None:
         self._held.pop(key, None)
         self._unsaid.upstreams = True
@@ -324,3 +331,7 @@
             self._release_removals,
             release_at,
         )
+
+
+def _ignored(records: EndRecords) -> None:
+    """Take records where nobody keeps them."""
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 from tallyhall_core.events import Event
 from tallyhall_platform.decode import decode_state, decode_upstream
+from tallyhall_platform.ends import decode_ends
 from tallyhall_platform.entries import decode_instance, decode_use
 from tallyhall_platform.errors import DecodeError
 from tallyhall_platform.upstreams import Upstreams
@@ -123,6 +124,7 @@
     lambda raw: decode_instance('entry-1', raw),
     decode_state,
     decode_use,
+    decode_ends,
 ]
 
 
--- /dev/null
+++ b/tests/platform/test_guard.py
@@ -0,0 +1,201 @@
+"""How instances share what they know of ends, and agree on trials."""
+
+import asyncio
+import base64
+import contextlib
+import dataclasses
+import random
+from collections.abc import AsyncIterator
+from typing import Any, cast
+
+import pytest
+from tallyhall_bench.ports import free_ports
+from tallyhall_core.refusals import Reason, RefusedError
+from tallyhall_dispatch.options import Listening
+from tallyhall_dispatch.suspects import EndedRun, UpstreamEnd
+from tallyhall_entry.guard import SharedGuard
+from tallyhall_entry.logs import EventLog
+from tallyhall_platform.ends import (
+    ENDS_PREFIX,
+    EndRecorder,
+    EndRecords,
+    decode_ends,
+    encode_ends,
+)
+from tallyhall_platform.errors import StoreError
+from tallyhall_platform.store import StoreClient
+from tallyhall_standins.platform_store import StoreFault, StoreStandIn
+from tallyhall_transport.generated import peers_pb2
+from tallyhall_transport.peers import Peer, PeerLinks
+
+from tests.platform.harness import HOST, log_stream, until
+
+_DAY_S = 1_700_000_000.0
+_LARGE = 195
+
+
+def _records(ends: int) -> EndRecords:
+    """Return what was written of a request after so many ends."""
+    runs = (EndedRun('x', ends),)
+    return EndRecords((UpstreamEnd(f'u{ends}', _DAY_S, runs),), ())
+
+
+@contextlib.asynccontextmanager
+async def _store() -> AsyncIterator[tuple[StoreStandIn, Listening]]:
+    store = StoreStandIn()
+    address = Listening(HOST, free_ports(1)[0])
+    await store.listen(address.host, address.port)
+    try:
+        yield store, address
+    finally:
+        store.close()
+
+
+def _ignore(*_: object, **fields: object) -> None:
+    """Take anything."""
+
+
+def _recorder(address: Listening, name: str = 'a') -> EndRecorder:
+    return EndRecorder(StoreClient(address), name, _ignore, random.Random(1))
+
+
+@dataclasses.dataclass(slots=True)
+class _Links:
+    """Streams to peers that take everything."""
+
+    instances: int
+    peers: dict[str, Peer]
+    sent: dict[str, peers_pb2.Batch] = dataclasses.field(default_factory=dict)
+
+    def outgoing(self, name: str, *, urgent: bool) -> peers_pb2.Batch:
+        assert urgent
+        return self.sent.setdefault(name, peers_pb2.Batch())
+
+
+def _guard(recorder: EndRecorder, links: _Links | None = None) -> SharedGuard:
+    links = links or _Links(1, {})
+    return SharedGuard(
+        cast(PeerLinks, links),
+        recorder,
+        EventLog(log_stream()),
+        lambda: _DAY_S,
+    )
+
+
+async def test_one_trial_runs_in_the_fleet() -> None:
+    """Two instances that do not hear each other."""
+    async with _store() as (_, address):
+        guards = [_guard(_recorder(address, name)) for name in 'ab']
+        for guard in guards:
+            guard.take_stored(_records(2))
+        first = await guards[0].permit('x')
+        assert first.is_trial
+        for guard in guards:
+            with pytest.raises(RefusedError) as refused:
+                await guard.permit('x')
+            assert refused.value.refusal.reason is Reason.quarantined
+        guards[0].release('x')
+        await asyncio.sleep(0.05)
+        assert (await guards[0].permit('x')).is_trial
+
+
+async def test_without_a_store_nothing_is_tried() -> None:
+    async with _store() as (store, address):
+        guard = _guard(_recorder(address))
+        guard.take_stored(_records(2))
+        store.fault = StoreFault.silent
+        with pytest.raises(RefusedError):
+            await guard.permit('x')
+
+
+async def test_one_end_needs_no_store() -> None:
+    async with _store() as (store, address):
+        store.fault = StoreFault.silent
+        guard = _guard(_recorder(address))
+        guard.take_stored(_records(1))
+        permit = await guard.permit('x')
+        assert permit.ends == 1
+        assert not permit.is_trial
+
+
+async def test_a_success_frees_those_that_were_not_told() -> None:
+    async with _store() as (store, address):
+        recorder = _recorder(address)
+        writing = asyncio.create_task(recorder.run())
+        guard = _guard(recorder)
+        guard.take_stored(_records(2))
+        guard.answered('x')
+        await until(lambda: bool(store.keys(ENDS_PREFIX)))
+        writing.cancel()
+        other = _guard(recorder)
+        other.take_stored(_records(3))
+        with pytest.raises(RefusedError):
+            other.check('x')
+        snapshot = await StoreClient(address).snapshot(ENDS_PREFIX)
+        for entry in snapshot.entries:
+            other.take_stored(decode_ends(entry.content))
+        other.check('x')
+
+
+async def test_records_outlast_a_store_that_fails() -> None:
+    """What comes meanwhile is written too, and nothing is overwritten."""
+    async with _store() as (store, address):
+        recorder = _recorder(address)
+        writing = asyncio.create_task(recorder.run())
+        for fault in (StoreFault.refuses, StoreFault.resets):
+            store.fault = fault
+            recorder.ended(_records(1).ended[0])
+            await asyncio.sleep(0.05)
+        store.fault = StoreFault.none
+        recorder.ended(_records(2).ended[0])
+        await until(lambda: len(_stored(store)) == 3)
+        writing.cancel()
+
+
+def _stored(store: StoreStandIn) -> list[UpstreamEnd]:
+    stored = [store.item(key) for key in store.keys(ENDS_PREFIX)]
+    return [
+        end
+        for kept in stored
+        if kept is not None
+        for end in decode_ends(base64.b64decode(kept.text)).ended
+    ]
+
+
+def test_records_are_read_as_they_are_written() -> None:
+    records = _records(3)
+    assert decode_ends(encode_ends(records)) == records
+
+
+async def test_hubs_tell_on_what_is_news() -> None:
+    """And nobody else does, nor twice, nor back."""
+    async with _store() as (_, address):
+        told = _told()
+        peers = {name: Peer(name) for name in ('a', 'b', 'c')}
+        hub = _Links(_LARGE, peers)
+        guard = _guard(_recorder(address), hub)
+        guard.take(peers['a'], told)
+        assert hub.sent.keys() == {'b', 'c'}
+        guard.take(peers['b'], told)
+        assert len(hub.sent['c'].ended) == 1
+        assert 'a' not in hub.sent
+        in_mesh = _Links(3, peers)
+        _guard(_recorder(address), in_mesh).take(peers['a'], told)
+        assert not in_mesh.sent
+
+
+def _told() -> Any:
+    batch = peers_pb2.Batch()
+    ended = batch.ended.add(upstream='u', at_s=_DAY_S)
+    ended.runs.add(content='x', ends=1)
+    return batch
+
+
+async def test_a_claim_that_is_lost_lapses() -> None:
+    async with _store() as (store, address):
+        recorder = _recorder(address)
+        store.fault = StoreFault.loses_answers
+        with pytest.raises(StoreError):
+            await recorder.claim('x')
+        store.fault = StoreFault.none
+        assert await recorder.claim('x') is not None
