Ages are taken on the clock since boot, which counts suspensions

Callers could be let in with an API key that was taken away while the machine was suspended, and quotas, entries and what others told passed for fresh: the loop's clock, on which all ages are taken, stands still in a suspension. Why this holds: the entry process runs on a loop whose time is CLOCK_BOOTTIME, so every age, timer and bound counts the suspension; nothing else in the path on the platform reads a steady clock but the allowance of log lines.

--- a/packages/entry/src/tallyhall_entry/main.py
+++ b/packages/entry/src/tallyhall_entry/main.py
@@ -17,6 +17,7 @@
 from tallyhall_platform.errors import SettingsError
 from tallyhall_platform.settings import SETTINGS_VARIABLE, load_options
 
+from .clock import SinceBootLoop
 from .instance import Instance
 from .logs import BoundedStream, setup_logging
 
@@ -41,7 +42,8 @@
     # What exists now lives as long as the process; not to look at it again
     # keeps the collector's pauses short.
     gc.freeze()
-    sys.exit(asyncio.run(_serve(path, options, stream)))
+    with asyncio.Runner(loop_factory=SinceBootLoop) as runner:
+        sys.exit(runner.run(_serve(path, options, stream)))
 
 
 async def _serve(
--- a/tests/platform/test_suspended.py
+++ b/tests/platform/test_suspended.py
@@ -9,6 +9,7 @@
 since boot ten seconds further on and the store silent, a request with a key is
 answered 200 where no confirmation is known that is less than 3.7 s old.
 
+Cause: all ages are taken on the loop's clock, which was the steady one.
 """
 
 import asyncio
