Hubs gather for 10 ms what instances tell of the end of one upstream

Each of ten instances with runs at an upstream tells of its own, and a hub of a large fleet would have sent each report to each of some hundred others; a batch costs a third of a millisecond. Only hubs tell on, as all others know only hubs.

--- a/packages/entry/src/tallyhall_entry/guard.py
+++ b/packages/entry/src/tallyhall_entry/guard.py
@@ -39,6 +39,9 @@
 # Told to callers while another request of the same content is tried, and how
 # long its trial is not claimed again, in seconds.
 _TRIED_ELSEWHERE_S = 1.0
+# A hub gathers for this long what several instances tell of one end, so that it
+# sends each of some hundred others one batch, in seconds.
+_PASS_ON_S = 0.01
 # Ends from which on it is written that a request was served: with fewer, who
 # does not know of it serves it all the same.
 _WRITTEN_ENDS = 2
@@ -55,6 +58,8 @@
         day_clock: Callable[[], float],
     ) -> None:
         """Share through these; `day_clock` gives seconds since 1970."""
+        # Whether all others of a large fleet are told through this one.
+        self.is_hub = False
         self._links = links
         self._recorder = recorder
         self._log = log
@@ -67,6 +72,8 @@
         # Until when trials are not claimed, as one runs elsewhere.
         self._claimed: dict[str, float] = {}
         self._releases: set[asyncio.Task[None]] = set()
+        # What is told on from here, and who told it.
+        self._passed_on: list[tuple[str, EndRecords]] = []
 
     async def run(self) -> None:
         """Write what must last until cancelled."""
@@ -124,8 +131,12 @@
             tuple(Cleared(told.content, told.at_s) for told in batch.cleared),
         )
         news = self._learn(records, peer.name)
-        if not is_mesh(self._links.instances):
-            self._tell(news, except_for=peer.name)
+        tells_on = self.is_hub and not is_mesh(self._links.instances)
+        if not tells_on or not _holds_any(news):
+            return
+        if not self._passed_on:
+            self._loop.call_later(_PASS_ON_S, self._pass_on)
+        self._passed_on.append((peer.name, news))
 
     def take_stored(self, records: EndRecords) -> None:
         """Take what an instance wrote."""
@@ -205,15 +216,23 @@
             )
         return EndRecords(ended, cleared)
 
-    def _tell(self, records: EndRecords, except_for: str = '') -> None:
-        if not records.ended and not records.cleared:
-            return
+    def _tell(self, records: EndRecords) -> None:
         for name in self._links.peers:
-            if name == except_for:
-                continue
-            batch = self._links.outgoing(name, urgent=True)
-            if batch is not None:
-                _fill(batch, records)
+            self._tell_one(name, records)
+
+    def _tell_one(self, name: str, records: EndRecords) -> None:
+        batch = self._links.outgoing(name, urgent=True)
+        if batch is not None:
+            _fill(batch, records)
+
+    def _pass_on(self) -> None:
+        """Tell each what the others told, all of it in one batch."""
+        told = self._passed_on
+        self._passed_on = []
+        for name in self._links.peers:
+            for source, records in told:
+                if source != name:
+                    self._tell_one(name, records)
 
 
 def shared_guard(
@@ -232,6 +251,10 @@
     return tuple(EndedRun(run.content, run.ends) for run in told.runs)
 
 
+def _holds_any(records: EndRecords) -> bool:
+    return bool(records.ended or records.cleared)
+
+
 def _fill(batch: peers_pb2.Batch, records: EndRecords) -> None:
     for end in records.ended:
         told = batch.ended.add(upstream=end.upstream, at_s=end.at_s)
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -417,8 +417,10 @@
         while True:
             await asyncio.sleep(_TICK_S)
             self._scheduler.tick()
-            self._news.look(self._scheduler.hubs)
-            for hub in self._use_news.look(self._scheduler.hubs):
+            hubs = self._scheduler.hubs
+            self._guard.is_hub = self.options.instance in hubs
+            self._news.look(hubs)
+            for hub in self._use_news.look(hubs):
                 self._links.outgoing(hub, urgent=True)
             self._beliefs.look()
             self._take_fleet()
