--- a/packages/edge/src/tallyhall_edge/dialect.py
+++ b/packages/edge/src/tallyhall_edge/dialect.py
@@ -54,13 +54,16 @@
     """What the head of an upstream's answer says.
 
     proven: it carries the upstream's signature. not_executed: the upstream
-    states that it did not run the request.
+    states that it did not run the request. leaving: it takes no new work.
+    rest_s: seconds for which it wants nothing from this instance, 0 for none.
     """
 
     proven: bool
     not_executed: bool
     misplaced: bool
     streams: bool
+    leaving: bool = False
+    rest_s: float = 0
 
 
 class OwnAnswer(msgspec.Struct, frozen=True):
--- a/packages/edge/src/tallyhall_edge/relay.py
+++ b/packages/edge/src/tallyhall_edge/relay.py
@@ -55,7 +55,7 @@
         self._exchange = exchange
         self._dialect = dialect
         self._streaming = streaming
-        self._info: AnswerInfo | None = None
+        self.info: AnswerInfo | None = None
         self._splitter: EventSplitter | None = None
         self._held: list[bytes] = []
         self._held_bytes = 0
@@ -119,7 +119,7 @@
         """Take the head."""
         self.head = head
         info = self._dialect.answer(head)
-        self._info = info
+        self.info = info
         if head.is_success and not info.proven:
             self._finish(Ending.unknown)
             return
@@ -158,7 +158,7 @@
 
     def _judge(self) -> Ending:
         head = self.head
-        info = self._info
+        info = self.info
         if head is None or info is None:
             return Ending.unknown
         if info.misplaced:
--- a/packages/edge/src/tallyhall_edge/request_log.py
+++ b/packages/edge/src/tallyhall_edge/request_log.py
@@ -89,6 +89,7 @@
             pause_after=report.pause_after,
             total_ms=_millis(report.total_s),
             **failed,
+            **_said(visit),
         )
 
     def budget_binds(self, visit: Visit) -> None:
@@ -173,6 +174,14 @@
     }
 
 
+def _said(visit: Visit) -> dict[str, object]:
+    """Return what an upstream said of itself, beside its answer."""
+    info = None if visit.relay is None else visit.relay.info
+    if info is None or not (info.leaving or info.rest_s):
+        return {}
+    return {'leaving': info.leaving, 'rest_ms': _millis(info.rest_s)}
+
+
 def _late_inputs(visit: Visit, now: float) -> dict[str, object]:
     late = lateness(visit, now)
     if late is None:
--- a/packages/platform/src/tallyhall_platform/dialect.py
+++ b/packages/platform/src/tallyhall_platform/dialect.py
@@ -40,9 +40,14 @@
 # Proof that the answer is the upstream's own.
 _SIGNATURE = b'x-tallyhall-response-signature'
 _NOT_EXECUTED = b'x-tallyhall-not-executed'
+_LEAVING = b'server-leaving'
+_RETRY_AFTER = b'retry-after'
 _SCHEME = 'bearer '
 _MILLI = 1000
 _MISDIRECTED = 421
+_TURNED_AWAY = 503
+# What an upstream may ask for at most, in seconds; it can ask again.
+_LONGEST_REST_S = 600.0
 # Headers that this system sets itself, whatever the caller sent: with them a
 # caller could name an upstream, its workspace or memory of other requests.
 SET_HERE = (
@@ -122,6 +127,9 @@
             ),
             misplaced=misplaced,
             streams=media.lower().startswith(b'text/event-stream'),
+            # Another one than was asked for speaks for itself only.
+            leaving=not misplaced and _is_set(head.headers, _LEAVING),
+            rest_s=_rest_s(head),
         )
 
     def refusal(self, refusal: Refusal) -> OwnAnswer:
@@ -153,6 +161,22 @@
     return ''
 
 
+def _is_set(headers: Headers, name: bytes) -> bool:
+    return find(headers, name) == b'1'
+
+
+def _rest_s(head: ResponseHead) -> float:
+    text = find(head.headers, _RETRY_AFTER)
+    if head.status != _TURNED_AWAY or text is None:
+        return 0
+    try:
+        rest_s = float(text)
+    except ValueError:
+        # A date, or nothing that is known.
+        return 0
+    return min(_LONGEST_REST_S, max(0, rest_s))
+
+
 def _numbers(headers: Headers, name: bytes) -> tuple[int, ...]:
     text = find(headers, name)
     if text is None:
--- a/packages/standins/src/tallyhall_standins/platform_engine.py
+++ b/packages/standins/src/tallyhall_standins/platform_engine.py
@@ -73,6 +73,10 @@
         fatal: a body under which it ends once it begins to run it.
         """
         self.fatal = fatal
+        # Says in all its answers that it leaves.
+        self.leaving = False
+        # Turns all requests away and asks for so many seconds of rest.
+        self.rest_s: float | None = None
         # Set once it has ended, with all that ran.
         self.ended = asyncio.Event()
         self.incarnation = incarnation
@@ -208,6 +212,8 @@
         expected = self._headers.get('x-tallyhall-expect-instance')
         if expected not in {None, engine.incarnation}:
             fault = EngineFault.misplaced
+        if self._engine.rest_s is not None:
+            fault = EngineFault.rejects
         refused = fault in {EngineFault.rejects, EngineFault.misplaced}
         request_id = self._headers.get('x-tallyhall-request-id', '')
         engine.seen.append(
@@ -231,7 +237,7 @@
         if fault is EngineFault.hangs:
             await asyncio.Event().wait()
         if fault is EngineFault.rejects:
-            self._send(503, b'', ('X-Tallyhall-Not-Executed: 1',))
+            self._send(503, b'', self._rejection())
             return
         if fault is EngineFault.misplaced:
             self._send(421, b'', ())
@@ -303,6 +309,12 @@
             await asyncio.sleep(self._engine.event_s)
         self._writer.write(b'0\r\n\r\n')
 
+    def _rejection(self) -> tuple[str, ...]:
+        lines = ('X-Tallyhall-Not-Executed: 1',)
+        if self._engine.rest_s is None:
+            return lines
+        return (*lines, f'Retry-After: {self._engine.rest_s}')
+
     def _signed(self, request_id: str) -> tuple[str, ...]:
         return (
             f'X-Tallyhall-Response-Signature: s.{self._engine.incarnation}',
@@ -314,6 +326,8 @@
         self._writer.write(body)
 
     def _head(self, status: int, lines: tuple[str, ...]) -> None:
+        if self._engine.leaving:
+            lines = (*lines, 'Server-Leaving: 1')
         head = '\r\n'.join((f'HTTP/1.1 {status} Status', *lines, '', ''))
         self._writer.write(head.encode())
 
--- /dev/null
+++ b/tests/platform/test_said.py
@@ -0,0 +1,51 @@
+"""What the dialect reads of what an upstream says of itself."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from tallyhall_edge.messages import ResponseHead
+from tallyhall_platform.dialect import PlatformDialect
+
+_LEAVING = (b'Server-Leaving', b'1')
+
+
+def _head(status: int, *headers: tuple[bytes, bytes]) -> ResponseHead:
+    return ResponseHead(status, b'', headers)
+
+
+def test_any_answer_may_say_that_its_upstream_leaves() -> None:
+    dialect = PlatformDialect()
+    for status in (200, 404, 500, 503):
+        assert dialect.answer(_head(status, _LEAVING)).leaving
+    assert not dialect.answer(_head(200)).leaving
+    assert not dialect.answer(_head(200, (b'Server-Leaving', b'0'))).leaving
+    # Another one has the address.
+    assert not dialect.answer(_head(421, _LEAVING)).leaving
+
+
+@pytest.mark.parametrize(
+    ('status', 'text', 'rest_s'),
+    [
+        (503, b'3', 3),
+        (503, b'0.25', 0.25),
+        (503, b'-1', 0),
+        (503, b'Wed, 21 Oct 2015 07:28:00 GMT', 0),
+        (503, b'nan', 0),
+        (503, b'1e9', 600),
+        (200, b'3', 0),
+        (429, b'3', 0),
+    ],
+)
+def test_only_one_that_turns_away_asks_for_rest(
+    status: int,
+    text: bytes,
+    rest_s: float,
+) -> None:
+    head = _head(status, (b'Retry-After', text))
+    assert PlatformDialect().answer(head).rest_s == rest_s
+
+
+@given(st.binary(max_size=20))
+def test_a_rest_is_within_its_bounds(text: bytes) -> None:
+    head = _head(503, (b'Retry-After', text))
+    assert 0 <= PlatformDialect().answer(head).rest_s <= 600
