An upstream that says in an answer that it leaves gets nothing new

Cause: the header was not read; leaving came from entries in the store alone. Why this holds: it is taken when the head of the answer comes, before it is passed on, counts for the rest of that start of the upstream whatever its entry says or how often it is written anew, and is told to all others at once, so that owners place nothing there; an owner that grants it all the same is told again. The look before the first byte heeds it.

--- a/packages/core/src/tallyhall_core/events.py
+++ b/packages/core/src/tallyhall_core/events.py
@@ -47,6 +47,7 @@
     caller_left = 410
     upstream_ended = 411
     suspected = 412
+    upstream_leaves = 413
     logs_dropped = 501
     internal_error = 500
     order_sent = 600
--- a/packages/edge/src/tallyhall_edge/relay.py
+++ b/packages/edge/src/tallyhall_edge/relay.py
@@ -50,6 +50,9 @@
         # Set with the first byte of an answer that is passed on or held.
         self.begun = asyncio.Event()
         self.on_first: Callable[[], None] | None = None
+        # Takes what the upstream says of itself, before its answer is passed
+        # on.
+        self.on_said: Callable[[AnswerInfo], None] | None = None
         self.head: ResponseHead | None = None
         self._loop = loop
         self._exchange = exchange
@@ -120,6 +123,8 @@
         self.head = head
         info = self._dialect.answer(head)
         self.info = info
+        if self.on_said is not None and (info.leaving or info.rest_s):
+            self.on_said(info)
         if head.is_success and not info.proven:
             self._finish(Ending.unknown)
             return
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -15,6 +15,7 @@
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
 from tallyhall_dispatch.desired import DesiredState, Upstream
 from tallyhall_dispatch.jobs import Ending, Grant, Job, RunReport
+from tallyhall_dispatch.leavers import Leavers
 from tallyhall_dispatch.pool import Granted, ServicePool
 from tallyhall_dispatch.refusing import GivenUp
 
@@ -43,6 +44,9 @@
     def first_byte(self, job: Job) -> None:
         """Take that the answer of a job has begun."""
 
+    def leaves(self, upstream: Upstream) -> None:
+        """Take that an upstream says in an answer that it leaves."""
+
     def finish(self, job: Job, upstream: Upstream, report: RunReport) -> None:
         """Take that a send has ended."""
 
@@ -69,6 +73,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._upstreams: tuple[Upstream, ...] = ()
         self._by_id: dict[str, Upstream] = {}
+        self._leavers = Leavers()
         # Until when a draw for a place of a service holds, and the draw.
         self._draws: dict[str, tuple[float, float]] = {}
 
@@ -105,6 +110,7 @@
     def take_upstreams(self, upstreams: tuple[Upstream, ...]) -> None:
         """Take all upstreams as they stand now."""
         self._upstreams = upstreams
+        upstreams = tuple(map(self._leavers.marked, upstreams))
         self._by_id = {upstream.incarnation: upstream for upstream in upstreams}
         grouped: dict[str, list[Upstream]] = collections.defaultdict(list)
         for upstream in upstreams:
@@ -113,6 +119,20 @@
             pool.set_upstreams(grouped[name])
             self._pump(pool)
 
+    def leaves(self, incarnation: str) -> bool:
+        """Take that an upstream said that it leaves; return whether it is news.
+
+        It does whatever its entry says, until its end.
+        """
+        if not self._leavers.add(incarnation):
+            return False
+        self.take_upstreams(self._upstreams)
+        return True
+
+    def has_said_it_leaves(self, incarnation: str) -> bool:
+        """Return whether an upstream said itself that it leaves."""
+        return incarnation in self._leavers
+
     def ask(self, job: Job, origin: Origin) -> None:
         """Queue a job; the origin hears of it, maybe before this returns."""
         pool = self._pools.get(job.service)
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -15,7 +15,7 @@
 from tallyhall_dispatch.jobs import Ending, Job, RunReport
 
 from .connections import ConnectionPool
-from .dialect import Dialect, SendInfo
+from .dialect import AnswerInfo, Dialect, SendInfo
 from .errors import LostError, NotSentError
 from .guard import Guard
 from .messages import head_bytes
@@ -72,7 +72,7 @@
         upstream: Upstream,
     ) -> tuple[Ending, Relay]:
         """Return how the send ended, and its answer."""
-        relay = self._relay(visit, job)
+        relay = self._relay(visit, job, upstream)
         visit.relay = relay
         ending = Ending.left
         try:
@@ -129,7 +129,17 @@
         if permit.is_trial:
             self._guard.release(visit.content)
 
-    def _relay(self, visit: Visit, job: Job) -> Relay:
+    def _take_said(self, upstream: Upstream, info: AnswerInfo) -> None:
+        if info.leaving:
+            self._scheduler.leaves(upstream)
+            self._conns.drop(upstream.incarnation)
+
+    def _relay(
+        self,
+        visit: Visit,
+        job: Job,
+        upstream: Upstream,
+    ) -> Relay:
         streaming = visit.admitted.route.kind is RouteKind.streaming
         relay = Relay(
             visit.exchange,
@@ -137,6 +147,7 @@
             visit.last_event,
             streaming=streaming,
         )
+        relay.on_said = functools.partial(self._take_said, upstream)
         relay.on_first = functools.partial(
             self._note_first,
             visit,
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -191,6 +191,19 @@
         for peer in ticket.told:
             self._tell_done(peer, job.key, job.service, incarnation, report)
 
+    def leaves(self, upstream: Upstream) -> None:
+        """Take that an upstream says in an answer that it leaves.
+
+        Others are told at once: they may own its service, and their answers
+        from it may be a while away.
+        """
+        incarnation = upstream.incarnation
+        if not self._dispatcher.leaves(incarnation):
+            return
+        self._log(Event.upstream_leaves, upstream=incarnation)
+        for name in self._links.peers:
+            self._tell_leaving(name, incarnation)
+
     # -- from the links
 
     def on_opened(self, peer: Peer) -> None:
@@ -206,6 +219,8 @@
         if restarted or batch.opened:
             self._dispatcher.drop_jobs(f'{name}/')
         self._dropped.discard(name)
+        for leaver in batch.leaving_upstreams:
+            self._dispatcher.leaves(leaver)
         now = self._loop.time()
         for running in batch.running:
             job = decode_job(running.job, now)
@@ -336,6 +351,14 @@
         service = self._dispatcher.service_of(incarnation)
         report = RunReport(Ending.left, 0)
         self._tell_done(peer, key, service, incarnation, report)
+        if self._dispatcher.has_said_it_leaves(incarnation):
+            # What was told before may have been lost with a stream.
+            self._tell_leaving(peer, incarnation)
+
+    def _tell_leaving(self, peer: str, incarnation: str) -> None:
+        batch = self._links.outgoing(peer, urgent=True)
+        if batch is not None:
+            batch.leaving_upstreams.append(incarnation)
 
     def _ask(self, ticket: _Ticket, owner: str | None) -> None:
         service = ticket.job.service
--- /dev/null
+++ b/tests/platform/test_leavers.py
@@ -0,0 +1,47 @@
+"""Upstreams that said themselves that they leave, and their entries."""
+
+import random
+
+from tallyhall_dispatch.desired import Upstream
+from tallyhall_dispatch.leavers import Leavers
+from tallyhall_edge.scheduling import Dispatcher
+
+_MANY = 5000
+
+
+def _upstream(name: str, started_ms: int = 0) -> Upstream:
+    return Upstream(
+        name, 'svc', '', 1, 'a', 4, leaving=False, started_ms=started_ms
+    )
+
+
+def test_it_is_said_once() -> None:
+    leavers = Leavers()
+    assert leavers.add('u')
+    assert not leavers.add('u')
+    assert leavers.marked(_upstream('u')).leaving
+    assert not leavers.marked(_upstream('v')).leaving
+
+
+def test_another_start_has_said_nothing() -> None:
+    leavers = Leavers()
+    leavers.add(_upstream('u', 1).incarnation)
+    assert not leavers.marked(_upstream('u', 2)).leaving
+
+
+def test_room_is_bounded_and_the_newest_are_kept() -> None:
+    leavers = Leavers()
+    for number in range(_MANY):
+        leavers.add(f'u{number}')
+    assert f'u{_MANY - 1}' in leavers
+    assert 'u0' not in leavers
+
+
+async def test_entries_take_nothing_back() -> None:
+    dispatcher = Dispatcher(random.Random(1))
+    dispatcher.take_upstreams((_upstream('u'),))
+    assert dispatcher.is_usable('u')
+    assert dispatcher.leaves('u')
+    for entries in ((), (_upstream('u'),)):
+        dispatcher.take_upstreams(entries)
+        assert not dispatcher.is_usable('u')
