An upstream that asks an instance for rest has it

Callers saw half of their requests refused with upstreams free: one that turns requests away within a millisecond always had places, so that it got more and more of them (49 a second from seven instances), and the retry budget was spent on it. Cause: the Retry-After of an upstream's 503 was not read, and a rejection is no failure that would set it aside. Why this holds: the instance that was asked sends nothing there until the end of the rest. Its jobs tell whoever places them which upstreams rest and until when, so an owner places and foresees without them, for this instance alone; what was granted before is withheld right before its first byte and goes elsewhere. Where all upstreams of a service rest, callers are told to return when the first rest ends.

--- a/packages/dispatch/src/tallyhall_dispatch/group.py
+++ b/packages/dispatch/src/tallyhall_dispatch/group.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import msgspec
 
@@ -98,17 +98,40 @@
             view.incarnation not in job.excluded for view in self._staying()
         )
 
+    def opens_in_s(self, resting: Mapping[str, float], now: float) -> float:
+        """Return how long all upstreams rest that stay, 0 if one does not."""
+        ends = [resting.get(view.incarnation, now) for view in self._staying()]
+        return max(0, min(ends, default=now) - now)
+
     def forecast(self, now: float) -> Forecast:
         """Return what the usable upstreams can do from now on."""
         known = self._known
         if known is not None and now - known.now < _FORECAST_S:
             return msgspec.structs.replace(known, now=now)
-        usable = self.usable(now)
+        self._known = self._forecast_of(self.usable(now), now)
+        return self._known
+
+    def forecast_for(self, job: Job, forecast: Forecast) -> Forecast:
+        """Return a forecast without the upstreams that rest for a job."""
+        if not job.resting:
+            return forecast
+        now = forecast.now
+        usable = [
+            view
+            for view in self.usable(now)
+            if view.incarnation not in job.resting
+        ]
+        return self._forecast_of(usable, now)
+
+    def _forecast_of(
+        self,
+        usable: Collection[EngineView],
+        now: float,
+    ) -> Forecast:
         rate = sum(view.free_rate for view in usable)
         first_s = FIRST_FIXED_S if usable else 0
         token_s = min((view.token_s for view in usable), default=0)
-        self._known = Forecast(now, rate, first_s, token_s)
-        return self._known
+        return Forecast(now, rate, first_s, token_s)
 
     def _free_in(self, views: Iterable[EngineView]) -> int:
         return sum(max(0, view.free(self.share)) for view in views)
--- a/packages/dispatch/src/tallyhall_dispatch/jobs.py
+++ b/packages/dispatch/src/tallyhall_dispatch/jobs.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import enum
+import types
+from collections.abc import Mapping
 
 import msgspec
 
@@ -19,7 +21,8 @@
     for this request. spare: above the quota of its workspace, so that it
     only uses places left over. pause_s: the longest pause between two events
     of an answer that is on time, 0 where any is. suspect: digest of what is
-    asked if an upstream has ended under it, else empty.
+    asked if an upstream has ended under it, else empty. resting: upstreams to
+    which its instance must send nothing, and until when.
     """
 
     key: str
@@ -35,6 +38,7 @@
     spare: bool = False
     pause_s: float = 0
     suspect: str = ''
+    resting: Mapping[str, float] = types.MappingProxyType({})
 
 
 class Grant(msgspec.Struct, frozen=True):
@@ -54,14 +58,15 @@
     """How one send to an upstream ended.
 
     answered: a whole answer. failed: a whole answer with a server error.
-    rejected: the upstream says that it did not run the request. misplaced:
-    another incarnation has the address. unsent: nothing was written.
-    unknown: no answer, it may have run. broken: the answer broke off.
-    left: the caller went away.
+    withheld: not sent, as the upstream rests. rejected: the upstream says that
+    it did not run the request. misplaced: another incarnation has the address.
+    unsent: nothing was written. unknown: no answer, it may have run. broken:
+    the answer broke off. left: the caller went away.
     """
 
     answered = 'answered'
     failed = 'failed'
+    withheld = 'withheld'
     rejected = 'rejected'
     misplaced = 'misplaced'
     unsent = 'unsent'
--- a/packages/dispatch/src/tallyhall_dispatch/placing.py
+++ b/packages/dispatch/src/tallyhall_dispatch/placing.py
@@ -101,7 +101,7 @@
         may_wait = forecast.may_be_in_time(job, forecast.now)
         wants_pace = may_wait and self._waits_for_pace(job, forecast.now)
         for view in free:
-            if _is_barred(view, job):
+            if _is_barred(view, job, forecast.now):
                 continue
             if may_wait and self._would_begin_late(view, job, forecast.now):
                 continue
@@ -135,11 +135,13 @@
         )
 
 
-def _is_barred(view: EngineView, job: Job) -> bool:
+def _is_barred(view: EngineView, job: Job, now: float) -> bool:
     """Return whether a job must not begin at an upstream.
 
     Two suspects that ended with one upstream could not be told apart.
     """
     if view.incarnation in job.excluded:
         return True
+    if now < job.resting.get(view.incarnation, now):
+        return True
     return bool(job.suspect) and view.reads_suspect
--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -111,6 +111,10 @@
         """Return how many places the upstreams have that stay."""
         return self._group.places
 
+    def opens_in_s(self, resting: Mapping[str, float], now: float) -> float:
+        """Return how long all upstreams rest, 0 if one does not."""
+        return self._group.opens_in_s(resting, now)
+
     def take_share(self, share: float) -> None:
         """Fill at most this part of the places."""
         self._group.share = share
--- a/packages/dispatch/src/tallyhall_dispatch/refusing.py
+++ b/packages/dispatch/src/tallyhall_dispatch/refusing.py
@@ -79,6 +79,11 @@
         """
         if not self._group.may_serve(job):
             return GivenUp(job.key, _LEAST_RETRY_S)
+        rest_s = self._group.opens_in_s(job.resting, forecast.now)
+        if rest_s:
+            # Nobody would take it if it came back sooner.
+            return GivenUp(job.key, max(_LEAST_RETRY_S, rest_s))
+        forecast = self._group.forecast_for(job, forecast)
         wait_s = self._wait_s(job.urgency, ahead, forecast)
         if self._must_go(job, wait_s, forecast):
             return GivenUp(
--- a/packages/edge/src/tallyhall_edge/errors.py
+++ b/packages/edge/src/tallyhall_edge/errors.py
@@ -11,6 +11,10 @@
     """The request did not leave: no upstream can have read it."""
 
 
+class RestingError(NotSentError):
+    """The upstream wants nothing from this instance for a while."""
+
+
 class BrokenError(EdgeError):
     """The connection failed after the request was written."""
 
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -260,6 +260,7 @@
             spare=visit.admitted.over_quota_s > 0,
             pause_s=route.gap_s,
             suspect=suspect,
+            resting=self._sending.rests.current(self._loop.time()),
         )
 
     # -- ends
@@ -283,7 +284,7 @@
         elif ending is Ending.rejected:
             refusal = Refusal.of(
                 Reason.upstream_full,
-                retry_after=_FULL_RETRY_S,
+                retry_after=self._full_retry_s(visit.admitted.service),
             )
         else:
             refusal = Refusal.of(
@@ -292,6 +293,12 @@
             )
         self._give_up(visit, refusal)
 
+    def _full_retry_s(self, service: str) -> float:
+        """Return when to come back after a rejection: a rest is kept."""
+        resting = self._sending.rests.current(self._loop.time())
+        rest_s = self._scheduler.opens_in_s(service, resting)
+        return max(_FULL_RETRY_S, rest_s)
+
     def _time_over(self, visit: Visit) -> None:
         relay = visit.relay
         # After a standstill the limit may be found over in the turn of the
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import random
+from collections.abc import Mapping
 from typing import Protocol
 
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
@@ -47,6 +48,12 @@
     def leaves(self, upstream: Upstream) -> None:
         """Take that an upstream says in an answer that it leaves."""
 
+    def opens_in_s(self, service: str, resting: Mapping[str, float]) -> float:
+        """Return how long all upstreams of a service rest, 0 if one does not.
+
+        resting: those that rest, and until when.
+        """
+
     def finish(self, job: Job, upstream: Upstream, report: RunReport) -> None:
         """Take that a send has ended."""
 
@@ -133,6 +140,13 @@
         """Return whether an upstream said itself that it leaves."""
         return incarnation in self._leavers
 
+    def opens_in_s(self, service: str, resting: Mapping[str, float]) -> float:
+        """Return how long all upstreams rest, 0 if one does not."""
+        pool = self._pools.get(service)
+        if pool is None:
+            return 0
+        return pool.opens_in_s(resting, self._loop.time())
+
     def ask(self, job: Job, origin: Origin) -> None:
         """Queue a job; the origin hears of it, maybe before this returns."""
         pool = self._pools.get(job.service)
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -13,10 +13,12 @@
 from tallyhall_dispatch.desired import RouteKind, Upstream
 from tallyhall_dispatch.gate import Gate
 from tallyhall_dispatch.jobs import Ending, Job, RunReport
+from tallyhall_dispatch.rests import Rests
 
+from .client import ClientConnection
 from .connections import ConnectionPool
 from .dialect import AnswerInfo, Dialect, SendInfo
-from .errors import LostError, NotSentError
+from .errors import LostError, NotSentError, RestingError
 from .guard import Guard
 from .messages import head_bytes
 from .relay import Relay
@@ -40,8 +42,10 @@
 _LOADED_WAIT_S = 0.03
 
 _SAFE_TO_RESEND = frozenset(
-    (Ending.rejected, Ending.misplaced, Ending.unsent),
+    (Ending.rejected, Ending.misplaced, Ending.unsent, Ending.withheld),
 )
+# What did not leave costs no budget.
+_NOT_SENT = frozenset((Ending.unsent, Ending.withheld))
 
 
 class Sending:
@@ -63,6 +67,8 @@
         self._conns = conns
         self._dialect = dialect
         self._log = log
+        # What upstreams asked this instance for.
+        self.rests = Rests()
         self._loop = asyncio.get_running_loop()
 
     async def send(
@@ -77,6 +83,8 @@
         ending = Ending.left
         try:
             ending = await self._exchange(visit, upstream, relay)
+        except RestingError:
+            ending = Ending.withheld
         except NotSentError:
             ending = Ending.unsent
         finally:
@@ -93,8 +101,7 @@
         if visit.sends >= _MOST_SENDS:
             return False
         if ending in _SAFE_TO_RESEND:
-            # What did not arrive anywhere costs no budget.
-            if ending is Ending.unsent:
+            if ending in _NOT_SENT:
                 return True
             return self._spend(visit)
         route = visit.admitted.route
@@ -133,6 +140,9 @@
         if info.leaving:
             self._scheduler.leaves(upstream)
             self._conns.drop(upstream.incarnation)
+        if info.rest_s:
+            now = self._loop.time()
+            self.rests.ask(upstream.incarnation, info.rest_s, now)
 
     def _relay(
         self,
@@ -178,23 +188,7 @@
         idle_s = _IDLE_REPEATABLE_S if repeatable else _IDLE_ONCE_S
         conn = await self._conns.take(upstream, idle_s)
         try:
-            # Its like may have ended an upstream while it waited.
-            visit.permit = await self._guard.permit(visit.content)
-            # A connection takes up to 0.3 s, and the upstream may leave
-            # meanwhile.
-            if not self._scheduler.is_usable(upstream):
-                conn.close()
-                raise NotSentError('the upstream has left')
-            if not self._gate.still_holds(visit.admitted, self._loop.time()):
-                refusal = Refusal.of(Reason.state_not_confirmed, retry_after=1)
-                raise RefusedError(refusal)
-            relay.bind(conn)
-            conn.send(
-                self._request(visit, upstream),
-                relay,
-                visit.call.request_id,
-            )
-            visit.may_have_run += 1
+            await self._write(visit, upstream, relay, conn)
             ending = await self._answer(visit, relay)
         finally:
             visit.exchange.on_writable = None
@@ -203,6 +197,37 @@
             visit.may_have_run -= 1
         return ending
 
+    async def _write(
+        self,
+        visit: Visit,
+        upstream: Upstream,
+        relay: Relay,
+        conn: ClientConnection,
+    ) -> None:
+        """Write a request, unless it must not reach this upstream any more.
+
+        A connection takes up to 0.3 s. Meanwhile its like may have ended
+        another upstream, this one may leave or ask for rest, and the key may
+        have been taken away.
+        """
+        visit.permit = await self._guard.permit(visit.content)
+        now = self._loop.time()
+        if not self._scheduler.is_usable(upstream):
+            conn.close()
+            raise NotSentError('the upstream has left')
+        if self.rests.rests(upstream.incarnation, now):
+            raise RestingError('the upstream rests')
+        if not self._gate.still_holds(visit.admitted, now):
+            refusal = Refusal.of(Reason.state_not_confirmed, retry_after=1)
+            raise RefusedError(refusal)
+        relay.bind(conn)
+        conn.send(
+            self._request(visit, upstream),
+            relay,
+            visit.call.request_id,
+        )
+        visit.may_have_run += 1
+
     async def _answer(self, visit: Visit, relay: Relay) -> Ending:
         """Wait for the end of an answer, or for one that never begins.
 
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -15,7 +15,7 @@
 
 import asyncio
 import collections
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -191,6 +191,10 @@
         for peer in ticket.told:
             self._tell_done(peer, job.key, job.service, incarnation, report)
 
+    def opens_in_s(self, service: str, resting: Mapping[str, float]) -> float:
+        """Return how long all upstreams rest, 0 if one does not."""
+        return self._dispatcher.opens_in_s(service, resting)
+
     def leaves(self, upstream: Upstream) -> None:
         """Take that an upstream says in an answer that it leaves.
 
@@ -202,7 +206,7 @@
             return
         self._log(Event.upstream_leaves, upstream=incarnation)
         for name in self._links.peers:
-            self._tell_leaving(name, incarnation)
+            _tell_leaving(self._links, name, incarnation)
 
     # -- from the links
 
@@ -353,12 +357,7 @@
         self._tell_done(peer, key, service, incarnation, report)
         if self._dispatcher.has_said_it_leaves(incarnation):
             # What was told before may have been lost with a stream.
-            self._tell_leaving(peer, incarnation)
-
-    def _tell_leaving(self, peer: str, incarnation: str) -> None:
-        batch = self._links.outgoing(peer, urgent=True)
-        if batch is not None:
-            batch.leaving_upstreams.append(incarnation)
+            _tell_leaving(self._links, peer, incarnation)
 
     def _ask(self, ticket: _Ticket, owner: str | None) -> None:
         service = ticket.job.service
@@ -538,3 +537,9 @@
     if ticket.timer is not None:
         ticket.timer.cancel()
         ticket.timer = None
+
+
+def _tell_leaving(links: PeerLinks, peer: str, incarnation: str) -> None:
+    batch = links.outgoing(peer, urgent=True)
+    if batch is not None:
+        batch.leaving_upstreams.append(incarnation)
--- a/packages/transport/src/tallyhall_transport/peer_codec.py
+++ b/packages/transport/src/tallyhall_transport/peer_codec.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from tallyhall_dispatch.jobs import Ending, Job, RunReport
@@ -37,6 +38,9 @@
     ask.spare = job.spare
     ask.pause_ms = int(job.pause_s * _MILLI)
     ask.suspect = job.suspect
+    for upstream, until in job.resting.items():
+        left_ms = math.ceil((until - now) * _MILLI)
+        ask.resting.add(upstream=upstream, left_ms=max(0, left_ms))
 
 
 def decode_job(ask: peers_pb2.Ask, now: float) -> Job:
@@ -55,6 +59,9 @@
         spare=ask.spare,
         pause_s=ask.pause_ms / _MILLI,
         suspect=ask.suspect,
+        resting={
+            rest.upstream: now + rest.left_ms / _MILLI for rest in ask.resting
+        },
     )
 
 
--- /dev/null
+++ b/tests/platform/test_rests.py
@@ -0,0 +1,73 @@
+"""Upstreams that asked for rest: who must not send, and who may return when."""
+
+import random
+
+from tallyhall_dispatch.desired import Upstream
+from tallyhall_dispatch.jobs import Job
+from tallyhall_dispatch.pool import Granted, ServicePool
+from tallyhall_dispatch.refusing import GivenUp
+from tallyhall_dispatch.rests import Rests
+from tallyhall_transport.generated import peers_pb2
+from tallyhall_transport.peer_codec import decode_job, fill_job
+
+_REST_S = 3.0
+
+
+def _pool() -> ServicePool:
+    pool = ServicePool('svc', 5, random.Random(1))
+    pool.set_upstreams(
+        Upstream(name, 'svc', '', 1, 'a', 1, leaving=False)
+        for name in ('u', 'v')
+    )
+    return pool
+
+
+def _job(key: str, resting: dict[str, float]) -> Job:
+    return Job(key, 'svc', 'a', 0, 100, 30, 0, 5, 5, resting=resting)
+
+
+def test_the_longest_rest_counts_and_ends() -> None:
+    rests = Rests()
+    rests.ask('u', _REST_S, 0)
+    rests.ask('u', 1, 0.5)
+    assert rests.rests('u', _REST_S - 0.1)
+    assert not rests.rests('u', _REST_S)
+    assert not rests.rests('v', 0)
+    assert rests.current(1) == {'u': _REST_S}
+    assert not rests.current(_REST_S)
+
+
+def test_only_those_that_were_asked_keep_away() -> None:
+    pool = _pool()
+    pool.ask(_job('told', {'u': _REST_S}))
+    pool.ask(_job('free', {}))
+    placed = {
+        grant.key: grant.upstream.name
+        for grant in pool.decide(0)
+        if isinstance(grant, Granted)
+    }
+    assert placed == {'told': 'v', 'free': 'u'}
+
+
+def test_who_waits_gets_the_place_when_the_rest_is_over() -> None:
+    pool = _pool()
+    pool.ask(_job('busy', {'u': _REST_S}))
+    pool.decide(0)
+    pool.ask(_job('next', {'u': _REST_S}))
+    assert not pool.decide(_REST_S - 0.1)
+    granted = pool.decide(_REST_S)
+    assert [grant.key for grant in granted] == ['next']
+
+
+def test_where_all_rest_the_first_end_is_told() -> None:
+    pool = _pool()
+    pool.ask(_job('told', {'u': _REST_S, 'v': _REST_S + 1}))
+    assert pool.decide(0) == [GivenUp('told', _REST_S)]
+    assert pool.opens_in_s({'u': _REST_S, 'v': _REST_S + 1}, 0) == _REST_S
+    assert pool.opens_in_s({'u': _REST_S}, 0) == 0
+
+
+def test_owners_hear_of_rests_on_their_own_clocks() -> None:
+    ask = peers_pb2.Ask()
+    fill_job(ask, _job('told', {'u': 103}), 100)
+    assert decode_job(ask, 7).resting == {'u': 10}
