Soak: one request ends upstreams while all else is disturbed too

A service of its own whose upstreams end under one request, asked every 0.15 s at any of three instances, beside the usual faults (kills, stops, pauses, cut and silent links, the store away). At most three end and three more are reached by retries, and one more for each fault in which an instance may lose or not hear what was seen last; usual requests of that service are served at the end.

--- a/packages/bench/src/tallyhall_bench/platform_fleet.py
+++ b/packages/bench/src/tallyhall_bench/platform_fleet.py
@@ -20,7 +20,7 @@
 from typing import Any
 
 from tallyhall_dispatch.options import Listening
-from tallyhall_standins.platform_engine import EngineStandIn
+from tallyhall_standins.platform_engine import EngineStandIn, entry_fields
 from tallyhall_standins.platform_store import StoreStandIn
 
 from .faulty_link import FaultyLink
@@ -121,16 +121,7 @@
             links.append(link)
             port = place.port
         self.engines.append(engine)
-        fields = {
-            'service': service,
-            'address': f'{HOST}:{port}',
-            'zone': 'a',
-            'version': 'v1',
-            'slots': slots,
-            'state': 'ready',
-            'seq': 1,
-            'cold-left-ms': 0,
-        }
+        fields = entry_fields(service, f'{HOST}:{port}', slots)
         self.store.put(f'servers/{name}', fields)
         self._named[name] = _Named(engine, port, fields)
         return engine
--- a/packages/bench/src/tallyhall_bench/platform_load.py
+++ b/packages/bench/src/tallyhall_bench/platform_load.py
@@ -70,6 +70,7 @@
         *,
         streams: bool,
         key: str = KEY,
+        body: bytes = b'hello',
     ) -> Tried:
         """Send one request and return what came."""
         loop = asyncio.get_running_loop()
@@ -79,9 +80,8 @@
         try:
             async with asyncio.timeout(_WAIT_S):
                 conn = await self._connected(place)
-                conn.send(
-                    _request(route, request_id, key, streams=streams), sink, b''
-                )
+                raw = _request(route, request_id, key, body, streams=streams)
+                conn.send(raw, sink, b'')
                 error = await sink.done
         except EdgeError as exc:
             error = exc
@@ -119,6 +119,7 @@
     route: str,
     request_id: str,
     key: str,
+    body: bytes,
     *,
     streams: bool,
 ) -> bytes:
@@ -127,9 +128,9 @@
         (b'X-Tallyhall-Request-Id', request_id.encode()),
         (b'X-Tallyhall-Deadline-Ms', b'8000'),
         (b'Authorization', f'Bearer {key}'.encode()),
-        (b'Content-Length', b'5'),
+        (b'Content-Length', b'%d' % len(body)),
     ]
     if streams:
         headers.append((b'X-Tallyhall-Token-Counts', b'400,30'))
     line = f'POST /{route}/x HTTP/1.1'.encode()
-    return b''.join((head_bytes(line, tuple(headers)), b'hello'))
+    return b''.join((head_bytes(line, tuple(headers)), body))
--- a/packages/bench/src/tallyhall_bench/platform_run.py
+++ b/packages/bench/src/tallyhall_bench/platform_run.py
@@ -33,7 +33,7 @@
     return {
         'version': version,
         'routes': [
-            _route('summary', 'streaming', 'engines', resumable=True),
+            stream_route('summary', 'engines'),
             _route('note', 'streaming', 'engines', attempts=1, priority=1),
             _route('once', 'non_idempotent', 'app', attempts=1),
             _route('safe', 'safe', 'app'),
@@ -65,6 +65,11 @@
     )
 
 
+def stream_route(name: str, service: str) -> dict[str, Any]:
+    """Return a route whose streams may go on elsewhere."""
+    return _route(name, 'streaming', service, resumable=True)
+
+
 def _route(
     name: str,
     kind: str,
--- a/packages/bench/src/tallyhall_bench/platform_soak.py
+++ b/packages/bench/src/tallyhall_bench/platform_soak.py
@@ -12,11 +12,13 @@
 import asyncio
 import random
 import sys
+from collections.abc import Coroutine
 
 from .platform_fleet import open_link, platform_fleet
 from .platform_load import KEY, Caller
 from .platform_run import STREAMED
 from .soak_checks import check_answers, check_processes, check_recovery
+from .soak_fatal import ask_fatal, frail_upstreams
 from .soak_faults import trouble
 from .soak_site import (
     EVENTS,
@@ -38,22 +40,45 @@
 _CALM_S = 7.0
 
 
-async def soak(seed: int, seconds: float, *, all_links: bool) -> Site:
-    """Run with this seed for this long, then wait for calm and check."""
+async def soak(
+    seed: int,
+    seconds: float,
+    *,
+    all_links: bool,
+    fatal: bool = False,
+) -> Site:
+    """Run with this seed for this long, then wait for calm and check.
+
+    fatal: whether one request ends upstreams of a service of its own.
+    """
     rng = random.Random(seed)
     async with platform_fleet(0, soak_state(1, with_old=True)) as fleet:
         site = Site(fleet, rng, all_links=all_links)
         await _build(site)
-        load = asyncio.create_task(_load(site))
-        ends_at = asyncio.get_running_loop().time() + seconds
-        await asyncio.gather(*(trouble(site, ends_at) for _ in range(_AT_ONCE)))
-        await asyncio.sleep(_CALM_S)
-        load.cancel()
-        await asyncio.wait((load,))
-        await _check(site)
+        if not fatal:
+            await _disturb(site, seconds, _load(site))
+            return site
+        async with frail_upstreams(site):
+            await _disturb(site, seconds, _load(site), ask_fatal(site, seed))
     return site
 
 
+async def _disturb(
+    site: Site,
+    seconds: float,
+    *loads: Coroutine[None, None, None],
+) -> None:
+    """Run under load and faults, then without faults, and check."""
+    tasks = [asyncio.create_task(load) for load in loads]
+    ends_at = asyncio.get_running_loop().time() + seconds
+    await asyncio.gather(*(trouble(site, ends_at) for _ in range(_AT_ONCE)))
+    await asyncio.sleep(_CALM_S)
+    for task in tasks:
+        task.cancel()
+    await asyncio.wait(tasks)
+    await _check(site)
+
+
 async def _check(site: Site) -> None:
     for engine in site.fleet.engines:
         engine.faults.clear()
@@ -138,14 +163,27 @@
         action='store_true',
         help='only the links that seeds up to 500 were drawn with',
     )
+    parser.add_argument(
+        '--fatal',
+        action='store_true',
+        help='one request ends upstreams of a service of its own',
+    )
     args = parser.parse_args()
     broken = 0
     for seed in range(args.seed, args.seed + args.seeds):
-        site = asyncio.run(soak(seed, args.seconds, all_links=not args.old))
+        site = asyncio.run(
+            soak(
+                seed,
+                args.seconds,
+                all_links=not args.old,
+                fatal=args.fatal,
+            ),
+        )
         served = sum(tried.status == _OK for tried in site.tries)
         sys.stdout.write(
             f'seed {seed} requests {len(site.tries)} served {served} '
-            f'faults {len(site.faults)} violations {len(site.violations)}\n',
+            f'faults {len(site.faults)} ended {site.ended} '
+            f'violations {len(site.violations)}\n',
         )
         for violation in site.violations:
             sys.stdout.write(f'  {violation.promise}: {violation.detail}\n')
--- a/packages/bench/src/tallyhall_bench/soak_site.py
+++ b/packages/bench/src/tallyhall_bench/soak_site.py
@@ -10,12 +10,14 @@
 from .faulty_link import FaultyLink
 from .platform_fleet import PlatformFleet
 from .platform_load import KEY, Tried
-from .platform_run import usual_state
+from .platform_run import stream_route, usual_state
 
 INSTANCES = 3
 EVENTS = 8
 ROUTES = ('summary', 'note', 'once', 'safe')
 OLD_KEY = 'key-old'
+# A route and its service, whose upstreams end under one request.
+FRAIL = 'frail'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,6 +51,8 @@
     version: int = 1
     revoking: bool = False
     serial: int = 0
+    # Upstreams that ended under one request.
+    ended: int = 0
 
     def put_link_between(self, key: str, content: bytes) -> bytes:
         """Have an instance's entry name the link to it."""
@@ -62,6 +66,10 @@
 def soak_state(version: int, *, with_old: bool) -> dict[str, object]:
     """Return a desired state, with or without the key that is revoked."""
     state = usual_state(version)
+    state['routes'].append(stream_route(FRAIL, FRAIL))
+    state['services'].append(
+        {'name': FRAIL, 'max-conns': 100, 'engine': {'stride': 3}},
+    )
     if with_old:
         state['tenants'][0]['api-keys'] = [KEY, OLD_KEY]
     return state
--- a/packages/standins/src/tallyhall_standins/platform_engine.py
+++ b/packages/standins/src/tallyhall_standins/platform_engine.py
@@ -12,6 +12,7 @@
 import contextlib
 import dataclasses
 import enum
+from typing import Any
 
 import httptools
 
@@ -44,6 +45,20 @@
 _LATE_S = 0.05
 
 
+def entry_fields(service: str, address: str, slots: int) -> dict[str, Any]:
+    """Return the entry of a ready upstream in the platform's form."""
+    return {
+        'service': service,
+        'address': address,
+        'zone': 'a',
+        'version': 'v1',
+        'slots': slots,
+        'state': 'ready',
+        'seq': 1,
+        'cold-left-ms': 0,
+    }
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SeenRequest:
     """One request as it arrived."""
@@ -196,10 +211,12 @@
             raise
         if answer.done():
             gone.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
+            with contextlib.suppress(asyncio.CancelledError, ConnectionError):
                 await gone
             answer.result()
             return
+        # A reset is an exception of the reader, which nobody else takes.
+        gone.exception()
         self._engine.left += 1
         self._closed = True
         answer.cancel()
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -27,7 +27,7 @@
 from tallyhall_edge.messages import Headers, ResponseHead, find, head_bytes
 from tallyhall_entry.instance import Instance
 from tallyhall_entry.logs import BoundedStream, setup_logging
-from tallyhall_standins.platform_engine import EngineStandIn
+from tallyhall_standins.platform_engine import EngineStandIn, entry_fields
 from tallyhall_standins.platform_store import StoreStandIn
 
 HOST = '127.0.0.1'
@@ -249,16 +249,7 @@
     ) -> None:
         """Write an upstream's entry."""
         self.addresses[name] = address
-        fields = {
-            'service': service,
-            'address': address,
-            'zone': 'a',
-            'version': 'v1',
-            'slots': 4,
-            'state': 'ready',
-            'seq': 1,
-            'cold-left-ms': 0,
-        }
+        fields = entry_fields(service, address, 4)
         self.store.put(f'servers/{name}', fields | changes)
 
     async def add_instance(self, **bounds: float) -> Instance:
--- a/tests/platform/test_fatal_requests.py
+++ b/tests/platform/test_fatal_requests.py
@@ -18,9 +18,9 @@
 import contextlib
 from collections.abc import AsyncIterator
 
+from tallyhall_bench.mortal import BACK_S, FATAL, MortalUpstreams
 from tallyhall_standins.platform_engine import EngineFault
 
-from tests.platform.fatal import BACK_S, FATAL, MortalUpstreams
 from tests.platform.harness import (
     MODEL,
     PLAIN,
@@ -47,7 +47,7 @@
     count: int = 8,
 ) -> AsyncIterator[tuple[Deployment, MortalUpstreams]]:
     async with deployment(_INSTANCES) as made:
-        mortal = MortalUpstreams(made, service)
+        mortal = MortalUpstreams(made.store, service)
         await mortal.start(count)
         await made.ready()
         try:
