--- a/packages/edge/src/tallyhall_edge/ends.py
+++ b/packages/edge/src/tallyhall_edge/ends.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 from tallyhall_dispatch.desired import Upstream
-from tallyhall_dispatch.suspects import EndedRun
+from tallyhall_core.suspects import EndedRun
 
 from .client import ClientConnection
 from .errors import NotSentError
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -10,6 +10,7 @@
 import itertools
 from collections.abc import Awaitable, Callable
 
+from tallyhall_core.content import content_digest
 from tallyhall_core.refusals import Executed, Reason, Refusal, RefusedError
 from tallyhall_dispatch.callers import FirstTries
 from tallyhall_dispatch.gate import Admitted, Gate, OverQuotaError
@@ -17,7 +18,6 @@
 from tallyhall_dispatch.patience import longest_wait_s
 
 from .connections import ConnectionPool
-from .content import content_digest
 from .dialect import BadCallError, CallInfo, Dialect
 from .guard import Guard
 from .relay import Relay
@@ -165,7 +165,14 @@
     ) -> str:
         workspace = admitted.workspace
         caller = call.key if workspace is None else workspace.name
-        return content_digest(call.host, exchange.head, caller, exchange.body)
+        head = exchange.head
+        return content_digest(
+            call.host.encode(),
+            head.method,
+            head.target,
+            caller.encode(),
+            exchange.body,
+        )
 
     def _since_first_s(
         self,
--- a/packages/entry/src/tallyhall_entry/guard.py
+++ b/packages/entry/src/tallyhall_entry/guard.py
@@ -15,7 +15,7 @@
 
 from tallyhall_core.events import Event
 from tallyhall_dispatch.desired import Upstream
-from tallyhall_dispatch.suspects import (
+from tallyhall_core.suspects import (
     Cleared,
     EndedRun,
     Standing,
--- a/packages/platform/src/tallyhall_platform/ends.py
+++ b/packages/platform/src/tallyhall_platform/ends.py
@@ -14,7 +14,7 @@
 
 import msgspec
 from tallyhall_core.events import Event
-from tallyhall_dispatch.suspects import KEPT_S, Cleared, UpstreamEnd
+from tallyhall_core.suspects import KEPT_S, Cleared, UpstreamEnd
 
 from .calls import CallCause
 from .errors import ConditionFailedError, LeaseEndedError, StoreError
--- a/tests/platform/test_suspects.py
+++ b/tests/platform/test_suspects.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from tallyhall_dispatch.suspects import (
+from tallyhall_core.suspects import (
     KEPT_S,
     Cleared,
     EndedRun,
