Sight: owners of the product's own interface hear what asked for and what ended

A home tells with an ask what is asked, as a digest, and with the end of a run whether nothing listens at its upstream any more. Nothing acts on it yet.

--- a/packages/core/src/tallyhall_core/messages.py
+++ b/packages/core/src/tallyhall_core/messages.py
@@ -27,7 +27,7 @@
 
     left_s: seconds to the deadline. prefixes: hashes of growing prompt
     prefixes, one for each block, shortest first. attempt tells repeated asks
-    of one request apart.
+    of one request apart. content: digest of what is asked.
     """
 
     id: str
@@ -42,6 +42,7 @@
     prefixes: tuple[str, ...] = ()
     attempt: int = 0
     avoid: str = ''
+    content: str = ''
     kind: Literal['ask'] = 'ask'
 
 
@@ -95,7 +96,8 @@
     """A permit comes back.
 
     ran: whether any byte was written to the upstream. ok: whether the answer
-    was complete. broken: whether the upstream failed to answer whole.
+    was complete. broken: whether the upstream failed to answer whole. ended:
+    whether the upstream has ended since. content: as in the ask.
     first_s: seconds from dispatch to the first token.
     """
 
@@ -111,6 +113,8 @@
     prompt_tokens: int = 0
     cached_tokens: int = 0
     output_tokens: int = 0
+    ended: bool = False
+    content: str = ''
     kind: Literal['done'] = 'done'
 
 
--- a/packages/gateway/src/tallyhall_gateway/calls.py
+++ b/packages/gateway/src/tallyhall_gateway/calls.py
@@ -13,6 +13,7 @@
 from typing import Any, Literal
 
 import pydantic
+from tallyhall_core.content import content_digest
 from tallyhall_core.ids import BadRequestIdError, RequestId
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
 from tallyhall_node.actions import RequestSpec
@@ -128,6 +129,7 @@
     max_tokens = body.max_tokens or _DEFAULT_MAX_TOKENS
     spec = dataclasses.replace(
         spec,
+        content=_content(spec, 'POST', path, raw),
         prompt_tokens=max(1, len(body.text) // CHARS_A_TOKEN),
         max_tokens=max_tokens,
         prefixes=prefix_hashes(body.text),
@@ -163,14 +165,20 @@
     if headers.idempotent:
         idempotent = headers.idempotent == 'true'
     query = environ.get('QUERY_STRING', '')
+    target = f'{path}?{query}' if query else path
+    spec = dataclasses.replace(
+        spec,
+        content=_content(spec, method, target, raw),
+        idempotent=idempotent,
+    )
     return Call(
         'plain',
         method,
-        f'{path}?{query}' if query else path,
+        target,
         raw,
         raw,
         environ.get('CONTENT_TYPE', ''),
-        dataclasses.replace(spec, idempotent=idempotent),
+        spec,
         parse_request_id(headers.request_id),
         headers.idempotency_key,
         stream=False,
@@ -219,6 +227,11 @@
     )
 
 
+def _content(spec: RequestSpec, method: str, target: str, raw: bytes) -> str:
+    where = (spec.service, method, target, spec.workspace)
+    return content_digest(*(part.encode() for part in where), raw)
+
+
 def _row(
     workspace: str,
     service: str,
--- a/packages/gateway/src/tallyhall_gateway/runner.py
+++ b/packages/gateway/src/tallyhall_gateway/runner.py
@@ -21,7 +21,7 @@
 from .meter import StreamMeter
 from .sse import OrderCheck, StreamEvent, read_events
 from .ticket import Head, Part, Ticket, Usage
-from .upstream import UpstreamCall, cancel_stream, read_whole
+from .upstream import UpstreamCall, cancel_stream, read_whole, refuses
 
 _OK = 200
 _NOT_FOUND = 404
@@ -79,7 +79,7 @@
             outcome = Outcome.stopped
             if self.call.kind == 'model':
                 cancel_stream(self.start.address, self.start.id)
-        return self._result(outcome)
+        return self._result(outcome, ended=self._has_ended(outcome))
 
     def cancel(self) -> None:
         """Stop the run from another thread."""
@@ -221,7 +221,11 @@
             headers['content-type'] = self.call.content_type
         return headers
 
-    def _result(self, outcome: Outcome) -> RunResult:
+    def _has_ended(self, outcome: Outcome) -> bool:
+        """Return whether the upstream of a run that broke has ended."""
+        return outcome == Outcome.broken and refuses(self.start.address)
+
+    def _result(self, outcome: Outcome, *, ended: bool) -> RunResult:
         now = time.monotonic()
         first = self._timing.first or now
         return RunResult(
@@ -234,4 +238,5 @@
             cached_tokens=self._usage.cached_tokens,
             output_tokens=self._usage.output_tokens,
             shown=self.ticket.is_shown,
+            ended=ended,
         )
--- a/packages/gateway/src/tallyhall_gateway/upstream.py
+++ b/packages/gateway/src/tallyhall_gateway/upstream.py
@@ -20,6 +20,8 @@
 
 _CONNECT_S = 1.0
 _CONTROL_S = 1.0
+# An upstream that runs accepts at once; the caller waits for the answer.
+_LOOK_S = 0.2
 _NO_BODY = frozenset((204, 304))
 MAX_PLAIN_BYTES = 16_000_000
 
@@ -114,6 +116,21 @@
     call.close()
 
 
+def refuses(address: str) -> bool:
+    """Return whether nothing listens at an address.
+
+    One that accepts, or is silent, may still be at work.
+    """
+    host, _, port = address.rpartition(':')
+    try:
+        socket.create_connection((host, int(port)), _LOOK_S).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def read_whole(resp: urllib3.BaseHTTPResponse) -> bytes:
     """Return a whole plain answer; raise StreamBrokenError if it is short."""
     try:
--- a/packages/node/src/tallyhall_node/actions.py
+++ b/packages/node/src/tallyhall_node/actions.py
@@ -118,7 +118,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunResult:
-    """The end of a run with its figures; times in seconds."""
+    """The end of a run with its figures; times in seconds.
+
+    ended: whether nothing listens at the upstream any more.
+    """
 
     id: str
     upstream: str
@@ -129,13 +132,15 @@
     cached_tokens: int = 0
     output_tokens: int = 0
     shown: bool = False
+    ended: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestSpec:
     """A caller's request as far as decisions need it.
 
-    left_s: seconds to its deadline at submission.
+    left_s: seconds to its deadline at submission. content: digest of what is
+    asked.
     """
 
     workspace: str
@@ -146,3 +151,4 @@
     prompt_tokens: int = 0
     max_tokens: int = 0
     prefixes: tuple[str, ...] = ()
+    content: str = ''
--- a/packages/node/src/tallyhall_node/request.py
+++ b/packages/node/src/tallyhall_node/request.py
@@ -55,6 +55,7 @@
             prefixes=spec.prefixes,
             attempt=self.attempt,
             avoid=self.avoid,
+            content=spec.content,
         )
 
     def done(self, run: RunResult) -> Done:
@@ -72,6 +73,8 @@
             prompt_tokens=run.prompt_tokens,
             cached_tokens=run.cached_tokens,
             output_tokens=run.output_tokens,
+            ended=run.ended,
+            content=self.spec.content,
         )
 
 
