--- a/tests/unit/cluster.py
+++ b/tests/unit/cluster.py
@@ -147,6 +147,30 @@
         """Submit the same request at another node."""
         self._submit_at(self.nodes[name], rid)
 
+    def end_run(
+        self,
+        rid: str,
+        outcome: acts.Outcome,
+        *,
+        ended: bool,
+    ) -> bool:
+        """End a run that was sent; return whether there was one.
+
+        ended: whether its engine has ended with it.
+        """
+        for run in self.runs:
+            node = self._by_home(run.home)
+            if run.start.id != rid or not run.sent or node is None:
+                continue
+            self.runs.remove(run)
+            result = acts.RunResult(
+                rid, run.start.upstream, outcome, ended=ended
+            )
+            self._perform(node, node.on_result(result, self.now))
+            self.settle(now_and_then=False)
+            return True
+        return False
+
     def hold(self, kind: str) -> Flight:
         """Take a message under way out, to be released later."""
         found = next(one for one in self.flights if one.message.kind == kind)
@@ -162,6 +186,14 @@
         self._boot(name)
         self._meet()
 
+    def move_owner(self) -> None:
+        """Give the service to another node, which has to be told all."""
+        old = self.assignment.owners[build.SERVICE].owner
+        new = next(
+            node.view.me for node in self.nodes.values() if node.view.me != old
+        )
+        self.change((assignments.OwnerEdit(build.SERVICE, old, new),))
+
     def change(self, edits: tuple[assignments.Edit, ...]) -> None:
         """Change the assignment and tell every node."""
         self._write(edits)
