A call under which upstreams end is given up on the product's own interface

Callers there lost their answers as on the users' platform: each attempt of a call that ends its upstream was permitted anew. Cause: the same; the owner of a service forgot a call with its permit. A permit says how many ends were known, so that ends all at once are one; homes keep what they saw and tell it to a new owner. Not mended there: a home that ends takes what it saw along; nothing of it is in the store.

--- a/packages/admission/src/tallyhall_admission/pool.py
+++ b/packages/admission/src/tallyhall_admission/pool.py
@@ -311,6 +311,7 @@
             grant.upstream,
             self.roster.address_of(grant.upstream),
             self._cfg.permit_s,
+            ask.ends,
         )
         return Outgoing(ask.holder, message)
 
--- a/packages/core/src/tallyhall_core/messages.py
+++ b/packages/core/src/tallyhall_core/messages.py
@@ -27,7 +27,8 @@
 
     left_s: seconds to the deadline. prefixes: hashes of growing prompt
     prefixes, one for each block, shortest first. attempt tells repeated asks
-    of one request apart. content: digest of what is asked.
+    of one request apart. content: digest of what is asked. ends: at how many
+    ends of upstreams such a call was, as the owner knows.
     """
 
     id: str
@@ -43,12 +44,16 @@
     attempt: int = 0
     avoid: str = ''
     content: str = ''
+    ends: int = 0
     kind: Literal['ask'] = 'ask'
 
 
 @dataclass(frozen=True, config=_FROZEN)
 class Permit:
-    """The owner allows one dispatch of one request to one upstream."""
+    """The owner allows one dispatch of one request to one upstream.
+
+    ends: as in the ask.
+    """
 
     id: str
     service: str
@@ -56,6 +61,7 @@
     upstream: str
     address: str
     valid_s: float
+    ends: int = 0
     kind: Literal['permit'] = 'permit'
 
 
@@ -97,7 +103,8 @@
 
     ran: whether any byte was written to the upstream. ok: whether the answer
     was complete. broken: whether the upstream failed to answer whole. ended:
-    whether the upstream has ended since. content: as in the ask.
+    whether the upstream has ended since. content: as in the ask. ends: at how
+    many ends such a call was, with this one.
     first_s: seconds from dispatch to the first token.
     """
 
@@ -115,6 +122,7 @@
     output_tokens: int = 0
     ended: bool = False
     content: str = ''
+    ends: int = 0
     kind: Literal['done'] = 'done'
 
 
@@ -157,14 +165,28 @@
     attempt: int = 0
 
 
+@dataclass(frozen=True, config=_FROZEN)
+class EndSeen:
+    """An upstream ended under a call, so many seconds ago; as in `Done`."""
+
+    content: str
+    upstream: str
+    ends: int
+    age_s: float
+
+
 @dataclass(frozen=True, config=_FROZEN)
 class Holding:
-    """Everything a home has running in a service, for a new owner."""
+    """Everything a home has running in a service, for a new owner.
+
+    seen: the ends of upstreams that it saw.
+    """
 
     service: str
     since: int
     home: str
     running: tuple[Running, ...]
+    seen: tuple[EndSeen, ...] = ()
     kind: Literal['holding'] = 'holding'
 
 
--- a/packages/node/src/tallyhall_node/home.py
+++ b/packages/node/src/tallyhall_node/home.py
@@ -33,6 +33,7 @@
     RunResult,
     StartRun,
 )
+from .quarantine import SeenEnds
 from .request import HomeRequest, State, log_of, reason_of
 from .retries import RetryBudget
 from .view import View
@@ -53,6 +54,7 @@
         self._cleaned: float = 0
         # service -> epoch of the newest owner that has asked for a report
         self._reported: dict[str, int] = {}
+        self._seen_ends = SeenEnds()
         self._budget = RetryBudget(cfg.retry_share, cfg.retry_floor)
 
     @property
@@ -136,6 +138,7 @@
             ]
         req.state = State.running
         req.upstream = msg.upstream
+        req.ends = msg.ends
         until = min(now + msg.valid_s, req.deadline)
         return [
             log_of(Event.permitted, req),
@@ -212,6 +215,7 @@
             msg.since,
             self._view.me,
             tuple(running),
+            self._seen_ends.told(now),
         )
         return self._view.send(sender, holding)
 
@@ -302,7 +306,9 @@
         run: RunResult,
         now: float,
     ) -> list[Action]:
-        return self._view.send(self._owner_for(req, now), req.done(run))
+        done = req.done(run)
+        self._seen_ends.note(done, now)
+        return self._view.send(self._owner_for(req, now), done)
 
     def _may_retry(
         self,
--- a/packages/node/src/tallyhall_node/owner.py
+++ b/packages/node/src/tallyhall_node/owner.py
@@ -10,7 +10,7 @@
 import dataclasses
 
 from tallyhall_admission import memory
-from tallyhall_admission.outgoing import Outgoing
+from tallyhall_admission.outgoing import Outgoing, refuse
 from tallyhall_admission.policy import make_policy
 from tallyhall_admission.pool import Pool, PoolCounts
 from tallyhall_core.events import Event
@@ -30,6 +30,7 @@
 from tallyhall_core.refusals import Reason
 
 from .actions import Action, LogEvent
+from .quarantine import Quarantine
 from .view import View
 
 _ASK_HOMES_S = 0.3
@@ -54,6 +55,7 @@
         self._view = view
         self._owned: dict[str, _Owned] = {}
         self._absent: dict[str, float] = {}
+        self._quarantine = Quarantine()
 
     def services(self) -> tuple[str, ...]:
         """Return the services owned, deputies' included."""
@@ -126,15 +128,22 @@
                 0,
             )
             return self._view.send(sender, refused)
-        return [*out, *self._out(owned.pool.ask(ask, now))]
+        wait_s = self._quarantine.wait_s(ask, now)
+        if wait_s:
+            given_up = refuse(ask, Reason.quarantined, wait_s)
+            return [*out, *self._out([given_up])]
+        known = dataclasses.replace(ask, ends=self._quarantine.ends(ask, now))
+        return [*out, *self._out(owned.pool.ask(known, now))]
 
     def on_done(self, done: Done, now: float) -> list[Action]:
         """Take a permit back."""
+        self._quarantine.done(done, now)
         owned = self._owned.get(done.service)
         return self._out(owned.pool.done(done, now)) if owned else []
 
     def on_withdraw(self, msg: Withdraw, now: float) -> list[Action]:
         """Take that a home no longer wants a permit."""
+        self._quarantine.drop(msg.id)
         owned = self._owned.get(msg.service)
         return self._out(owned.pool.withdraw(msg.id, now)) if owned else []
 
@@ -150,6 +159,8 @@
             return []
         if holding.home not in owned.reported:
             owned.reported.add(holding.home)
+            for seen in holding.seen:
+                self._quarantine.seen(seen, now)
             owned.pool.holding(holding, now)
         return self._check_ready(holding.service, owned, now)
 
--- a/packages/node/src/tallyhall_node/request.py
+++ b/packages/node/src/tallyhall_node/request.py
@@ -35,6 +35,8 @@
     asked_owner: str = ''
     upstream: str = ''
     avoid: str = ''
+    # At how many ends its like was when it was permitted.
+    ends: int = 0
     stopping: Refusal | None = None
     resumed: bool = False
     ended: float = 0
@@ -75,6 +77,7 @@
             output_tokens=run.output_tokens,
             ended=run.ended,
             content=self.spec.content,
+            ends=self.ends + 1,
         )
 
 
--- a/tests/unit/test_fatal_calls.py
+++ b/tests/unit/test_fatal_calls.py
@@ -6,6 +6,8 @@
 
 Evidence: in a fleet of three nodes that is played step by step eight of eight
 attempts are dispatched, whatever became of those before.
+
+Cause: as there, nothing of a call outlived it, here at its owner.
 """
 
 import dataclasses
