--- a/packages/core/src/tallyhall_core/suspects.py
+++ b/packages/core/src/tallyhall_core/suspects.py
@@ -17,7 +17,8 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterator
+import types
+from collections.abc import Iterator, Mapping
 from typing import Annotated
 
 import msgspec
@@ -30,7 +31,9 @@
 # How long after the last end the next trial may be, in seconds, by the number
 # of ends: a usual request that was there by chance is served by the second or
 # third trial. With more ends it waits until they are forgotten.
-_TRIAL_AFTER_S = ((2, 0), (3, 5), (4, 60))
+_TRIAL_AFTER_S: Mapping[int, float] = types.MappingProxyType(
+    {2: 0, 3: 5, 4: 60},
+)
 # Requests that are kept; each upstream that ends brings as many as it ran.
 _MOST_KEPT = 2000
 _DROPPED_PART = 4
@@ -140,10 +143,6 @@
         """Start with none."""
         self._records: dict[str, _Record] = {}
 
-    def __contains__(self, content: str) -> bool:
-        """Return whether a request was at an end."""
-        return content in self._records
-
     def take_end(self, end: UpstreamEnd, now: float) -> bool:
         """Take an end, maybe once more; return whether it is news."""
         # A clock that is ahead must not keep it for longer.
@@ -157,6 +156,19 @@
                 is_news = True
         return is_news
 
+    def served(self, content: str, now: float) -> Cleared | None:
+        """Take that a request was served here; return what to tell of it.
+
+        None where it was no suspect. The clocks of those that told of its ends
+        may be ahead of this one.
+        """
+        record = self._records.get(content)
+        if record is None or not record.ends:
+            return None
+        cleared = Cleared(content, max(now, record.newest_at))
+        record.cleared_at = cleared.at_s
+        return cleared
+
     def take_cleared(self, cleared: Cleared, now: float) -> bool:
         """Take that a request was served; return whether it is news."""
         at_s = min(cleared.at_s, now)
@@ -177,7 +189,7 @@
         ends = record.ends
         if ends < _TRIED_ENDS:
             return Standing(ends, Verdict.free)
-        trial_at = record.newest_at + dict(_TRIAL_AFTER_S).get(ends, KEPT_S)
+        trial_at = record.newest_at + _TRIAL_AFTER_S.get(ends, KEPT_S)
         if now < trial_at:
             return Standing(ends, Verdict.given_up, trial_at - now)
         return Standing(ends, Verdict.trial)
--- a/packages/dispatch/src/tallyhall_dispatch/group.py
+++ b/packages/dispatch/src/tallyhall_dispatch/group.py
@@ -100,6 +100,8 @@
 
     def opens_in_s(self, resting: Mapping[str, float], now: float) -> float:
         """Return how long all upstreams rest that stay, 0 if one does not."""
+        if not resting:
+            return 0
         ends = [resting.get(view.incarnation, now) for view in self._staying()]
         return max(0, min(ends, default=now) - now)
 
--- a/packages/edge/src/tallyhall_edge/ends.py
+++ b/packages/edge/src/tallyhall_edge/ends.py
@@ -10,8 +10,8 @@
 import asyncio
 from collections.abc import Callable
 
-from tallyhall_dispatch.desired import Upstream
 from tallyhall_core.suspects import EndedRun
+from tallyhall_dispatch.desired import Upstream
 
 from .client import ClientConnection
 from .errors import NotSentError
--- a/packages/entry/src/tallyhall_entry/guard.py
+++ b/packages/entry/src/tallyhall_entry/guard.py
@@ -14,7 +14,6 @@
 from typing import TYPE_CHECKING
 
 from tallyhall_core.events import Event
-from tallyhall_dispatch.desired import Upstream
 from tallyhall_core.suspects import (
     Cleared,
     EndedRun,
@@ -23,6 +22,7 @@
     UpstreamEnd,
     Verdict,
 )
+from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.topology import is_mesh
 from tallyhall_edge.ends import EndProbe
 from tallyhall_edge.guard import Permit, given_up_error
@@ -96,14 +96,11 @@
 
     def answered(self, content: str) -> None:
         """Take that a request was answered with success."""
-        if content not in self._suspects:
-            return
         now = self._day_clock()
         ends = self._suspects.standing(content, now).ends
-        if not ends:
+        cleared = self._suspects.served(content, now)
+        if cleared is None:
             return
-        cleared = Cleared(content, now)
-        self._suspects.take_cleared(cleared, now)
         self._tell(EndRecords((), (cleared,)))
         if ends >= _WRITTEN_ENDS:
             self._recorder.cleared(cleared)
@@ -123,6 +120,8 @@
 
     def take(self, peer: Peer, batch: peers_pb2.Batch) -> None:
         """Take what another instance tells, and tell it on from a hub."""
+        if not batch.ended and not batch.cleared:
+            return
         records = EndRecords(
             tuple(
                 UpstreamEnd(told.upstream, told.at_s, _runs(told))
--- a/packages/node/src/tallyhall_node/quarantine.py
+++ b/packages/node/src/tallyhall_node/quarantine.py
@@ -13,7 +13,6 @@
 from tallyhall_core.messages import Ask, Done, EndSeen
 from tallyhall_core.suspects import (
     KEPT_S,
-    Cleared,
     EndedRun,
     Suspects,
     UpstreamEnd,
@@ -67,8 +66,8 @@
         self.drop(done.id)
         if done.ended:
             self._take(done.upstream, done.content, done.ends, now, now)
-        elif done.ok and done.content in self._suspects:
-            self._suspects.take_cleared(Cleared(done.content, now), now)
+        elif done.ok:
+            self._suspects.served(done.content, now)
 
     def drop(self, request_id: str) -> None:
         """Take that an attempt does not run."""
--- a/packages/platform/src/tallyhall_platform/ends.py
+++ b/packages/platform/src/tallyhall_platform/ends.py
@@ -23,9 +23,9 @@
 
 ENDS_PREFIX = 'tallyhall/ends/'
 _TRIALS_PREFIX = 'tallyhall/trials/'
-# A lease that has run for this part of its life is not written under any more.
+# A lease is written under for this part of its life, so that what it keeps is
+# kept for most of the time.
 _LEASE_USED_PART = 0.1
-_LEASE_S = KEPT_S * (1 - _LEASE_USED_PART)
 _TRIAL_S = 15.0
 # A claim that takes longer is of no use to its request, in seconds.
 _CLAIM_S = 0.3
@@ -132,6 +132,6 @@
     async def _current_lease(self) -> int:
         now = self._loop.time()
         if self._lease is None or now >= self._leased_until:
-            self._lease = await self._client.grant_lease(_LEASE_S)
+            self._lease = await self._client.grant_lease(KEPT_S)
             self._leased_until = now + KEPT_S * _LEASE_USED_PART
         return self._lease
--- a/tests/platform/test_guard.py
+++ b/tests/platform/test_guard.py
@@ -11,9 +11,9 @@
 import pytest
 from tallyhall_bench.ports import free_ports
 from tallyhall_core.refusals import Reason, RefusedError
+from tallyhall_core.suspects import EndedRun, UpstreamEnd
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.options import Listening
-from tallyhall_core.suspects import EndedRun, UpstreamEnd
 from tallyhall_entry.guard import SharedGuard
 from tallyhall_entry.logs import EventLog
 from tallyhall_platform.ends import (
--- a/tests/platform/test_suspects.py
+++ b/tests/platform/test_suspects.py
@@ -69,6 +69,18 @@
     assert suspects.standing('x', _NOW).verdict is Verdict.free
 
 
+def test_a_clock_behind_clears_all_the_same() -> None:
+    """Who served it had heard of ends from clocks that were ahead."""
+    suspects = _at_ends(3)
+    cleared = suspects.served('x', _NOW - 60)
+    assert suspects.standing('x', _NOW).ends == 0
+    other = _at_ends(3)
+    assert cleared is not None
+    assert other.take_cleared(cleared, _NOW)
+    assert other.standing('x', _NOW).ends == 0
+    assert other.served('x', _NOW) is None
+
+
 def test_ends_all_at_once_count_as_one() -> None:
     """The same request ran at four upstreams as power was lost."""
     suspects = Suspects()
@@ -90,7 +102,7 @@
     for asked in bodies:
         end = UpstreamEnd(asked, _NOW, (EndedRun(asked, 1),))
         suspects.take_end(end, _NOW)
-    known = sum(body in suspects for body in bodies)
+    known = sum(suspects.standing(body, _NOW).ends for body in bodies)
     assert known < _MANY / 2
     assert suspects.standing('x', _NOW).verdict is Verdict.given_up
 
