Calls whose content is not told are not taken for one call

A home of an earlier version tells no digest with the end of a run; owners took all of these for attempts of one call. The test was written with the change.

--- a/packages/node/src/tallyhall_node/quarantine.py
+++ b/packages/node/src/tallyhall_node/quarantine.py
@@ -64,6 +64,9 @@
     def done(self, done: Done, now: float) -> None:
         """Take how an attempt ended."""
         self.drop(done.id)
+        if not done.content:
+            # A home of an earlier version does not tell what was asked.
+            return
         if done.ended:
             self._take(done.upstream, done.content, done.ends, now, now)
         elif done.ok:
--- a/tests/unit/test_fatal_calls.py
+++ b/tests/unit/test_fatal_calls.py
@@ -65,6 +65,13 @@
     assert sent == _ATTEMPTS
 
 
+def test_homes_that_tell_no_content_are_not_taken_for_one_caller() -> None:
+    cluster = Cluster(random.Random(1), MODEL_CALL)
+    cluster.settle(now_and_then=True)
+    sent = _attempts(cluster, acts.Outcome.broken, ended=True)
+    assert sent == _ATTEMPTS
+
+
 def test_what_is_served_is_cleared() -> None:
     cluster = _cluster()
     for outcome in (acts.Outcome.broken, acts.Outcome.complete):
