Return times are rounded up

Callers that came back when told to were refused once more where they came up to 5 ms before the first rest ended: Retry-After was rounded to the nearest hundredth.

--- a/packages/platform/src/tallyhall_platform/dialect.py
+++ b/packages/platform/src/tallyhall_platform/dialect.py
@@ -4,6 +4,7 @@
 
 import http
 import json
+import math
 
 from tallyhall_core.refusals import CATALOGUE, Refusal
 from tallyhall_edge.dialect import (
@@ -44,6 +45,7 @@
 _RETRY_AFTER = b'retry-after'
 _SCHEME = 'bearer '
 _MILLI = 1000
+_CENTI = 100
 _MISDIRECTED = 421
 _TURNED_AWAY = 503
 # What an upstream may ask for at most, in seconds; it can ask again.
@@ -137,7 +139,9 @@
         entry = CATALOGUE[refusal.reason]
         headers = [(b'Content-Type', b'application/json')]
         if refusal.retry_after is not None:
-            wait = f'{refusal.retry_after:.2f}'.encode()
+            # Rounded up: who comes a moment early is refused again.
+            wait_s = math.ceil(refusal.retry_after * _CENTI) / _CENTI
+            wait = f'{wait_s:.2f}'.encode()
             headers.append((b'Retry-After', wait))
         body = {
             'error': entry.number,
