A surge beyond a quota is reckoned from what it was a moment ago

Change: the larger rate of 0.5 and 0.2 s; what leaves the window is told too and taken off, but not of a surge, which leaves as it came.

--- a/packages/dispatch/src/tallyhall_dispatch/quota.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota.py
@@ -258,6 +258,7 @@
                     own,
                     fleet,
                     use.rate(now),
+                    use.leaves(now),
                     0 < high < fleet,
                     use.returned,
                     use.oldest_return_s(now),
--- a/packages/dispatch/src/tallyhall_dispatch/quota_use.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota_use.py
@@ -28,9 +28,12 @@
 # its newest amount is out: with 40 steps a use near its quota was taken for
 # 1.03 of what it was, with 160 for 1.005 (simulated, 195 instances).
 _STEPS = 160
-# The rate of the use of all is taken over this long, in seconds: a surge shows
-# in it as soon as it is told.
+# The rate of the use of all is the larger one over these spans, in seconds: a
+# surge shows in the short one as soon as it is told.
 _RATE_S = 0.5
+_SURGE_S = 0.2
+# A use that grows by more than so many times what its quota allows is a surge.
+_SURGE = 2.0
 # Parts of a window in which an amount is told with its age: each counts up to
 # an eighth of the window too long.
 _TOLD_PARTS = 8
@@ -44,8 +47,9 @@
 
     total: admitted by the instance since its start. within_window: of that
     in the last window. fleet: admitted by all instances in the last window,
-    as far as the instance knows. rate: the same in a second, of late. is_high:
-    whether that is much of the quota. returned: of the total, what did not
+    as far as the instance knows. rate: the same in a second, of late. leaves:
+    what of it leaves the window in the next second. is_high: whether that is
+    much of the quota. returned: of the total, what did not
     run. oldest_return_s: seconds from charge to return of the one among the
     last returns that waited longest.
     """
@@ -54,6 +58,7 @@
     within_window: float
     fleet: float
     rate: float
+    leaves: float
     is_high: bool
     returned: float
     oldest_return_s: float
@@ -63,7 +68,8 @@
     """The use of all as another instance, which hears more, has counted it.
 
     amount: within the last window. counted: of the total of the instance
-    that is told. rate: what is admitted in a second, of late.
+    that is told. rate: what is admitted in a second, of late. leaves: what
+    leaves the window in one, soon.
     """
 
     sender: str
@@ -71,6 +77,7 @@
     counted: float
     at: float
     rate: float = 0
+    leaves: float = 0
 
 
 class _Return(msgspec.Struct, frozen=True):
@@ -186,20 +193,34 @@
 
     def rate(self, now: float) -> float:
         """Return what all admit in a second, as they told it lately."""
-        told = self._reported.newest(now, _RATE_S)
-        return max(0, told + self.own.newest(now, _RATE_S)) / _RATE_S
+        return max(
+            0,
+            self._admitted(now, _RATE_S) / _RATE_S,
+            self._admitted(now, _SURGE_S) / _SURGE_S,
+        )
+
+    def leaves(self, now: float) -> float:
+        """Return how much of the use of all soon leaves in a second."""
+        told = self._reported.oldest(now, _RATE_S)
+        return max(0, told + self.own.oldest(now, _RATE_S)) / _RATE_S
 
     def unheard(self, now: float, lag_s: float) -> float:
-        """Return what others have admitted since the newest news, likely.
+        """Return by how much the use has grown since the newest news, likely.
 
-        lag_s: how old what hubs tell is itself. A surge of 8 times a quota
-        admitted 1.2 of all that may be used at 410 instances, whose knowledge
-        was half a second old, where nothing was reckoned for that time.
+        Without it a surge would be admitted beyond what a quota bears. What
+        has left the window meanwhile makes room: a steady use grows by nothing.
+        A surge leaves as it came, all at once, and would fill the same room
+        again before anybody has heard of it.
+
+        lag_s: how old what hubs tell is itself.
         """
         newest = max(self.heard.values(), key=_heard_at, default=None)
         if newest is None:
             return 0
-        return newest.rate * min(_HEARD_S, now - newest.at + lag_s)
+        grows = newest.rate
+        if grows < _SURGE * self.workspace.rate:
+            grows = max(0, grows - newest.leaves)
+        return grows * min(_HEARD_S, now - newest.at + lag_s)
 
     def oldest_return_s(self, now: float) -> float:
         """Return the longest wait among the last returns.
@@ -228,6 +249,10 @@
         """Return amounts as they are told to others."""
         return merged(parts, self._window_s / _TOLD_PARTS)
 
+    def _admitted(self, now: float, within_s: float) -> float:
+        told = self._reported.newest(now, within_s)
+        return told + self.own.newest(now, within_s)
+
     def _needs_past(self, now: float) -> bool:
         """Return whether what was used before this start matters yet."""
         return now - self._known_from <= self._window_s
--- a/packages/dispatch/src/tallyhall_dispatch/windows.py
+++ b/packages/dispatch/src/tallyhall_dispatch/windows.py
@@ -67,6 +67,17 @@
             total += amount
         return total
 
+    def oldest(self, now: float, within_s: float) -> float:
+        """Return the sum of what leaves the window in the next seconds."""
+        self._expire(now)
+        total: float = 0
+        ends_at = now - self._window - self._bucket + within_s
+        for start, amount in self._buckets:
+            if start > ends_at:
+                break
+            total += amount
+        return total
+
     def parts(self, now: float) -> tuple[tuple[float, float], ...]:
         """Return the ages and amounts that make up the sum."""
         self._expire(now)
--- a/packages/entry/src/tallyhall_entry/talk.py
+++ b/packages/entry/src/tallyhall_entry/talk.py
@@ -114,6 +114,7 @@
         spent.within_window = use.within_window
         spent.fleet = use.fleet
         spent.rate = use.rate
+        spent.leaves = use.leaves
         seen_key = (peer.name, peer.incarnation, name)
         spent.counted = self._seen.get(seen_key, 0)
         spent.returned = use.returned
@@ -157,6 +158,7 @@
                 spent.counted,
                 now,
                 spent.rate,
+                spent.leaves,
             )
             self._gate.quotas.heard(spent.workspace, fleet)
 
--- a/packages/transport/src/tallyhall_transport/peer_codec.py
+++ b/packages/transport/src/tallyhall_transport/peer_codec.py
@@ -38,6 +38,8 @@
     ask.spare = job.spare
     ask.pause_ms = int(job.pause_s * _MILLI)
     ask.suspect = job.suspect
+    ask.route = job.route
+    ask.once = job.once
     for upstream, until in job.resting.items():
         left_ms = math.ceil((until - now) * _MILLI)
         ask.resting.add(upstream=upstream, left_ms=max(0, left_ms))
@@ -62,6 +64,8 @@
         resting={
             rest.upstream: now + rest.left_ms / _MILLI for rest in ask.resting
         },
+        route=ask.route,
+        once=ask.once,
     )
 
 
