Roll-outs: a version is tried within its share, judged, completed or taken back

Nothing read an order or an upstream's version: a good version was never completed, a bad one got 711 of 1,351 requests where 185 are allowed.

- Versions (dispatch/versions.py): what no order names gets nothing; a target takes only what the leader of its roll-out places there; a completed order leaves the target alone, one rolled back bars it.
- Exposure (dispatch/rollout.py): written to the store before it is placed, in blocks that hold for 2.5 s, so whoever leads next counts all of it as used and one that is cut off places nothing more.
Half of the share while it is judged, in runs of 16 so that load shows; the rest for requests that must not be cut, and for the time from completion to the order's end.
- Evidence (dispatch/evidence.py): a sum by route and of all (CUSUM) against the others over the same four seconds; slow against the upstream's own.
Plain services are placed by their owner meanwhile.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 # of processor time.
 TEST_WORKERS ?= 3
 
-.PHONY: run run-platform proto days soak test check fmt faults bench slopes overhead start-cost return-run
+.PHONY: run run-platform proto days soak rollouts test check fmt faults bench slopes overhead start-cost return-run
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -43,6 +43,12 @@
 	$(BIN)/python -m tallyhall_bench.platform_soak --seed $(SEED) \
 		--seeds $(SEEDS) --seconds $(SECONDS)
 
+# Roll-outs of good and bad versions on real processes, with troubles beside.
+rollouts: $(STAMP)
+	$(BIN)/python -m tallyhall_bench.rollout_run --seed $(SEED) \
+		--seeds $(SEEDS) --trouble none --trouble leader --trouble four \
+		--trouble away --trouble all
+
 # The users' bench plays each day of our own: BENCH and SITE are its program
 # and a site file.
 days:
--- a/packages/bench/src/tallyhall_bench/platform_fleet.py
+++ b/packages/bench/src/tallyhall_bench/platform_fleet.py
@@ -110,6 +110,7 @@
         service: str,
         slots: int,
         links: list[FaultyLink] | None = None,
+        version: str = 'v1',
         **pace: Any,
     ) -> EngineStandIn:
         """Start an upstream and register it, behind a link of its own."""
@@ -122,10 +123,19 @@
             port = place.port
         self.engines.append(engine)
         fields = entry_fields(service, f'{HOST}:{port}', slots)
+        fields['version'] = version
         self.store.put(f'servers/{name}', fields)
         self._named[name] = _Named(engine, port, fields)
         return engine
 
+    def stop_version(self, version: str) -> None:
+        """Stop the upstreams of a version at once, without draining."""
+        for name, named in tuple(self._named.items()):
+            if named.fields['version'] == version:
+                self._named.pop(name)
+                named.engine.end()
+                self.store.remove(f'servers/{name}')
+
     def lose_engines(self) -> None:
         """End all upstreams at once; their entries stay for now."""
         for named in self._named.values():
--- a/packages/core/src/tallyhall_core/events.py
+++ b/packages/core/src/tallyhall_core/events.py
@@ -30,6 +30,11 @@
     fleet_counted = 221
     use_adopted = 222
     store_calls = 223
+    rollout_ordered = 224
+    rollout_led = 225
+    rollout_exposes = 226
+    rollout_judged = 227
+    rollout_ended = 228
     peer_down = 308
     fenced = 303
     owner_started = 304
--- a/packages/dispatch/src/tallyhall_dispatch/desired.py
+++ b/packages/dispatch/src/tallyhall_dispatch/desired.py
@@ -118,7 +118,8 @@
     name: the id that it goes by, which it may keep when it starts again.
     slots: requests it runs at once. leaving: it has said that it takes no
     new work. started_ms: Unix time of its start in milliseconds, 0 where an
-    id is new at each start.
+    id is new at each start. version: of the software that it runs. canary:
+    only the leader of the version's roll-out places requests there.
     """
 
     name: str
@@ -129,6 +130,8 @@
     slots: int
     leaving: bool
     started_ms: int = 0
+    version: str = ''
+    canary: bool = False
 
     @property
     def incarnation(self) -> str:
--- a/packages/dispatch/src/tallyhall_dispatch/group.py
+++ b/packages/dispatch/src/tallyhall_dispatch/group.py
@@ -15,6 +15,8 @@
 # A forecast looks at all upstreams, so it is made anew after this long, in
 # seconds; a fortieth of the shortest objective.
 _FORECAST_S = 0.02
+# An upstream on trial is the first choice for so long, in seconds.
+_CANARY_TURN_S = 4.0
 
 
 class UpstreamGroup:
@@ -75,6 +77,37 @@
             return staying
         return [view for view in staying if not view.is_aside(now)] or staying
 
+    def free_canaries(self, now: float) -> list[EngineView]:
+        """Return the upstreams on trial that have a free place.
+
+        The same one comes first for a while, so that it is seen under load,
+        then another one, as one alone tells little of all.
+        """
+        canaries = sorted(
+            (
+                view
+                for view in self._views.values()
+                if view.upstream.canary and not view.upstream.leaving
+            ),
+            key=lambda view: view.incarnation,
+        )
+        if not canaries:
+            return canaries
+        first = int(now / _CANARY_TURN_S) % len(canaries)
+        return [
+            view
+            for view in canaries[first:] + canaries[:first]
+            if view.free(1) > 0 and not view.is_aside(now)
+        ]
+
+    def canary_places(self) -> int:
+        """Return how many places the upstreams on trial have."""
+        return sum(
+            view.upstream.slots
+            for view in self._views.values()
+            if view.upstream.canary and not view.upstream.leaving
+        )
+
     def free(self, now: float) -> list[EngineView]:
         """Return the usable upstreams that have a free place."""
         return [view for view in self.usable(now) if view.free(self.share) > 0]
@@ -140,5 +173,7 @@
 
     def _staying(self) -> list[EngineView]:
         return [
-            view for view in self._views.values() if not view.upstream.leaving
+            view
+            for view in self._views.values()
+            if not (view.upstream.leaving or view.upstream.canary)
         ]
--- a/packages/dispatch/src/tallyhall_dispatch/jobs.py
+++ b/packages/dispatch/src/tallyhall_dispatch/jobs.py
@@ -22,7 +22,9 @@
     only uses places left over. pause_s: the longest pause between two events
     of an answer that is on time, 0 where any is. suspect: digest of what is
     asked if an upstream has ended under it, else empty. resting: upstreams to
-    which its instance must send nothing, and until when.
+    which its instance must send nothing, and until when. route: of the request,
+    where upstreams of its service are on trial, else empty. once: whether it
+    may run only once.
     """
 
     key: str
@@ -39,6 +41,8 @@
     pause_s: float = 0
     suspect: str = ''
     resting: Mapping[str, float] = types.MappingProxyType({})
+    route: str = ''
+    once: bool = False
 
 
 class Grant(msgspec.Struct, frozen=True):
--- a/packages/dispatch/src/tallyhall_dispatch/options.py
+++ b/packages/dispatch/src/tallyhall_dispatch/options.py
@@ -35,6 +35,8 @@
     the signal to stop and the end by force. contact_s: how long after its
     way to the store is whole again an instance must know what changed.
     change_s: how long a change may take to be in force everywhere.
+    exposed_share, exposed_allowance: the most requests that a bad version
+    may get, as a part of all and beside it.
     """
 
     revoke_s: float
@@ -47,6 +49,8 @@
     quota_slack: float
     contact_s: float
     change_s: float
+    exposed_share: float = 0.1
+    exposed_allowance: float = 50
 
 
 class Options(msgspec.Struct, frozen=True):
--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -14,6 +14,7 @@
 import collections
 import random
 from collections.abc import Iterable, Iterator, Mapping
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -28,6 +29,9 @@
 from .switches import ALL_ON, Switches
 from .waiting import WaitingJobs
 
+if TYPE_CHECKING:
+    from .rollout import Rollout
+
 # Part of all places that must be free for a job above its quota: what arrives
 # within the next tenth of a second finds a place without waiting.
 _SPARE_FREE_PART = 0.25
@@ -76,6 +80,8 @@
     ) -> None:
         """Start without upstreams and jobs."""
         self.service = service
+        # Set while this instance leads a roll-out of the service.
+        self.rollout: Rollout | None = None
         self._event_tokens = event_tokens
         self._switches = switches
         self._group = UpstreamGroup(switches)
@@ -111,6 +117,11 @@
         """Return how many places the upstreams have that stay."""
         return self._group.places
 
+    @property
+    def canary_places(self) -> int:
+        """Return how many places the upstreams on trial have."""
+        return self._group.canary_places()
+
     def opens_in_s(self, resting: Mapping[str, float], now: float) -> float:
         """Return how long all upstreams rest, 0 if one does not."""
         return self._group.opens_in_s(resting, now)
@@ -150,6 +161,7 @@
         run = view.runs.get(key)
         if run is not None:
             self._note_ending(run.job, report, now)
+            self._tell_rollout(run.job, view, report, now)
         view.finish(key, report, now)
 
     def note_running(self, job: Job, incarnation: str) -> None:
@@ -218,10 +230,12 @@
         """
         now = forecast.now
         free = self._group.free(now)
+        if self.rollout is not None:
+            free += self._group.free_canaries(now)
         if not free:
             return
         for job in self._candidates(forecast):
-            view = self._placing.best(job, free, forecast)
+            view = self._choice(job, free, forecast)
             if view is None:
                 continue
             forecast_s = view.first_s(job)
@@ -232,6 +246,40 @@
             if not free:
                 return
 
+    def _choice(
+        self,
+        job: Job,
+        free: list[EngineView],
+        forecast: Forecast,
+    ) -> EngineView | None:
+        """Return the place for a job; on trial only what the roll-out lets."""
+        if self.rollout is None:
+            return self._placing.best(job, free, forecast)
+        now = forecast.now
+        if self.rollout.may_expose(job, now):
+            for canary in free:
+                rests = now < job.resting.get(canary.incarnation, now)
+                if canary.upstream.canary and not rests:
+                    return canary
+        in_use = [view for view in free if not view.upstream.canary]
+        return self._placing.best(job, in_use, forecast)
+
+    def _tell_rollout(
+        self,
+        job: Job,
+        view: EngineView,
+        report: RunReport,
+        now: float,
+    ) -> None:
+        if self.rollout is not None:
+            self.rollout.ended(
+                job,
+                view.incarnation,
+                report,
+                now,
+                canary=view.upstream.canary,
+            )
+
     def _candidates(self, forecast: Forecast) -> Iterator[Job]:
         """Yield the jobs that are next; those that can be in time come first.
 
@@ -272,6 +320,8 @@
     def _take_place(self, job: Job, view: EngineView, now: float) -> None:
         view.grant(job)
         self._places[job.key] = view
+        if self.rollout is not None:
+            self.rollout.placed(job, canary=view.upstream.canary)
         if job.spare:
             return
         self._rates.note(job.urgency, now)
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -268,6 +268,8 @@
             pause_s=route.gap_s,
             suspect=suspect,
             resting=self._sending.rests.current(self._loop.time()),
+            route=route.name,
+            once=not route.repeatable,
         )
 
     # -- ends
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -11,7 +11,7 @@
 import collections
 import random
 from collections.abc import Mapping
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
 from tallyhall_dispatch.desired import DesiredState, Upstream
@@ -19,6 +19,14 @@
 from tallyhall_dispatch.leavers import Leavers
 from tallyhall_dispatch.pool import Granted, ServicePool
 from tallyhall_dispatch.refusing import GivenUp
+from tallyhall_dispatch.versions import (
+    RolloutOrder,
+    RolloutStatus,
+    ServiceVersions,
+)
+
+if TYPE_CHECKING:
+    from tallyhall_dispatch.rollout import Rollout
 
 # How often waiting jobs are looked at when nothing else happens, seconds: a
 # fifth of the shortest objective.
@@ -81,6 +89,9 @@
         self._upstreams: tuple[Upstream, ...] = ()
         self._by_id: dict[str, Upstream] = {}
         self._leavers = Leavers()
+        self._versions: dict[str, ServiceVersions] = collections.defaultdict(
+            ServiceVersions,
+        )
         # Until when a draw for a place of a service holds, and the draw.
         self._draws: dict[str, tuple[float, float]] = {}
 
@@ -94,6 +105,19 @@
         pool = self._pools.get(service)
         return pool is not None and pool.is_model
 
+    def is_shared(self, service: str) -> bool:
+        """Return whether one instance places the requests of a service.
+
+        Always those of model engines, and of any service in a roll-out: what a
+        new version gets is bounded over all instances together.
+        """
+        return self.is_model(service) or self._versions[service].is_running
+
+    def places(self, service: str) -> tuple[int, int]:
+        """Return the places of the upstreams in use, and of those on trial."""
+        pool = self._pools.get(service)
+        return (0, 0) if pool is None else (pool.places, pool.canary_places)
+
     def upstream(self, incarnation: str) -> Upstream | None:
         """Return a known upstream."""
         return self._by_id.get(incarnation)
@@ -117,15 +141,47 @@
     def take_upstreams(self, upstreams: tuple[Upstream, ...]) -> None:
         """Take all upstreams as they stand now."""
         self._upstreams = upstreams
-        upstreams = tuple(map(self._leavers.marked, upstreams))
-        self._by_id = {upstream.incarnation: upstream for upstream in upstreams}
         grouped: dict[str, list[Upstream]] = collections.defaultdict(list)
-        for upstream in upstreams:
-            grouped[upstream.service].append(upstream)
+        for known in map(self._leavers.marked, upstreams):
+            grouped[known.service].append(known)
+        now = self._loop.time()
+        marked = {
+            name: self._versions[name].marked(group, now)
+            for name, group in grouped.items()
+        }
+        self._by_id = {
+            upstream.incarnation: upstream
+            for group in marked.values()
+            for upstream in group
+        }
         for name, pool in self._pools.items():
-            pool.set_upstreams(grouped[name])
+            pool.set_upstreams(marked.get(name, ()))
             self._pump(pool)
 
+    def take_rollout(
+        self,
+        service: str,
+        order: RolloutOrder | None,
+        status: RolloutStatus | None,
+    ) -> None:
+        """Take which versions of a service take requests."""
+        versions = self._versions[service]
+        versions.order = order
+        versions.status = status
+        self.take_upstreams(self._upstreams)
+
+    def look_at_versions(self) -> None:
+        """Take another version where the one in use stays away."""
+        now = self._loop.time()
+        if any(one.is_absent(now) for one in self._versions.values()):
+            self.take_upstreams(self._upstreams)
+
+    def lead(self, service: str, rollout: Rollout | None) -> None:
+        """Place requests of a service on the upstreams on trial, or cease."""
+        pool = self._pools.get(service)
+        if pool is not None:
+            pool.rollout = rollout
+
     def leaves(self, incarnation: str) -> bool:
         """Take that an upstream said that it leaves; return whether it is news.
 
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 from collections.abc import Coroutine
 from typing import TYPE_CHECKING, Any
@@ -41,6 +42,7 @@
 from .logs import BoundedStream, EventLog
 from .metrics import Metrics
 from .news import NewsTalk
+from .orders import Orders
 from .shared import SharedScheduler
 from .talk import Talk
 from .telemetry import RequestTelemetry
@@ -169,7 +171,11 @@
             self._entry,
             self.log.event,
             rng,
-            WrittenUse(self._gate.quotas, self._owns_use),
+            # One instance writes for all: each write wakes every watch.
+            WrittenUse(
+                self._gate.quotas,
+                functools.partial(self._owns, _USE),
+            ),
             options.store.least_lease_s,
             self._beliefs,
         )
@@ -186,6 +192,15 @@
             options.bounds.change_s,
         )
         self._follower.view.on_ends = self._guard.take_stored
+        self._orders = Orders(
+            options,
+            self._dispatcher,
+            self._calls,
+            self._entry.incarnation,
+            self._owns,
+            self.log,
+        )
+        self._follower.view.on_rollout = self._orders.take
         self._talk = Talk(
             self._gate,
             self._links,
@@ -394,10 +409,6 @@
     def _server(self, respond: Respond) -> HttpServer:
         return HttpServer(respond, self._failed, ServerLimits())
 
-    def _owns_use(self) -> bool:
-        # One instance writes for all: each write wakes every watch.
-        return self.owner(_USE) == self.options.instance
-
     def _spawn(self, name: str, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work, name=name)
         task.add_done_callback(self._task_ended)
@@ -425,6 +436,10 @@
             self._beliefs.look()
             self._take_fleet()
             self._log_count()
+            self._orders.look()
+
+    def _owns(self, service: str) -> bool:
+        return self.owner(service) == self.options.instance
 
     def _take_known(self) -> None:
         self._scheduler.look()
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -391,7 +391,7 @@
         return self._usable_owner(ticket.job.service)
 
     def _usable_owner(self, service: str) -> str | None:
-        if not self._dispatcher.is_model(service):
+        if not self._dispatcher.is_shared(service):
             return None
         for owner in self.ownership.owners(service):
             if owner == self._name:
@@ -419,7 +419,7 @@
 
     def _is_alone(self, service: str) -> bool:
         """Return whether others own a service and none of them answers."""
-        if not self._dispatcher.is_model(service):
+        if not self._dispatcher.is_shared(service):
             return False
         owners = self.ownership.owners(service)
         return bool(owners) and self._name not in owners
--- a/packages/platform/src/tallyhall_platform/calls.py
+++ b/packages/platform/src/tallyhall_platform/calls.py
@@ -18,6 +18,7 @@
     """What was asked of the store."""
 
     scan = 'scan'
+    get = 'get'
     watch = 'watch'
     write = 'write'
     lease = 'lease'
@@ -32,7 +33,7 @@
     start: to get a first state or entry. steady: to keep up. retry: the call
     before failed. untold: no other instance told what changed. use: to keep
     the use of quotas over a restart of all. ends: to keep what ends upstreams
-    and to try it.
+    and to try it. rollout: to lead a roll-out.
     """
 
     start = 'start'
@@ -41,6 +42,7 @@
     untold = 'untold'
     use = 'use'
     ends = 'ends'
+    rollout = 'rollout'
 
 
 @enum.unique
--- a/packages/platform/src/tallyhall_platform/decode.py
+++ b/packages/platform/src/tallyhall_platform/decode.py
@@ -162,6 +162,7 @@
         entry.slots,
         leaving=entry.state != 'ready',
         started_ms=entry.born,
+        version=entry.version,
     )
     return UpstreamEntry(upstream, entry.seq)
 
--- a/packages/platform/src/tallyhall_platform/entries.py
+++ b/packages/platform/src/tallyhall_platform/entries.py
@@ -13,6 +13,10 @@
 
 INSTANCE_PREFIX = 'tallyhall/instances/'
 USE_KEY = 'tallyhall/use'
+# Of roll-outs: what operators order, what becomes of it, and how it stands.
+ORDERS_PREFIX = 'op/rollout/'
+STATUS_PREFIX = 'status/rollout/'
+RECORDS_PREFIX = 'tallyhall/rollouts/'
 _Seconds = Annotated[float, msgspec.Meta(ge=0)]
 
 
--- a/packages/platform/src/tallyhall_platform/settings.py
+++ b/packages/platform/src/tallyhall_platform/settings.py
@@ -25,6 +25,8 @@
 _PEER_PORT = 0
 _METRICS_PORT = 1
 _Positive = Annotated[float, msgspec.Meta(gt=0)]
+_Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+_Amount = Annotated[float, msgspec.Meta(ge=0)]
 
 
 class _Listen(Part, frozen=True):
@@ -53,6 +55,8 @@
     contact_ms: Millis = 3000
     drain_ms: Millis = 2000
     config_apply_ms: Millis = 2000
+    expose_share: _Share = 0.1
+    expose_slack: _Amount = 50
 
 
 class _Store(Part, frozen=True):
@@ -172,6 +176,8 @@
             quota_slack=bounds.quota_slack,
             contact_s=bounds.contact_ms / _MILLI,
             change_s=min(bounds.drain_ms, bounds.config_apply_ms) / _MILLI,
+            exposed_share=bounds.expose_share,
+            exposed_allowance=bounds.expose_slack,
         ),
         descriptors=raw.limits.max_fds,
         cores=raw.limits.cpu_share * raw.limits.cores,
--- a/packages/platform/src/tallyhall_platform/store.py
+++ b/packages/platform/src/tallyhall_platform/store.py
@@ -9,6 +9,8 @@
 
 import asyncio
 import base64
+import types
+from collections.abc import Mapping
 from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
 
@@ -75,6 +77,10 @@
     lease: int
 
 
+class _Written(Part, frozen=True):
+    revision: int
+
+
 class Item(msgspec.Struct, frozen=True):
     """A key with its value; the revision is that of its last change."""
 
@@ -91,6 +97,14 @@
     revision: int
 
 
+class Write(msgspec.Struct, frozen=True):
+    """A value for a key that stands at a revision, 0 for one that is new."""
+
+    key: str
+    content: bytes
+    revision: int
+
+
 class Snapshot(msgspec.Struct, frozen=True):
     """All items below a prefix; nothing before `revision` is missing."""
 
@@ -163,6 +177,15 @@
                 return Snapshot(tuple(found), revision)
             after = found[-1].key
 
+    async def get(self, key: str) -> Item | None:
+        """Return the item of a key, None where there is none."""
+        path = f'/kv-key?{urlencode({"key": key})}'
+        answer = await self._call(CallKind.get, 'GET', path, None)
+        if answer.status == _NOT_FOUND:
+            return None
+        row = _checked(answer, _Row)
+        return Item(row.key, _content(row.value), row.revision)
+
     async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
         """Return changes after a revision, or none after `wait_s`.
 
@@ -198,6 +221,30 @@
             {'expected-rev': [expected], 'writes': [write], 'delete': []},
         )
 
+    async def swap(
+        self,
+        write: Write,
+        beside: Mapping[str, int] = types.MappingProxyType({}),
+    ) -> int:
+        """Write a key where it stands at a revision; return its new one.
+
+        beside: other keys that must stand at their revisions. Raises
+        ConditionFailedError where one of them does not.
+        """
+        expected = {write.key: write.revision, **beside}
+        text = base64.b64encode(write.content).decode()
+        answer = await self._write(
+            {
+                'expected-rev': [
+                    {'key': key, 'revision': revision}
+                    for key, revision in expected.items()
+                ],
+                'writes': [{'key': write.key, 'value': text, 'lease': 0}],
+                'delete': [],
+            },
+        )
+        return _checked(answer, _Written).revision
+
     async def grant_lease(self, ttl_s: float) -> int:
         """Return a new lease."""
         answer = await self._call(
@@ -247,13 +294,14 @@
             raise HistoryGoneError(path)
         return _checked(answer, model)
 
-    async def _write(self, body: dict[str, Any]) -> None:
+    async def _write(self, body: dict[str, Any]) -> WholeAnswer:
         answer = await self._call(CallKind.write, 'POST', '/kv-txn', body)
         if answer.status == _CONDITION_FAILED:
             raise ConditionFailedError('the keys have changed')
         if answer.status == _NOT_FOUND:
             raise LeaseEndedError('the lease of a write has ended')
         _check_status(answer)
+        return answer
 
     async def _call(
         self,
--- a/packages/platform/src/tallyhall_platform/view.py
+++ b/packages/platform/src/tallyhall_platform/view.py
@@ -26,6 +26,9 @@
 from .ends import ENDS_PREFIX, EndRecords, decode_ends
 from .entries import (
     INSTANCE_PREFIX,
+    ORDERS_PREFIX,
+    RECORDS_PREFIX,
+    STATUS_PREFIX,
     USE_KEY,
     InstanceEntry,
     decode_instance,
@@ -37,6 +40,8 @@
 from .upstreams import UPSTREAM_PREFIX, Upstreams
 
 _STATE_KEY = 'op/config'
+# What matters only to instances that watch the store.
+_UNTOLD = (USE_KEY, RECORDS_PREFIX)
 # Kept of the time that a change may take when a removal is held: timers that
 # fire late under load, and the way of a request to its upstream.
 _HELD_KEPT_S = 0.2
@@ -100,11 +105,16 @@
         self.change_s = change_s
         # Takes what was written of upstreams that ended.
         self.on_ends: Callable[[EndRecords], None] = _ignored
+        # Takes changes of roll-outs, and when each was made at the earliest.
+        self.on_rollout: Callable[[Change, float], None] = _ignored_rollout
         # Nothing that the store held at this time is missing here, on the
         # loop's clock.
         self.followed_at = float('-inf')
         # All changes up to this revision are known, None before the first.
         self.cursor: int | None = None
+        # Nothing that was made by then is missing, as known before the answer
+        # that is being taken; later than the time of its question.
+        self._complete_at = float('-inf')
         self._listener = listener
         self._log = log
         self._absence = absence
@@ -141,6 +151,7 @@
         self._history.begin(snapshot.revision)
         self.cursor = snapshot.revision
         self._settle(asked_at)
+        self._complete_at = asked_at
 
     def take_changes(self, answer: Changes, asked_at: float) -> None:
         """Take what changed after the cursor."""
@@ -148,6 +159,7 @@
             self._apply(change)
         self.cursor = max(self.cursor or 0, answer.revision)
         self._settle(asked_at)
+        self._complete_at = self._loop.time()
 
     # -- from and for other instances
 
@@ -163,6 +175,7 @@
             self._apply(change, told=True)
         self.cursor = max(self.cursor, news.revision)
         self._settle(asked_at)
+        self._complete_at = max(self._complete_at, asked_at)
         return True
 
     def news(self, after: int) -> News | None:
@@ -206,6 +219,9 @@
         if change.revision <= self._revisions.get(change.key, -1):
             return
         self._revisions[change.key] = change.revision
+        if change.key.startswith((ORDERS_PREFIX, STATUS_PREFIX)):
+            self._take_rollout(change)
+            return
         if change.content is None:
             self._take_removal(change, told=told)
             return
@@ -215,7 +231,7 @@
             self._reject(change.key, exc)
         else:
             self._rejected.discard(change.key)
-        if change.key != USE_KEY:
+        if not change.key.startswith(_UNTOLD):
             self._history.note(change)
 
     def _reject(self, key: str, exc: DecodeError) -> None:
@@ -281,6 +297,15 @@
         if self.cursor is None:
             self._listener.on_use(decode_use(content))
 
+    def _take_rollout(self, change: Change) -> None:
+        self._history.note(change)
+        try:
+            self.on_rollout(change, self._complete_at)
+        except DecodeError as exc:
+            self._reject(change.key, exc)
+        else:
+            self._rejected.discard(change.key)
+
     def _take_ends(self, key: str, content: bytes) -> None:
         self.on_ends(decode_ends(content))
 
@@ -333,5 +358,9 @@
         )
 
 
+def _ignored_rollout(change: Change, made_after: float) -> None:
+    """Take a change where nobody acts on it."""
+
+
 def _ignored(records: EndRecords) -> None:
     """Take records where nobody keeps them."""
--- a/packages/standins/src/tallyhall_standins/platform_engine.py
+++ b/packages/standins/src/tallyhall_standins/platform_engine.py
@@ -12,6 +12,7 @@
 import contextlib
 import dataclasses
 import enum
+from collections.abc import Callable
 from typing import Any
 
 import httptools
@@ -39,12 +40,19 @@
     short_body = 'short_body'
     unsigned = 'unsigned'
     not_http = 'not_http'
+    slow = 'slow'
 
 
 _BROKEN_AT = 3
+_BAD = frozenset((EngineFault.fails, EngineFault.slow))
+_SLOW_TIMES = 8
 _LATE_S = 0.05
 
 
+def _sound(target: str, running: int) -> EngineFault:
+    return EngineFault.none
+
+
 def entry_fields(service: str, address: str, slots: int) -> dict[str, Any]:
     """Return the entry of a ready upstream in the platform's form."""
     return {
@@ -61,7 +69,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SeenRequest:
-    """One request as it arrived."""
+    """One request as it arrived, at a time of the loop's clock.
+
+    bad: whether its answer was drawn to be bad.
+    """
 
     request_id: str
     method: str
@@ -69,6 +80,8 @@
     headers: dict[str, str]
     body: bytes
     ran: bool
+    at: float = 0
+    bad: bool = False
 
 
 class EngineStandIn:
@@ -88,6 +101,8 @@
         fatal: a body under which it ends once it begins to run it.
         """
         self.fatal = fatal
+        # Draws the fault of a request by its path and by what runs beside it.
+        self.draw: Callable[[str, int], EngineFault] = _sound
         # Says in all its answers that it leaves.
         self.leaving = False
         # Turns all requests away and asks for so many seconds of rest.
@@ -225,7 +240,9 @@
 
     async def _answer(self, method: str) -> None:
         engine = self._engine
-        fault = engine.faults.popleft() if engine.faults else EngineFault.none
+        fault = engine.draw(self._target.decode(), engine.running)
+        if engine.faults:
+            fault = engine.faults.popleft()
         expected = self._headers.get('x-tallyhall-expect-instance')
         if expected not in {None, engine.incarnation}:
             fault = EngineFault.misplaced
@@ -241,6 +258,8 @@
                 dict(self._headers),
                 self._body,
                 ran=not refused,
+                at=asyncio.get_running_loop().time(),
+                bad=fault in _BAD,
             ),
         )
         engine.running += 1
@@ -265,7 +284,8 @@
         if fault is EngineFault.closes_first:
             self._closed = True
             return
-        await asyncio.sleep(self._engine.first_s)
+        times = _SLOW_TIMES if fault is EngineFault.slow else 1
+        await asyncio.sleep(self._engine.first_s * times)
         if self._engine.fatal is not None and self._body == self._engine.fatal:
             self._engine.end()
             return
@@ -323,7 +343,8 @@
                 continue
             self._chunk(f'id: {number}\ndata: t{number}\n\n'.encode())
             await self._writer.drain()
-            await asyncio.sleep(self._engine.event_s)
+            times = _SLOW_TIMES if fault is EngineFault.slow else 1
+            await asyncio.sleep(self._engine.event_s * times)
         self._writer.write(b'0\r\n\r\n')
 
     def _rejection(self) -> tuple[str, ...]:
--- a/packages/standins/src/tallyhall_standins/platform_store.py
+++ b/packages/standins/src/tallyhall_standins/platform_store.py
@@ -183,10 +183,10 @@
         query = dict(parse_qsl(url.query, keep_blank_values=True))
         body = json.loads(exchange.body or b'{}')
         name = url.path.split('/')[1]
-        if name == 'kv-range':
-            return _OK, self._range(query)
         if name == 'kv-watch':
             return await self._watch(query)
+        if name in {'kv-range', 'kv-key'}:
+            return self._read(name, query)
         if name == 'kv-txn':
             return self._transact(body)
         if name == 'kv-lease':
@@ -198,6 +198,18 @@
             return _OK, {}
         return _NOT_FOUND, {}
 
+    def _read(
+        self,
+        name: str,
+        query: dict[str, str],
+    ) -> tuple[tuple[int, bytes], dict[str, Any]]:
+        if name == 'kv-range':
+            return _OK, self._range(query)
+        found = self._kept.get(query['key'])
+        if found is None:
+            return _NOT_FOUND, {}
+        return _OK, {**found.as_fields(), 'as-of': self.revision}
+
     def _range(self, query: dict[str, str]) -> dict[str, Any]:
         after = query.get('after', '')
         keys = [key for key in self.keys(query['prefix']) if key > after]
--- /dev/null
+++ b/tests/unit/test_rollouts.py
@@ -0,0 +1,379 @@
+"""Roll-outs: which versions take requests, how much, and what is judged."""
+
+import random
+from collections.abc import Callable, Iterable
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from tallyhall_dispatch.desired import Upstream
+from tallyhall_dispatch.evidence import Evidence
+from tallyhall_dispatch.jobs import Ending, Job, RunReport
+from tallyhall_dispatch.pool import Granted, ServicePool
+from tallyhall_dispatch.rollout import (
+    BLOCK_HOLDS_S,
+    Rollout,
+    RolloutBounds,
+    RolloutRecord,
+    Stage,
+)
+from tallyhall_dispatch.versions import (
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+    ServiceVersions,
+)
+
+_BOUNDS = RolloutBounds(0.1, 50)
+_ORDER = RolloutOrder('svc', 'v2', 16, 10)
+_GOOD = RunReport(Ending.answered, 0.2, 0.05, 8, 0.14)
+_SLOW = RunReport(Ending.answered, 1.6, 0.4, 8, 1.12)
+_FAILED = RunReport(Ending.failed, 0.05)
+_CUT = RunReport(Ending.broken, 0.05)
+_PER_S = 80
+_SEEDS = range(20)
+
+
+def _upstream(name: str, version: str) -> Upstream:
+    return Upstream(name, 'svc', '', 1, 'a', 4, leaving=False, version=version)
+
+
+def _both() -> tuple[Upstream, ...]:
+    return tuple(
+        _upstream(f'{version}-{number}', version)
+        for version in ('v1', 'v2')
+        for number in range(3)
+    )
+
+
+def _job(key: str, route: str = 'r', *, once: bool = False) -> Job:
+    return Job(key, 'svc', 'a', 0, 100, 30, 0, 5, 5, route=route, once=once)
+
+
+def _status(state: RolloutState, revision: int = 11) -> RolloutStatus:
+    return RolloutStatus('v2', state, revision)
+
+
+def _taking(versions: ServiceVersions, now: float = 1) -> dict[str, set[str]]:
+    """Return the versions in use, on trial, and left out."""
+    taking: dict[str, set[str]] = {'used': set(), 'canary': set(), 'out': set()}
+    for one in versions.marked(_both(), now):
+        kind = 'canary' if one.canary else 'used'
+        taking['out' if one.leaving else kind].add(one.version)
+    return taking
+
+
+def _known() -> ServiceVersions:
+    versions = ServiceVersions()
+    versions.marked(_both()[:3], 0)
+    return versions
+
+
+# -- versions
+
+
+def test_a_version_that_no_order_names_gets_nothing() -> None:
+    assert _taking(_known()) == {'used': {'v1'}, 'canary': set(), 'out': {'v2'}}
+
+
+def test_a_target_is_on_trial_while_its_order_runs() -> None:
+    versions = _known()
+    versions.order = _ORDER
+    for status in (None, _status(RolloutState.running)):
+        versions.status = status
+        taking = _taking(versions)
+        assert taking == {'used': {'v1'}, 'canary': {'v2'}, 'out': set()}
+
+
+@pytest.mark.parametrize(
+    ('state', 'used'),
+    [(RolloutState.completed, 'v2'), (RolloutState.rolled_back, 'v1')],
+)
+def test_a_last_word_leaves_one_version(state: RolloutState, used: str) -> None:
+    for versions in (_known(), ServiceVersions()):
+        versions.order = _ORDER
+        versions.status = _status(state)
+        taking = _taking(versions)
+        assert taking['used'] == {used}
+        assert not taking['canary']
+
+
+def test_a_status_from_before_the_order_says_nothing() -> None:
+    versions = _known()
+    versions.order = _ORDER
+    versions.status = _status(RolloutState.rolled_back, revision=9)
+    assert _taking(versions)['canary'] == {'v2'}
+
+
+def test_another_version_is_used_once_none_of_the_old_is_left() -> None:
+    versions = _known()
+    new = _both()[3:]
+    assert all(one.leaving for one in versions.marked(new, 1))
+    assert all(one.leaving for one in versions.marked(new, 4))
+    assert versions.is_absent(6)
+    assert not any(one.leaving for one in versions.marked(new, 6))
+
+
+def test_a_version_that_was_rolled_back_is_never_taken_for_lack_of_others() -> (
+    None
+):
+    versions = _known()
+    versions.order = _ORDER
+    versions.status = _status(RolloutState.rolled_back)
+    for now in (1, 10, 100):
+        assert all(one.leaving for one in versions.marked(_both()[3:], now))
+
+
+# -- evidence
+
+
+def _judged(
+    canary: Callable[[random.Random, float, str], RunReport],
+    others: Callable[[random.Random], RunReport],
+    seed: int,
+    seconds: float = 15,
+) -> Evidence:
+    """Let 80 answers a second come, 5 of them from the canaries."""
+    rng = random.Random(seed)
+    evidence = Evidence()
+    for number in range(int(seconds * _PER_S)):
+        now = number / _PER_S
+        route = rng.choice(('a', 'b', 'c'))
+        is_canary = number % 16 == 0
+        report = canary(rng, now, route) if is_canary else others(rng)
+        upstream = f'{is_canary}-{rng.randrange(6)}'
+        job = _job(str(number), route)
+        evidence.note(job, upstream, report, now, canary=is_canary)
+        evidence.look()
+    return evidence
+
+
+def _sound(rng: random.Random) -> RunReport:
+    return _FAILED if rng.random() < 0.01 else _GOOD
+
+
+def _fails(rng: random.Random, now: float, route: str) -> RunReport:
+    return _FAILED if rng.random() < 0.3 else _GOOD
+
+
+def _late(rng: random.Random, now: float, route: str) -> RunReport:
+    return _fails(rng, now, route) if now > 6 else _GOOD
+
+
+def _one_route(rng: random.Random, now: float, route: str) -> RunReport:
+    return _fails(rng, now, route) if route == 'a' else _GOOD
+
+
+def _some_slow(rng: random.Random, now: float, route: str) -> RunReport:
+    return _SLOW if rng.random() < 0.3 else _GOOD
+
+
+def _all_slow(rng: random.Random, now: float, route: str) -> RunReport:
+    return _SLOW
+
+
+@pytest.mark.parametrize(
+    'bad', [_fails, _late, _one_route, _some_slow, _all_slow]
+)
+def test_a_bad_version_is_found(
+    bad: Callable[[random.Random, float, str], RunReport],
+) -> None:
+    found = [_judged(bad, _sound, seed).condemned_by for seed in _SEEDS]
+    # A third of the answers of one route in three are seen for 15 s.
+    least = 18 if bad is _one_route else 20
+    assert sum(cause is not None for cause in found) >= least
+
+
+def test_a_good_version_is_not_condemned() -> None:
+    def good(rng: random.Random, now: float, route: str) -> RunReport:
+        return _sound(rng)
+
+    found = [_judged(good, _sound, seed).condemned_by for seed in _SEEDS]
+    assert found == [None] * len(_SEEDS)
+
+
+def test_a_trouble_of_all_condemns_nobody() -> None:
+    def failing(rng: random.Random) -> RunReport:
+        return _FAILED if rng.random() < 0.4 else _GOOD
+
+    found = [
+        _judged(lambda rng, now, route: failing(rng), failing, seed)
+        for seed in _SEEDS
+    ]
+    assert sum(one.condemned_by is not None for one in found) <= 1
+
+
+def test_the_end_of_one_upstream_is_one_bad_answer() -> None:
+    evidence = Evidence()
+    for number in range(9):
+        evidence.note(_job(str(number)), 'u', _CUT, 1, canary=True)
+    assert evidence.bad == 1
+    assert evidence.condemned_by is None
+
+
+# -- exposure
+
+
+class _Fleet:
+    """Instances that lead one after another or at once, and the store."""
+
+    def __init__(self) -> None:
+        self.now: float = 0
+        self.record = RolloutRecord(_ORDER.revision)
+        self.reached = 0
+        self.exposed = 0
+        self.leaders: list[Rollout] = []
+
+    def lead(self) -> None:
+        """Let one more instance lead, from what is written."""
+        rollout = Rollout(_ORDER, _BOUNDS, self.record, 0)
+        self.leaders.append(rollout)
+        self.write(rollout)
+
+    def write(self, rollout: Rollout) -> None:
+        """Let one write that nobody has overtaken."""
+        if rollout.exposed > self.record.exposed:
+            raise AssertionError('more was used than was written')
+        self.record = rollout.next_record('me', self.now, 1)
+        rollout.written(self.record, self.now)
+        # Whoever led before finds its record overwritten.
+        self.leaders = [rollout]
+
+    def run(self, seconds: float, rng: random.Random) -> None:
+        """Let requests come; all that lead and hold a block place some."""
+        for number in range(int(seconds * _PER_S)):
+            self.now += 1 / _PER_S
+            leader = rng.choice(self.leaders)
+            job = _job(f'{self.now}-{number}', rng.choice('ab'))
+            self.reached += 1
+            canary = leader.may_expose(job, self.now)
+            self.exposed += canary
+            leader.placed(job, canary=canary)
+            leader.ended(job, 'u', _GOOD, self.now, canary=canary)
+            if leader.wants_writing(self.now):
+                self.write(leader)
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(('lead', 'lose')), st.floats(0.1, 3)),
+        max_size=12,
+    ),
+    st.integers(0, 1000),
+)
+def test_the_target_gets_no_more_than_its_share_whoever_leads(
+    steps: list[tuple[str, float]],
+    seed: int,
+) -> None:
+    fleet = _Fleet()
+    fleet.lead()
+    rng = random.Random(seed)
+    for step, seconds in steps:
+        if step == 'lead':
+            # One that is killed leaves its block unused.
+            fleet.lead()
+        fleet.run(seconds, rng)
+        assert fleet.exposed <= (
+            _BOUNDS.share * fleet.reached + _BOUNDS.allowance
+        )
+        assert fleet.exposed <= fleet.record.exposed
+
+
+def test_all_traffic_of_the_end_fits_into_the_share() -> None:
+    """From the completion to the order's end the target gets everything."""
+    fleet = _Fleet()
+    fleet.lead()
+    rng = random.Random(1)
+    while fleet.leaders[0].stage(fleet.now) is not Stage.ending:
+        fleet.run(0.1, rng)
+    left_s = _ORDER.limit_s - fleet.now
+    exposed = fleet.exposed + left_s * _PER_S
+    reached = fleet.reached + left_s * _PER_S
+    assert exposed <= _BOUNDS.share * reached + _BOUNDS.allowance
+
+
+def test_a_block_holds_only_for_a_while() -> None:
+    rollout = Rollout(_ORDER, _BOUNDS, RolloutRecord(10), 0)
+    assert not rollout.may_expose(_job('a'), 0)
+    rollout.written(rollout.next_record('me', 0, 1), 0)
+    assert rollout.may_expose(_job('a'), 0)
+    assert not rollout.may_expose(_job('a'), BLOCK_HOLDS_S)
+
+
+def test_what_was_condemned_gets_nothing_more_also_from_another_leader() -> (
+    None
+):
+    rollout = Rollout(_ORDER, _BOUNDS, RolloutRecord(10), 0)
+    for number in range(30):
+        rollout.ended(_job(str(number)), 'u', _FAILED, number / 10, canary=True)
+    raw = msgspec.json.encode(rollout.next_record('me', 1, 1))
+    record = msgspec.json.decode(raw, type=RolloutRecord)
+    follower = Rollout(_ORDER, _BOUNDS, record, 0)
+    follower.written(follower.next_record('you', 2, 2), 2)
+    for leader in (rollout, follower):
+        assert not leader.may_expose(_job('x'), 2)
+        verdict = leader.verdict(2, 12, 12)
+        assert verdict is not None
+        assert verdict.state is RolloutState.rolled_back
+
+
+@pytest.mark.parametrize(
+    ('places', 'answers', 'state'),
+    [
+        ((12, 12), 40, RolloutState.completed),
+        ((12, 4), 40, RolloutState.rolled_back),
+        ((12, 0), 0, RolloutState.rolled_back),
+        ((12, 12), 3, None),
+    ],
+)
+def test_it_is_completed_only_where_it_can_go_on(
+    places: tuple[int, int],
+    answers: int,
+    state: RolloutState | None,
+) -> None:
+    rollout = Rollout(_ORDER, _BOUNDS, RolloutRecord(10), 0)
+    for number in range(answers):
+        rollout.ended(_job(str(number)), 'u', _GOOD, 1, canary=True)
+    assert rollout.verdict(10, *places) is None
+    verdict = rollout.verdict(15.9, *places)
+    assert (None if verdict is None else verdict.state) is state
+
+
+# -- placing
+
+
+def _granted(pool: ServicePool, jobs: Iterable[Job], now: float) -> list[str]:
+    for job in jobs:
+        pool.ask(job)
+    return [
+        decision.upstream.version
+        for decision in pool.decide(now)
+        if isinstance(decision, Granted)
+    ]
+
+
+def _pool() -> ServicePool:
+    pool = ServicePool('svc', 5, random.Random(1))
+    versions = _known()
+    versions.order = _ORDER
+    pool.set_upstreams(versions.marked(_both(), 1))
+    return pool
+
+
+def test_only_who_leads_places_on_the_target() -> None:
+    pool = _pool()
+    jobs = [_job(str(number)) for number in range(6)]
+    assert set(_granted(pool, jobs, 0)) == {'v1'}
+    pool = _pool()
+    pool.rollout = Rollout(_ORDER, _BOUNDS, RolloutRecord(10), 0)
+    pool.rollout.written(pool.rollout.next_record('me', 0, 1), 0)
+    assert 'v2' in _granted(pool, jobs, 0)
+
+
+def test_what_has_failed_once_goes_to_the_version_in_use() -> None:
+    pool = _pool()
+    pool.rollout = Rollout(_ORDER, _BOUNDS, RolloutRecord(10), 0)
+    pool.rollout.written(pool.rollout.next_record('me', 0, 1), 0)
+    again = msgspec.structs.replace(_job('a'), excluded=frozenset(('v1-0',)))
+    assert _granted(pool, [again], 0) == ['v1']
