--- a/packages/dispatch/src/tallyhall_dispatch/callers.py
+++ b/packages/dispatch/src/tallyhall_dispatch/callers.py
@@ -16,8 +16,6 @@
 # desired state may come with other limits.
 _KEPT_S = 10.0
 # What lacks of a limit at a first try, in seconds: its way and its connection.
-# Of 28 requests on a calm route 22 lacked 0.1 s or less, 6 had come back and
-# lacked 0.6 s.
 _WAY_S = 0.15
 # Nobody comes back later than this after a first try, in seconds: callers wait
 # for up to 3 s when told to, and a second for a connection. What lacks more is
--- a/packages/dispatch/src/tallyhall_dispatch/engines.py
+++ b/packages/dispatch/src/tallyhall_dispatch/engines.py
@@ -13,8 +13,7 @@
 from .desired import Upstream
 from .jobs import Ending, Job, RunReport
 
-# Weight of the newest observation in a mean; ten observations, about a
-# second of traffic on one engine, replace four fifths of it.
+# Weight of the newest observation in a mean: ten replace four fifths of it.
 _NEWEST = 0.15
 # Guesses until the first observation: seconds an event, seconds a prompt
 # token, seconds to answer a plain request.
@@ -36,9 +35,8 @@
 # and single errors happen on sound ones.
 _FAILURES_BORNE = 3
 
-# Events from which on the longest pause of an answer is learned: on slow
-# engines 9 of 87 answers of four events were late by a pause, 43 of 84 answers
-# of fifty.
+# Events from which on the longest pause of an answer is learned: short answers
+# seldom meet one.
 _PAUSE_EVENTS = 6
 # Deviations that are added to the mean of the longest pauses, so that answers
 # are on time that pause longer than most.
@@ -128,7 +126,7 @@
 
         Engines of one service differ in speed by a factor of five. Where an
         event takes as long as its route allows, an answer is late however
-        soon it begins: 78 of 144 on the three slow ones of nine.
+        soon it begins.
         """
         if not job.pause_s or self._pause_s is None:
             return True
--- a/packages/dispatch/src/tallyhall_dispatch/quota.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota.py
@@ -30,14 +30,13 @@
 from .quota_limits import Fleet, QuotaBounds, QuotaLimits
 from .quota_use import FleetUse, Parts, Use, UseReport
 
-# Use above this part of a quota is written to the store; up to it nothing
-# is, and that much counts as used at a restart. Workspaces use 0.55 of their
-# quota on a calm day, which then costs no writes.
+# Use above this part of a quota is written to the store; up to it nothing is,
+# and that much counts as used at a restart: a usual use costs no writes.
 _WRITTEN_PART = 0.6
 # The use is written again once a workspace was admitted this part of what its
 # quota may be exceeded by: so much may be forgotten when all processes end,
 # beside what was given to requests above the quota. Each write wakes every
-# watch: 24 of 61 calls of an instance on a calm day, one every 1.6 s.
+# watch.
 _UNWRITTEN_PART = 0.3
 # Least wait that a caller over its quota is told, in seconds.
 _LEAST_WAIT_S = 0.2
--- a/packages/dispatch/src/tallyhall_dispatch/quota_limits.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota_limits.py
@@ -11,23 +11,20 @@
 # those that do not hear each other know it from one that hears all; what is
 # used below it cannot exceed a quota together with their own.
 _HIGH_PART = 0.5
-# Use below this part of a quota is calm: at 8 times a usual load of 0.55 of
-# the quota, what all admit until a silence of 1.5 beats is seen stays in it,
-# with the beats of a mesh and with the longest ones of a large fleet.
+# Use below this part of a quota is calm: what all admit in a surge until a
+# silence of 1.5 beats is seen stays in the quota, with the beats of a mesh and
+# with the longest ones of a large fleet.
 _CALM_PART = 0.65
 _CALM_PART_MESH = 0.8
 # Part of the granted slack that lone instances may use together; the rest
 # covers what is admitted between two reports.
 _SLACK_PART = 0.5
 # Part of what a quota may be exceeded by that is given to requests above it
-# while places are free. The rest is for what is admitted between two reports,
-# 0.15 s apart: half of 140,000 tokens, a usual slack, bears 470,000 a second of
-# one workspace, about all that nine engines can read.
+# while places are free. The rest is for what is admitted between two reports.
 _SPARE_PART = 0.5
 # Of what is left while the use is calm, so much may be admitted here before it
-# is counted, and at any time by one request in a large fleet: requests of
-# 50,000 tokens fit at 87 instances, where an even share of a quota of 4.7
-# million tokens is 27,000.
+# is counted, and at any time by one request in a large fleet: a large request
+# does not fit into an even share.
 _CALM_SHARE = 1 / 8
 # In a large fleet at most that many parts of what is left are shared out among
 # all, since the more instances there are, the more of them admit something
@@ -37,8 +34,7 @@
 # all news come in time.
 _UNHEARD_PART = 0.25
 # Least time between two questions for the use of all from an instance, in
-# seconds, and how many of them a hub gets in a second at most: 0.3 of a core if
-# each instance has a workspace that is at its limit.
+# seconds, and how many of them a hub gets in a second at most.
 _NEWS_S = 0.1
 _MOST_NEWS_PER_S = 1000
 
--- a/packages/dispatch/src/tallyhall_dispatch/quota_use.py
+++ b/packages/dispatch/src/tallyhall_dispatch/quota_use.py
@@ -25,8 +25,7 @@
 # Returns are told by then, with one of two beats.
 _RETURNS_TOLD_S = _HEARD_S
 # The sum of a window moves in steps of this part of it, and a step counts until
-# its newest amount is out: with 40 steps a use near its quota was taken for
-# 1.03 of what it was, with 160 for 1.005 (simulated, 195 instances).
+# its newest amount is out.
 _STEPS = 160
 # The rate of the use of all is the larger one over these spans, in seconds: a
 # surge shows in the short one as soon as it is told.
--- a/packages/edge/src/tallyhall_edge/stopping.py
+++ b/packages/edge/src/tallyhall_edge/stopping.py
@@ -7,8 +7,7 @@
 
 # Told to callers that came to a stopping instance: others are there at once.
 _ELSEWHERE_S = 0.1
-# A first send later than this before the end would likely be cut: nine of ten
-# runs take at most 2.2 s (3,323 logged ones of three plays).
+# A first send later than this before the end would likely be cut.
 _LAST_RUN_S = 2.2
 # What still waits to be sent again is answered this long before the end.
 _LAST_ANSWER_S = 0.1
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 import random
 from collections.abc import Coroutine
 from typing import TYPE_CHECKING, Any
@@ -172,10 +171,7 @@
             self.log.event,
             rng,
             # One instance writes for all: each write wakes every watch.
-            WrittenUse(
-                self._gate.quotas,
-                functools.partial(self._owns, _USE),
-            ),
+            WrittenUse(self._gate.quotas, lambda: self._owns(_USE)),
             options.store.least_lease_s,
             self._beliefs,
         )
--- a/packages/entry/src/tallyhall_entry/use_news.py
+++ b/packages/entry/src/tallyhall_entry/use_news.py
@@ -3,8 +3,7 @@
 A beat is spaced for calm: what others admitted a second ago matters little to
 a quota of which one half is used. Where a quota is nearly used it is told to
 the hubs at once and asked of them, and nobody is refused for his quota by
-older knowledge than that: of 2,934 requests that were so refused in a play of
-195 instances 2,927 had a quota left.
+older knowledge than that.
 """
 
 from __future__ import annotations
--- a/packages/platform/src/tallyhall_platform/follow.py
+++ b/packages/platform/src/tallyhall_platform/follow.py
@@ -45,7 +45,7 @@
 _LOST_WATCH_S = 0.9
 _LEAST_WATCH_S = 0.3
 # Least time between two watches, so that changes that come in a row share a
-# call: with 0.1 s, a rolling restart of 7 instances took 25 calls a second.
+# call, as those of a rolling restart do.
 _LEAST_GAP_S = 0.35
 # What is told is asked for this often, in parts of the time that a change may
 # take and in seconds at most: a change, one question that is lost and its
@@ -65,9 +65,7 @@
 _LONGEST_PAUSE_S = 0.8
 # A store that does not answer at all is asked again this long after the last
 # question: what a return is noticed late is lost to entries that lapsed, which
-# have contact-ms less this time to come back. It makes up to 1.6 calls a second
-# of 1.1 where connections fail after half a second, and 2.7 of 2.2 where they
-# are reset at once.
+# have contact-ms less this time to come back.
 _NOTICE_S = 0.65
 # The first question after a failed call is answered at once, so that the
 # return is known before the next change; one call more for each return.
