--- a/packages/emulator/src/tallyhall_emulator/callers.py
+++ b/packages/emulator/src/tallyhall_emulator/callers.py
@@ -27,8 +27,6 @@
 _RETRY_RATIO = 0.2
 _RETRY_ALLOWANCE = 50
 _RETRY_WINDOW_S = 10
-# Callers wait for as long as they are told, up to this part of what they have.
-_HONOURED_PART = 1 / 3
 _AGAIN = frozenset((Ending.unsent, Ending.rejected))
 
 
@@ -85,10 +83,7 @@
         for _ in range(arrival.kind.returns):
             if outcome is not Outcome.refused:
                 break
-            left_s = visit.end_at - self._env.now
-            yield self._env.timeout(
-                min(visit.retry_after_s, left_s * _HONOURED_PART),
-            )
+            yield self._env.timeout(visit.retry_after_s)
             if self._env.now >= visit.end_at:
                 break
             outcome = yield from self._try(visit)
@@ -139,10 +134,6 @@
             self._service.first_byte(job)
         else:
             yield from self._break(visit, run, upstream, fault)
-        yield run.ended | self._env.timeout(
-            max(0, visit.end_at - self._env.now)
-        )
-        self._service.cut(upstream, run, Ending.left)
         report: RunReport = yield run.ended
         self._service.finish(job, report)
         if report.ending is Ending.answered:
@@ -202,8 +193,6 @@
         if self._switches.first_tries:
             since_s = self._first_tries.since_s(route, '', left_s, now)
         events_stated = arrival.events * kind.stated
-        if kind.states_longest:
-            events_stated = kind.events.longest
         tokens = round(events_stated * self._scenario.engines.event_tokens)
         return Job(
             key=f'emulated/{next(self._keys)}',
--- a/packages/emulator/src/tallyhall_emulator/scenario.py
+++ b/packages/emulator/src/tallyhall_emulator/scenario.py
@@ -63,8 +63,7 @@
 
     per_s: how many arrive. worth, late_worth: what an answer in time and a
     late one are worth. stated: how many times the events that come a caller
-    states, or the longest answer where `states_longest` is set.
-    returns: how often a caller comes back after a refusal. attempts:
+    states. returns: how often a caller comes back after a refusal. attempts:
     the most engines it may be sent to.
     """
 
@@ -79,7 +78,6 @@
     late_worth: Amount
     urgency: int
     stated: Positive = 1
-    states_longest: bool = False
     returns: int = 1
     attempts: Count = 1
 
