One copy each: writes to the store, an order without a last word, lost connections

Found in reading the whole change again; behaviour stays. put, create and swap of the store's client build their call in one place; whether an order still runs is said once, for what takes requests and for who leads; which endings broke a connection off is of the jobs; the upstreams on trial, and the version that a roll-out ended with, are found by one function each.

--- a/packages/dispatch/src/tallyhall_dispatch/evidence.py
+++ b/packages/dispatch/src/tallyhall_dispatch/evidence.py
@@ -18,12 +18,12 @@
 import collections
 import math
 import statistics
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Collection, Mapping
 
 import msgspec
 
 from .engines import FIRST_FIXED_S, FIRST_TOKEN_S
-from .jobs import Ending, Job, RunReport
+from .jobs import BROKEN_OFF, Ending, Job, RunReport
 from .windows import SlidingSum
 
 # The others' answers are counted over this long, in seconds.
@@ -57,8 +57,8 @@
 _ONE_END_S = 0.5
 _LEAST_S = 0.001
 _WHOLE = ''
-_BAD_ENDINGS = frozenset((Ending.failed, Ending.unknown, Ending.broken))
-_CUT_ENDINGS = frozenset((Ending.unknown, Ending.broken))
+# Endings that say something of the upstream.
+_TELLING = BROKEN_OFF | {Ending.failed, Ending.answered}
 
 
 class Tally(msgspec.Struct):
@@ -128,9 +128,9 @@
         canary: bool,
     ) -> None:
         """Take how a run ended; what says nothing of the upstream is none."""
-        if report.ending not in _BAD_ENDINGS | {Ending.answered}:
+        if report.ending not in _TELLING:
             return
-        if report.ending in _CUT_ENDINGS and self._is_same_end(upstream, now):
+        if report.ending in BROKEN_OFF and self._is_same_end(upstream, now):
             return
         bad = report.ending is not Ending.answered
         if not bad:
@@ -232,12 +232,8 @@
 
     def usual(self) -> list[float]:
         """Return the usual time of each upstream that is known."""
-        return list(self._known())
-
-    def _known(self) -> Iterator[float]:
-        for times in self._kept.values():
-            if len(times) >= _KNOWN:
-                yield _usual(times)
+        found = map(self.usual_of, self._kept)
+        return [usual for usual in found if usual is not None]
 
 
 def _usual(times: Collection[float]) -> float:
--- a/packages/dispatch/src/tallyhall_dispatch/group.py
+++ b/packages/dispatch/src/tallyhall_dispatch/group.py
@@ -83,14 +83,7 @@
         The same one comes first for a while, so that it is seen under load,
         then another one, as one alone tells little of all.
         """
-        canaries = sorted(
-            (
-                view
-                for view in self._views.values()
-                if view.upstream.canary and not view.upstream.leaving
-            ),
-            key=lambda view: view.incarnation,
-        )
+        canaries = sorted(self._canaries(), key=lambda view: view.incarnation)
         if not canaries:
             return canaries
         first = int(now / _CANARY_TURN_S) % len(canaries)
@@ -102,11 +95,7 @@
 
     def canary_places(self) -> int:
         """Return how many places the upstreams on trial have."""
-        return sum(
-            view.upstream.slots
-            for view in self._views.values()
-            if view.upstream.canary and not view.upstream.leaving
-        )
+        return sum(view.upstream.slots for view in self._canaries())
 
     def free(self, now: float) -> list[EngineView]:
         """Return the usable upstreams that have a free place."""
@@ -171,6 +160,13 @@
     def _free_in(self, views: Iterable[EngineView]) -> int:
         return sum(max(0, view.free(self.share)) for view in views)
 
+    def _canaries(self) -> list[EngineView]:
+        return [
+            view
+            for view in self._views.values()
+            if view.upstream.canary and not view.upstream.leaving
+        ]
+
     def _staying(self) -> list[EngineView]:
         return [
             view
--- a/packages/dispatch/src/tallyhall_dispatch/jobs.py
+++ b/packages/dispatch/src/tallyhall_dispatch/jobs.py
@@ -79,6 +79,10 @@
     left = 'left'
 
 
+# The connection was lost before the answer was whole.
+BROKEN_OFF = frozenset((Ending.unknown, Ending.broken))
+
+
 class RunReport(msgspec.Struct, frozen=True):
     """What one send showed about its upstream.
 
--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -22,7 +22,7 @@
 from .engines import EngineView
 from .forecast import Forecast
 from .group import UpstreamGroup
-from .jobs import Ending, Job, RunReport
+from .jobs import BROKEN_OFF, Ending, Job, RunReport
 from .placing import Placing
 from .refusing import GivenUp, Refusing
 from .shares import GrantRates, ServedShares
@@ -65,7 +65,6 @@
 
 
 Decision = Granted | GivenUp
-_BROKEN_OFF = frozenset((Ending.unknown, Ending.broken))
 
 
 class ServicePool:
@@ -203,7 +202,7 @@
     def _note_ending(self, job: Job, report: RunReport, now: float) -> None:
         if report.ending is Ending.answered:
             self._placing.answered(job, report.events)
-        elif job.suspect and report.ending in _BROKEN_OFF:
+        elif job.suspect and report.ending in BROKEN_OFF:
             self._unjudged = {
                 suspect: until
                 for suspect, until in self._unjudged.items()
--- a/packages/dispatch/src/tallyhall_dispatch/versions.py
+++ b/packages/dispatch/src/tallyhall_dispatch/versions.py
@@ -58,6 +58,16 @@
         return self.target == order.target and self.revision > order.revision
 
 
+def without_last_word(
+    order: RolloutOrder | None,
+    status: RolloutStatus | None,
+) -> RolloutOrder | None:
+    """Return an order if its roll-out still runs."""
+    if order is None or (status is not None and status.ends(order)):
+        return None
+    return order
+
+
 class ServiceVersions:
     """The versions of one service, by the newest order and status."""
 
@@ -75,11 +85,9 @@
         return self._is_absent and now - self._seen_at >= _ABSENT_S
 
     @property
-    def is_running(self) -> bool:
-        """Return whether there is an order without a last word."""
-        if self.order is None:
-            return False
-        return self.status is None or not self.status.ends(self.order)
+    def running(self) -> RolloutOrder | None:
+        """Return the order that has no last word yet."""
+        return without_last_word(self.order, self.status)
 
     def marked(
         self,
@@ -95,22 +103,22 @@
 
     def _marked(self, upstream: Upstream) -> Upstream:
         version = upstream.version
-        order = self.order
-        if order is not None and self.is_running and version == order.target:
+        order = self.running
+        if order is not None and version == order.target:
             return msgspec.structs.replace(upstream, canary=True)
         if self._is_barred(version):
             return msgspec.structs.replace(upstream, leaving=True)
         return upstream
 
     def _is_barred(self, version: str) -> bool:
-        if self.is_running:
-            return version == self._rolled_back
+        if self.running is not None:
+            return version == self._ended(RolloutState.rolled_back)
         return version != self._accepted
 
-    @property
-    def _rolled_back(self) -> str | None:
+    def _ended(self, state: RolloutState) -> str | None:
+        """Return the version whose roll-out ended so, if the newest did."""
         status = self.status
-        if status is None or status.state is not RolloutState.rolled_back:
+        if status is None or status.state is not state:
             return None
         return status.target
 
@@ -119,7 +127,7 @@
         staying = collections.Counter(
             upstream.version for upstream in upstreams if not upstream.leaving
         )
-        completed = self._completed
+        completed = self._ended(RolloutState.completed)
         if completed is not None and completed in staying:
             self._accepted = completed
         self._is_absent = bool(staying) and self._accepted not in staying
@@ -128,17 +136,10 @@
             return
         if self._accepted and now - self._seen_at < _ABSENT_S:
             return
-        barred = {self._rolled_back}
-        if self.is_running and self.order is not None:
-            barred.add(self.order.target)
+        barred = {self._ended(RolloutState.rolled_back)}
+        if self.running is not None:
+            barred.add(self.running.target)
         others = sorted(staying.keys() - barred)
         if others:
             self._accepted = max(others, key=staying.__getitem__)
             self._is_absent = False
-
-    @property
-    def _completed(self) -> str | None:
-        status = self.status
-        if status is None or status.state is not RolloutState.completed:
-            return None
-        return status.target
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -111,7 +111,9 @@
         Always those of model engines, and of any service in a roll-out: what a
         new version gets is bounded over all instances together.
         """
-        return self.is_model(service) or self._versions[service].is_running
+        if self.is_model(service):
+            return True
+        return self._versions[service].running is not None
 
     def places(self, service: str) -> tuple[int, int]:
         """Return the places of the upstreams in use, and of those on trial."""
--- a/packages/entry/src/tallyhall_entry/rollouts.py
+++ b/packages/entry/src/tallyhall_entry/rollouts.py
@@ -26,6 +26,7 @@
     RolloutOrder,
     RolloutState,
     RolloutStatus,
+    without_last_word,
 )
 from tallyhall_edge.scheduling import Dispatcher
 from tallyhall_platform.calls import CallCounts
@@ -71,11 +72,7 @@
     @property
     def running(self) -> RolloutOrder | None:
         """Return the order that has no last word yet."""
-        if self.order is None:
-            return None
-        if self.status is not None and self.status.ends(self.order):
-            return None
-        return self.order
+        return without_last_word(self.order, self.status)
 
 
 class Rollouts:
--- a/packages/platform/src/tallyhall_platform/store.py
+++ b/packages/platform/src/tallyhall_platform/store.py
@@ -52,6 +52,7 @@
 
 _Model = TypeVar('_Model')
 _NOTHING: Mapping[str, int] = types.MappingProxyType({})
+_NO_LEASE = 0
 
 
 class _Row(Part, frozen=True):
@@ -207,20 +208,14 @@
 
     async def put(self, key: str, content: bytes, lease: int) -> None:
         """Write a key under a lease, whatever it holds now."""
-        text = base64.b64encode(content).decode()
-        write = {'key': key, 'value': text, 'lease': lease}
-        await self._write({'expected-rev': [], 'writes': [write], 'delete': []})
+        await self._write(key, content, lease, _NOTHING)
 
     async def create(self, key: str, lease: int) -> None:
         """Write an empty key that does not exist yet.
 
         Raises ConditionFailedError where it exists.
         """
-        expected = {'key': key, 'revision': 0}
-        write = {'key': key, 'value': '', 'lease': lease}
-        await self._write(
-            {'expected-rev': [expected], 'writes': [write], 'delete': []},
-        )
+        await self._write(key, b'', lease, {key: 0})
 
     async def swap(
         self,
@@ -233,16 +228,11 @@
         ConditionFailedError where one of them does not.
         """
         expected = {write.key: write.revision, **beside}
-        text = base64.b64encode(write.content).decode()
         answer = await self._write(
-            {
-                'expected-rev': [
-                    {'key': key, 'revision': revision}
-                    for key, revision in expected.items()
-                ],
-                'writes': [{'key': write.key, 'value': text, 'lease': 0}],
-                'delete': [],
-            },
+            write.key,
+            write.content,
+            _NO_LEASE,
+            expected,
         )
         return _checked(answer, _Written).revision
 
@@ -295,7 +285,23 @@
             raise HistoryGoneError(path)
         return _checked(answer, model)
 
-    async def _write(self, body: dict[str, Any]) -> WholeAnswer:
+    async def _write(
+        self,
+        key: str,
+        content: bytes,
+        lease: int,
+        expected: Mapping[str, int],
+    ) -> WholeAnswer:
+        """Write a key where all that is expected stands at its revision."""
+        text = base64.b64encode(content).decode()
+        body = {
+            'expected-rev': [
+                {'key': other, 'revision': revision}
+                for other, revision in expected.items()
+            ],
+            'writes': [{'key': key, 'value': text, 'lease': lease}],
+            'delete': [],
+        }
         answer = await self._call(CallKind.write, 'POST', '/kv-txn', body)
         if answer.status == _CONDITION_FAILED:
             raise ConditionFailedError('the keys have changed')
