What an upstream names as its limit stands in the log, and what nobody reads

Line 409 has limit_per_s now; 414 tells once a name of headers that say something of an upstream and that nothing reads, the class of this incident and of the one before it. No request is sent elsewhere for it yet.

--- a/packages/core/src/tallyhall_core/events.py
+++ b/packages/core/src/tallyhall_core/events.py
@@ -53,6 +53,7 @@
     upstream_ended = 411
     suspected = 412
     upstream_leaves = 413
+    header_unread = 414
     logs_dropped = 501
     internal_error = 500
     order_sent = 600
--- a/packages/edge/src/tallyhall_edge/dialect.py
+++ b/packages/edge/src/tallyhall_edge/dialect.py
@@ -56,6 +56,9 @@
     proven: it carries the upstream's signature. not_executed: the upstream
     states that it did not run the request. leaving: it takes no new work.
     rest_s: seconds for which it wants nothing from this instance, 0 for none.
+    limit_per_s: requests a second that it takes from all instances together,
+    None if it names no limit. unread: names of headers that say something of
+    the upstream and that nothing here reads.
     """
 
     proven: bool
@@ -64,6 +67,14 @@
     streams: bool
     leaving: bool = False
     rest_s: float = 0
+    limit_per_s: float | None = None
+    unread: tuple[str, ...] = ()
+
+    @property
+    def says_anything(self) -> bool:
+        """Return whether the upstream says how it wants to be treated."""
+        said_limit = self.limit_per_s is not None
+        return self.leaving or self.rest_s > 0 or said_limit
 
 
 class OwnAnswer(msgspec.Struct, frozen=True):
--- a/packages/edge/src/tallyhall_edge/relay.py
+++ b/packages/edge/src/tallyhall_edge/relay.py
@@ -123,7 +123,7 @@
         self.head = head
         info = self._dialect.answer(head)
         self.info = info
-        if self.on_said is not None and (info.leaving or info.rest_s):
+        if self.on_said is not None:
             self.on_said(info)
         if head.is_success and not info.proven:
             self._finish(Ending.unknown)
--- a/packages/edge/src/tallyhall_edge/request_log.py
+++ b/packages/edge/src/tallyhall_edge/request_log.py
@@ -19,6 +19,8 @@
 _MILLI = 1000
 # Characters of a cause; it may hold what an upstream sent.
 _SHOWN_CAUSE = 100
+# Unread headers that are told by name; an upstream may make up any number.
+_MOST_UNREAD = 20
 
 
 class RequestLog:
@@ -27,6 +29,7 @@
     def __init__(self, telemetry: Telemetry) -> None:
         """Tell it to this."""
         self._telemetry = telemetry
+        self._unread: set[str] = set()
 
     def admitted(
         self,
@@ -92,6 +95,17 @@
             **_said(visit),
         )
 
+    def header_unread(self, upstream: Upstream, name: str) -> None:
+        """Log once that upstreams send a header that nothing here reads."""
+        if name in self._unread or len(self._unread) >= _MOST_UNREAD:
+            return
+        self._unread.add(name)
+        self._telemetry.event(
+            Event.header_unread,
+            header=name[:_SHOWN_CAUSE],
+            upstream=upstream.incarnation,
+        )
+
     def budget_binds(self, visit: Visit) -> None:
         """Log that a request is not sent again, for the retry budget."""
         self._telemetry.event(
@@ -177,9 +191,13 @@
 def _said(visit: Visit) -> dict[str, object]:
     """Return what an upstream said of itself, beside its answer."""
     info = None if visit.relay is None else visit.relay.info
-    if info is None or not (info.leaving or info.rest_s):
+    if info is None or not info.says_anything:
         return {}
-    return {'leaving': info.leaving, 'rest_ms': _millis(info.rest_s)}
+    return {
+        'leaving': info.leaving,
+        'rest_ms': _millis(info.rest_s),
+        'limit_per_s': info.limit_per_s,
+    }
 
 
 def _late_inputs(visit: Visit, now: float) -> dict[str, object]:
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -143,6 +143,8 @@
         if info.rest_s:
             now = self._loop.time()
             self.rests.ask(upstream.incarnation, info.rest_s, now)
+        for name in info.unread:
+            self._log.header_unread(upstream, name)
 
     def _relay(
         self,
--- a/packages/platform/src/tallyhall_platform/dialect.py
+++ b/packages/platform/src/tallyhall_platform/dialect.py
@@ -42,7 +42,22 @@
 _SIGNATURE = b'x-tallyhall-response-signature'
 _NOT_EXECUTED = b'x-tallyhall-not-executed'
 _LEAVING = b'server-leaving'
+_LIMIT = b'server-limit'
 _RETRY_AFTER = b'retry-after'
+# Headers with these beginnings say something of the upstream or the request.
+_SAYING = (b'server-', b'x-tallyhall-')
+# Of these, the ones that are read, and those that forbid and ask nothing.
+_KNOWN_TO_SAY = frozenset(
+    (
+        _REQUEST_ID,
+        _SIGNATURE,
+        _NOT_EXECUTED,
+        _LEAVING,
+        b'x-tallyhall-server-load',
+        b'x-tallyhall-weight-versions',
+        b'x-tallyhall-instance-id',
+    ),
+)
 _SCHEME = 'bearer '
 _MILLI = 1000
 _CENTI = 100
@@ -122,6 +137,7 @@
         """Return what the head of an answer says."""
         media = find(head.headers, b'content-type') or b''
         misplaced = head.status == _MISDIRECTED
+        limit_per_s = _limit_per_s(head.headers)
         return AnswerInfo(
             proven=find(head.headers, _SIGNATURE) is not None,
             not_executed=(
@@ -132,6 +148,8 @@
             # Another one than was asked for speaks for itself only.
             leaving=not misplaced and _is_set(head.headers, _LEAVING),
             rest_s=_rest_s(head),
+            limit_per_s=None if misplaced else limit_per_s,
+            unread=_unread(head.headers, has_limit=limit_per_s is not None),
         )
 
     def refusal(self, refusal: Refusal) -> OwnAnswer:
@@ -181,6 +199,28 @@
     return min(_LONGEST_REST_S, max(0, rest_s))
 
 
+def _limit_per_s(headers: Headers) -> float | None:
+    text = find(headers, _LIMIT)
+    if text is None:
+        return None
+    try:
+        limit = float(text)
+    except ValueError:
+        return None
+    return limit if 0 <= limit < math.inf else None
+
+
+def _unread(headers: Headers, *, has_limit: bool) -> tuple[str, ...]:
+    """Return names that are not known, and a limit that is no number."""
+    known = _KNOWN_TO_SAY | {_LIMIT} if has_limit else _KNOWN_TO_SAY
+    names = (name.lower() for name, _ in headers)
+    return tuple(
+        name.decode('latin-1')
+        for name in names
+        if name.startswith(_SAYING) and name not in known
+    )
+
+
 def _numbers(headers: Headers, name: bytes) -> tuple[int, ...]:
     text = find(headers, name)
     if text is None:
--- a/packages/standins/src/tallyhall_standins/platform_engine.py
+++ b/packages/standins/src/tallyhall_standins/platform_engine.py
@@ -107,6 +107,10 @@
         self.leaving = False
         # Turns all requests away and asks for so many seconds of rest.
         self.rest_s: float | None = None
+        # Names in all its answers what it takes in a second.
+        self.limit_per_s: float | None = None
+        # Further header lines of all its answers.
+        self.says: tuple[str, ...] = ()
         # Set once it has ended, with all that ran.
         self.ended = asyncio.Event()
         self.incarnation = incarnation
@@ -366,6 +370,9 @@
     def _head(self, status: int, lines: tuple[str, ...]) -> None:
         if self._engine.leaving:
             lines = (*lines, 'Server-Leaving: 1')
+        if self._engine.limit_per_s is not None:
+            lines = (*lines, f'Server-Limit: {self._engine.limit_per_s}')
+        lines = (*lines, *self._engine.says)
         head = '\r\n'.join((f'HTTP/1.1 {status} Status', *lines, '', ''))
         self._writer.write(head.encode())
 
--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 from tallyhall_core.events import Event
@@ -130,3 +131,29 @@
     assert done.returncode == code
     assert text in done.stdout + done.stderr
     assert 'Traceback' not in done.stderr
+
+
+async def test_a_header_that_nobody_reads_is_told_once(
+    tmp_path: Path,
+) -> None:
+    path = tmp_path / 'log'
+    writer = os.open(path, os.O_WRONLY | os.O_CREAT)
+    async with deployment() as made:
+        setup_logging('entry-1', time.monotonic, writer)
+        engine = await made.add_engine('plain-0', PLAIN)
+        engine.limit_per_s = 50
+        engine.says = ('Server-Mood: glum',)
+        await made.ready()
+        for number in range(2):
+            answer = await made.caller().ask('/safe/x', f'r{number}')
+            assert answer.status == 200
+    os.close(writer)
+    lines = [read_line(text) for text in path.read_text().splitlines()]
+    fields: dict[str, list[dict[str, Any]]] = {}
+    for line in lines:
+        assert line is not None
+        fields.setdefault(line.event, []).append(dict(line.fields))
+    headers = [told['header'] for told in fields['header_unread']]
+    assert headers == ['server-mood']
+    limits = [told['limit_per_s'] for told in fields['send_ended']]
+    assert limits == [50, 50]
--- a/tests/platform/test_said.py
+++ b/tests/platform/test_said.py
@@ -49,3 +49,43 @@
 def test_a_rest_is_within_its_bounds(text: bytes) -> None:
     head = _head(503, (b'Retry-After', text))
     assert 0 <= PlatformDialect().answer(head).rest_s <= 600
+
+
+@pytest.mark.parametrize(
+    ('text', 'limit'),
+    [
+        (b'3.5', 3.5),
+        (b'12', 12),
+        (b'0', 0),
+        (b'-1', None),
+        (b'nan', None),
+        (b'inf', None),
+        (b'many', None),
+    ],
+)
+def test_a_limit_is_a_number_of_requests(
+    text: bytes,
+    limit: float | None,
+) -> None:
+    dialect = PlatformDialect()
+    for status in (200, 500, 503):
+        said = dialect.answer(_head(status, (b'Server-Limit', text)))
+        assert said.limit_per_s == limit
+        assert said.unread == (('server-limit',) if limit is None else ())
+    # Another one has the address.
+    other = dialect.answer(_head(421, (b'Server-Limit', text)))
+    assert other.limit_per_s is None
+
+
+def test_what_nobody_reads_is_named() -> None:
+    said = PlatformDialect().answer(
+        _head(
+            200,
+            _LEAVING,
+            (b'Server-Mood', b'1'),
+            (b'X-Tallyhall-Server-Load', b'1,2,3'),
+            (b'X-Tallyhall-News', b'1'),
+            (b'Date', b'today'),
+        ),
+    )
+    assert said.unread == ('server-mood', 'x-tallyhall-news')
