An upstream that names a limit gets no more from all instances together

Cause: nothing read Server-Limit.

Change: the newest word of an upstream holds, whoever heard it; it is told to all at once, in a large fleet through the hubs, and to each on a new stream. Whoever owns a service keeps a token bucket an upstream and places the requests of all; plain services with such an upstream have an owner for as long. An instance that no owner answers keeps to its part, drawn so that all of them together do not begin with a request each. What others decided counts when it is told; what was not sent is given back. Forecasts know the rate, so that callers are refused early, with a time at which their turn may come. An answer that names no limit ends it, if its request was sent after the last one that did.

Why it works: the number is known where the choice is made, and there is one such place for all; without it the parts add up to the limit.

--- a/packages/core/src/tallyhall_core/events.py
+++ b/packages/core/src/tallyhall_core/events.py
@@ -54,6 +54,7 @@
     suspected = 412
     upstream_leaves = 413
     header_unread = 414
+    limit_named = 415
     logs_dropped = 501
     internal_error = 500
     order_sent = 600
--- a/packages/dispatch/src/tallyhall_dispatch/engines.py
+++ b/packages/dispatch/src/tallyhall_dispatch/engines.py
@@ -11,7 +11,8 @@
 import msgspec
 
 from .desired import Upstream
-from .jobs import Ending, Job, RunReport
+from .jobs import NOT_SENT, Ending, Job, RunReport
+from .token_bucket import TokenBucket
 
 # Weight of the newest observation in a mean: ten replace four fifths of it.
 _NEWEST = 0.15
@@ -78,13 +79,16 @@
         self.hold_s: float | None = None
         self._aside_until: float = 0
         self._failures = 0
+        # Of the limit that it names, None if it names none.
+        self.tokens: TokenBucket | None = None
 
     @property
     def free_rate(self) -> float:
         """Return how many places become free in a second, 0 if unknown."""
         if self.hold_s is None:
             return 0
-        return self.upstream.slots / max(_LEAST_HOLD_S, self.hold_s)
+        rate = self.upstream.slots / max(_LEAST_HOLD_S, self.hold_s)
+        return rate if self.tokens is None else min(rate, self.tokens.rate)
 
     @property
     def token_s(self) -> float:
@@ -96,6 +100,12 @@
         places = math.ceil(self.upstream.slots * share)
         return max(1, places) - len(self.runs)
 
+    def has_place(self, share: float, now: float) -> bool:
+        """Return whether a request may begin here now."""
+        if self.free(share) <= 0:
+            return False
+        return self.tokens is None or self.tokens.has_token(now)
+
     def is_aside(self, now: float) -> bool:
         """Return whether recent failures keep this upstream out of use."""
         return now < self._aside_until
@@ -139,6 +149,8 @@
         """Take a job as running here."""
         self.runs[job.key] = Run(job, self.reading_tokens)
         self.reading_tokens += job.prompt_tokens
+        if self.tokens is not None:
+            self.tokens.take()
 
     def drop(self, key: str) -> None:
         """Forget a job without learning from it."""
@@ -158,6 +170,8 @@
         if run is None:
             return
         self._has_read(run)
+        if self.tokens is not None and report.ending in NOT_SENT:
+            self.tokens.give_back()
         self._note_failure(report.ending, now)
         if report.total_s:
             self.hold_s = _mean(self.hold_s, report.total_s)
--- a/packages/dispatch/src/tallyhall_dispatch/group.py
+++ b/packages/dispatch/src/tallyhall_dispatch/group.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Collection, Iterable, Mapping
 
 import msgspec
@@ -11,6 +12,7 @@
 from .forecast import Forecast
 from .jobs import Job
 from .switches import Switches
+from .token_bucket import TokenBucket
 
 # A forecast looks at all upstreams, so it is made anew after this long, in
 # seconds; a fortieth of the shortest objective.
@@ -22,8 +24,9 @@
 class UpstreamGroup:
     """Views of the upstreams that are named, by incarnation."""
 
-    def __init__(self, switches: Switches) -> None:
+    def __init__(self, switches: Switches, rng: random.Random) -> None:
         """Start without upstreams."""
+        self._rng = rng
         # The part of all places that may be filled from here: what instances
         # that are not heard may be filling themselves is left alone.
         self.share: float = 1
@@ -57,6 +60,40 @@
                 continue
             view.upstream = upstream
 
+    def take_limits(
+        self,
+        limits: Mapping[str, float],
+        part: float,
+        now: float,
+    ) -> None:
+        """Keep to what upstreams name; `part` of it is for this instance.
+
+        limits: requests a second, by incarnation.
+        """
+        for incarnation, view in self._views.items():
+            per_s = limits.get(incarnation)
+            if per_s is None:
+                view.tokens = None
+            elif view.tokens is None:
+                view.tokens = TokenBucket(per_s, part, now, self._rng)
+            else:
+                view.tokens.change_rate(per_s, part, now)
+
+    @property
+    def is_limited(self) -> bool:
+        """Return whether an upstream that stays names a limit."""
+        return any(view.tokens is not None for view in self._staying())
+
+    def limits_open_in_s(self, now: float) -> float:
+        """Return how long the limits of all that stay let nothing begin."""
+        return min(
+            (
+                0 if view.tokens is None else view.tokens.opens_in_s(now)
+                for view in self._staying()
+            ),
+            default=0,
+        )
+
     def misplaced(self, incarnation: str) -> None:
         """Forget an upstream whose address another one has, while it is named.
 
@@ -90,7 +127,7 @@
         return [
             view
             for view in canaries[first:] + canaries[:first]
-            if view.free(1) > 0 and not view.is_aside(now)
+            if view.has_place(1, now) and not view.is_aside(now)
         ]
 
     def canary_places(self) -> int:
@@ -99,17 +136,21 @@
 
     def free(self, now: float) -> list[EngineView]:
         """Return the usable upstreams that have a free place."""
-        return [view for view in self.usable(now) if view.free(self.share) > 0]
+        return [view for view in self.usable(now) if self.has_place(view, now)]
+
+    def has_place(self, view: EngineView, now: float) -> bool:
+        """Return whether a request may begin at an upstream now."""
+        return view.has_place(self.share, now)
 
     def has_free(self, part: float, now: float) -> bool:
         """Return whether at least this part of the usable places is free."""
         usable = self.usable(now)
         places = sum(view.upstream.slots for view in usable)
-        return self._free_in(usable) >= part * places
+        return self._free_in(usable, now) >= part * places
 
     def free_places(self, now: float) -> int:
         """Return how many places of the usable upstreams are free."""
-        return self._free_in(self.usable(now))
+        return self._free_in(self.usable(now), now)
 
     def may_serve(self, job: Job) -> bool:
         """Return whether there is an upstream that this job may be sent to.
@@ -157,8 +198,10 @@
         token_s = min((view.token_s for view in usable), default=0)
         return Forecast(now, rate, first_s, token_s)
 
-    def _free_in(self, views: Iterable[EngineView]) -> int:
-        return sum(max(0, view.free(self.share)) for view in views)
+    def _free_in(self, views: Iterable[EngineView], now: float) -> int:
+        return sum(
+            view.free(self.share) for view in views if self.has_place(view, now)
+        )
 
     def _canaries(self) -> list[EngineView]:
         return [
--- a/packages/dispatch/src/tallyhall_dispatch/jobs.py
+++ b/packages/dispatch/src/tallyhall_dispatch/jobs.py
@@ -79,6 +79,8 @@
     left = 'left'
 
 
+# Nothing of the request reached the upstream.
+NOT_SENT = frozenset((Ending.unsent, Ending.withheld))
 # The connection was lost before the answer was whole.
 BROKEN_OFF = frozenset((Ending.unknown, Ending.broken))
 
--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -83,7 +83,7 @@
         self.rollout: Rollout | None = None
         self._event_tokens = event_tokens
         self._switches = switches
-        self._group = UpstreamGroup(switches)
+        self._group = UpstreamGroup(switches, rng)
         self._waiting = WaitingJobs()
         # Where each job that was granted runs.
         self._places: dict[str, EngineView] = {}
@@ -106,6 +106,11 @@
         """Return what is known of each upstream, by incarnation."""
         return self._group.views
 
+    @property
+    def upstreams(self) -> UpstreamGroup:
+        """Return the upstreams, with what binds all of them."""
+        return self._group
+
     @property
     def waiting(self) -> int:
         """Return how many jobs wait."""
@@ -240,7 +245,7 @@
             forecast_s = view.first_s(job)
             self._take_place(job, view, now)
             yield Granted(job.key, view.upstream, forecast_s)
-            if view.free(self._group.share) <= 0:
+            if not self._group.has_place(view, now):
                 free.remove(view)
             if not free:
                 return
--- a/packages/dispatch/src/tallyhall_dispatch/refusing.py
+++ b/packages/dispatch/src/tallyhall_dispatch/refusing.py
@@ -29,8 +29,11 @@
 # Jobs that can be in time and wait, from which on a late job is given up:
 # fewer are the ordinary jitter of arrivals.
 _IN_TIME_MANY = 3
-# Places in a second that are taken for granted at least.
+# Places in a second that are taken for granted at least, unless there are less.
 _LEAST_RATE = 0.5
+# Nobody is told to wait longer for the turn that a named limit leaves, in
+# seconds: the limit will have changed.
+_LONGEST_TURN_S = 30.0
 
 
 class Outlook(msgspec.Struct, frozen=True):
@@ -116,6 +119,9 @@
         do, and not all of them at once.
         """
         retry_s = min(_LONGEST_RETRY_S, max(_LEAST_RETRY_S, 2 * wait_s))
+        if self._group.is_limited:
+            turn_s = max(wait_s, self._group.limits_open_in_s(now))
+            retry_s = max(retry_s, min(_LONGEST_TURN_S, turn_s))
         will_be_late = now + _LEAST_RETRY_S > job.due_at
         if not will_be_late or not self._switches.late_returns:
             return retry_s
@@ -132,5 +138,6 @@
             return 0
         others = self._rates.above(urgency, forecast.now)
         own = self._rates.per_s(urgency, forecast.now)
-        rate = max(own, forecast.rate - others, _LEAST_RATE)
+        least = min(_LEAST_RATE, forecast.rate)
+        rate = max(own, forecast.rate - others, least)
         return (ahead + 1) / rate
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -17,6 +17,7 @@
 from tallyhall_dispatch.desired import DesiredState, Upstream
 from tallyhall_dispatch.jobs import Ending, Grant, Job, RunReport
 from tallyhall_dispatch.leavers import Leavers
+from tallyhall_dispatch.named_limits import NamedLimits
 from tallyhall_dispatch.pool import Granted, ServicePool
 from tallyhall_dispatch.refusing import GivenUp
 from tallyhall_dispatch.versions import (
@@ -41,9 +42,32 @@
 _NO_SERVICE_RETRY_S = 1.0
 
 
+class UpstreamListener(Protocol):
+    """Takes what upstreams say of themselves in answers, by incarnation."""
+
+    def leaves(self, incarnation: str) -> None:
+        """Take that an upstream says that it leaves."""
+
+    def limits(
+        self,
+        incarnation: str,
+        per_s: float | None,
+        asked_at: float,
+    ) -> None:
+        """Take the limit that an answer names, None if it names none.
+
+        per_s: requests a second from all instances. asked_at: when the request
+        was sent that it answers.
+        """
+
+
 class Scheduler(Protocol):
     """Grants upstreams to requests."""
 
+    @property
+    def upstream_news(self) -> UpstreamListener:
+        """Return who takes what upstreams say in answers."""
+
     async def acquire(self, job: Job) -> Grant:
         """Return an upstream for one send; raise RefusedError."""
 
@@ -53,9 +77,6 @@
     def first_byte(self, job: Job) -> None:
         """Take that the answer of a job has begun."""
 
-    def leaves(self, upstream: Upstream) -> None:
-        """Take that an upstream says in an answer that it leaves."""
-
     def opens_in_s(self, service: str, resting: Mapping[str, float]) -> float:
         """Return how long all upstreams of a service rest, 0 if one does not.
 
@@ -89,6 +110,11 @@
         self._upstreams: tuple[Upstream, ...] = ()
         self._by_id: dict[str, Upstream] = {}
         self._leavers = Leavers()
+        self.limits = NamedLimits()
+        # The part of the places that may be filled from here, and of the
+        # limits of each service.
+        self._share: float = 1
+        self._parts: dict[str, float] = {}
         self._versions: dict[str, ServiceVersions] = collections.defaultdict(
             ServiceVersions,
         )
@@ -108,10 +134,12 @@
     def is_shared(self, service: str) -> bool:
         """Return whether one instance places the requests of a service.
 
-        Always those of model engines, and of any service in a roll-out: what a
-        new version gets is bounded over all instances together.
+        Always those of model engines, and of any service in a roll-out or with
+        an upstream that names a limit: what a new version or that upstream
+        gets is bounded over all instances together.
         """
-        if self.is_model(service):
+        pool = self._pools.get(service)
+        if pool is not None and (pool.is_model or pool.upstreams.is_limited):
             return True
         return self._versions[service].running is not None
 
@@ -158,6 +186,7 @@
         }
         for name, pool in self._pools.items():
             pool.set_upstreams(marked.get(name, ()))
+            self._limit(pool)
             self._pump(pool)
 
     def take_rollout(
@@ -263,8 +292,33 @@
             pool.misplaced(incarnation)
         self._pump(pool)
 
+    def take_limits(self) -> None:
+        """Keep to the limits that upstreams name now."""
+        for pool in self._pools.values():
+            self._limit(pool)
+            self._pump(pool)
+
+    def take_limit_parts(self, parts: Mapping[str, float]) -> None:
+        """Keep to these parts of the limits, where not to that of places."""
+        if parts == self._parts:
+            return
+        self._parts = dict(parts)
+        self.take_limits()
+
+    @property
+    def limited_services(self) -> tuple[str, ...]:
+        """Return the services with an upstream that names a limit."""
+        return tuple(
+            name
+            for name, pool in self._pools.items()
+            if pool.upstreams.is_limited
+        )
+
     def take_share(self, share: float) -> None:
         """Fill at most this part of the places of model engines."""
+        if share != self._share:
+            self._share = share
+            self.take_limits()
         for pool in self._pools.values():
             if pool.is_model:
                 pool.take_share(share)
@@ -294,6 +348,10 @@
             pool.drop_jobs(prefix)
             self._pump(pool)
 
+    def _limit(self, pool: ServicePool) -> None:
+        part = self._parts.get(pool.service, self._share)
+        pool.upstreams.take_limits(self.limits.current, part, self._loop.time())
+
     def _pump(self, pool: ServicePool) -> None:
         for decision in pool.decide(self._loop.time()):
             origin = self._origins.pop(decision.key, None)
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -12,7 +12,7 @@
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
 from tallyhall_dispatch.desired import RouteKind, Upstream
 from tallyhall_dispatch.gate import Gate
-from tallyhall_dispatch.jobs import Ending, Job, RunReport
+from tallyhall_dispatch.jobs import NOT_SENT, Ending, Job, RunReport
 from tallyhall_dispatch.rests import Rests
 
 from .client import ClientConnection
@@ -44,8 +44,6 @@
 _SAFE_TO_RESEND = frozenset(
     (Ending.rejected, Ending.misplaced, Ending.unsent, Ending.withheld),
 )
-# What did not leave costs no budget.
-_NOT_SENT = frozenset((Ending.unsent, Ending.withheld))
 
 
 class Sending:
@@ -101,7 +99,8 @@
         if visit.sends >= _MOST_SENDS:
             return False
         if ending in _SAFE_TO_RESEND:
-            if ending in _NOT_SENT:
+            if ending in NOT_SENT:
+                # What did not leave costs no budget.
                 return True
             return self._spend(visit)
         route = visit.admitted.route
@@ -136,9 +135,15 @@
         if permit.is_trial:
             self._guard.release(visit.content)
 
-    def _take_said(self, upstream: Upstream, info: AnswerInfo) -> None:
+    def _take_said(
+        self,
+        upstream: Upstream,
+        asked_at: float,
+        info: AnswerInfo,
+    ) -> None:
+        self._take_limit(upstream, asked_at, info)
         if info.leaving:
-            self._scheduler.leaves(upstream)
+            self._scheduler.upstream_news.leaves(upstream.incarnation)
             self._conns.drop(upstream.incarnation)
         if info.rest_s:
             now = self._loop.time()
@@ -146,6 +151,21 @@
         for name in info.unread:
             self._log.header_unread(upstream, name)
 
+    def _take_limit(
+        self,
+        upstream: Upstream,
+        asked_at: float,
+        info: AnswerInfo,
+    ) -> None:
+        # One that turns a request away may do so before it knows its state.
+        has_run = info.proven and not info.not_executed
+        if has_run or info.limit_per_s is not None:
+            self._scheduler.upstream_news.limits(
+                upstream.incarnation,
+                info.limit_per_s,
+                asked_at,
+            )
+
     def _relay(
         self,
         visit: Visit,
@@ -159,7 +179,11 @@
             visit.last_event,
             streaming=streaming,
         )
-        relay.on_said = functools.partial(self._take_said, upstream)
+        relay.on_said = functools.partial(
+            self._take_said,
+            upstream,
+            self._loop.time(),
+        )
         relay.on_first = functools.partial(
             self._note_first,
             visit,
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -38,6 +38,7 @@
 
 from .knowledge import Known, known
 from .neighbours import Neighbours
+from .upstream_news import UpstreamNews
 
 if TYPE_CHECKING:
     from tallyhall_transport.generated import peers_pb2
@@ -135,6 +136,7 @@
         # Jobs that wait or run by a decision made alone, by service.
         self._alone: dict[str, set[str]] = collections.defaultdict(set)
         self._neighbours = Neighbours(name, links)
+        self.upstream_news = UpstreamNews(dispatcher, links, log)
         self._known = Known()
         self.ownership.take_live(frozenset((name,)))
 
@@ -195,25 +197,13 @@
         """Return how long all upstreams rest, 0 if one does not."""
         return self._dispatcher.opens_in_s(service, resting)
 
-    def leaves(self, upstream: Upstream) -> None:
-        """Take that an upstream says in an answer that it leaves.
-
-        Others are told at once: they may own its service, and their answers
-        from it may be a while away.
-        """
-        incarnation = upstream.incarnation
-        if not self._dispatcher.leaves(incarnation):
-            return
-        self._log(Event.upstream_leaves, upstream=incarnation)
-        for name in self._links.peers:
-            _tell_leaving(self._links, name, incarnation)
-
     # -- from the links
 
     def on_opened(self, peer: Peer) -> None:
         """Take that a new stream to a peer begins: it knows nothing."""
         for ticket in self._tickets.values():
             ticket.told.discard(peer.name)
+        self.upstream_news.on_opened(peer)
 
     def on_batch(self, peer: Peer, batch: peers_pb2.Batch) -> None:
         """Take what another instance says about jobs."""
@@ -223,8 +213,7 @@
         if restarted or batch.opened:
             self._dispatcher.drop_jobs(f'{name}/')
         self._dropped.discard(name)
-        for leaver in batch.leaving_upstreams:
-            self._dispatcher.leaves(leaver)
+        self.upstream_news.take(peer, batch)
         now = self._loop.time()
         for running in batch.running:
             job = decode_job(running.job, now)
@@ -279,6 +268,7 @@
         """Look who is live, and move jobs to the owners of now."""
         self._drop_lost()
         self.look()
+        self._take_limit_parts()
         for ticket in tuple(self._tickets.values()):
             self._move(ticket)
 
@@ -289,6 +279,7 @@
         self._links.hears = seen.hears
         self._links.hears_directly = seen.hears_directly
         self.hubs = seen.hubs
+        self.upstream_news.is_hub = self._name in seen.hubs
         self._known = known(self._links, self._name, seen.hubs, now)
         # Where all stop, those that hear all go on to own the services:
         # without an owner each would fill all places.
@@ -302,6 +293,20 @@
 
     # -- inner steps
 
+    def _take_limit_parts(self) -> None:
+        """Have of limits what whoever owns a service has of them, or a part.
+
+        One that owns a service places the requests of all whom it hears. One
+        that does not decides only where no owner answers, beside all others.
+        """
+        self._dispatcher.take_limit_parts(
+            {
+                service: 1 / self._links.instances
+                for service in self._dispatcher.limited_services
+                if self._name not in self.ownership.owners(service)
+            },
+        )
+
     def _drop_lost(self) -> None:
         """Forget the jobs of those that are not heard any more."""
         now = self._loop.time()
@@ -355,9 +360,8 @@
         service = self._dispatcher.service_of(incarnation)
         report = RunReport(Ending.left, 0)
         self._tell_done(peer, key, service, incarnation, report)
-        if self._dispatcher.has_said_it_leaves(incarnation):
-            # What was told before may have been lost with a stream.
-            _tell_leaving(self._links, peer, incarnation)
+        # What was told before may have been lost with a stream.
+        self.upstream_news.tell_again(peer, incarnation)
 
     def _ask(self, ticket: _Ticket, owner: str | None) -> None:
         service = ticket.job.service
@@ -537,9 +541,3 @@
     if ticket.timer is not None:
         ticket.timer.cancel()
         ticket.timer = None
-
-
-def _tell_leaving(links: PeerLinks, peer: str, incarnation: str) -> None:
-    batch = links.outgoing(peer, urgent=True)
-    if batch is not None:
-        batch.leaving_upstreams.append(incarnation)
