--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -22,7 +22,6 @@
 from tallyhall_core.events import Event
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.jobs import Ending, Grant, Job, RunReport
-from tallyhall_dispatch.ownership import Ownership
 from tallyhall_dispatch.pool import Granted
 from tallyhall_dispatch.refusing import GivenUp
 from tallyhall_edge.scheduling import Dispatcher, GivenUpError
@@ -30,14 +29,13 @@
     decode_done,
     decode_give_up,
     decode_job,
-    fill_done,
-    fill_give_up,
-    fill_job,
 )
 from tallyhall_transport.peers import Peer, PeerLinks
 
+from .job_talk import JobTalk, PeerOrigin
 from .knowledge import Known, known
 from .neighbours import Neighbours
+from .owners import Owners
 from .upstream_news import UpstreamNews
 
 if TYPE_CHECKING:
@@ -48,26 +46,12 @@
 # An owner that has not answered within this time is passed by; its answer
 # normally takes 3 ms.
 _ANSWER_S = 0.06
-# A silent owner is not asked again for this long, and until it has answered
-# something that was sent with or after the ask.
-_SUSPECT_S = 0.3
-# So many silent owners are asked in any case; one more only if its answer takes
-# at most this part of the time that the request has left until it is due.
-_SILENT_ASKED = 2
-_ANSWER_PART = 0.25
 # A request that is held must be decided this long before it is given up; a
 # tick, at which held ones are looked at, takes 50 ms.
 _HELD_MARGIN_S = 0.15
 _MILLI = 1000
 
 
-class _Suspect(msgspec.Struct, frozen=True):
-    """An owner that has left an ask of `asked_at` unanswered."""
-
-    asked_at: float
-    until: float
-
-
 class _Ticket(msgspec.Struct):
     """A job of this instance; `owner` None while it is decided here."""
 
@@ -87,28 +71,6 @@
     told: set[str] = msgspec.field(default_factory=set)
 
 
-class _PeerOrigin:
-    """Hears decisions on behalf of another instance."""
-
-    def __init__(self, links: PeerLinks, peer: str) -> None:
-        self._links = links
-        self._peer = peer
-
-    def granted(self, granted: Granted) -> None:
-        batch = self._links.outgoing(self._peer, urgent=True)
-        if batch is not None:
-            batch.grants.add(
-                key=granted.key,
-                upstream=granted.upstream.incarnation,
-                forecast_ms=int(granted.forecast_s * _MILLI),
-            )
-
-    def given_up(self, given_up: GivenUp) -> None:
-        batch = self._links.outgoing(self._peer, urgent=True)
-        if batch is not None:
-            fill_give_up(batch.give_ups.add(), given_up)
-
-
 class SharedScheduler:
     """Asks owners for upstreams; a `Scheduler`."""
 
@@ -121,7 +83,8 @@
     ) -> None:
         """Decide with this dispatcher where no owner does."""
         self.leaving = False
-        self.ownership = Ownership()
+        self._owners = Owners(name, dispatcher, links)
+        self.ownership = self._owners.ownership
         # Instances that hear all, as seen from here.
         self.hubs: frozenset[str] = frozenset()
         self._name = name
@@ -130,15 +93,14 @@
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._tickets: dict[str, _Ticket] = {}
-        self._suspects: dict[str, _Suspect] = {}
-        self._origins: dict[str, _PeerOrigin] = {}
+        self._origins: dict[str, PeerOrigin] = {}
         self._dropped: set[str] = set()
         # Jobs that wait or run by a decision made alone, by service.
         self._alone: dict[str, set[str]] = collections.defaultdict(set)
         self._neighbours = Neighbours(name, links)
+        self._talk = JobTalk(links)
         self.upstream_news = UpstreamNews(dispatcher, links, log)
         self._known = Known()
-        self.ownership.take_live(frozenset((name,)))
 
     @property
     def known(self) -> Known:
@@ -152,7 +114,7 @@
         fut: asyncio.Future[Upstream] = self._loop.create_future()
         ticket = _Ticket(job, fut)
         self._tickets[job.key] = ticket
-        self._ask(ticket, self._usable_owner(job.service))
+        self._ask(ticket, self._owners.usable(job.service))
         try:
             upstream = await fut
         except BaseException:
@@ -178,9 +140,7 @@
         ticket.begun = True
         self._dispatcher.first_byte(job.key, job.service)
         for peer in ticket.told:
-            batch = self._links.outgoing(peer, urgent=False)
-            if batch is not None:
-                batch.begun.append(job.key)
+            self._talk.begun(peer, job.key)
 
     def finish(self, job: Job, upstream: Upstream, report: RunReport) -> None:
         """Take that a send has ended."""
@@ -191,7 +151,7 @@
         if ticket is None:
             return
         for peer in ticket.told:
-            self._tell_done(peer, job.key, job.service, incarnation, report)
+            self._talk.done(peer, job.key, job.service, incarnation, report)
 
     def opens_in_s(self, service: str, resting: Mapping[str, float]) -> float:
         """Return how long all upstreams rest, 0 if one does not."""
@@ -320,12 +280,11 @@
     def _take_ask(self, peer: str, job: Job) -> None:
         origin = self._origins.setdefault(
             peer,
-            _PeerOrigin(self._links, peer),
+            PeerOrigin(self._links, peer),
         )
         self._dispatcher.ask(job, origin)
-        batch = self._links.outgoing(peer, urgent=True)
-        if batch is not None and self._dispatcher.is_waiting(job.key):
-            batch.queued.append(job.key)
+        if self._dispatcher.is_waiting(job.key):
+            self._talk.queued(peer, job.key)
 
     def _take_answers(self, peer: str, batch: peers_pb2.Batch) -> None:
         for key in batch.queued:
@@ -359,7 +318,7 @@
     def _refuse_grant(self, peer: str, key: str, incarnation: str) -> None:
         service = self._dispatcher.service_of(incarnation)
         report = RunReport(Ending.left, 0)
-        self._tell_done(peer, key, service, incarnation, report)
+        self._talk.done(peer, key, service, incarnation, report)
         # What was told before may have been lost with a stream.
         self.upstream_news.tell_again(peer, incarnation)
 
@@ -367,19 +326,17 @@
         service = ticket.job.service
         self._alone[service].discard(ticket.job.key)
         if owner is None:
-            if self._is_alone(service):
+            if self._owners.is_alone(service):
                 self._decide_alone(ticket)
                 return
             self._decide_here(ticket)
             return
-        batch = self._links.outgoing(owner, urgent=True)
-        if batch is None:
+        if not self._talk.ask(owner, ticket.job):
             self._decide_here(ticket)
             return
         ticket.held = False
         ticket.owner = owner
         ticket.asked_at = self._loop.time()
-        fill_job(batch.asks.add(), ticket.job, ticket.asked_at)
         ticket.timer = self._loop.call_later(
             _ANSWER_S,
             self._unanswered,
@@ -387,46 +344,14 @@
         )
 
     def _next_owner(self, ticket: _Ticket) -> str | None:
-        """Return whom a request asks that no owner has queued."""
-        if ticket.unanswered >= _SILENT_ASKED:
-            left_s = ticket.job.due_at - self._loop.time()
-            if _ANSWER_S > _ANSWER_PART * left_s:
-                return None
-        return self._usable_owner(ticket.job.service)
-
-    def _usable_owner(self, service: str) -> str | None:
-        if not self._dispatcher.is_shared(service):
-            return None
-        for owner in self.ownership.owners(service):
-            if owner == self._name:
-                return None
-            if not self._is_suspect(owner):
-                return owner
-        return None
-
-    def _is_suspect(self, owner: str) -> bool:
-        """Return whether an owner is taken for silent.
-
-        By time alone, what waits here would leave its queue every 0.3 s to
-        ask owners that are cut off, until their loss is noticed.
-        """
-        suspect = self._suspects.get(owner)
-        if suspect is None:
-            return False
-        if self._loop.time() < suspect.until:
-            return True
-        peer = self._links.peers.get(owner)
-        if peer is not None and peer.answered_at < suspect.asked_at:
-            return True
-        self._suspects.pop(owner)
-        return False
-
-    def _is_alone(self, service: str) -> bool:
-        """Return whether others own a service and none of them answers."""
-        if not self._dispatcher.is_shared(service):
-            return False
-        owners = self.ownership.owners(service)
-        return bool(owners) and self._name not in owners
+        job = ticket.job
+        left_s = job.due_at - self._loop.time()
+        return self._owners.next_for(
+            job.service,
+            ticket.unanswered,
+            left_s,
+            _ANSWER_S,
+        )
 
     def _decide_alone(self, ticket: _Ticket) -> None:
         """Decide beside instances that do the same: fill a part only.
@@ -458,10 +383,7 @@
         owner = ticket.owner
         if owner is None or ticket.fut.done():
             return
-        self._suspects[owner] = _Suspect(
-            ticket.asked_at,
-            self._loop.time() + _SUSPECT_S,
-        )
+        self._owners.unanswered(owner, ticket.asked_at)
         self._log(Event.peer_down, peer=owner, cause='asks unanswered')
         ticket.unanswered += 1
         self._tell_withdrawn(ticket)
@@ -480,7 +402,7 @@
         self._tell_withdrawn(ticket)
 
     def _move(self, ticket: _Ticket) -> None:
-        owner = self._usable_owner(ticket.job.service)
+        owner = self._owners.usable(ticket.job.service)
         if ticket.upstream is not None:
             if owner is not None and owner not in ticket.told:
                 self._tell_running(owner, ticket)
@@ -499,42 +421,16 @@
         self._ask(ticket, owner)
 
     def _tell_running(self, owner: str, ticket: _Ticket) -> None:
-        batch = self._links.outgoing(owner, urgent=False)
-        if batch is None or ticket.upstream is None:
+        upstream = ticket.upstream
+        if upstream is None:
             return
-        running = batch.running.add(
-            upstream=ticket.upstream.incarnation,
-            begun=ticket.begun,
-        )
-        fill_job(running.job, ticket.job, self._loop.time())
-        ticket.told.add(owner)
+        begun = ticket.begun
+        if self._talk.running(owner, ticket.job, upstream, begun=begun):
+            ticket.told.add(owner)
 
     def _tell_withdrawn(self, ticket: _Ticket) -> None:
-        if ticket.owner is None:
-            return
-        batch = self._links.outgoing(ticket.owner, urgent=False)
-        if batch is None:
-            return
-        key = ticket.job.key
-        batch.withdrawn.append(key)
-        # Withdrawals are read before asks, so an ask that has not left yet
-        # must not leave after all.
-        for number, ask in enumerate(batch.asks):
-            if ask.key == key:
-                batch.asks.pop(number)
-                break
-
-    def _tell_done(
-        self,
-        peer: str,
-        key: str,
-        service: str,
-        incarnation: str,
-        report: RunReport,
-    ) -> None:
-        batch = self._links.outgoing(peer, urgent=True)
-        if batch is not None:
-            fill_done(batch.done.add(), key, service, incarnation, report)
+        if ticket.owner is not None:
+            self._talk.withdrawn(ticket.owner, ticket.job.key)
 
 
 def _stop_timer(ticket: _Ticket) -> None:
