What is left of a limit without its owner is drawn, and kept by all together

Found by a simulation of whole fleets (limit_fleet.py: the product's own schedulers, pools, links and topology on a clock that jumps): where nobody owns a service each instance began with a token of its own or with none for a minute, a limit of 3.2 at 410 instances cut apart was used to 0.4, and a part that had lain idle for long let all begin at once. Now a part is drawn when an instance begins to decide alone and is nothing before; the candidates after the first owner have half, as the first may still grant to others.

--- a/packages/dispatch/src/tallyhall_dispatch/group.py
+++ b/packages/dispatch/src/tallyhall_dispatch/group.py
@@ -68,16 +68,16 @@
     ) -> None:
         """Keep to what upstreams name; `part` of it is for this instance.
 
-        limits: requests a second, by incarnation.
+        limits: requests a second, by incarnation. part: 0 where others decide.
         """
         for incarnation, view in self._views.items():
             per_s = limits.get(incarnation)
             if per_s is None:
                 view.tokens = None
-            elif view.tokens is None:
-                view.tokens = TokenBucket(per_s, part, now, self._rng)
-            else:
-                view.tokens.change_rate(per_s, part, now)
+                continue
+            if view.tokens is None:
+                view.tokens = TokenBucket(now, self._rng)
+            view.tokens.change_rate(per_s, part, now)
 
     @property
     def is_limited(self) -> bool:
--- a/packages/dispatch/src/tallyhall_dispatch/token_bucket.py
+++ b/packages/dispatch/src/tallyhall_dispatch/token_bucket.py
@@ -1,10 +1,10 @@
 """What one instance may still send to an upstream that names a limit.
 
 The instance that places the requests of all has the whole limit. One that
-decides beside others that do the same has its part of it. Such a part may be
-less than a request in a minute, and all instances may begin to decide alone
-at the same moment, so what each has then is drawn: one request of all, on the
-average, and not one of each.
+decides beside others that do the same has its part of it, which may be less
+than a request in a minute. All of them may begin to decide alone at the same
+moment, so what each has then is drawn: otherwise each would have a request, or
+none would for a minute.
 """
 
 from __future__ import annotations
@@ -24,36 +24,30 @@
 class TokenBucket:
     """Tokens for requests, at a rate."""
 
-    def __init__(
-        self,
-        per_s: float,
-        part: float,
-        now: float,
-        rng: random.Random,
-    ) -> None:
-        """Start empty; `part` of `per_s` is for this instance."""
+    def __init__(self, now: float, rng: random.Random) -> None:
+        """Start at rate 0, at which no request may be sent."""
         self._rng = rng
         self._tokens: float = 0
         self._looked_at = now
+        # Tokens a second.
         self.rate: float = 0
-        self._part: float = 0
-        self.change_rate(per_s, part, now)
 
     def change_rate(self, per_s: float, part: float, now: float) -> None:
         """Give this part of so many tokens a second from now on."""
         self._look(now)
-        self._part = part
+        if part and not self.rate:
+            self._tokens = self._rng.random()
         self.rate = max(_LEAST_PER_S, per_s) * part
 
     def has_token(self, now: float) -> bool:
         """Return whether a request may be sent."""
         self._look(now)
-        return self._tokens >= 1
+        return self.rate > 0 and self._tokens >= 1
 
     def opens_in_s(self, now: float) -> float:
-        """Return when the next request may be sent, 0 for now."""
+        """Return when the next request may be sent: 0 if now or unknown."""
         self._look(now)
-        return max(0, 1 - self._tokens) / self.rate
+        return max(0, 1 - self._tokens) / self.rate if self.rate else 0
 
     def take(self) -> None:
         """Take that a request is sent, also one that others decided."""
@@ -65,15 +59,7 @@
         self._tokens += 1
 
     def _look(self, now: float) -> None:
-        unseen_s = now - self._looked_at
+        most = max(1, _KEPT_S * self.rate)
+        earned = (now - self._looked_at) * self.rate
         self._looked_at = now
-        self._tokens += unseen_s * self.rate
-        if self._tokens >= 1 and unseen_s * self.rate >= 1:
-            # Nobody has asked for a while, and others may begin to as well.
-            self._tokens = self._first()
-        self._tokens = min(self._tokens, max(1, _KEPT_S * self.rate))
-
-    def _first(self) -> float:
-        if self._rng.random() < self._part:
-            return 1
-        return self._rng.random()
+        self._tokens = min(self._tokens + earned, most)
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -111,9 +111,7 @@
         self._by_id: dict[str, Upstream] = {}
         self._leavers = Leavers()
         self.limits = NamedLimits()
-        # The part of the places that may be filled from here, and of the
-        # limits of each service.
-        self._share: float = 1
+        # The part of the limits of each service that is for this instance.
         self._parts: dict[str, float] = {}
         self._versions: dict[str, ServiceVersions] = collections.defaultdict(
             ServiceVersions,
@@ -299,7 +297,10 @@
             self._pump(pool)
 
     def take_limit_parts(self, parts: Mapping[str, float]) -> None:
-        """Keep to these parts of the limits, where not to that of places."""
+        """Keep to these parts of the limits, by service.
+
+        Elsewhere, and where the part is 0, another instance decides.
+        """
         if parts == self._parts:
             return
         self._parts = dict(parts)
@@ -316,9 +317,6 @@
 
     def take_share(self, share: float) -> None:
         """Fill at most this part of the places of model engines."""
-        if share != self._share:
-            self._share = share
-            self.take_limits()
         for pool in self._pools.values():
             if pool.is_model:
                 pool.take_share(share)
@@ -349,7 +347,7 @@
             self._pump(pool)
 
     def _limit(self, pool: ServicePool) -> None:
-        part = self._parts.get(pool.service, self._share)
+        part = self._parts.get(pool.service, 0)
         pool.upstreams.take_limits(self.limits.current, part, self._loop.time())
 
     def _pump(self, pool: ServicePool) -> None:
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -455,7 +455,7 @@
             ),
         )
         holders = max(len(self._beliefs.count.holders), heard)
-        self._dispatcher.take_share(heard / holders)
+        self._scheduler.take_share(heard / holders)
 
     def _log_count(self) -> None:
         count = self._beliefs.count
--- a/packages/entry/src/tallyhall_entry/owners.py
+++ b/packages/entry/src/tallyhall_entry/owners.py
@@ -20,6 +20,8 @@
 # at most this part of the time that the request has left until it is due.
 _SILENT_ASKED = 2
 _ANSWER_PART = 0.25
+# What the next owner may grant of a limit while the first may still grant all.
+_SECOND_PART = 0.5
 
 
 class _Suspect(msgspec.Struct, frozen=True):
@@ -41,6 +43,8 @@
         """Look from the instance of this name."""
         self.ownership = Ownership()
         self.ownership.take_live(frozenset((name,)))
+        # The part of all instances that this one hears.
+        self.share: float = 1
         self._name = name
         self._dispatcher = dispatcher
         self._links = links
@@ -81,6 +85,20 @@
         owners = self.ownership.owners(service)
         return bool(owners) and self._name not in owners
 
+    def limit_part(self, service: str) -> float:
+        """Return which part of the limits of its upstreams may be used here.
+
+        An owner places the requests of all whom it hears.
+        """
+        owners = self.ownership.owners(service)
+        if owners and owners[0] == self._name:
+            return self.share
+        if self._name in owners:
+            # Asked by those that do not reach the first, which others may.
+            return _SECOND_PART * self.share
+        # Where no owner answers, all others decide as well.
+        return 0 if self.usable(service) else 1 / self._links.instances
+
     def unanswered(self, owner: str, asked_at: float) -> None:
         """Take that an owner has left an ask unanswered."""
         until = self._loop.time() + _SUSPECT_S
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -232,6 +232,11 @@
         for ticket in tuple(self._tickets.values()):
             self._move(ticket)
 
+    def take_share(self, share: float) -> None:
+        """Fill at most this part of the places of model engines."""
+        self._owners.share = share
+        self._dispatcher.take_share(share)
+
     def look(self) -> None:
         """Look who is live and knows what was admitted here."""
         now = self._loop.time()
@@ -254,16 +259,10 @@
     # -- inner steps
 
     def _take_limit_parts(self) -> None:
-        """Have of limits what whoever owns a service has of them, or a part.
-
-        One that owns a service places the requests of all whom it hears. One
-        that does not decides only where no owner answers, beside all others.
-        """
         self._dispatcher.take_limit_parts(
             {
-                service: 1 / self._links.instances
+                service: self._owners.limit_part(service)
                 for service in self._dispatcher.limited_services
-                if self._name not in self.ownership.owners(service)
             },
         )
 
--- /dev/null
+++ b/tests/platform/limit_fleet.py
@@ -0,0 +1,362 @@
+"""Instances that share limits of upstreams; only sockets are missing.
+
+Time is simulated: the loop's clock jumps to whatever is due next. Schedulers,
+pools, links and topology are the product's own; batches arrive after a delay,
+unless they are cut off, and a stream without answers is opened anew.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import functools
+import itertools
+import json
+import random
+import zlib
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any
+
+from tallyhall_core.refusals import RefusedError
+from tallyhall_dispatch.desired import Upstream
+from tallyhall_dispatch.jobs import Ending, Job, RunReport
+from tallyhall_edge.scheduling import Dispatcher, GivenUpError
+from tallyhall_entry.shared import SharedScheduler
+from tallyhall_platform.decode import decode_state
+from tallyhall_transport.generated import peers_pb2
+from tallyhall_transport.peers import Peer, PeerLinks, PeerPlace
+
+from tests.platform.harness import MODEL, desired
+from tests.platform.windows import most_in_window
+
+WINDOW_S = 4.0
+_TICK_S = 0.05
+_DELAY_S = (0.001, 0.01)
+_RETRY_S = 0.1
+# Until all hear each other, in the largest fleet.
+_SETTLED_S = 5.0
+
+
+class _Clock:
+    def __init__(self, select: Callable[[float], Any]) -> None:
+        self.now: float = 1000
+        self._select = select
+
+    def read(self) -> float:
+        return self.now
+
+    def jump(self, timeout: float | None) -> Any:
+        """Look what sockets have, and let the time pass that it would take."""
+        self.now += max(0, timeout or 0)
+        return self._select(0)
+
+
+def simulate_time() -> None:
+    """Let the running loop's clock jump to what is due next."""
+    loop: Any = asyncio.get_running_loop()
+    clock = _Clock(loop._selector.select)
+    loop.time = clock.read
+    loop._selector.select = clock.jump
+
+
+class _Outbox:
+    """What waits to be sent to one peer, and the task that sends it."""
+
+    def __init__(
+        self,
+        links: PeerLinks,
+        peer: Peer,
+        deliver: Callable[[str, peers_pb2.Batch], bool],
+    ) -> None:
+        self.peer = peer
+        self.address = peer.name
+        self.pending = peers_pb2.Batch()
+        self.filled = asyncio.Event()
+        self._links = links
+        self._deliver = deliver
+        self._loop = asyncio.get_running_loop()
+        self.task = self._loop.create_task(self._run())
+
+    async def _run(self) -> None:
+        while True:
+            await self._one_stream()
+            self.pending = peers_pb2.Batch()
+            await asyncio.sleep(_RETRY_S)
+
+    async def _one_stream(self) -> None:
+        opened_at = self._loop.time()
+        self.pending.opened = True
+        self.peer.forget_told()
+        self._links.on_opened(self.peer)
+        while self._is_heard(opened_at):
+            batch = self.pending
+            self.pending = peers_pb2.Batch()
+            self.filled.clear()
+            self._links.fill(batch, self.peer)
+            if not self._deliver(self.peer.name, batch):
+                return
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._links.beat_s):
+                    await self.filled.wait()
+
+    def _is_heard(self, opened_at: float) -> bool:
+        heard_at = max(opened_at, self.peer.answered_at)
+        return self._loop.time() - heard_at <= self._links.silent_s
+
+
+class _Streams:
+    def __init__(
+        self,
+        links: PeerLinks,
+        deliver: Callable[[str, peers_pb2.Batch], bool],
+    ) -> None:
+        self._links = links
+        self._deliver = deliver
+
+    def open(self, peer: Peer, address: str) -> _Outbox:
+        return _Outbox(self._links, peer, self._deliver)
+
+    async def close(self) -> None:
+        """Have nothing to close."""
+
+
+@dataclasses.dataclass(slots=True)
+class LimitedEngine:
+    """An upstream, what it names, and when requests reached it."""
+
+    upstream: Upstream
+    limit_per_s: float | None = None
+    run_s: float = 0.1
+    arrivals: list[float] = dataclasses.field(default_factory=list)
+
+    def most(self, since: float) -> float:
+        """Return how many came in the fullest window since a time."""
+        taken = [(at, 1.0) for at in self.arrivals if at >= since]
+        return most_in_window(taken, WINDOW_S)
+
+    def per_s(self, since: float, until: float) -> float:
+        """Return how many came in a second."""
+        came = sum(since <= at < until for at in self.arrivals)
+        return came / (until - since)
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One instance."""
+
+    name: str
+    run: str
+    links: PeerLinks
+    dispatcher: Dispatcher
+    scheduler: SharedScheduler
+    tasks: list[asyncio.Task[None]] = dataclasses.field(default_factory=list)
+
+
+class LimitFleet:
+    """All instances, the upstreams of a service, and their callers."""
+
+    def __init__(
+        self,
+        size: int,
+        engines: int,
+        service: str = MODEL,
+        seed: int = 1,
+    ) -> None:
+        """Start all, each knowing all others from the store."""
+        self.rng = random.Random(seed)
+        self.served = 0
+        self.refused: list[float] = []
+        # Instances that reach only those with the same number.
+        self.side: dict[str, int] = {}
+        self.engines = {
+            f'e{number}': LimitedEngine(
+                Upstream(f'e{number}', service, 'h', 1, 'a', 10, leaving=False),
+            )
+            for number in range(engines)
+        }
+        self._service = service
+        self._serials = itertools.count()
+        self._loop = asyncio.get_running_loop()
+        self._asks: set[asyncio.Task[None]] = set()
+        # The run at which each stream ends, by the run of its sender.
+        self._streams: dict[tuple[str, str], str] = {}
+        self.names = tuple(f'n{number:03}' for number in range(size))
+        self.nodes = {name: self._node(name) for name in self.names}
+        for node in self.nodes.values():
+            self._begin(node)
+
+    @property
+    def now(self) -> float:
+        """Return the simulated time."""
+        return self._loop.time()
+
+    async def settle(self) -> None:
+        """Wait until all hear each other."""
+        await asyncio.sleep(_SETTLED_S)
+
+    async def ask(
+        self,
+        seconds: float,
+        per_s: float,
+        among: Iterable[str] = (),
+    ) -> None:
+        """Send requests to these instances, by default to all."""
+        names = tuple(among) or self.names
+        ends_at = self.now + seconds
+        while True:
+            await asyncio.sleep(self.rng.expovariate(per_s))
+            if self.now >= ends_at:
+                return
+            node = self.nodes.get(self.rng.choice(names))
+            if node is not None:
+                task = asyncio.create_task(self._request(node))
+                self._asks.add(task)
+                task.add_done_callback(self._asks.discard)
+
+    def owner(self) -> str:
+        """Return who owns the service, as the first instance sees it."""
+        first = next(iter(self.nodes.values()))
+        owners = first.scheduler.ownership.owners(self._service)
+        return next(name for name in owners if name in self.nodes)
+
+    def hubs(self) -> list[str]:
+        """Return who hears all, as the first instance sees it."""
+        first = next(iter(self.nodes.values()))
+        return sorted(first.scheduler.hubs & self.nodes.keys())
+
+    def kill(self, name: str) -> None:
+        """End an instance at once."""
+        node = self.nodes.pop(name)
+        for task in node.tasks:
+            task.cancel()
+        for outbox in node.links._outboxes.values():
+            outbox.task.cancel()
+
+    def start(self, name: str) -> None:
+        """Start an instance that has ended; it knows nothing."""
+        self.nodes[name] = self._node(name)
+        self._begin(self.nodes[name])
+
+    async def close(self) -> None:
+        """End everything."""
+        tasks = list(self._asks)
+        for name in tuple(self.nodes):
+            tasks.extend(self.nodes[name].tasks)
+            self.kill(name)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    # -- inner steps
+
+    async def _request(self, node: Node) -> None:
+        now = self.now
+        job = Job(
+            f'{node.name}/{next(self._serials)}',
+            self._service,
+            'a',
+            0,
+            100 if self._service == MODEL else 0,
+            30 if self._service == MODEL else 0,
+            now,
+            now + 1,
+            now + 2,
+        )
+        try:
+            grant = await node.scheduler.acquire(job)
+        except GivenUpError as exc:
+            self.refused.append(exc.refusal.retry_after or 0)
+            return
+        except RefusedError:
+            self.refused.append(0)
+            return
+        engine = self.engines[grant.upstream.name]
+        asked_at = self.now
+        engine.arrivals.append(asked_at)
+        await asyncio.sleep(engine.run_s)
+        self.served += 1
+        node.scheduler.upstream_news.limits(
+            engine.upstream.incarnation,
+            engine.limit_per_s,
+            asked_at,
+        )
+        report = RunReport(Ending.answered, engine.run_s, engine.run_s, 2)
+        node.scheduler.finish(job, grant.upstream, report)
+
+    def _node(self, name: str) -> Node:
+        dispatcher = Dispatcher(random.Random(self.rng.random()))
+        dispatcher.take_state(decode_state(json.dumps(desired(1)).encode()))
+        dispatcher.take_upstreams(
+            tuple(engine.upstream for engine in self.engines.values()),
+        )
+        schedulers: list[SharedScheduler] = []
+        run = f'{name}-{next(self._serials)}'
+        links = PeerLinks(
+            name,
+            run,
+            lambda peer, batch: schedulers[0].on_batch(peer, batch),
+            lambda peer, batch: None,
+            lambda peer, exc: None,
+            lambda peer: schedulers[0].on_opened(peer),
+        )
+        streams: Any = _Streams(
+            links,
+            functools.partial(self._deliver, name, run),
+        )
+        links.use(streams)
+        links.own_cores = 1
+        schedulers.append(
+            SharedScheduler(name, dispatcher, links, lambda *_, **_more: None),
+        )
+        return Node(name, run, links, dispatcher, schedulers[0])
+
+    def _begin(self, node: Node) -> None:
+        node.links.take_peers(
+            {
+                name: PeerPlace(name, 1)
+                for name in self.names
+                if name != node.name
+            },
+        )
+        self._spawn(node, self._ticks(node))
+
+    def _spawn(self, node: Node, work: Coroutine[Any, Any, None]) -> None:
+        node.tasks.append(asyncio.create_task(work))
+
+    async def _ticks(self, node: Node) -> None:
+        await asyncio.sleep(self.rng.random() * _TICK_S)
+        while True:
+            node.scheduler.tick()
+            heard = node.links.hears / node.links.instances
+            node.scheduler.take_share(heard)
+            await asyncio.sleep(_TICK_S)
+
+    def _deliver(
+        self,
+        sender: str,
+        run: str,
+        receiver: str,
+        batch: peers_pb2.Batch,
+    ) -> bool:
+        """Send a batch; return whether its stream still stands."""
+        if self.side.get(sender) != self.side.get(receiver):
+            return True
+        node = self.nodes.get(receiver)
+        if node is None:
+            return False
+        pair = (run, receiver)
+        if batch.opened:
+            self._streams[pair] = node.run
+        if self._streams.get(pair) != node.run:
+            return False
+        batch.sender = sender
+        batch.incarnation = run
+        sent = peers_pb2.Batch.FromString(batch.SerializeToString())
+        # Batches of one stream stay in order, as all take equally long.
+        delay_s = _DELAY_S[zlib.crc32(f'{sender}{receiver}'.encode()) % 2]
+        self._loop.call_later(delay_s, self._arrive, receiver, sent)
+        return True
+
+    def _arrive(self, receiver: str, batch: peers_pb2.Batch) -> None:
+        node = self.nodes.get(receiver)
+        if node is not None:
+            node.links.take(batch)
