That an upstream leaves is told on by hubs, and to whoever has just started

Upstreams that say in their answers that they leave were sent requests in large fleets: hubs were told and told nobody on, so of a service without an owner each instance went on until it had heard it itself. A restarted one knew nothing of it while the store did not say so.

Tests, red before: 42 requests in the four seconds after half a second at 87 instances, one at one that has just started (6, 87); none now.

--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -109,7 +109,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._upstreams: tuple[Upstream, ...] = ()
         self._by_id: dict[str, Upstream] = {}
-        self._leavers = Leavers()
+        self.leavers = Leavers()
         self.limits = NamedLimits()
         # The part of the limits of each service that is for this instance.
         self._parts: dict[str, float] = {}
@@ -170,7 +170,7 @@
         """Take all upstreams as they stand now."""
         self._upstreams = upstreams
         grouped: dict[str, list[Upstream]] = collections.defaultdict(list)
-        for known in map(self._leavers.marked, upstreams):
+        for known in map(self.leavers.marked, upstreams):
             grouped[known.service].append(known)
         now = self._loop.time()
         marked = {
@@ -216,14 +216,15 @@
 
         It does whatever its entry says, until its end.
         """
-        if not self._leavers.add(incarnation):
+        if not self.leavers.add(incarnation):
             return False
         self.take_upstreams(self._upstreams)
         return True
 
-    def has_said_it_leaves(self, incarnation: str) -> bool:
-        """Return whether an upstream said itself that it leaves."""
-        return incarnation in self._leavers
+    @property
+    def said_to_leave(self) -> tuple[str, ...]:
+        """Return the known upstreams that said themselves that they leave."""
+        return tuple(one for one in self._by_id if one in self.leavers)
 
     def opens_in_s(self, service: str, resting: Mapping[str, float]) -> float:
         """Return how long all upstreams rest, 0 if one does not."""
--- a/packages/entry/src/tallyhall_entry/upstream_news.py
+++ b/packages/entry/src/tallyhall_entry/upstream_news.py
@@ -53,8 +53,7 @@
         """Take that an upstream says that it leaves."""
         if self._dispatcher.leaves(incarnation):
             self._log(Event.upstream_leaves, upstream=incarnation)
-            for name in self._links.peers:
-                self.tell_again(name, incarnation)
+            self._tell_leaving(incarnation, _OWN)
 
     def limits(
         self,
@@ -77,20 +76,23 @@
     def on_opened(self, peer: Peer) -> None:
         """Tell one on whose stream nothing was said yet."""
         batch = self._links.outgoing(peer.name, urgent=False)
-        if batch is not None:
-            for incarnation, word in self._dispatcher.limits.words():
-                self._fill_limit(batch, incarnation, word)
+        if batch is None:
+            return
+        batch.leaving_upstreams.extend(self._dispatcher.said_to_leave)
+        for incarnation, word in self._dispatcher.limits.words():
+            self._fill_limit(batch, incarnation, word)
 
     def take(self, peer: Peer, batch: peers_pb2.Batch) -> None:
         """Take what another instance tells."""
         for leaver in batch.leaving_upstreams:
-            self._dispatcher.leaves(leaver)
+            if self._dispatcher.leaves(leaver) and self._tells_on:
+                self._tell_leaving(leaver, peer.name)
         for told in batch.named_limits:
             self._take_told(peer.name, told)
 
     def tell_again(self, peer: str, incarnation: str) -> None:
         """Tell one that may not have heard that an upstream leaves."""
-        if self._dispatcher.has_said_it_leaves(incarnation):
+        if incarnation in self._dispatcher.leavers:
             batch = self._links.outgoing(peer, urgent=True)
             if batch is not None:
                 batch.leaving_upstreams.append(incarnation)
@@ -123,6 +125,11 @@
         if by == _OWN or self._tells_on:
             self._tell_limit(incarnation, by)
 
+    def _tell_leaving(self, incarnation: str, by: str) -> None:
+        """Tell all but who told it."""
+        for name in self._links.peers.keys() - {by}:
+            self.tell_again(name, incarnation)
+
     def _tell_limit(self, incarnation: str, by: str) -> None:
         """Tell all but who told it; the next ones wait for each other."""
         self._untold[incarnation] = by
--- a/tests/platform/limit_fleet.py
+++ b/tests/platform/limit_fleet.py
@@ -125,6 +125,8 @@
 
     upstream: Upstream
     limit_per_s: float | None = None
+    # Says in its answers that it leaves.
+    leaving: bool = False
     run_s: float = 0.1
     arrivals: list[float] = dataclasses.field(default_factory=list)
 
@@ -279,6 +281,8 @@
             engine.limit_per_s,
             asked_at,
         )
+        if engine.leaving:
+            node.scheduler.upstream_news.leaves(engine.upstream.incarnation)
         report = RunReport(Ending.answered, engine.run_s, engine.run_s, 2)
         node.scheduler.finish(job, grant.upstream, report)
 
