--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -16,11 +16,8 @@
 from tallyhall_core.events import Event
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.fleet import Membership
-from tallyhall_dispatch.freshness import Freshness
-from tallyhall_dispatch.gate import Gate
 from tallyhall_dispatch.options import Options
-from tallyhall_dispatch.quota_limits import Fleet, QuotaBounds
-from tallyhall_dispatch.retries import RetryLimits
+from tallyhall_dispatch.quota_limits import Fleet
 from tallyhall_edge.connections import ConnectionPool
 from tallyhall_edge.runner import Runner
 from tallyhall_edge.scheduling import Dispatcher
@@ -29,7 +26,6 @@
 from tallyhall_platform.absence import Absence
 from tallyhall_platform.calls import CallCounts
 from tallyhall_platform.dialect import PlatformDialect
-from tallyhall_platform.entries import InstanceEntry
 from tallyhall_platform.follow import Follower
 from tallyhall_platform.registry import LEAST_UNSEEN_S, Registration
 from tallyhall_platform.store import StoreClient
@@ -42,6 +38,8 @@
 from .metrics import Metrics
 from .news import NewsTalk
 from .orders import Orders
+from .parts import admits_s, freshness_s, new_gate, own_entry
+from .reports import Reports
 from .shared import SharedScheduler
 from .talk import Talk
 from .telemetry import RequestTelemetry
@@ -53,18 +51,12 @@
 
 # Waiting longer for a connection than this costs a caller its objective.
 _CONNECT_S = 0.3
-# Taken off the bound on revoked keys: what a watch may miss while the store
-# compacts its history, and the way of a request to its upstream.
-_REVOKE_MARGIN_S = 1.3
 # Callers that know this instance may come for this many times the time for
 # which they were told to keep the answer.
 _KEEPS = 3
 # What a caller sends 3 s after the signal takes at most this long to arrive.
 _WAY_S = 0.1
 _CHORES_S = 0.5
-# Calls to the store are logged this often: a line of 300 bytes each 2 s is a
-# hundredth of what an instance may log.
-_CALLS_LOGGED_S = 2.0
 _TICK_S = 0.05
 _STOP_LOOK_S = 0.05
 # Others are of use once there is a desired state to serve by, which a store
@@ -75,8 +67,6 @@
 _STOP_MARGIN_S = 0.4
 # Of that, for the call that removes the entry; the lease does it else.
 _END_LEASE_S = 0.2
-# Random bits that tell two runs of an instance apart.
-_ID_BITS = 64
 # Part of all descriptors that callers may take; a request in hand needs one
 # more for its upstream, and files, peers and the store take 200.
 _CALLERS_PART = 0.6
@@ -100,8 +90,8 @@
         self._loop = asyncio.get_running_loop()
         self.log = EventLog(stream)
         self._metrics = Metrics(stream)
-        self._entry = _describe(options, rng)
-        self._gate = _gate(options, rng, self._loop.time())
+        self._entry = own_entry(options, rng)
+        self._gate = new_gate(options, rng, self._loop.time())
         self._links = PeerLinks(
             options.instance,
             self._entry.incarnation,
@@ -120,6 +110,12 @@
         )
         self._conns = ConnectionPool(PlatformDialect.id_header, _CONNECT_S)
         self._calls = CallCounts()
+        self._reports = Reports(
+            self._entry.incarnation,
+            self._calls,
+            self.log,
+            self._metrics,
+        )
         self._store_ends = StoreClient(options.store.address, self._calls)
         self._guard = shared_guard(
             self._links,
@@ -137,7 +133,7 @@
         )
         self._membership = Membership(
             options.instance,
-            _admits_s(options),
+            admits_s(options),
             LEAST_UNSEEN_S,
         )
         self._beliefs = Beliefs(
@@ -212,7 +208,6 @@
         self._runner.ask_use = self._use_news.ask
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._stopping = False
-        self._counted: dict[str, int] = {}
 
     # -- life
 
@@ -271,7 +266,7 @@
         await self._links.close()
         # Last, so that nobody counts this one without hearing it.
         await self._registration.end(_END_LEASE_S)
-        self._log_calls()
+        self._reports.log_calls()
         self.log.event(Event.stopped, unfinished=self._front.busy)
 
     def reload(self, options: Options) -> None:
@@ -288,11 +283,11 @@
         self._store_follows.move(options.store.address)
         self._store_registers.move(options.store.address)
         self._store_ends.move(options.store.address)
-        self._gate.freshness.bound_s = _freshness_s(options)
+        self._gate.freshness.bound_s = freshness_s(options)
         self._absence.heartbeat_s = options.store.heartbeat_s
         self._absence.contact_s = options.bounds.contact_s
         self._follower.view.change_s = options.bounds.change_s
-        self._membership.admits_s = _admits_s(options)
+        self._membership.admits_s = admits_s(options)
         self.log.event(
             Event.settings_read,
             changed=changed,
@@ -432,7 +427,7 @@
                 self._links.outgoing(hub, urgent=True)
             self._beliefs.look()
             self._take_fleet()
-            self._log_count()
+            self._reports.log_fleet(self._beliefs.count, self._links.hears)
             self._orders.look()
 
     def _owns(self, service: str) -> bool:
@@ -457,83 +452,8 @@
         holders = max(len(self._beliefs.count.holders), heard)
         self._scheduler.take_share(heard / holders)
 
-    def _log_count(self) -> None:
-        count = self._beliefs.count
-        counted = {
-            'registered': len(count.registered),
-            'leaving': len(count.leaving),
-            'vanished': len(count.vanished),
-            'heard': self._links.hears,
-        }
-        if counted != self._counted:
-            self._counted = counted
-            self.log.event(Event.fleet_counted, **counted)
-
-    def _log_calls(self) -> None:
-        calls = self._calls.by_labels()
-        if calls == self._metrics.store_calls:
-            return
-        self._metrics.store_calls = calls
-        self.log.event(
-            Event.store_calls,
-            incarnation=self._entry.incarnation,
-            calls={'/'.join(labels): count for labels, count in calls.items()},
-        )
-
     async def _chores(self) -> None:
-        calls_logged_at = self._loop.time()
         while True:
             await asyncio.sleep(_CHORES_S)
-            if self._loop.time() - calls_logged_at >= _CALLS_LOGGED_S:
-                calls_logged_at = self._loop.time()
-                self._log_calls()
             self._conns.close_old()
-            self.log.report_dropped()
-            self._metrics.connections = self._front.open_connections
-            self._metrics.turned_away = self._front.turned_away
-            self._metrics.waiting = self._dispatcher.waiting
-            age = self._gate.freshness.age(self._loop.time())
-            if age is not None:
-                self._metrics.confirmation_age_seconds = age
-
-
-def _describe(options: Options, rng: random.Random) -> InstanceEntry:
-    return InstanceEntry(
-        instance=options.instance,
-        incarnation=f'{rng.getrandbits(_ID_BITS):016x}',
-        front=str(options.front),
-        peer=str(options.peer),
-        zone=options.zone,
-        region=options.region,
-        cores=round(options.cores, 2),
-    )
-
-
-def _freshness_s(options: Options) -> float:
-    return max(0, options.bounds.revoke_s - _REVOKE_MARGIN_S)
-
-
-def _admits_s(options: Options) -> float:
-    # Without a bound on revoked keys an instance that is cut off admits for
-    # ever, and one that is dead would hold its part for ever. One window is
-    # what a quota is measured over.
-    return _freshness_s(options) or options.bounds.quota_window_s
-
-
-def _gate(options: Options, rng: random.Random, now: float) -> Gate:
-    bounds = options.bounds
-    return Gate(
-        Freshness(_freshness_s(options)),
-        RetryLimits(
-            bounds.retry_ratio,
-            bounds.retry_allowance,
-            bounds.retry_window_s,
-        ),
-        QuotaBounds(
-            bounds.quota_window_s,
-            bounds.quota_overshoot,
-            bounds.quota_slack,
-        ),
-        rng,
-        now,
-    )
+            self._reports.look(self._gate, self._front, self._dispatcher)
--- /dev/null
+++ b/packages/entry/src/tallyhall_entry/reports.py
@@ -0,0 +1,86 @@
+"""What an instance tells of itself, beside its requests: lines and gauges."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tallyhall_core.events import Event
+from tallyhall_dispatch.fleet import FleetCount
+from tallyhall_dispatch.gate import Gate
+from tallyhall_edge.scheduling import Dispatcher
+from tallyhall_edge.server import HttpServer
+from tallyhall_platform.calls import CallCounts
+
+from .logs import EventLog
+from .metrics import Metrics
+
+# Calls to the store are logged this often: a line of 300 bytes each 2 s is a
+# hundredth of what an instance may log.
+_CALLS_LOGGED_S = 2.0
+
+
+class Reports:
+    """Lines about the fleet and the store, and gauges of this instance."""
+
+    def __init__(
+        self,
+        incarnation: str,
+        calls: CallCounts,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        """Tell of the run of this incarnation."""
+        self._incarnation = incarnation
+        self._calls = calls
+        self._log = log
+        self._metrics = metrics
+        self._loop = asyncio.get_running_loop()
+        self._calls_logged_at = self._loop.time()
+        self._counted: dict[str, int] = {}
+
+    def log_fleet(self, count: FleetCount, heard: int) -> None:
+        """Log of how many instances the use of quotas counts, if it changed.
+
+        heard: those whose use is known here.
+        """
+        counted = {
+            'registered': len(count.registered),
+            'leaving': len(count.leaving),
+            'vanished': len(count.vanished),
+            'heard': heard,
+        }
+        if counted != self._counted:
+            self._counted = counted
+            self._log.event(Event.fleet_counted, **counted)
+
+    def log_calls(self) -> None:
+        """Log how often the store was called, if it was since the last line."""
+        calls = self._calls.by_labels()
+        if calls == self._metrics.store_calls:
+            return
+        self._metrics.store_calls = calls
+        self._log.event(
+            Event.store_calls,
+            incarnation=self._incarnation,
+            calls={'/'.join(labels): count for labels, count in calls.items()},
+        )
+
+    def look(
+        self,
+        gate: Gate,
+        front: HttpServer,
+        dispatcher: Dispatcher,
+    ) -> None:
+        """Set the gauges, and log what is due."""
+        now = self._loop.time()
+        if now - self._calls_logged_at >= _CALLS_LOGGED_S:
+            self._calls_logged_at = now
+            self.log_calls()
+        self._log.report_dropped()
+        metrics = self._metrics
+        metrics.connections = front.open_connections
+        metrics.turned_away = front.turned_away
+        metrics.waiting = dispatcher.waiting
+        age = gate.freshness.age(now)
+        if age is not None:
+            metrics.confirmation_age_seconds = age
