server.py is three modules: the address, a connection, an exchange

No change of what is done: exchange.py answers one request, caller_connection.py reads and answers in turn, server.py accepts.

--- a/packages/edge/src/tallyhall_edge/relay.py
+++ b/packages/edge/src/tallyhall_edge/relay.py
@@ -17,8 +17,8 @@
 from .dialect import AnswerInfo, Dialect
 from .errors import BrokenError
 from .events import BadEventError, EventSplitter, StreamEvent
+from .exchange import Exchange
 from .messages import Headers, ResponseHead, find, forwarded
-from .server import Exchange
 
 # Answers up to this size are held until they are complete, in bytes.
 _HELD_BYTES = 65_536
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -19,12 +19,12 @@
 
 from .connections import ConnectionPool
 from .dialect import BadCallError, CallInfo, Dialect
+from .exchange import Exchange
 from .guard import Guard
 from .relay import Relay
 from .request_log import RequestLog
 from .scheduling import Scheduler
 from .sending import Sending
-from .server import Exchange
 from .stopping import Stop, stopping_error
 from .telemetry import Telemetry
 from .visit import ANSWERED, Visit, note_send
--- a/packages/edge/src/tallyhall_edge/visit.py
+++ b/packages/edge/src/tallyhall_edge/visit.py
@@ -7,9 +7,9 @@
 from tallyhall_dispatch.jobs import Grant
 
 from .dialect import CallInfo
+from .exchange import Exchange
 from .guard import Permit
 from .relay import Relay
-from .server import Exchange
 
 ANSWERED = 'answered'
 
--- a/packages/entry/src/tallyhall_entry/answers.py
+++ b/packages/entry/src/tallyhall_entry/answers.py
@@ -5,7 +5,7 @@
 import random
 
 from tallyhall_dispatch.gate import Gate
-from tallyhall_edge.server import Exchange
+from tallyhall_edge.exchange import Exchange
 from tallyhall_platform.locate import encode_addresses
 
 from .beliefs import Beliefs
--- a/packages/entry/src/tallyhall_entry/beliefs.py
+++ b/packages/entry/src/tallyhall_entry/beliefs.py
@@ -9,9 +9,10 @@
 from tallyhall_dispatch.fleet import FleetCount, Membership
 from tallyhall_dispatch.gate import Gate
 from tallyhall_dispatch.quota import Written
+from tallyhall_edge.caller_connection import ServerLimits
 from tallyhall_edge.connections import ConnectionPool
 from tallyhall_edge.scheduling import Dispatcher
-from tallyhall_edge.server import HttpServer, ServerLimits
+from tallyhall_edge.server import HttpServer
 from tallyhall_platform.entries import InstanceEntry
 from tallyhall_transport.peers import PeerLinks, PeerPlace
 
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -18,10 +18,12 @@
 from tallyhall_dispatch.fleet import Membership
 from tallyhall_dispatch.options import Options
 from tallyhall_dispatch.quota_limits import Fleet
+from tallyhall_edge.caller_connection import ServerLimits
 from tallyhall_edge.connections import ConnectionPool
+from tallyhall_edge.exchange import Respond
 from tallyhall_edge.runner import Runner
 from tallyhall_edge.scheduling import Dispatcher
-from tallyhall_edge.server import HttpServer, Respond, ServerLimits
+from tallyhall_edge.server import HttpServer
 from tallyhall_edge.stopping import Stop
 from tallyhall_platform.absence import Absence
 from tallyhall_platform.calls import CallCounts
--- a/packages/standins/src/tallyhall_standins/platform_store.py
+++ b/packages/standins/src/tallyhall_standins/platform_store.py
@@ -17,7 +17,9 @@
 from typing import Any
 from urllib.parse import parse_qsl, urlsplit
 
-from tallyhall_edge.server import Exchange, HttpServer, ServerLimits
+from tallyhall_edge.caller_connection import ServerLimits
+from tallyhall_edge.exchange import Exchange
+from tallyhall_edge.server import HttpServer
 
 _PAGE = 50
 _OK = (200, b'OK')
--- a/tests/platform/test_edge_server.py
+++ b/tests/platform/test_edge_server.py
@@ -6,8 +6,10 @@
 
 import pytest
 from tallyhall_bench.ports import free_ports
+from tallyhall_edge.caller_connection import ServerLimits
 from tallyhall_edge.errors import EndedError
-from tallyhall_edge.server import Exchange, HttpServer, ServerLimits
+from tallyhall_edge.exchange import Exchange
+from tallyhall_edge.server import HttpServer
 
 from tests.platform.harness import HOST, until
 
