--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 # of processor time.
 TEST_WORKERS ?= 3
 
-.PHONY: run run-platform proto days soak rollouts test check fmt faults bench slopes overhead start-cost return-run
+.PHONY: run run-platform proto days soak rollouts limits test check fmt faults bench slopes overhead start-cost return-run
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -49,6 +49,12 @@
 		--seeds $(SEEDS) --trouble none --trouble leader --trouble four \
 		--trouble away --trouble all
 
+# Upstreams that name limits, on real processes, with troubles beside.
+limits: $(STAMP)
+	$(BIN)/python -m tallyhall_bench.limit_run --seed $(SEED) \
+		--seeds $(SEEDS) --trouble none --trouble restarts \
+		--trouble stops --trouble freezes --trouble away
+
 # The users' bench plays each day of our own: BENCH and SITE are its program
 # and a site file.
 days:
