--- a/packages/entry/src/tallyhall_entry/beliefs.py
+++ b/packages/entry/src/tallyhall_entry/beliefs.py
@@ -14,7 +14,8 @@
 from tallyhall_edge.scheduling import Dispatcher
 from tallyhall_edge.server import HttpServer
 from tallyhall_platform.entries import InstanceEntry
-from tallyhall_transport.peers import PeerLinks, PeerPlace
+from tallyhall_transport.peer import PeerPlace
+from tallyhall_transport.peers import PeerLinks
 
 from .logs import EventLog
 from .metrics import Metrics
--- a/packages/entry/src/tallyhall_entry/guard.py
+++ b/packages/entry/src/tallyhall_entry/guard.py
@@ -29,7 +29,8 @@
 from tallyhall_platform.ends import EndRecorder, EndRecords
 from tallyhall_platform.errors import StoreError
 from tallyhall_platform.store import StoreClient
-from tallyhall_transport.peers import Peer, PeerLinks
+from tallyhall_transport.peer import Peer
+from tallyhall_transport.peers import PeerLinks
 
 from .logs import EventLog
 
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -20,7 +20,6 @@
 from tallyhall_dispatch.quota_limits import Fleet
 from tallyhall_edge.caller_connection import ServerLimits
 from tallyhall_edge.connections import ConnectionPool
-from tallyhall_edge.exchange import Respond
 from tallyhall_edge.runner import Runner
 from tallyhall_edge.scheduling import Dispatcher
 from tallyhall_edge.server import HttpServer
@@ -31,7 +30,8 @@
 from tallyhall_platform.follow import Follower
 from tallyhall_platform.registry import LEAST_UNSEEN_S, Registration
 from tallyhall_platform.store import StoreClient
-from tallyhall_transport.peers import Peer, PeerLinks
+from tallyhall_transport.peer import Peer
+from tallyhall_transport.peers import PeerLinks
 
 from .answers import LOCATE_KEEP_S, Answers
 from .beliefs import Beliefs
@@ -157,9 +157,14 @@
         )
         self._servers = (
             self._front,
-            self._server(self._answers.ready),
-            self._server(self._answers.locate),
-            self._server(self._answers.metrics),
+            *(
+                HttpServer(respond, self._failed, ServerLimits())
+                for respond in (
+                    self._answers.ready,
+                    self._answers.locate,
+                    self._answers.metrics,
+                )
+            ),
         )
         self._store_registers = StoreClient(options.store.address, self._calls)
         self._store_follows = StoreClient(options.store.address, self._calls)
@@ -400,9 +405,6 @@
             self._guard,
         )
 
-    def _server(self, respond: Respond) -> HttpServer:
-        return HttpServer(respond, self._failed, ServerLimits())
-
     def _spawn(self, name: str, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work, name=name)
         task.add_done_callback(self._task_ended)
--- a/packages/entry/src/tallyhall_entry/neighbours.py
+++ b/packages/entry/src/tallyhall_entry/neighbours.py
@@ -4,7 +4,8 @@
 
 import msgspec
 from tallyhall_dispatch.topology import Topology, is_mesh
-from tallyhall_transport.peers import Peer, PeerLinks
+from tallyhall_transport.peer import Peer
+from tallyhall_transport.peers import PeerLinks
 
 # Beats after which one that sent something needs no answers any more.
 _ANSWERED_LOSSES = 3
--- a/packages/entry/src/tallyhall_entry/news.py
+++ b/packages/entry/src/tallyhall_entry/news.py
@@ -22,7 +22,8 @@
 from tallyhall_platform.follow import Follower, Role
 from tallyhall_platform.history import News
 from tallyhall_platform.store import Change
-from tallyhall_transport.peers import Peer, PeerLinks
+from tallyhall_transport.peer import Peer
+from tallyhall_transport.peers import PeerLinks
 
 if TYPE_CHECKING:
     from tallyhall_transport.generated import peers_pb2
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -25,12 +25,13 @@
 from tallyhall_dispatch.pool import Granted
 from tallyhall_dispatch.refusing import GivenUp
 from tallyhall_edge.scheduling import Dispatcher, GivenUpError
+from tallyhall_transport.peer import Peer
 from tallyhall_transport.peer_codec import (
     decode_done,
     decode_give_up,
     decode_job,
 )
-from tallyhall_transport.peers import Peer, PeerLinks
+from tallyhall_transport.peers import PeerLinks
 
 from .job_talk import JobTalk, PeerOrigin
 from .knowledge import Known, known
--- a/packages/entry/src/tallyhall_entry/talk.py
+++ b/packages/entry/src/tallyhall_entry/talk.py
@@ -11,7 +11,8 @@
 from tallyhall_dispatch.gate import Gate
 from tallyhall_dispatch.quota_use import FleetUse, Parts, UseReport
 from tallyhall_dispatch.topology import is_mesh
-from tallyhall_transport.peers import Peer, PeerLinks
+from tallyhall_transport.peer import Peer
+from tallyhall_transport.peers import PeerLinks
 
 from .logs import EventLog
 
--- a/packages/entry/src/tallyhall_entry/upstream_news.py
+++ b/packages/entry/src/tallyhall_entry/upstream_news.py
@@ -15,7 +15,8 @@
 from tallyhall_dispatch.named_limits import NamedLimit
 from tallyhall_dispatch.topology import is_mesh
 from tallyhall_edge.scheduling import Dispatcher
-from tallyhall_transport.peers import Peer, PeerLinks
+from tallyhall_transport.peer import Peer
+from tallyhall_transport.peers import PeerLinks
 
 if TYPE_CHECKING:
     from tallyhall_transport.generated import peers_pb2
--- a/packages/entry/src/tallyhall_entry/use_news.py
+++ b/packages/entry/src/tallyhall_entry/use_news.py
@@ -14,7 +14,8 @@
 
 from tallyhall_dispatch.quota import Quotas
 from tallyhall_dispatch.topology import is_mesh
-from tallyhall_transport.peers import Peer, PeerLinks
+from tallyhall_transport.peer import Peer
+from tallyhall_transport.peers import PeerLinks
 
 if TYPE_CHECKING:
     from tallyhall_transport.generated import peers_pb2
--- a/packages/transport/src/tallyhall_transport/peers.py
+++ b/packages/transport/src/tallyhall_transport/peers.py
@@ -12,13 +12,14 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
-import msgspec
 from tallyhall_dispatch.topology import beat_s
 
+from .loading import load_streams
+from .peer import Peer, PeerPlace, ReadState
+
 if TYPE_CHECKING:
     from .generated import peers_pb2
     from .streams import Outbox, Streams
@@ -29,56 +30,8 @@
 # the slowest sound way takes 30 ms.
 _SILENT_BEATS = 5.4
 _MICRO = 1_000_000
-# The library is loaded in turns of this length, in seconds: each wake-up of the
-# loop waits for the end of one, 0.8 ms in place of 1.6 with the interpreter's
-# usual 5 ms (mean of 38 to 57 wake-ups, three runs each).
-_LOADING_TURN_S = 0.0005
-# Put back by whoever has loaded it, also where two load it at a time.
-_USUAL_TURN_S = sys.getswitchinterval()
-_STREAMS = f'{__package__}.streams'
-
-
-class Peer(msgspec.Struct):
-    """Another instance as seen through its batches."""
-
-    name: str
-    incarnation: str = ''
-    heard_at: float = -1
-    question_us: int = 0
-    answered_at: float = -1
-    leaving: bool = False
-    # Since when a stream to it is kept, None without one.
-    linked_at: float | None = None
-    # Instances that this one hears, as it says.
-    hears: int = 0
-    # Whether it knows the use of all; until then it is told everything.
-    knows_use: bool = False
-    told: dict[str, float] = msgspec.field(default_factory=dict)
-    # Of quotas: what was returned as told last, and those told as used much.
-    told_returned: dict[str, float] = msgspec.field(default_factory=dict)
-    told_high: set[str] = msgspec.field(default_factory=set)
-
-    def forget_told(self) -> None:
-        """Take that a new stream begins: all that is told is told again."""
-        self.told.clear()
-        self.told_returned.clear()
-        self.told_high.clear()
-
-
-class PeerPlace(msgspec.Struct, frozen=True):
-    """Where a peer is reached, and what processor time it has, in cores.
-
-    serves: whether callers are sent there, so that it may own services.
-    """
-
-    address: str
-    cores: float
-    serves: bool = True
-
-
 OnBatch = Callable[[Peer, 'peers_pb2.Batch'], None]
 FillBatch = Callable[[Peer, 'peers_pb2.Batch'], None]
-ReadState = Callable[[], bytes]
 
 
 class PeerLinks:
@@ -163,12 +116,10 @@
     async def listen(self, address: str, read_state: ReadState) -> None:
         """Open the address; raise OSError where it is taken.
 
-        Until then no stream is kept, and requests are decided alone. The
-        library is loaded by a thread, so that callers are answered meanwhile.
+        Until then no stream is kept, and requests are decided alone.
         """
-        if _STREAMS not in sys.modules:
-            await self._load()
-        streams = _load_streams()(self)
+        loaded = await load_streams()
+        streams = loaded(self)
         await streams.listen(address, self.take, read_state)
         self.use(streams)
 
@@ -245,13 +196,6 @@
             peer.answered_at = max(peer.answered_at, asked_at)
         self._on_batch(peer, batch)
 
-    async def _load(self) -> None:
-        sys.setswitchinterval(_LOADING_TURN_S)
-        try:
-            await self._loop.run_in_executor(None, _load_streams)
-        finally:
-            sys.setswitchinterval(_USUAL_TURN_S)
-
     def _link(self, name: str) -> None:
         place = self._places.get(name)
         if place is None or self._streams is None:
@@ -264,9 +208,3 @@
         outbox = self._outboxes.pop(name)
         outbox.peer.linked_at = None
         outbox.task.cancel()
-
-
-def _load_streams() -> Callable[[PeerLinks], Streams]:
-    from .streams import Streams as Loaded  # noqa: PLC0415, WPS433
-
-    return Loaded
--- a/packages/transport/src/tallyhall_transport/streams.py
+++ b/packages/transport/src/tallyhall_transport/streams.py
@@ -1,7 +1,7 @@
 """The library's part of the streams between instances: sending, serving.
 
 To load the library takes 50 ms of processor time, a third of a start, and
-nothing of it is needed for the first answer to a caller. So only peers.py
+nothing of it is needed for the first answer to a caller. So only loading.py
 loads this module, once callers can be answered.
 """
 
@@ -16,7 +16,7 @@
 
 from .errors import TransportError
 from .generated import peers_pb2, peers_pb2_grpc
-from .peers import Peer, ReadState
+from .peer import Peer, ReadState
 
 # A new stream has this long until its first answer.
 _OPENING_S = 0.2
--- a/tests/platform/limit_fleet.py
+++ b/tests/platform/limit_fleet.py
@@ -23,7 +23,8 @@
 from tallyhall_entry.shared import SharedScheduler
 from tallyhall_platform.decode import decode_state
 from tallyhall_transport.generated import peers_pb2
-from tallyhall_transport.peers import Peer, PeerLinks, PeerPlace
+from tallyhall_transport.peer import Peer, PeerPlace
+from tallyhall_transport.peers import PeerLinks
 
 from tests.platform.harness import MODEL, desired
 from tests.platform.windows import most_in_window
--- a/tests/platform/quota_fleet.py
+++ b/tests/platform/quota_fleet.py
@@ -23,7 +23,8 @@
 from tallyhall_entry.talk import Talk
 from tallyhall_entry.use_news import UseNews
 from tallyhall_transport.generated import peers_pb2
-from tallyhall_transport.peers import Peer, PeerLinks, PeerPlace
+from tallyhall_transport.peer import Peer, PeerPlace
+from tallyhall_transport.peers import PeerLinks
 from tallyhall_transport.streams import Streams
 
 from tests.platform.harness import log_stream
--- a/tests/platform/test_asks.py
+++ b/tests/platform/test_asks.py
@@ -37,7 +37,7 @@
 from tallyhall_entry.neighbours import Seen
 from tallyhall_platform.decode import decode_state
 from tallyhall_transport.generated import peers_pb2
-from tallyhall_transport.peers import Peer
+from tallyhall_transport.peer import Peer
 
 from tests.platform.harness import MODEL, deployment, desired, patient
 
--- a/tests/platform/test_guard.py
+++ b/tests/platform/test_guard.py
@@ -27,7 +27,8 @@
 from tallyhall_platform.store import StoreClient
 from tallyhall_standins.platform_store import StoreFault, StoreStandIn
 from tallyhall_transport.generated import peers_pb2
-from tallyhall_transport.peers import Peer, PeerLinks
+from tallyhall_transport.peer import Peer
+from tallyhall_transport.peers import PeerLinks
 
 from tests.platform.harness import HOST, log_stream, until
 
--- a/tests/platform/test_links.py
+++ b/tests/platform/test_links.py
@@ -19,7 +19,8 @@
 
 from tallyhall_bench.ports import free_ports
 from tallyhall_transport.generated import peers_pb2
-from tallyhall_transport.peers import PeerLinks, PeerPlace
+from tallyhall_transport.peer import PeerPlace
+from tallyhall_transport.peers import PeerLinks
 
 from tests.platform.harness import HOST, until
 
--- a/tests/platform/test_neighbours.py
+++ b/tests/platform/test_neighbours.py
@@ -21,7 +21,8 @@
 from tallyhall_entry.knowledge import known
 from tallyhall_entry.shared import SharedScheduler
 from tallyhall_transport.generated import peers_pb2
-from tallyhall_transport.peers import Peer, PeerLinks, PeerPlace
+from tallyhall_transport.peer import Peer, PeerPlace
+from tallyhall_transport.peers import PeerLinks
 
 _CLOSED = PeerPlace('127.0.0.1:1', 1)
 _MANY = 18
--- a/tests/platform/test_talk.py
+++ b/tests/platform/test_talk.py
@@ -34,7 +34,8 @@
 from tallyhall_entry.logs import EventLog
 from tallyhall_entry.talk import Talk
 from tallyhall_transport.generated import peers_pb2
-from tallyhall_transport.peers import Peer, PeerLinks, PeerPlace
+from tallyhall_transport.peer import Peer, PeerPlace
+from tallyhall_transport.peers import PeerLinks
 
 from tests.platform.harness import log_stream
 
--- a/tests/platform/test_use_news.py
+++ b/tests/platform/test_use_news.py
@@ -11,7 +11,8 @@
 from tallyhall_dispatch.quota_limits import Fleet, QuotaBounds
 from tallyhall_entry.use_news import UseNews
 from tallyhall_transport.generated import peers_pb2
-from tallyhall_transport.peers import Peer, PeerLinks, PeerPlace
+from tallyhall_transport.peer import Peer, PeerPlace
+from tallyhall_transport.peers import PeerLinks
 
 from tests.platform.harness import PLAIN, deployment
 
