--- a/packages/entry/src/tallyhall_entry/answers.py
+++ b/packages/entry/src/tallyhall_entry/answers.py
@@ -66,4 +66,7 @@
     async def metrics(self, exchange: Exchange) -> None:
         """Return all metrics as text."""
         headers = ((b'Content-Type', b'text/plain; version=0.0.4'),)
-        exchange.answer(*_OK, headers, self._metrics.text())
+        # Loaded with the first question, not by each start.
+        from .exposition import exposed  # noqa: PLC0415, WPS433
+
+        exchange.answer(*_OK, headers, exposed(self._metrics))
--- a/packages/entry/src/tallyhall_entry/metrics.py
+++ b/packages/entry/src/tallyhall_entry/metrics.py
@@ -68,9 +68,3 @@
             times = Histogram()
             self.request_seconds[kind] = times
         times.observe(total_s)
-
-    def text(self) -> bytes:
-        """Return all metrics in the text format."""
-        from .exposition import exposed  # noqa: PLC0415, WPS433
-
-        return exposed(self)
--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -11,6 +11,7 @@
 import pytest
 from tallyhall_core.events import Event
 from tallyhall_entry.explain import check_line, explain, read_line
+from tallyhall_entry.exposition import exposed
 from tallyhall_entry.logs import EventLog, setup_logging
 from tallyhall_entry.metrics import Metrics
 from tallyhall_standins.platform_engine import EngineFault
@@ -30,7 +31,7 @@
 def test_every_metric_is_in_its_catalogue() -> None:
     text = (_DOCS / 'METRICS.md').read_text()
     listed = set(re.findall(r'^\| (tallyhall_\w+) \|', text, re.MULTILINE))
-    exported = Metrics(log_stream()).text().decode()
+    exported = exposed(Metrics(log_stream())).decode()
     types = re.findall(r'^# TYPE (\w+) (\w+)$', exported, re.MULTILINE)
     names = {name for name, _ in types if not name.endswith('_created')}
     assert listed == names
