--- a/packages/dispatch/src/tallyhall_dispatch/group.py
+++ b/packages/dispatch/src/tallyhall_dispatch/group.py
@@ -30,6 +30,8 @@
         # The part of all places that may be filled from here: what instances
         # that are not heard may be filling themselves is left alone.
         self.share: float = 1
+        # Whether an upstream that stays names a limit.
+        self.is_limited = False
         self._switches = switches
         self._views: dict[str, EngineView] = {}
         self._misplaced: set[str] = set()
@@ -78,11 +80,7 @@
             if view.tokens is None:
                 view.tokens = TokenBucket(now, self._rng)
             view.tokens.change_rate(per_s, part, now)
-
-    @property
-    def is_limited(self) -> bool:
-        """Return whether an upstream that stays names a limit."""
-        return any(view.tokens is not None for view in self._staying())
+        self.is_limited = any(one.tokens for one in self._staying())
 
     def limits_open_in_s(self, now: float) -> float:
         """Return how long the limits of all that stay let nothing begin."""
--- a/packages/entry/src/tallyhall_entry/exposition.py
+++ b/packages/entry/src/tallyhall_entry/exposition.py
@@ -105,6 +105,11 @@
                 'Requests that wait for an upstream.',
                 self._metrics.waiting,
             ),
+            (
+                'tallyhall_limited_upstreams',
+                'Upstreams that name what they take from all instances.',
+                self._metrics.limited_upstreams,
+            ),
             (
                 'tallyhall_desired_state_version',
                 'Version of the desired state in force, -1 before the first.',
--- a/packages/entry/src/tallyhall_entry/metrics.py
+++ b/packages/entry/src/tallyhall_entry/metrics.py
@@ -56,6 +56,7 @@
         self.connections = 0
         self.turned_away = 0
         self.waiting = 0
+        self.limited_upstreams = 0
         self.state_version = -1
         self.confirmation_age_seconds: float = 0
         self.store_up = 0
--- a/packages/entry/src/tallyhall_entry/reports.py
+++ b/packages/entry/src/tallyhall_entry/reports.py
@@ -81,6 +81,10 @@
         metrics.connections = front.open_connections
         metrics.turned_away = front.turned_away
         metrics.waiting = dispatcher.waiting
+        metrics.limited_upstreams = sum(
+            dispatcher.upstream(incarnation) is not None
+            for incarnation in dispatcher.limits.current
+        )
         age = gate.freshness.age(now)
         if age is not None:
             metrics.confirmation_age_seconds = age
