--- a/packages/transport/src/tallyhall_transport/peers.py
+++ b/packages/transport/src/tallyhall_transport/peers.py
@@ -62,6 +62,7 @@
         self._loop = asyncio.get_running_loop()
         self._streams: Streams | None = None
         self._places: dict[str, PeerPlace] = {}
+        self._note_places()
         self._outboxes: dict[str, Outbox] = {}
         self._peers: dict[str, Peer] = {}
 
@@ -70,11 +71,6 @@
         """Return all peers that count or were heard."""
         return self._peers
 
-    @property
-    def registered(self) -> frozenset[str]:
-        """Return all instances that count and have a place, with this one."""
-        return frozenset((*self._places, self._name))
-
     def serves(self, name: str) -> bool:
         """Return whether callers are sent to a peer."""
         place = self._places.get(name)
@@ -92,21 +88,6 @@
         """Return how many instances count and have a place, with this one."""
         return len(self._places) + 1
 
-    @property
-    def beat_s(self) -> float:
-        """Return the time between two batches without content."""
-        return beat_s(len(self._places))
-
-    @property
-    def lost_s(self) -> float:
-        """Return after how long an unheard peer counts as lost."""
-        return _LOST_BEATS * self.beat_s
-
-    @property
-    def silent_s(self) -> float:
-        """Return after how long a stream without answers is opened anew."""
-        return _SILENT_BEATS * self.beat_s
-
     def answers(self, peer: Peer, now: float) -> bool:
         """Return whether a peer is heard and hears this instance."""
         if now - peer.heard_at >= self.lost_s:
@@ -130,6 +111,7 @@
     def take_peers(self, places: Mapping[str, PeerPlace]) -> None:
         """Take names and places of all others."""
         self._places = dict(places)
+        self._note_places()
         for name, outbox in tuple(self._outboxes.items()):
             if name not in places or places[name].address != outbox.address:
                 self._unlink(name)
@@ -196,6 +178,20 @@
             peer.answered_at = max(peer.answered_at, asked_at)
         self._on_batch(peer, batch)
 
+    def _note_places(self) -> None:
+        """Set what follows from who the peers are; times in seconds.
+
+        Hubs look at each of some hundred peers by it, many times a second.
+        """
+        # All instances that count and have a place, with this one.
+        self.registered = frozenset((*self._places, self._name))
+        # The time between two batches without content.
+        self.beat_s = beat_s(len(self._places))
+        # After this long an unheard peer counts as lost.
+        self.lost_s = _LOST_BEATS * self.beat_s
+        # After this long a stream without answers is opened anew.
+        self.silent_s = _SILENT_BEATS * self.beat_s
+
     def _link(self, name: str) -> None:
         place = self._places.get(name)
         if place is None or self._streams is None:
