--- a/tests/platform/test_quota_large.py
+++ b/tests/platform/test_quota_large.py
@@ -152,6 +152,18 @@
     assert story.fleet.most <= story.fleet.allowed
 
 
+@pytest.mark.parametrize('times', [8, 16])
+async def test_a_flood_stays_within_the_quota(times: float) -> None:
+    """All instances have a request of it at any moment.
+
+    What had come at once leaves at once, and each admitted one into the room.
+    """
+    story = _Story(195, 1)
+    story.play(10, 0.55)
+    story.play(16, times)
+    assert story.fleet.most <= story.fleet.allowed
+
+
 @pytest.mark.parametrize('size', _MOST_SIZES)
 async def test_what_stays_below_a_quota_is_hardly_refused(size: int) -> None:
     """Under 5 in 100 of what fits, where nearly all of a quota is asked for."""
