One on trial that names a limit is served up to it

Found in review: whether a service has a limited upstream was asked of those in use only, so where just the target of a roll-out named a limit its part was nothing and it got no request. Red before: test_one_on_trial_may_name_a_limit. Beside it tests of the token bucket and of the newest word (hypothesis), which hold before and after.

--- a/packages/dispatch/src/tallyhall_dispatch/group.py
+++ b/packages/dispatch/src/tallyhall_dispatch/group.py
@@ -30,7 +30,7 @@
         # The part of all places that may be filled from here: what instances
         # that are not heard may be filling themselves is left alone.
         self.share: float = 1
-        # Whether an upstream that stays names a limit.
+        # Whether one that does not leave names a limit, also one on trial.
         self.is_limited = False
         self._switches = switches
         self._views: dict[str, EngineView] = {}
@@ -80,7 +80,10 @@
             if view.tokens is None:
                 view.tokens = TokenBucket(now, self._rng)
             view.tokens.change_rate(per_s, part, now)
-        self.is_limited = any(one.tokens for one in self._staying())
+        self.is_limited = any(
+            one.tokens and not one.upstream.leaving
+            for one in self._views.values()
+        )
 
     def limits_open_in_s(self, now: float) -> float:
         """Return how long the limits of all that stay let nothing begin."""
--- /dev/null
+++ b/tests/platform/test_token_bucket.py
@@ -0,0 +1,99 @@
+"""What may be sent at a limit, by whoever decides."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+from tallyhall_dispatch.desired import Upstream
+from tallyhall_dispatch.group import UpstreamGroup
+from tallyhall_dispatch.named_limits import NamedLimit, NamedLimits
+from tallyhall_dispatch.switches import ALL_ON
+from tallyhall_dispatch.token_bucket import TokenBucket
+
+from tests.platform.windows import most_in_window
+
+_WINDOW_S = 4.0
+
+
+def _bucket(per_s: float, part: float, seed: int = 1) -> TokenBucket:
+    bucket = TokenBucket(0, random.Random(seed))
+    bucket.change_rate(per_s, part, 0)
+    return bucket
+
+
+@given(
+    st.floats(0.2, 50),
+    st.floats(0.1, 1),
+    st.lists(st.floats(0, 1), min_size=1, max_size=200),
+)
+def test_no_window_holds_more_than_a_rate_and_what_is_kept(
+    per_s: float,
+    part: float,
+    pauses: list[float],
+) -> None:
+    bucket = _bucket(per_s, part)
+    sent = []
+    now: float = 0
+    for pause_s in pauses:
+        now += pause_s
+        if bucket.has_token(now):
+            bucket.take()
+            sent.append((now, 1.0))
+    rate = per_s * part
+    most = rate * _WINDOW_S + max(1, rate / 2) + 1
+    assert most_in_window(sent, _WINDOW_S) <= most
+
+
+def test_one_for_whom_others_decide_sends_nothing() -> None:
+    bucket = _bucket(10, 0)
+    assert not bucket.has_token(1000)
+    bucket.change_rate(10, 1, 1000)
+    assert bucket.has_token(1000.2)
+
+
+def test_hundreds_that_begin_to_decide_alone_send_what_is_named() -> None:
+    buckets = [_bucket(4, 1 / 400, seed) for seed in range(400)]
+    sent = 0
+    for tick in range(200):
+        for bucket in buckets:
+            if bucket.has_token(tick / 20):
+                bucket.take()
+                sent += 1
+    assert 0.6 * 40 <= sent <= 1.4 * 40
+
+
+def test_what_others_decide_is_owed_and_what_was_not_sent_comes_back() -> None:
+    bucket = _bucket(1, 1)
+    bucket.take()
+    bucket.take()
+    assert not bucket.has_token(1)
+    bucket.give_back()
+    bucket.give_back()
+    assert bucket.has_token(1)
+
+
+def test_one_on_trial_may_name_a_limit() -> None:
+    group = UpstreamGroup(ALL_ON, random.Random(1))
+    fields = ('svc', '', 1, 'a', 1)
+    group.take(
+        (
+            Upstream('old', *fields, leaving=False),
+            Upstream('new', *fields, leaving=False, canary=True),
+        ),
+    )
+    group.take_limits({'new': 2}, 1, 0)
+    assert group.is_limited
+    assert [view.incarnation for view in group.free_canaries(1)] == ['new']
+
+
+def test_the_newest_word_counts_whoever_heard_it() -> None:
+    limits = NamedLimits()
+    assert limits.take('u', NamedLimit(3, 10))
+    assert not limits.take('u', NamedLimit(5, 9))
+    assert limits.contradicted('u', NamedLimit(5, 9))
+    assert not limits.is_taken_back('u', 9.5)
+    assert limits.is_taken_back('u', 10.5)
+    assert limits.take('u', NamedLimit(None, 11))
+    assert not limits.current
+    assert not limits.take('u', NamedLimit(3, 10))
+    assert not limits.current
