Names that a newcomer would stumble over; tests on four workers

named_limits beside names_limit and apply_limits where three things were called limits; from_options.py in place of parts.py, as limits and quotas have parts too.

--- a/Makefile
+++ b/Makefile
@@ -11,9 +11,8 @@
 SEED ?= 1
 SECONDS ?= 120
 SEEDS ?= 1
-# Tests wait more than they compute: a run of 14 minutes on one worker has 10
-# of processor time.
-TEST_WORKERS ?= 3
+# Tests wait as well as compute.
+TEST_WORKERS ?= 4
 
 .PHONY: run run-platform proto days soak rollouts limits test check fmt faults bench slopes overhead start-cost return-run
 
--- a/packages/dispatch/src/tallyhall_dispatch/group.py
+++ b/packages/dispatch/src/tallyhall_dispatch/group.py
@@ -62,7 +62,7 @@
                 continue
             view.upstream = upstream
 
-    def take_limits(
+    def apply_limits(
         self,
         limits: Mapping[str, float],
         part: float,
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -48,7 +48,7 @@
     def leaves(self, incarnation: str) -> None:
         """Take that an upstream says that it leaves."""
 
-    def limits(
+    def names_limit(
         self,
         incarnation: str,
         per_s: float | None,
@@ -110,7 +110,7 @@
         self._upstreams: tuple[Upstream, ...] = ()
         self._by_id: dict[str, Upstream] = {}
         self.leavers = Leavers()
-        self.limits = NamedLimits()
+        self.named_limits = NamedLimits()
         # The part of the limits of each service that is for this instance.
         self._parts: dict[str, float] = {}
         self._versions: dict[str, ServiceVersions] = collections.defaultdict(
@@ -184,7 +184,7 @@
         }
         for name, pool in self._pools.items():
             pool.set_upstreams(marked.get(name, ()))
-            self._limit(pool)
+            self._apply_limits(pool)
             self._pump(pool)
 
     def take_rollout(
@@ -291,10 +291,10 @@
             pool.misplaced(incarnation)
         self._pump(pool)
 
-    def take_limits(self) -> None:
+    def apply_limits(self) -> None:
         """Keep to the limits that upstreams name now."""
         for pool in self._pools.values():
-            self._limit(pool)
+            self._apply_limits(pool)
             self._pump(pool)
 
     def take_limit_parts(self, parts: Mapping[str, float]) -> None:
@@ -305,7 +305,7 @@
         if parts == self._parts:
             return
         self._parts = dict(parts)
-        self.take_limits()
+        self.apply_limits()
 
     @property
     def limited_services(self) -> tuple[str, ...]:
@@ -347,9 +347,11 @@
             pool.drop_jobs(prefix)
             self._pump(pool)
 
-    def _limit(self, pool: ServicePool) -> None:
+    def _apply_limits(self, pool: ServicePool) -> None:
         part = self._parts.get(pool.service, 0)
-        pool.upstreams.take_limits(self.limits.current, part, self._loop.time())
+        pool.upstreams.apply_limits(
+            self.named_limits.current, part, self._loop.time()
+        )
 
     def _pump(self, pool: ServicePool) -> None:
         for decision in pool.decide(self._loop.time()):
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -160,7 +160,7 @@
         # One that turns a request away may do so before it knows its state.
         has_run = info.proven and not info.not_executed
         if has_run or info.limit_per_s is not None:
-            self._scheduler.upstream_news.limits(
+            self._scheduler.upstream_news.names_limit(
                 upstream.incarnation,
                 info.limit_per_s,
                 asked_at,
--- a/packages/entry/src/tallyhall_entry/parts.py
+++ b/packages/entry/src/tallyhall_entry/from_options.py
@@ -1,4 +1,4 @@
-"""Parts of an instance as its options ask for them."""
+"""What an instance is made of as its options say: its entry, its gate."""
 
 from __future__ import annotations
 
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -35,12 +35,12 @@
 
 from .answers import LOCATE_KEEP_S, Answers
 from .beliefs import Beliefs
+from .from_options import admits_s, freshness_s, new_gate, own_entry
 from .guard import shared_guard
 from .logs import BoundedStream, EventLog
 from .metrics import Metrics
 from .news import NewsTalk
 from .orders import Orders
-from .parts import admits_s, freshness_s, new_gate, own_entry
 from .reports import Reports
 from .shared import SharedScheduler
 from .talk import Talk
--- a/packages/entry/src/tallyhall_entry/reports.py
+++ b/packages/entry/src/tallyhall_entry/reports.py
@@ -83,7 +83,7 @@
         metrics.waiting = dispatcher.waiting
         metrics.limited_upstreams = sum(
             dispatcher.upstream(incarnation) is not None
-            for incarnation in dispatcher.limits.current
+            for incarnation in dispatcher.named_limits.current
         )
         age = gate.freshness.age(now)
         if age is not None:
--- a/packages/entry/src/tallyhall_entry/upstream_news.py
+++ b/packages/entry/src/tallyhall_entry/upstream_news.py
@@ -56,7 +56,7 @@
             self._log(Event.upstream_leaves, upstream=incarnation)
             self._tell_leaving(incarnation, _OWN)
 
-    def limits(
+    def names_limit(
         self,
         incarnation: str,
         per_s: float | None,
@@ -66,7 +66,7 @@
 
         asked_at: when the request was sent that it answers.
         """
-        known = self._dispatcher.limits
+        known = self._dispatcher.named_limits
         if per_s is None and not known.is_taken_back(incarnation, asked_at):
             return
         word = NamedLimit(per_s, self._loop.time())
@@ -80,7 +80,7 @@
         if batch is None:
             return
         batch.leaving_upstreams.extend(self._dispatcher.said_to_leave)
-        for incarnation, word in self._dispatcher.limits.words():
+        for incarnation, word in self._dispatcher.named_limits.words():
             self._fill_limit(batch, incarnation, word)
 
     def take(self, peer: Peer, batch: peers_pb2.Batch) -> None:
@@ -107,14 +107,14 @@
     def _take_told(self, peer: str, told: peers_pb2.NamedLimit) -> None:
         heard_at = self._loop.time() - told.heard_ms_ago / _MILLI
         word = NamedLimit(None if told.ended else told.per_s, heard_at)
-        if self._dispatcher.limits.contradicted(told.upstream, word):
+        if self._dispatcher.named_limits.contradicted(told.upstream, word):
             # Others may have believed it.
             self._tell_limit(told.upstream, _OWN)
             return
         self._take_limit(told.upstream, word, peer)
 
     def _take_limit(self, incarnation: str, word: NamedLimit, by: str) -> None:
-        if not self._dispatcher.limits.take(incarnation, word):
+        if not self._dispatcher.named_limits.take(incarnation, word):
             return
         self._log(
             Event.limit_named,
@@ -122,7 +122,7 @@
             per_s=word.per_s,
             by=by,
         )
-        self._dispatcher.take_limits()
+        self._dispatcher.apply_limits()
         if by == _OWN or self._tells_on:
             self._tell_limit(incarnation, by)
 
@@ -157,7 +157,7 @@
         if batch is None:
             return
         for incarnation in incarnations:
-            word = self._dispatcher.limits.word(incarnation)
+            word = self._dispatcher.named_limits.word(incarnation)
             if word is not None:
                 self._fill_limit(batch, incarnation, word)
 
--- a/tests/platform/limit_fleet.py
+++ b/tests/platform/limit_fleet.py
@@ -277,7 +277,7 @@
         engine.arrivals.append(asked_at)
         await asyncio.sleep(engine.run_s)
         self.served += 1
-        node.scheduler.upstream_news.limits(
+        node.scheduler.upstream_news.names_limit(
             engine.upstream.incarnation,
             engine.limit_per_s,
             asked_at,
--- a/tests/platform/test_token_bucket.py
+++ b/tests/platform/test_token_bucket.py
@@ -81,7 +81,7 @@
             Upstream('new', *fields, leaving=False, canary=True),
         ),
     )
-    group.take_limits({'new': 2}, 1, 0)
+    group.apply_limits({'new': 2}, 1, 0)
     assert group.is_limited
     assert [view.incarnation for view in group.free_canaries(1)] == ['new']
 
