Only where all name limits is a caller told its turn by them

Found in review: with one limited upstream of several, a request of little urgency was told to return after up to 30 s, though the others may have room at once. Red before: 10 s told where 3 s are the most with an unlimited upstream.

--- a/packages/dispatch/src/tallyhall_dispatch/group.py
+++ b/packages/dispatch/src/tallyhall_dispatch/group.py
@@ -32,6 +32,8 @@
         self.share: float = 1
         # Whether one that does not leave names a limit, also one on trial.
         self.is_limited = False
+        # Whether all do that stay, so that their limits are all there is.
+        self.is_bound = False
         self._switches = switches
         self._views: dict[str, EngineView] = {}
         self._misplaced: set[str] = set()
@@ -80,6 +82,8 @@
             if view.tokens is None:
                 view.tokens = TokenBucket(now, self._rng)
             view.tokens.change_rate(per_s, part, now)
+        staying = self._staying()
+        self.is_bound = bool(staying) and all(one.tokens for one in staying)
         self.is_limited = any(
             one.tokens and not one.upstream.leaving
             for one in self._views.values()
--- a/packages/dispatch/src/tallyhall_dispatch/refusing.py
+++ b/packages/dispatch/src/tallyhall_dispatch/refusing.py
@@ -119,7 +119,7 @@
         do, and not all of them at once.
         """
         retry_s = min(_LONGEST_RETRY_S, max(_LEAST_RETRY_S, 2 * wait_s))
-        if self._group.is_limited:
+        if self._group.is_bound:
             turn_s = max(wait_s, self._group.limits_open_in_s(now))
             retry_s = max(retry_s, min(_LONGEST_TURN_S, turn_s))
         will_be_late = now + _LEAST_RETRY_S > job.due_at
--- /dev/null
+++ b/tests/platform/test_limit_returns.py
@@ -0,0 +1,39 @@
+"""When callers may return that a limited upstream has no room for."""
+
+import random
+
+import pytest
+from tallyhall_dispatch.desired import Upstream
+from tallyhall_dispatch.forecast import Forecast
+from tallyhall_dispatch.group import UpstreamGroup
+from tallyhall_dispatch.jobs import Job
+from tallyhall_dispatch.refusing import Refusing
+from tallyhall_dispatch.shares import GrantRates
+from tallyhall_dispatch.switches import ALL_ON
+
+_LIMIT_PER_S = 0.25
+
+
+@pytest.mark.parametrize(
+    ('limited', 'least_s', 'most_s'),
+    [(('u', 'v'), 8, 30), (('u',), 0.25, 3)],
+)
+def test_a_refused_caller_returns_no_sooner_than_its_turn(
+    limited: tuple[str, ...],
+    least_s: float,
+    most_s: float,
+) -> None:
+    """Where all name limits; an upstream without one may have room sooner."""
+    rng = random.Random(1)
+    group = UpstreamGroup(ALL_ON, rng)
+    group.take(
+        Upstream(name, 'svc', '', 1, 'a', 1, leaving=False)
+        for name in ('u', 'v')
+    )
+    group.apply_limits(dict.fromkeys(limited, _LIMIT_PER_S), 1, 0)
+    refusing = Refusing(group, GrantRates(), rng, ALL_ON)
+    job = Job('k', 'svc', 'a', 0, 100, 30, 0, 1, 2)
+    rate = 2 * _LIMIT_PER_S
+    given_up = refusing.judge(job, 4, Forecast(0, rate, 0.03, 0.0001))
+    assert given_up is not None
+    assert least_s <= given_up.retry_after_s <= most_s
