--- a/packages/bench/src/tallyhall_bench/limit_run.py
+++ b/packages/bench/src/tallyhall_bench/limit_run.py
@@ -12,6 +12,7 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 import itertools
 import random
 import signal
@@ -23,7 +24,7 @@
 from tallyhall_standins.platform_store import StoreFault
 
 from .platform_fleet import EntryProcess, PlatformFleet, platform_fleet
-from .platform_load import Caller
+from .platform_load import Caller, keep_calling
 from .platform_run import STREAMED, usual_state
 
 _INSTANCES = 6
@@ -137,7 +138,8 @@
 
 async def _run(play: Play, case: str, trouble: str) -> None:
     """Let limits and trouble come under load."""
-    load = asyncio.create_task(_load(play))
+    calls = keep_calling(functools.partial(_call, play), play.rng, _PER_S)
+    load = asyncio.create_task(calls)
     await asyncio.sleep(_BEFORE_S)
     ends_at = play.now + _PLAY_S
     await asyncio.gather(_CASES[case](play), _TROUBLES[trouble](play))
@@ -146,13 +148,6 @@
     await asyncio.wait((load,))
 
 
-async def _load(play: Play) -> None:
-    async with asyncio.TaskGroup() as group:
-        while True:
-            group.create_task(_call(play))
-            await asyncio.sleep(play.rng.expovariate(_PER_S))
-
-
 async def _call(play: Play) -> None:
     play.asked += 1
     entry = play.rng.choice(play.fleet.entries)
--- a/packages/bench/src/tallyhall_bench/platform_load.py
+++ b/packages/bench/src/tallyhall_bench/platform_load.py
@@ -9,6 +9,8 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from tallyhall_dispatch.options import Listening
 from tallyhall_edge.client import ClientConnection
@@ -115,6 +117,18 @@
         return conn
 
 
+async def keep_calling(
+    call: Callable[[], Coroutine[Any, Any, None]],
+    rng: random.Random,
+    per_s: float,
+) -> None:
+    """Begin calls at this rate until cancelled, whatever becomes of them."""
+    async with asyncio.TaskGroup() as group:
+        while True:
+            group.create_task(call())
+            await asyncio.sleep(rng.expovariate(per_s))
+
+
 def _request(
     route: str,
     request_id: str,
--- a/packages/bench/src/tallyhall_bench/rollout_run.py
+++ b/packages/bench/src/tallyhall_bench/rollout_run.py
@@ -25,7 +25,7 @@
 from tallyhall_standins.platform_store import StoreFault
 
 from .platform_fleet import PlatformFleet, platform_fleet
-from .platform_load import Caller
+from .platform_load import Caller, keep_calling
 from .platform_run import STREAMED, usual_state
 from .rollout_versions import KINDS, VERSIONS
 
@@ -154,7 +154,8 @@
 
 async def _order(play: Play, trouble: str) -> None:
     """Give the order under load and trouble, and wait until it is over."""
-    load = asyncio.create_task(_load(play))
+    calls = keep_calling(functools.partial(_call, play), play.rng, _PER_S)
+    load = asyncio.create_task(calls)
     await asyncio.sleep(_BEFORE_S)
     play.ordered_at = play.now
     play.fleet.store.put(
@@ -179,13 +180,6 @@
     )
 
 
-async def _load(play: Play) -> None:
-    async with asyncio.TaskGroup() as group:
-        while True:
-            group.create_task(_call(play))
-            await asyncio.sleep(play.rng.expovariate(_PER_S))
-
-
 async def _call(play: Play) -> None:
     play.asked += 1
     entry = play.rng.choice(play.fleet.entries)
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -12,6 +12,7 @@
 import time
 import types
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping
+from pathlib import Path
 from typing import Any
 
 from tallyhall_bench.ports import free_ports
@@ -367,6 +368,16 @@
         store.close()
 
 
+@contextlib.asynccontextmanager
+async def logged_deployment(path: Path) -> AsyncIterator[Deployment]:
+    """Start one instance that writes its log to a file."""
+    writer = os.open(path, os.O_WRONLY | os.O_CREAT)
+    async with deployment() as made:
+        setup_logging('entry-1', time.monotonic, writer)
+        yield made
+    os.close(writer)
+
+
 def log_stream() -> BoundedStream:
     """Return a stream that drops all lines."""
     return setup_logging(
--- a/tests/platform/test_content.py
+++ b/tests/platform/test_content.py
@@ -1,16 +1,13 @@
 """What a request asks, as its lines tell it; attempts have ids of their own."""
 
 import json
-import os
-import time
 from pathlib import Path
 from typing import Any
 
 from tallyhall_core.content import content_digest
-from tallyhall_entry.logs import setup_logging
 from tallyhall_standins.platform_engine import EngineFault
 
-from tests.platform.harness import PLAIN, deployment
+from tests.platform.harness import PLAIN, logged_deployment
 
 
 def test_each_part_of_what_is_asked_counts() -> None:
@@ -29,16 +26,13 @@
     tmp_path: Path,
 ) -> None:
     path = tmp_path / 'log'
-    writer = os.open(path, os.O_WRONLY | os.O_CREAT)
-    async with deployment() as made:
-        setup_logging('entry-1', time.monotonic, writer)
+    async with logged_deployment(path) as made:
         engine = await made.add_engine('plain-0', PLAIN)
         await made.ready()
         engine.faults.extend([EngineFault.resets_first] * 3)
         for serial, body in enumerate((b'one', b'other', b'one')):
             await made.caller().ask('/once/x', f'r{serial}', body=body)
         await made.caller().ask('/once/x', 'served', body=b'one')
-    os.close(writer)
     lines = [json.loads(line) for line in path.read_text().splitlines()]
     for event in ('send_ended', 'finished'):
         first, other, again = _asked(lines, event)
--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -16,7 +16,7 @@
 from tallyhall_entry.metrics import Metrics
 from tallyhall_standins.platform_engine import EngineFault
 
-from tests.platform.harness import PLAIN, deployment, log_stream, until
+from tests.platform.harness import PLAIN, log_stream, logged_deployment, until
 
 _DOCS = Path(__file__).resolve().parent.parent.parent / 'docs'
 
@@ -70,9 +70,7 @@
     tmp_path: Path,
 ) -> None:
     path = tmp_path / 'log'
-    writer = os.open(path, os.O_WRONLY | os.O_CREAT)
-    async with deployment() as made:
-        setup_logging('entry-1', time.monotonic, writer)
+    async with logged_deployment(path) as made:
         engine = await made.add_engine('plain-0', PLAIN)
         await made.ready()
         engine.faults.append(EngineFault.resets_first)
@@ -138,9 +136,7 @@
     tmp_path: Path,
 ) -> None:
     path = tmp_path / 'log'
-    writer = os.open(path, os.O_WRONLY | os.O_CREAT)
-    async with deployment() as made:
-        setup_logging('entry-1', time.monotonic, writer)
+    async with logged_deployment(path) as made:
         engine = await made.add_engine('plain-0', PLAIN)
         engine.limit_per_s = 50
         engine.says = ('Server-Mood: glum',)
@@ -148,7 +144,6 @@
         for number in range(2):
             answer = await made.caller().ask('/safe/x', f'r{number}')
             assert answer.status == 200
-    os.close(writer)
     lines = [read_line(text) for text in path.read_text().splitlines()]
     fields: dict[str, list[dict[str, Any]]] = {}
     for line in lines:
