One copy each: plays a row at a time, a process restarted, what a limit allows

Read again: limit_run.py had written the turns and rows of rollout_run.py anew; both call plays.py. Three ways to end a process and start it are EntryProcess.restart, which holds its turn as the soak's did. Two test files have their bound from one place, the same one.

--- a/packages/bench/src/tallyhall_bench/limit_run.py
+++ b/packages/bench/src/tallyhall_bench/limit_run.py
@@ -23,9 +23,10 @@
 from tallyhall_standins.platform_engine import EngineStandIn
 from tallyhall_standins.platform_store import StoreFault
 
-from .platform_fleet import EntryProcess, PlatformFleet, platform_fleet
+from .platform_fleet import PlatformFleet, platform_fleet
 from .platform_load import Caller, keep_calling
 from .platform_run import STREAMED, usual_state
+from .plays import add_options, play_all
 
 _INSTANCES = 6
 _UPSTREAMS = 4
@@ -196,17 +197,10 @@
     """Disturb nothing."""
 
 
-async def _restart(entry: EntryProcess, down_s: float) -> None:
-    entry.send(signal.SIGKILL)
-    await entry.wait()
-    await asyncio.sleep(down_s)
-    await entry.start()
-
-
 async def _restart_in_turn(play: Play) -> None:
     await asyncio.sleep(_CONTACT_S)
     for entry in play.fleet.entries:
-        await _restart(entry, 0.3)
+        await entry.restart(signal.SIGKILL, 0.3)
         await asyncio.sleep(play.rng.uniform(0.3, 1.2))
 
 
@@ -309,47 +303,23 @@
     return came / granted
 
 
-async def _play_one(
-    turn: asyncio.Semaphore,
-    case: str,
-    trouble: str,
-    service: str,
-    seed: int,
-) -> bool:
-    """Print one result; return whether a limit was broken."""
-    async with turn:
-        result = await play_limits(case, trouble, service, seed)
-    sys.stdout.write(f'{result}\n')
-    sys.stdout.flush()
-    return result.broken
-
-
-async def _play_all(args: argparse.Namespace) -> int:
-    turn = asyncio.Semaphore(args.at_once)
-    sys.stdout.write(f'{HEADING}\n')
-    plays = itertools.product(
-        args.case or CASES,
-        args.trouble or ['none'],
-        args.service or _SERVICES,
-        range(args.seed, args.seed + args.seeds),
-    )
-    broken = await asyncio.gather(
-        *(_play_one(turn, *chosen) for chosen in plays),
-    )
-    return sum(broken)
-
-
 def main() -> int:
     """Play and return 1 if a limit was broken."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--case', action='append', choices=CASES)
     parser.add_argument('--trouble', action='append', choices=TROUBLES)
     parser.add_argument('--service', action='append', choices=tuple(_SERVICES))
-    parser.add_argument('--seed', type=int, default=1)
-    parser.add_argument('--seeds', type=int, default=1)
-    parser.add_argument('--at-once', type=int, default=2)
+    add_options(parser, at_once=2)
     args = parser.parse_args()
-    return 1 if asyncio.run(_play_all(args)) else 0
+    chosen = itertools.product(
+        args.case or CASES,
+        args.trouble or ['none'],
+        args.service or _SERVICES,
+        range(args.seed, args.seed + args.seeds),
+    )
+    starts = [functools.partial(play_limits, *one) for one in chosen]
+    broken = asyncio.run(play_all(HEADING, starts, args.at_once))
+    return 1 if broken else 0
 
 
 if __name__ == '__main__':
--- a/packages/bench/src/tallyhall_bench/platform_fleet.py
+++ b/packages/bench/src/tallyhall_bench/platform_fleet.py
@@ -77,6 +77,14 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
+    async def restart(self, number: signal.Signals, down_s: float) -> None:
+        """End the process by a signal, and start it after so many seconds."""
+        async with self.turn:
+            self.send(number)
+            await self.wait()
+            await asyncio.sleep(down_s)
+            await self.start()
+
     async def wait(self) -> int:
         """Return the exit code once the process has ended."""
         if self.process is None:
--- a/packages/bench/src/tallyhall_bench/rollout_run.py
+++ b/packages/bench/src/tallyhall_bench/rollout_run.py
@@ -27,6 +27,7 @@
 from .platform_fleet import PlatformFleet, platform_fleet
 from .platform_load import Caller, keep_calling
 from .platform_run import STREAMED, usual_state
+from .plays import add_options, play_all
 from .rollout_versions import KINDS, VERSIONS
 
 _INSTANCES = 6
@@ -216,10 +217,7 @@
 
 async def _kill(play: Play, name: str) -> None:
     entry = next(one for one in play.fleet.entries if one.name == name)
-    entry.send(signal.SIGKILL)
-    await entry.wait()
-    await asyncio.sleep(0.5)
-    await entry.start()
+    await entry.restart(signal.SIGKILL, 0.5)
 
 
 async def _lose_leader(play: Play) -> None:
@@ -297,48 +295,23 @@
     )
 
 
-async def _play_one(
-    turn: asyncio.Semaphore,
-    kind: str,
-    trouble: str,
-    seed: int,
-) -> bool:
-    """Print one result; return whether a rule was broken."""
-    async with turn:
-        result = await play_rollout(kind, trouble, seed)
-    sys.stdout.write(f'{result}\n')
-    sys.stdout.flush()
-    return result.broken
-
-
-async def _play_all(args: argparse.Namespace) -> int:
-    turn = asyncio.Semaphore(args.at_once)
-    sys.stdout.write(f'{HEADING}\n')
-    seeds = range(args.seed, args.seed + args.seeds)
-    plays = itertools.product(
-        seeds,
-        args.trouble or ['none'],
-        args.kind or KINDS,
-    )
-    broken = await asyncio.gather(
-        *(
-            _play_one(turn, kind, trouble, seed)
-            for seed, trouble, kind in plays
-        ),
-    )
-    return sum(broken)
-
-
 def main() -> int:
     """Play and return 1 if a rule was broken."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--kind', action='append', choices=KINDS)
     parser.add_argument('--trouble', action='append', choices=TROUBLES)
-    parser.add_argument('--seed', type=int, default=1)
-    parser.add_argument('--seeds', type=int, default=1)
-    parser.add_argument('--at-once', type=int, default=3)
+    add_options(parser, at_once=3)
     args = parser.parse_args()
-    broken = asyncio.run(_play_all(args))
+    chosen = itertools.product(
+        range(args.seed, args.seed + args.seeds),
+        args.trouble or ['none'],
+        args.kind or KINDS,
+    )
+    starts = [
+        functools.partial(play_rollout, kind, trouble, seed)
+        for seed, trouble, kind in chosen
+    ]
+    broken = asyncio.run(play_all(HEADING, starts, args.at_once))
     return 1 if broken else 0
 
 
--- a/packages/bench/src/tallyhall_bench/soak_faults.py
+++ b/packages/bench/src/tallyhall_bench/soak_faults.py
@@ -46,29 +46,17 @@
 
 
 async def _kill(site: Site, for_s: float) -> None:
-    await _end(_any_entry(site), signal.SIGKILL, for_s)
+    await _any_entry(site).restart(signal.SIGKILL, for_s)
 
 
 async def _kill_all(site: Site, for_s: float) -> None:
     await asyncio.gather(
-        *(_end(one, signal.SIGKILL, for_s / 2) for one in site.fleet.entries),
+        *(one.restart(signal.SIGKILL, for_s / 2) for one in site.fleet.entries),
     )
 
 
 async def _stop(site: Site, for_s: float) -> None:
-    await _end(_any_entry(site), signal.SIGTERM, for_s / 3)
-
-
-async def _end(
-    entry: EntryProcess,
-    number: signal.Signals,
-    down_s: float,
-) -> None:
-    async with entry.turn:
-        entry.send(number)
-        await entry.wait()
-        await asyncio.sleep(down_s)
-        await entry.start()
+    await _any_entry(site).restart(signal.SIGTERM, for_s / 3)
 
 
 async def _pause(site: Site, for_s: float) -> None:
--- a/tests/platform/limit_fleet.py
+++ b/tests/platform/limit_fleet.py
@@ -27,9 +27,8 @@
 from tallyhall_transport.peers import PeerLinks
 
 from tests.platform.harness import MODEL, desired
-from tests.platform.windows import most_in_window
+from tests.platform.windows import LIMIT_WINDOW_S, most_in_window
 
-WINDOW_S = 4.0
 _TICK_S = 0.05
 _DELAY_S = (0.001, 0.01)
 _RETRY_S = 0.1
@@ -134,7 +133,7 @@
     def most(self, since: float) -> float:
         """Return how many came in the fullest window since a time."""
         taken = [(at, 1.0) for at in self.arrivals if at >= since]
-        return most_in_window(taken, WINDOW_S)
+        return most_in_window(taken, LIMIT_WINDOW_S)
 
     def per_s(self, since: float, until: float) -> float:
         """Return how many came in a second."""
--- a/tests/platform/test_named_limits.py
+++ b/tests/platform/test_named_limits.py
@@ -22,9 +22,12 @@
     Deployment,
     deployment,
 )
-from tests.platform.windows import most_in_window
+from tests.platform.windows import (
+    LIMIT_WINDOW_S,
+    limit_allows,
+    most_in_window,
+)
 
-_WINDOW_S = 4.0
 # An instance that was told must keep to it this much later.
 _TOLD_S = 0.5
 _LIMIT_PER_S = 1.5
@@ -67,13 +70,9 @@
         self.answers.append(answer)
 
 
-def _allowed(per_s: float) -> float:
-    return 1.5 * _WINDOW_S * per_s + 5
-
-
 def _most(engine: EngineStandIn, since: float) -> float:
     arrivals = [(seen.at, 1.0) for seen in engine.seen if seen.at >= since]
-    return most_in_window(arrivals, _WINDOW_S)
+    return most_in_window(arrivals, LIMIT_WINDOW_S)
 
 
 async def _engines(
@@ -99,8 +98,10 @@
         await load.run(0.5)
         engines[0].limit_per_s = _LIMIT_PER_S
         named_at = asyncio.get_running_loop().time()
-        await load.run(_TOLD_S + _WINDOW_S + 1)
-        assert _most(engines[0], named_at + _TOLD_S) <= _allowed(_LIMIT_PER_S)
+        await load.run(_TOLD_S + LIMIT_WINDOW_S + 1)
+        assert _most(engines[0], named_at + _TOLD_S) <= limit_allows(
+            _LIMIT_PER_S
+        )
         assert set(load.statuses()) == {200}
 
 
@@ -115,11 +116,11 @@
             engine.limit_per_s = _LIMIT_PER_S
         load = _Load(made, path)
         named_at = asyncio.get_running_loop().time()
-        await load.run(_TOLD_S + _WINDOW_S + 1)
+        await load.run(_TOLD_S + LIMIT_WINDOW_S + 1)
         for engine in engines:
             most = _most(engine, named_at + _TOLD_S)
-            assert most <= _allowed(_LIMIT_PER_S)
-            assert most >= 0.5 * _WINDOW_S * _LIMIT_PER_S
+            assert most <= limit_allows(_LIMIT_PER_S)
+            assert most >= 0.5 * LIMIT_WINDOW_S * _LIMIT_PER_S
         assert set(load.statuses()) == {200, 503}
         for answer in load.answers:
             if answer.status == 503:
--- a/tests/platform/test_shared_limits.py
+++ b/tests/platform/test_shared_limits.py
@@ -11,20 +11,16 @@
 
 from tests.platform.harness import MODEL, PLAIN
 from tests.platform.limit_fleet import (
-    WINDOW_S,
     LimitedEngine,
     LimitFleet,
     simulate_time,
 )
+from tests.platform.windows import limit_allows
 
 _SIZES = (6, 87)
 _TOLD_S = 0.5
 
 
-def _allowed(per_s: float) -> float:
-    return 1.5 * WINDOW_S * per_s + 5
-
-
 @contextlib.asynccontextmanager
 async def _fleet(
     size: int,
@@ -67,7 +63,7 @@
         began_at = fleet.now
         await fleet.ask(12, 40)
         for engine in _engines(fleet):
-            assert engine.most(began_at) <= _allowed(per_s)
+            assert engine.most(began_at) <= limit_allows(per_s)
             assert engine.per_s(began_at + 2, fleet.now) >= 0.8 * per_s
         assert min(fleet.refused) > 0
 
@@ -77,7 +73,7 @@
         began_at = fleet.now
         await fleet.ask(8, 40, fleet.names[-1:])
         engine = _engines(fleet)[0]
-        assert engine.most(began_at) <= _allowed(3.7)
+        assert engine.most(began_at) <= limit_allows(3.7)
         assert engine.per_s(began_at + 1, fleet.now) >= 0.8 * 3.7
 
 
@@ -94,7 +90,7 @@
             fleet.kill(fleet.owner())
         await fleet.ask(6, 40)
         for engine, per_s in zip(_engines(fleet), (3.2, 1.1), strict=True):
-            assert engine.most(began_at) <= _allowed(per_s)
+            assert engine.most(began_at) <= limit_allows(per_s)
             assert engine.per_s(began_at, fleet.now) >= 0.5 * per_s
 
 
@@ -113,7 +109,7 @@
             fleet.kill(name)
         await fleet.ask(10, 40)
         for engine, per_s in zip(_engines(fleet), (3.2, 1.1), strict=True):
-            assert engine.most(began_at) <= _allowed(per_s)
+            assert engine.most(began_at) <= limit_allows(per_s)
             assert engine.per_s(began_at, fleet.now) >= part * per_s
 
 
@@ -128,7 +124,7 @@
             fleet.start(lost)
             await fleet.ask(1, 40)
         for engine, per_s in zip(_engines(fleet), (3.2, 1.1), strict=True):
-            assert engine.most(began_at) <= _allowed(per_s)
+            assert engine.most(began_at) <= limit_allows(per_s)
             assert engine.per_s(began_at, fleet.now) >= 0.5 * per_s
 
 
@@ -149,7 +145,7 @@
         fleet.side.clear()
         await fleet.ask(6, 40)
         for engine, per_s in zip(_engines(fleet), (3.2, 1.1), strict=True):
-            assert engine.most(began_at) <= _allowed(per_s)
+            assert engine.most(began_at) <= limit_allows(per_s)
             assert engine.per_s(began_at, fleet.now) >= 0.5 * per_s
 
 
@@ -163,7 +159,7 @@
         began_at = fleet.now
         await fleet.ask(8, 40)
         for engine, per_s in zip(_engines(fleet), (2.2, 1.1), strict=True):
-            assert engine.most(began_at) <= _allowed(per_s)
+            assert engine.most(began_at) <= limit_allows(per_s)
             assert engine.per_s(began_at, fleet.now) >= 0.8 * per_s
 
 
@@ -210,4 +206,4 @@
         began_at = fleet.now
         await fleet.ask(8, 40)
         for engine, per_s in zip(_engines(fleet), (3.2, 1.1), strict=True):
-            assert engine.most(began_at) <= _allowed(per_s)
+            assert engine.most(began_at) <= limit_allows(per_s)
--- a/tests/platform/windows.py
+++ b/tests/platform/windows.py
@@ -1,4 +1,11 @@
-"""What was taken in the fullest window."""
+"""What was taken in the fullest window, and what a named limit allows."""
+
+LIMIT_WINDOW_S = 4.0
+
+
+def limit_allows(per_s: float) -> float:
+    """Return what a limit allows in any window of so many seconds."""
+    return 1.5 * LIMIT_WINDOW_S * per_s + 5
 
 
 def most_in_window(
