Whether an instance tells others on is known in one place

The guard and the news of upstreams each had a flag for it, set at two places, and worked out the same condition. The links have both now, beside whom they hear.

--- a/packages/entry/src/tallyhall_entry/guard.py
+++ b/packages/entry/src/tallyhall_entry/guard.py
@@ -23,7 +23,6 @@
     Verdict,
 )
 from tallyhall_dispatch.desired import Upstream
-from tallyhall_dispatch.topology import is_mesh
 from tallyhall_edge.ends import EndProbe
 from tallyhall_edge.guard import Permit, given_up_error
 from tallyhall_platform.ends import EndRecorder, EndRecords
@@ -59,8 +58,6 @@
         day_clock: Callable[[], float],
     ) -> None:
         """Share through these; `day_clock` gives seconds since 1970."""
-        # Whether all others of a large fleet are told through this one.
-        self.is_hub = False
         self._links = links
         self._recorder = recorder
         self._log = log
@@ -131,8 +128,7 @@
             tuple(Cleared(told.content, told.at_s) for told in batch.cleared),
         )
         news = self._learn(records, peer.name)
-        tells_on = self.is_hub and not is_mesh(self._links.instances)
-        if not tells_on or not _holds_any(news):
+        if not self._links.tells_on or not _holds_any(news):
             return
         if not self._passed_on:
             self._loop.call_later(_PASS_ON_S, self._pass_on)
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -425,7 +425,6 @@
             await asyncio.sleep(_TICK_S)
             self._scheduler.tick()
             hubs = self._scheduler.hubs
-            self._guard.is_hub = self.options.instance in hubs
             self._news.look(hubs)
             for hub in self._use_news.look(hubs):
                 self._links.outgoing(hub, urgent=True)
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -245,7 +245,7 @@
         self._links.hears = seen.hears
         self._links.hears_directly = seen.hears_directly
         self.hubs = seen.hubs
-        self.upstream_news.is_hub = self._name in seen.hubs
+        self._links.is_hub = self._name in seen.hubs
         self._known = known(self._links, self._name, seen.hubs, now)
         # Where all stop, those that hear all go on to own the services:
         # without an owner each would fill all places.
--- a/packages/entry/src/tallyhall_entry/upstream_news.py
+++ b/packages/entry/src/tallyhall_entry/upstream_news.py
@@ -13,7 +13,6 @@
 
 from tallyhall_core.events import Event
 from tallyhall_dispatch.named_limits import NamedLimit
-from tallyhall_dispatch.topology import is_mesh
 from tallyhall_edge.scheduling import Dispatcher
 from tallyhall_transport.peer import Peer
 from tallyhall_transport.peers import PeerLinks
@@ -38,8 +37,6 @@
         log: Callable[..., None],
     ) -> None:
         """Let this dispatcher act on what is heard."""
-        # Whether all others of a large fleet are told through this one.
-        self.is_hub = False
         self._dispatcher = dispatcher
         self._links = links
         self._log = log
@@ -86,7 +83,7 @@
     def take(self, peer: Peer, batch: peers_pb2.Batch) -> None:
         """Take what another instance tells."""
         for leaver in batch.leaving_upstreams:
-            if self._dispatcher.leaves(leaver) and self._tells_on:
+            if self._dispatcher.leaves(leaver) and self._links.tells_on:
                 self._tell_leaving(leaver, peer.name)
         for told in batch.named_limits:
             self._take_told(peer.name, told)
@@ -100,10 +97,6 @@
 
     # -- inner steps
 
-    @property
-    def _tells_on(self) -> bool:
-        return self.is_hub and not is_mesh(self._links.instances)
-
     def _take_told(self, peer: str, told: peers_pb2.NamedLimit) -> None:
         heard_at = self._loop.time() - told.heard_ms_ago / _MILLI
         word = NamedLimit(None if told.ended else told.per_s, heard_at)
@@ -123,7 +116,7 @@
             by=by,
         )
         self._dispatcher.apply_limits()
-        if by == _OWN or self._tells_on:
+        if by == _OWN or self._links.tells_on:
             self._tell_limit(incarnation, by)
 
     def _tell_leaving(self, incarnation: str, by: str) -> None:
--- a/packages/transport/src/tallyhall_transport/peers.py
+++ b/packages/transport/src/tallyhall_transport/peers.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
-from tallyhall_dispatch.topology import beat_s
+from tallyhall_dispatch.topology import beat_s, is_mesh
 
 from .loading import load_streams
 from .peer import Peer, PeerPlace, ReadState
@@ -55,6 +55,8 @@
         # Of these, the ones that this one hears itself. Only they are told
         # on: hubs that repeat each other's number never see it shrink.
         self.hears_directly = 1
+        # Whether this instance hears all others of a large fleet.
+        self.is_hub = False
         self._name = name
         self._incarnation = incarnation
         self._on_batch = on_batch
@@ -83,6 +85,11 @@
         place = self._places.get(name)
         return 0 if place is None else place.cores
 
+    @property
+    def tells_on(self) -> bool:
+        """Return whether others hear of each other through this instance."""
+        return self.is_hub and not is_mesh(self.instances)
+
     @property
     def instances(self) -> int:
         """Return how many instances count and have a place, with this one."""
--- a/tests/platform/test_guard.py
+++ b/tests/platform/test_guard.py
@@ -71,6 +71,9 @@
     instances: int
     peers: dict[str, Peer]
     sent: dict[str, peers_pb2.Batch] = dataclasses.field(default_factory=dict)
+    is_hub: bool = False
+
+    tells_on = PeerLinks.tells_on
 
     def outgoing(self, name: str, *, urgent: bool) -> peers_pb2.Batch:
         assert urgent
@@ -179,7 +182,7 @@
         peers = {name: Peer(name) for name in ('a', 'b', 'c')}
         hub = _Links(_LARGE, peers)
         guard = _guard(_recorder(address), hub)
-        guard.is_hub = True
+        hub.is_hub = True
         guard.take(peers['a'], told)
         await asyncio.sleep(_PASSED_ON_S)
         assert hub.sent.keys() == {'b', 'c'}
@@ -188,8 +191,8 @@
         assert len(hub.sent['c'].ended) == 1
         assert 'a' not in hub.sent
         in_mesh = _Links(3, peers)
+        in_mesh.is_hub = True
         one = _guard(_recorder(address), in_mesh)
-        one.is_hub = True
         one.take(peers['a'], told)
         await asyncio.sleep(_PASSED_ON_S)
         assert not in_mesh.sent
@@ -229,7 +232,7 @@
             peers = {one: Peer(one) for one in linked if one != name}
             self.links.append(_Links(size, peers))
             guard = _guard(recorder, self.links[-1])
-            guard.is_hub = number < _HUBS
+            self.links[-1].is_hub = number < _HUBS
             self.guards.append(guard)
 
     def sees_end(self, number: int, run: EndedRun) -> None:
