--- a/packages/edge/src/tallyhall_edge/dialect.py
+++ b/packages/edge/src/tallyhall_edge/dialect.py
@@ -10,6 +10,7 @@
 
 import msgspec
 from tallyhall_core.refusals import Refusal
+from tallyhall_dispatch.load_reports import LoadReport
 
 from .messages import Headers, RequestHead, ResponseHead
 
@@ -58,8 +59,9 @@
     taken over the address. leaving: the upstream takes no new requests.
     backoff_s: backoff in seconds that it asks of this instance, 0 for none.
     limit_per_s: requests per second that it accepts from all instances
-    together, None if it states no limit. unknown_headers: names of headers
-    about the upstream that this version does not interpret.
+    together, None if it states no limit. load: its load, None if it states
+    none. unknown_headers: names of headers about the upstream that this version
+    does not interpret.
     """
 
     is_signed: bool
@@ -69,6 +71,7 @@
     leaving: bool = False
     backoff_s: float = 0
     limit_per_s: float | None = None
+    load: LoadReport | None = None
     unknown_headers: tuple[str, ...] = ()
 
     @property
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -18,6 +18,7 @@
 from tallyhall_dispatch.desired import DesiredState, Upstream
 from tallyhall_dispatch.jobs import AttemptOutcome, Job, RunReport, SlotGrant
 from tallyhall_dispatch.leaving_upstreams import LeavingUpstreams
+from tallyhall_dispatch.load_reports import LoadReport, UpstreamLoads
 from tallyhall_dispatch.pool import GrantDecision, ServicePool
 from tallyhall_dispatch.rejection import RejectDecision
 from tallyhall_dispatch.versions import (
@@ -62,6 +63,9 @@
         answer states no limit. asked_at: when the answered request was sent.
         """
 
+    def on_load_reported(self, incarnation: str, report: LoadReport) -> None:
+        """Handle the load that an upstream states in an answer."""
+
 
 class Scheduler(Protocol):
     """Assigns upstreams to requests."""
@@ -116,6 +120,7 @@
         self._by_incarnation: dict[str, Upstream] = {}
         self.leaving_upstreams = LeavingUpstreams()
         self.announced_limits = AnnouncedLimits()
+        self.upstream_loads = UpstreamLoads()
         # The share of the limits of each service that this instance may use.
         self._limit_shares: dict[str, float] = {}
         self._versions: dict[str, ServiceVersions] = collections.defaultdict(
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -161,6 +161,10 @@
         if info.backoff_s:
             now = self._loop.time()
             self.backoffs.add(upstream.incarnation, info.backoff_s, now)
+        if info.load is not None:
+            self._scheduler.upstream_listener.on_load_reported(
+                upstream.incarnation, info.load
+            )
         for name in info.unknown_headers:
             self._log.header_unread(upstream, name)
 
--- a/packages/entry/src/tallyhall_entry/upstream_announcements.py
+++ b/packages/entry/src/tallyhall_entry/upstream_announcements.py
@@ -14,6 +14,7 @@
 
 from tallyhall_core.events import Event
 from tallyhall_dispatch.announced_limits import AnnouncedLimit
+from tallyhall_dispatch.load_reports import LoadReport
 from tallyhall_edge.scheduling import Dispatcher
 from tallyhall_transport.peer import Peer
 from tallyhall_transport.peer_streams import PeerStreams
@@ -70,6 +71,12 @@
         word = AnnouncedLimit(per_s, self._loop.time())
         self._apply_limit(incarnation, word, _OWN_SOURCE)
 
+    def on_load_reported(self, incarnation: str, report: LoadReport) -> None:
+        """Record the load that an upstream stated in a response."""
+        self._dispatcher.upstream_loads.record(
+            incarnation, report, self._loop.time()
+        )
+
     # -- peer callbacks
 
     def on_opened(self, peer: Peer) -> None:
