--- a/packages/dispatch/src/tallyhall_dispatch/urgency_stats.py
+++ b/packages/dispatch/src/tallyhall_dispatch/urgency_stats.py
@@ -37,11 +37,15 @@
         fraction = self._fractions.get(urgency, 1)
         self._fractions[urgency] = fraction + _SMOOTHING * (served - fraction)
 
+    def fraction(self, urgency: int) -> float:
+        """Return the fraction of the jobs of a class served in time."""
+        return self._fractions.get(urgency, 1)
+
     def rank(self, urgency: int) -> float:
         """Return the sort key of an urgency class; the lowest goes first."""
         if urgency <= _MOST_URGENT:
             return _TOP_RANK
-        return self._fractions.get(urgency, 1) + _URGENCY_BIAS * urgency
+        return self.fraction(urgency) + _URGENCY_BIAS * urgency
 
 
 class ResponseLengths:
