--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -23,6 +23,7 @@
 from .group import UpstreamGroup
 from .jobs import INTERRUPTED, AttemptOutcome, Job, RunReport
 from .rejection import RejectDecision, RejectionPolicy
+from .suspect_trials import SuspectTrials
 from .switches import ALL_ENABLED, Switches
 from .upstream_selection import UpstreamSelector
 from .upstream_state import UpstreamState
@@ -46,9 +47,6 @@
 # Queue length above which the sweep interval grows in proportion. Checking a
 # job takes 3 us, so sweeps use less than 2% of a core.
 _SWEEP_BASE_JOBS = 100
-# Seconds that a suspect waits after a trial of the same content was
-# interrupted. All instances know within 0.1 s whether its upstream terminated.
-_TRIAL_OUTCOME_S = 0.1
 # Maximum number of jobs per urgency to match with the free slots in one pass.
 # Each match reads the state of all upstreams.
 _MAX_CANDIDATES = 12
@@ -96,8 +94,7 @@
         self._rejection_policy = RejectionPolicy(
             self._group, self._rates, rng, switches
         )
-        # Until when the outcome of the last trial is unknown, by suspect.
-        self._pending_trials: dict[str, float] = {}
+        self._trials = SuspectTrials()
         self._unchecked: list[str] = []
         self._last_sweep_at: float = 0
 
@@ -212,27 +209,13 @@
             decisions.append(rejection)
         return decisions
 
-    # -- suspects
+    # -- outcomes
 
     def _record_outcome(self, job: Job, report: RunReport, now: float) -> None:
         if report.ending is AttemptOutcome.answered:
             self._selector.answered(job, report.events)
         elif job.suspect_digest and report.ending in INTERRUPTED:
-            self._pending_trials = {
-                suspect: until
-                for suspect, until in self._pending_trials.items()
-                if now < until
-            }
-            self._pending_trials[job.suspect_digest] = now + _TRIAL_OUTCOME_S
-
-    def _is_on_trial(self, suspect: str, now: float) -> bool:
-        if now < self._pending_trials.get(suspect, 0):
-            return True
-        return any(
-            run.in_prefill and run.job.suspect_digest == suspect
-            for view in self.views.values()
-            for run in view.runs.values()
-        )
+            self._trials.record_interrupted(job.suspect_digest, now)
 
     # -- grants
 
@@ -328,7 +311,9 @@
         A suspect waits while a job with the same content is on trial, because
         it might terminate another upstream.
         """
-        if job.suspect_digest and self._is_on_trial(job.suspect_digest, now):
+        suspect = job.suspect_digest
+        views = self.views.values()
+        if suspect and self._trials.is_on_trial(suspect, views, now):
             return False
         if job.over_quota:
             return self._group.has_free_share(_MIN_FREE_OVER_QUOTA, now)
