--- a/packages/dispatch/src/tallyhall_dispatch/class_priority.py
+++ b/packages/dispatch/src/tallyhall_dispatch/class_priority.py
@@ -37,6 +37,7 @@
 # 2 s or more.
 _RATE_WINDOW_S = 1.0
 _RATE_BUCKETS = 10
+_MAX_CHANGES = 100
 # Outcomes in which the upstream did not run the request.
 _NOT_RUN = NOT_SENT | {AttemptOutcome.rejected, AttemptOutcome.misplaced}
 
@@ -88,8 +89,11 @@
         enabled: whether any urgency may defer. ranked: whether the urgencies
         are ordered by `ServedFractions` instead of by urgency alone.
         """
-        # Changes that have not been logged yet.
-        self.changes: list[DeferralChange] = []
+        # Changes that have not been logged yet. Bounded, as the emulator never
+        # takes them.
+        self._changes: collections.deque[DeferralChange] = collections.deque(
+            maxlen=_MAX_CHANGES
+        )
         self._served_fractions = served_fractions
         self._enabled = enabled
         self._ranked = ranked
@@ -108,6 +112,17 @@
         """Return whether an urgency defers to a more urgent one."""
         return urgency in self._deferring
 
+    @property
+    def urgencies(self) -> list[int]:
+        """Return the urgencies that have a completed run."""
+        return sorted(self._hold_times)
+
+    def take_changes(self) -> list[DeferralChange]:
+        """Return the changes since the last call."""
+        changes = list(self._changes)
+        self._changes.clear()
+        return changes
+
     def running(self, urgency: int) -> int:
         """Return the number of running requests of an urgency."""
         return self._running[urgency]
@@ -211,7 +226,7 @@
         for urgency in self._hold_times:
             was = self._deferring.get(urgency, frozenset())
             for other in sorted(was ^ deferring.get(urgency, frozenset())):
-                self.changes.append(
+                self._changes.append(
                     DeferralChange(
                         urgency,
                         other,
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -114,6 +114,8 @@
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._pools: dict[str, ServicePool] = {}
+        # The same pools, for the metrics.
+        self.pools: Mapping[str, ServicePool] = self._pools
         self._listeners: dict[str, JobListener] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._upstreams: tuple[Upstream, ...] = ()
--- a/packages/entry/src/tallyhall_entry/exposition.py
+++ b/packages/entry/src/tallyhall_entry/exposition.py
@@ -127,6 +127,7 @@
             ),
         ):
             yield GaugeMetricFamily(name, text, gauge)
+        yield from self._urgency_gauges()
         dropped = GaugeMetricFamily(
             'tallyhall_log_lines_dropped',
             'Log lines dropped since the start, by cause.',
@@ -135,3 +136,23 @@
         for cause, lines in self._metrics.stream.dropped.items():
             dropped.add_metric((cause,), lines)
         yield dropped
+
+    def _urgency_gauges(self) -> Iterator[Metric]:
+        for name, text, by_urgency in (
+            (
+                'tallyhall_running_requests',
+                'Requests that run, by urgency, where one defers.',
+                self._metrics.running,
+            ),
+            (
+                'tallyhall_slot_limit',
+                'Slots that a deferring urgency may occupy.',
+                self._metrics.slot_limits,
+            ),
+        ):
+            family = GaugeMetricFamily(
+                name, text, labels=('service', 'urgency')
+            )
+            for labels, amount in by_urgency.items():
+                family.add_metric(labels, amount)
+            yield family
--- a/packages/entry/src/tallyhall_entry/metrics.py
+++ b/packages/entry/src/tallyhall_entry/metrics.py
@@ -57,6 +57,9 @@
         self.turned_away = 0
         self.waiting = 0
         self.limited_upstreams = 0
+        # By service and urgency, where an urgency of the service defers.
+        self.running: dict[_Labels, int] = {}
+        self.slot_limits: dict[_Labels, int] = {}
         self.state_version = -1
         self.confirmation_age_seconds: float = 0
         self.store_up = 0
--- a/packages/entry/src/tallyhall_entry/reports.py
+++ b/packages/entry/src/tallyhall_entry/reports.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import msgspec
 from tallyhall_core.events import Event
 from tallyhall_dispatch.fleet import FleetCount
 from tallyhall_dispatch.gate import AdmissionGate
@@ -65,6 +66,16 @@
             calls={'/'.join(labels): count for labels, count in calls.items()},
         )
 
+    def log_deferrals(self, dispatcher: Dispatcher) -> None:
+        """Log the urgencies that have started or stopped deferring."""
+        for service, pool in dispatcher.pools.items():
+            for change in pool.class_priority.take_changes():
+                self._log.event(
+                    Event.deferral_changed,
+                    service=service,
+                    **msgspec.structs.asdict(change),
+                )
+
     def update(
         self,
         gate: AdmissionGate,
@@ -76,6 +87,7 @@
         if now - self._calls_logged_at >= _LOG_CALLS_S:
             self._calls_logged_at = now
             self.log_calls()
+        self.log_deferrals(dispatcher)
         self._log.report_dropped()
         metrics = self._metrics
         metrics.connections = front.open_connections
@@ -85,6 +97,20 @@
             dispatcher.upstream(incarnation) is not None
             for incarnation in dispatcher.announced_limits.current
         )
+        self._update_urgencies(dispatcher, now)
         age = gate.freshness.age(now)
         if age is not None:
             metrics.confirmation_age_seconds = age
+
+    def _update_urgencies(self, dispatcher: Dispatcher, now: float) -> None:
+        metrics = self._metrics
+        metrics.running.clear()
+        metrics.slot_limits.clear()
+        for service, pool in dispatcher.pools.items():
+            priority = pool.class_priority
+            for urgency in priority.urgencies if priority.has_deferring else ():
+                labels = (service, str(urgency))
+                metrics.running[labels] = priority.running(urgency)
+                if priority.is_deferring(urgency):
+                    limit = pool.slot_limit(urgency, now)
+                    metrics.slot_limits[labels] = limit
