--- a/packages/dispatch/src/tallyhall_dispatch/candidates.py
+++ b/packages/dispatch/src/tallyhall_dispatch/candidates.py
@@ -59,6 +59,10 @@
         )
         for late, last in _QUEUE_ORDER:
             for job in self._in_order(late=late, last=last):
+                # A grant in this pass may have lifted an urgency to its floor.
+                defers_now = self._class_priority.goes_last(job.urgency)
+                if defers_now and not last:
+                    continue
                 if self._may_start(job, forecast.now, late=late):
                     yield job
 
--- a/packages/entry/src/tallyhall_entry/reports.py
+++ b/packages/entry/src/tallyhall_entry/reports.py
@@ -8,6 +8,7 @@
 from tallyhall_core.events import Event
 from tallyhall_dispatch.fleet import FleetCount
 from tallyhall_dispatch.gate import AdmissionGate
+from tallyhall_dispatch.pool import ServicePool
 from tallyhall_edge.scheduling import Dispatcher
 from tallyhall_edge.server import HttpServer
 from tallyhall_platform.call_counts import CallCounts
@@ -66,8 +67,10 @@
             calls={'/'.join(labels): count for labels, count in calls.items()},
         )
 
-    def log_deferrals(self, dispatcher: Dispatcher) -> None:
-        """Log the urgencies that have started or stopped deferring."""
+    def update_urgencies(self, dispatcher: Dispatcher, now: float) -> None:
+        """Update the gauges of urgencies, and log which of them defer."""
+        self._metrics.running.clear()
+        self._metrics.slot_limits.clear()
         for service, pool in dispatcher.pools.items():
             for change in pool.class_priority.take_changes():
                 self._log.event(
@@ -75,6 +78,8 @@
                     service=service,
                     **msgspec.structs.asdict(change),
                 )
+            if pool.class_priority.has_deferring:
+                self._update_service(service, pool, now)
 
     def update(
         self,
@@ -87,7 +92,6 @@
         if now - self._calls_logged_at >= _LOG_CALLS_S:
             self._calls_logged_at = now
             self.log_calls()
-        self.log_deferrals(dispatcher)
         self._log.report_dropped()
         metrics = self._metrics
         metrics.connections = front.open_connections
@@ -97,20 +101,18 @@
             dispatcher.upstream(incarnation) is not None
             for incarnation in dispatcher.announced_limits.current
         )
-        self._update_urgencies(dispatcher, now)
+        self.update_urgencies(dispatcher, now)
         age = gate.freshness.age(now)
         if age is not None:
             metrics.confirmation_age_seconds = age
 
-    def _update_urgencies(self, dispatcher: Dispatcher, now: float) -> None:
-        metrics = self._metrics
-        metrics.running.clear()
-        metrics.slot_limits.clear()
-        for service, pool in dispatcher.pools.items():
-            priority = pool.class_priority
-            for urgency in priority.urgencies if priority.has_deferring else ():
-                labels = (service, str(urgency))
-                metrics.running[labels] = priority.running(urgency)
-                if priority.is_deferring(urgency):
-                    limit = pool.slot_limit(urgency, now)
-                    metrics.slot_limits[labels] = limit
+    def _update_service(
+        self, service: str, pool: ServicePool, now: float
+    ) -> None:
+        priority = pool.class_priority
+        for urgency in priority.urgencies:
+            labels = (service, str(urgency))
+            self._metrics.running[labels] = priority.running(urgency)
+            if priority.is_deferring(urgency):
+                limit = pool.slot_limit(urgency, now)
+                self._metrics.slot_limits[labels] = limit
