--- a/packages/dispatch/src/tallyhall_dispatch/candidates.py
+++ b/packages/dispatch/src/tallyhall_dispatch/candidates.py
@@ -44,6 +44,9 @@
         self._class_priority = class_priority
         self._trials = trials
         self._switches = switches
+        # The slot limits in one pass, in which they are constant. Computing one
+        # reads the state of all upstreams.
+        self._slot_limits: dict[int, int] = {}
 
     def next_jobs(self, forecast: Forecast) -> Iterator[Job]:
         """Yield the next jobs, first those that can meet their deadlines.
@@ -53,8 +56,8 @@
         are granted between iterations, so free slots are counted again for
         each job.
         """
-        waiting = self._waiting
-        waiting.defer_late(
+        self._slot_limits.clear()
+        self._waiting.defer_late(
             lambda job: not forecast.can_meet_deadline(job, forecast.now),
         )
         for late, last in _QUEUE_ORDER:
@@ -107,7 +110,11 @@
         priority = self._class_priority
         if not priority.goes_last(urgency):
             return True
-        return priority.running(urgency) < self.slot_limit(urgency, now)
+        limit = self._slot_limits.get(urgency)
+        if limit is None:
+            limit = self.slot_limit(urgency, now)
+            self._slot_limits[urgency] = limit
+        return priority.running(urgency) < limit
 
     def _goes_before_deferring(self, job: Job, now: float) -> bool:
         """Return whether a deferring job would get the slot of a late one.
--- a/tests/platform/test_class_priority.py
+++ b/tests/platform/test_class_priority.py
@@ -268,6 +268,25 @@
     assert _granted(pool.decide(1)) == ['late']
 
 
+def test_starved_urgency_is_lifted_only_up_to_its_floor() -> None:
+    """One response in time ends the exception, also within a pass."""
+    pool = _pool()
+    _learn(pool, *_HOLDS_S)
+    for number in range(6):
+        pool.add_running(_job(f'runs{number}', 1, 0), f'u{number // 3}')
+    # The moving average of 149 refused jobs is 0.98 ** 149 = 0.0493.
+    for number in range(149):
+        refused = _job(f'refused{number}', _DEFERRING, 1, reject_at=1)
+        pool.enqueue(refused)
+        assert len(pool.decide(1)) == 1
+    for number in range(3):
+        pool.finish(f'runs{number}', _answered(_HOLDS_S[1]), 1)
+    pool.enqueue(_job('late', 1, 1, due_at=0.9))
+    pool.enqueue(_job('long0', _DEFERRING, 1))
+    pool.enqueue(_job('long1', _DEFERRING, 1))
+    assert _granted(pool.decide(1)) == ['long0', 'late', 'long1']
+
+
 # -- properties
 
 
