Urgent jobs that start do not use up the bound of a pass

A pass considers twelve jobs of an urgency. With 20 free slots, as after a loss of all upstreams, twelve urgent jobs and seven deferring ones started while 18 urgent ones were queued. Where an urgency defers, jobs that start are no longer counted; elsewhere the bound stays as it is. The new test fails without the change; the 79 tests of placing, decisions, the emulator, the queue and class priority pass.

--- a/packages/dispatch/src/tallyhall_dispatch/candidates.py
+++ b/packages/dispatch/src/tallyhall_dispatch/candidates.py
@@ -82,8 +82,13 @@
         priority = self._class_priority
         for urgency in priority.order(self._waiting.urgencies(late=late)):
             if priority.goes_last(urgency) is last:
+                # A deferring job must not start while another one could, so
+                # those that do start are not counted.
                 yield from self._waiting.first(
-                    urgency, _MAX_CANDIDATES, late=late
+                    urgency,
+                    _MAX_CANDIDATES,
+                    late=late,
+                    count_removed=not priority.has_deferring,
                 )
 
     def _may_start(self, job: Job, now: float, *, late: bool) -> bool:
--- a/packages/dispatch/src/tallyhall_dispatch/waiting.py
+++ b/packages/dispatch/src/tallyhall_dispatch/waiting.py
@@ -73,10 +73,18 @@
         heaps = self._deferred if late else self._in_time
         return [urgency for urgency, heap in heaps.items() if heap]
 
-    def first(self, urgency: int, limit: int, *, late: bool) -> Iterator[Job]:
+    def first(
+        self,
+        urgency: int,
+        limit: int,
+        *,
+        late: bool,
+        count_removed: bool = True,
+    ) -> Iterator[Job]:
         """Yield up to `limit` jobs with the earliest deadlines.
 
-        Jobs may be removed during the iteration.
+        Jobs may be removed during the iteration. count_removed: whether those
+        count towards the limit.
         """
         heap = (self._deferred if late else self._in_time)[urgency]
         popped: list[_Entry] = []
@@ -88,6 +96,8 @@
                     continue
                 popped.append(entry)
                 yield job
+                if not count_removed and entry[-1] not in self._jobs:
+                    popped.pop()
         finally:
             for entry in popped:
                 if entry[-1] in self._jobs:
--- a/tests/platform/test_class_priority.py
+++ b/tests/platform/test_class_priority.py
@@ -287,6 +287,21 @@
     assert _granted(pool.decide(1)) == ['long0', 'late', 'long1']
 
 
+def test_many_free_slots_go_to_the_urgent_jobs_first() -> None:
+    """After a loss of all upstreams, the whole queue meets free slots.
+
+    The bound for the number of jobs considered in one pass let deferring jobs
+    start before the thirteenth urgent one.
+    """
+    pool = _pool(slots=10)
+    _learn(pool, *_HOLDS_S)
+    for number in range(30):
+        pool.enqueue(_job(f'long{number}', _DEFERRING, 1))
+        pool.enqueue(_job(f'urgent{number:02}', 0, 1))
+    granted = _granted(pool.decide(1))
+    assert granted == [f'urgent{number:02}' for number in range(20)]
+
+
 # -- properties
 
 
