--- a/packages/entry/src/tallyhall_entry/reports.py
+++ b/packages/entry/src/tallyhall_entry/reports.py
@@ -4,9 +4,11 @@
 
 import asyncio
 
+import msgspec
 from tallyhall_core.events import Event
 from tallyhall_dispatch.fleet import FleetCount
 from tallyhall_dispatch.gate import AdmissionGate
+from tallyhall_dispatch.pool import ServicePool
 from tallyhall_edge.scheduling import Dispatcher
 from tallyhall_edge.server import HttpServer
 from tallyhall_platform.call_counts import CallCounts
@@ -65,6 +67,20 @@
             calls={'/'.join(labels): count for labels, count in calls.items()},
         )
 
+    def update_urgencies(self, dispatcher: Dispatcher, now: float) -> None:
+        """Update the gauges of urgencies, and log which of them defer."""
+        self._metrics.running.clear()
+        self._metrics.slot_limits.clear()
+        for service, pool in dispatcher.pools.items():
+            for change in pool.class_priority.take_changes():
+                self._log.event(
+                    Event.deferral_changed,
+                    service=service,
+                    **msgspec.structs.asdict(change),
+                )
+            if pool.class_priority.has_deferring:
+                self._update_service(service, pool, now)
+
     def update(
         self,
         gate: AdmissionGate,
@@ -85,6 +101,18 @@
             dispatcher.upstream(incarnation) is not None
             for incarnation in dispatcher.announced_limits.current
         )
+        self.update_urgencies(dispatcher, now)
         age = gate.freshness.age(now)
         if age is not None:
             metrics.confirmation_age_seconds = age
+
+    def _update_service(
+        self, service: str, pool: ServicePool, now: float
+    ) -> None:
+        priority = pool.class_priority
+        for urgency in priority.urgencies:
+            labels = (service, str(urgency))
+            self._metrics.running[labels] = priority.running(urgency)
+            if priority.is_deferring(urgency):
+                limit = pool.slot_limit(urgency, now)
+                self._metrics.slot_limits[labels] = limit
