Jobs state whether their caller was refused before, and its timeout

A rejection must tell a retry from a first attempt, and a retry delay must stay within what the caller honours.

--- a/packages/edge/src/tallyhall_edge/request_context.py
+++ b/packages/edge/src/tallyhall_edge/request_context.py
@@ -54,6 +54,11 @@
     # The answer of the last send.
     relay: Relay | None = None
 
+    @property
+    def is_retry(self) -> bool:
+        """Return whether the caller was refused before."""
+        return self.since_first_s > 0
+
     @property
     def request_id(self) -> str:
         """Return the caller's request id as text."""
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -274,6 +274,8 @@
             backoffs=self._sender.backoffs.current(self._loop.time()),
             route=route.name,
             non_idempotent=not route.repeatable,
+            is_retry=context.is_retry,
+            timeout_at=context.end_at,
         )
 
     # -- outcomes
