Wait forecast, retry delays and queue checks in modules of their own

Where an urgency defers, the wait forecast counts the slots that the urgency of a job can get, and late jobs count the late ones ahead of them. A refusal then states whether its caller was refused before and its cause; both are logged and counted.

--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -11,17 +11,18 @@
 
 from __future__ import annotations
 
-import collections
 import random
 from collections.abc import Iterable, Iterator, Mapping
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from .class_priority import ClassPriority
 from .desired import Upstream
 from .forecast import Forecast
 from .group import UpstreamGroup
 from .jobs import INTERRUPTED, AttemptOutcome, Job, RunReport
+from .queue_checks import QueueChecks
 from .rejection import RejectDecision, RejectionPolicy
 from .switches import ALL_ENABLED, Switches
 from .upstream_selection import UpstreamSelector
@@ -40,12 +41,6 @@
 # wait for its end. This improved the score of the worst two seconds in eight
 # days under load from 0.335 to 0.354.
 _MIN_FREE_LATE = 0.08
-# Interval of the sweeps that search the queue for late jobs, in seconds. A
-# fortieth of the shortest latency objective.
-_SWEEP_INTERVAL_S = 0.02
-# Queue length above which the sweep interval grows in proportion. Checking a
-# job takes 3 us, so sweeps use less than 2% of a core.
-_SWEEP_BASE_JOBS = 100
 # Seconds that a suspect waits after a trial of the same content was
 # interrupted. All instances know within 0.1 s whether its upstream terminated.
 _TRIAL_OUTCOME_S = 0.1
@@ -93,13 +88,15 @@
         self._selector = UpstreamSelector(
             self._group, event_tokens, rng, switches
         )
+        self._priority = ClassPriority(self._served_fractions)
         self._rejection_policy = RejectionPolicy(
-            self._group, self._rates, rng, switches
+            self._group, self._rates, self._priority, rng, switches
+        )
+        self._checks = QueueChecks(
+            self._waiting, self._rejection_policy, self._priority, switches
         )
         # Until when the outcome of the last trial is unknown, by suspect.
         self._pending_trials: dict[str, float] = {}
-        self._unchecked: list[str] = []
-        self._last_sweep_at: float = 0
 
     @property
     def is_model(self) -> bool:
@@ -155,7 +152,7 @@
     def enqueue(self, job: Job) -> None:
         """Add a job to the queue."""
         self._waiting.add(job)
-        self._unchecked.append(job.key)
+        self._checks.add(job.key)
 
     def dequeue(self, key: str) -> None:
         """Remove a job from the queue."""
@@ -196,13 +193,13 @@
         """Grant free slots to jobs and reject jobs that are too late."""
         decisions: list[Decision] = []
         if not self._waiting:
-            self._unchecked.clear()
+            self._checks.clear()
             return decisions
         forecast = self._group.forecast(now)
         for grant in self._grants(forecast):
             decisions.append(grant)
             self._waiting.remove(grant.key)
-        for job, ahead in self._jobs_to_check(forecast):
+        for job, ahead in self._checks.next_jobs(forecast):
             rejection = self._rejection_policy.evaluate(job, ahead, forecast)
             if rejection is None:
                 continue
@@ -343,58 +340,6 @@
             self.rollout.record_placed(job, canary=view.upstream.canary)
         if job.over_quota:
             return
-        self._rates.record(job.urgency, now)
         in_time = now + view.first_s(job) <= job.due_at
+        self._rates.record(job.urgency, now, late=not in_time)
         self._served_fractions.record(job.urgency, served=in_time)
-
-    # -- rejections
-
-    def _jobs_to_check(self, forecast: Forecast) -> Iterator[tuple[Job, int]]:
-        """Yield the jobs to check for rejection.
-
-        Each job comes with the number of jobs of its urgency ahead of it. New
-        jobs are checked immediately, all jobs in a sweep every
-        `_SWEEP_INTERVAL_S`.
-        """
-        unchecked = self._unchecked
-        self._unchecked = []
-        factor = max(1, len(self._waiting) / _SWEEP_BASE_JOBS)
-        if forecast.now - self._last_sweep_at >= _SWEEP_INTERVAL_S * factor:
-            yield from self._sweep(forecast)
-            return
-        for key in unchecked:
-            job = self._waiting.get(key)
-            if job is not None:
-                yield job, self._count_ahead(job, forecast)
-
-    def _sweep(self, forecast: Forecast) -> Iterator[tuple[Job, int]]:
-        self._last_sweep_at = forecast.now
-        in_time = {
-            job.key
-            for job in self._waiting.all()
-            if forecast.can_meet_deadline(job, forecast.now)
-        }
-        self._rejection_policy.in_time_count = len(in_time)
-        ahead: collections.Counter[int] = collections.Counter()
-        for job in sorted(self._waiting.all(), key=_due_at):
-            yield job, ahead[job.urgency]
-            # Late jobs only use idle slots, so no job waits behind them.
-            if job.key in in_time or not self._switches.late_aside:
-                ahead[job.urgency] += self._waiting.get(job.key) is not None
-
-    def _count_ahead(self, job: Job, forecast: Forecast) -> int:
-        return sum(
-            other.urgency == job.urgency
-            and other.due_at < job.due_at
-            and self._counts_as_ahead(other, forecast)
-            for other in self._waiting.all()
-        )
-
-    def _counts_as_ahead(self, job: Job, forecast: Forecast) -> bool:
-        if not self._switches.late_aside:
-            return True
-        return forecast.can_meet_deadline(job, forecast.now)
-
-
-def _due_at(job: Job) -> float:
-    return job.due_at
--- a/packages/dispatch/src/tallyhall_dispatch/rejection.py
+++ b/packages/dispatch/src/tallyhall_dispatch/rejection.py
@@ -7,35 +7,41 @@
 
 from __future__ import annotations
 
+import enum
 import random
 
 import msgspec
 
+from .class_priority import ClassPriority
 from .forecast import Forecast
 from .group import UpstreamGroup
 from .jobs import Job
+from .retry_delays import MIN_RETRY_S, RetryDelays
 from .switches import Switches
 from .urgency_stats import GrantRates
+from .wait_forecast import WaitForecast
 
-# Bounds for the retry delay of a rejected caller, in seconds: the minimum, the
-# maximum, and the minimum for a caller that will be late at any retry.
-# Spreading the latter between the last two bounds reduced the cost of rejecting
-# it again from 0.015 to 0.014.
-_MIN_RETRY_S = 0.25
-_MAX_RETRY_S = 3.0
-_MIN_LATE_RETRY_S = 1.0
 # A job is rejected this many seconds before the time at which no upstream could
 # respond in time any more. It covers two sweeps of the queue.
 _REJECTION_MARGIN_S = 0.05
 # Number of queued jobs that can meet their deadlines from which on late jobs
 # are rejected. Fewer occur in the normal jitter of arrivals.
 _IN_TIME_THRESHOLD = 3
-# Lower bound for the slots per second available to a job, unless the forecast
-# is lower.
-_MIN_RATE = 0.5
-# Maximum retry delay caused by a rate limit of the upstreams, in seconds. The
-# limit is likely to change within this time.
-_MAX_LIMIT_RETRY_S = 30.0
+
+
+@enum.unique
+class RejectionCause(enum.StrEnum):
+    """Why a job was rejected.
+
+    no_upstream: no upstream accepts it. over_quota: it exceeds its quota and no
+    slot is idle. late: it would be late, and other jobs can still be in time.
+    no_slot: no slot is expected before its caller's timeout.
+    """
+
+    no_upstream = 'no_upstream'
+    over_quota = 'over_quota'
+    late = 'late'
+    no_slot = 'no_slot'
 
 
 class RejectionForecast(msgspec.Struct, frozen=True):
@@ -52,11 +58,15 @@
 
 
 class RejectDecision(msgspec.Struct, frozen=True):
-    """A job was rejected without being sent, as it cannot meet its deadline."""
+    """A job was rejected without being sent, as it cannot meet its deadline.
+
+    cause: why, None if no urgency of its service defers.
+    """
 
     key: str
     retry_after_s: float
     forecast: RejectionForecast = RejectionForecast()
+    cause: RejectionCause | None = None
 
 
 class RejectionPolicy:
@@ -66,16 +76,18 @@
         self,
         group: UpstreamGroup,
         rates: GrantRates,
+        priority: ClassPriority,
         rng: random.Random,
         switches: Switches,
     ) -> None:
-        """Use these upstreams and the grant rates of the urgencies."""
+        """Use these upstreams, and grant rates and priorities of urgencies."""
         # Number of queued jobs that could meet their deadlines in the last
         # sweep.
         self.in_time_count = 0
         self._group = group
-        self._rates = rates
-        self._rng = rng
+        self._priority = priority
+        self._wait_forecast = WaitForecast(group, rates, priority)
+        self._retry_delays = RetryDelays(group, rng, switches)
         self._switches = switches
 
     def evaluate(
@@ -86,67 +98,54 @@
         ahead: number of jobs of the same urgency that are served before it.
         """
         if not self._group.may_serve(job):
-            return RejectDecision(job.key, _MIN_RETRY_S)
+            return self._reject_unsendable(job, 0)
         backoff_s = self._group.backoff_ends_in_s(job.backoffs, forecast.now)
         if backoff_s:
             # No upstream would accept an earlier retry.
-            return RejectDecision(job.key, max(_MIN_RETRY_S, backoff_s))
+            return self._reject_unsendable(job, backoff_s)
         forecast = self._group.forecast_for(job, forecast)
-        wait_s = self._wait_s(job.urgency, ahead, forecast)
-        if self._is_rejected(job, wait_s, forecast):
-            return RejectDecision(
-                job.key,
-                self._retry_s(job, wait_s, forecast.now),
-                RejectionForecast(
-                    ahead,
-                    wait_s,
-                    forecast.rate,
-                    self._group.free_slots(forecast.now),
-                ),
-            )
-        return None
-
-    def _is_rejected(self, job: Job, wait_s: float, forecast: Forecast) -> bool:
-        if (
-            job.over_quota
-            or forecast.now >= job.reject_at - _REJECTION_MARGIN_S
-        ):
-            return True
+        wait_s = self._wait_forecast.wait_s(job, ahead, forecast)
+        cause = self._cause(job, wait_s, forecast)
+        if cause is None:
+            return None
+        return RejectDecision(
+            job.key,
+            self._retry_delays.delay_s(job, wait_s, forecast.now),
+            RejectionForecast(
+                ahead,
+                wait_s,
+                forecast.rate,
+                self._group.free_slots(forecast.now),
+            ),
+            self._stated(cause),
+        )
+
+    def _reject_unsendable(self, job: Job, backoff_s: float) -> RejectDecision:
+        return RejectDecision(
+            job.key,
+            max(MIN_RETRY_S, backoff_s),
+            cause=self._stated(RejectionCause.no_upstream),
+        )
+
+    def _stated(self, cause: RejectionCause) -> RejectionCause | None:
+        """Return the cause where it is logged."""
+        return cause if self._priority.has_deferring else None
+
+    def _cause(
+        self, job: Job, wait_s: float, forecast: Forecast
+    ) -> RejectionCause | None:
+        """Return why a job is rejected, None if it is not."""
+        if job.over_quota:
+            return RejectionCause.over_quota
+        if forecast.now >= job.reject_at - _REJECTION_MARGIN_S:
+            return RejectionCause.no_slot
         if not self._switches.early_refusals:
-            return False
+            return None
         starts_at = forecast.now + wait_s
         if forecast.can_meet_deadline(job, starts_at):
-            return False
-        is_unserveable = starts_at > job.reject_at
-        return is_unserveable or self.in_time_count >= _IN_TIME_THRESHOLD
-
-    def _retry_s(self, job: Job, wait_s: float, now: float) -> float:
-        """Return the retry delay for the caller.
-
-        Callers that will be late at any retry get a longer delay, so that they
-        return after the load peak, with jitter, so that they do not return all
-        at once.
-        """
-        retry_s = min(_MAX_RETRY_S, max(_MIN_RETRY_S, 2 * wait_s))
-        if self._group.all_limited:
-            limit_wait_s = max(wait_s, self._group.next_token_in_s(now))
-            retry_s = max(retry_s, min(_MAX_LIMIT_RETRY_S, limit_wait_s))
-        will_be_late = now + _MIN_RETRY_S > job.due_at
-        if not will_be_late or not self._switches.late_returns:
-            return retry_s
-        late_retry_s = self._rng.uniform(_MIN_LATE_RETRY_S, _MAX_RETRY_S)
-        return max(retry_s, late_retry_s)
-
-    def _wait_s(self, urgency: int, ahead: int, forecast: Forecast) -> float:
-        """Return the expected wait behind `ahead` jobs, 0 if unknown.
-
-        Slots granted to more urgent jobs are not available to this one. Its own
-        urgency is expected to get at least as many slots as in the last second.
-        """
-        if not forecast.rate:
-            return 0
-        others = self._rates.above(urgency, forecast.now)
-        own = self._rates.per_s(urgency, forecast.now)
-        min_rate = min(_MIN_RATE, forecast.rate)
-        rate = max(own, forecast.rate - others, min_rate)
-        return (ahead + 1) / rate
+            return None
+        if starts_at > job.reject_at:
+            return RejectionCause.no_slot
+        if self.in_time_count >= _IN_TIME_THRESHOLD:
+            return RejectionCause.late
+        return None
--- a/packages/edge/src/tallyhall_edge/request_log.py
+++ b/packages/edge/src/tallyhall_edge/request_log.py
@@ -130,6 +130,8 @@
         request_id: str,
         refusal: Refusal,
         cause: RefusedError | None = None,
+        *,
+        is_retry: bool = False,
     ) -> None:
         """Log a refusal, and the values that decided it if known."""
         self._telemetry.event(
@@ -139,6 +141,7 @@
             detail=refusal.detail,
             retry_after=refusal.retry_after,
             **_refusal_fields(cause),
+            **_rejection_cause_fields(cause, is_retry=is_retry),
         )
 
     def ended(self, context: RequestContext, now: float) -> None:
@@ -148,6 +151,7 @@
             context.outcome,
             total_s,
             context.admitted.route.kind.value,
+            is_retry=context.is_retry,
         )
         served = context.outcome == ANSWERED
         # This line has all values that matter, even if earlier ones are lost.
@@ -230,6 +234,15 @@
     return {}
 
 
+def _rejection_cause_fields(
+    cause: RefusedError | None, *, is_retry: bool
+) -> dict[str, object]:
+    """Return why a job was rejected, where an urgency of its service defers."""
+    if not isinstance(cause, JobRejectedError) or cause.cause is None:
+        return {}
+    return {'retry': is_retry, 'cause': cause.cause.value}
+
+
 def _charge_fields(admitted: Admitted) -> dict[str, object]:
     if admitted.quota_state is None:
         return {}
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -352,7 +352,13 @@
                 retry_after=over_quota_s,
             )
         context.outcome = refusal.reason.value
-        self._refuse(context.exchange, refusal, context.request_id, cause)
+        self._refuse(
+            context.exchange,
+            refusal,
+            context.request_id,
+            cause,
+            is_retry=context.is_retry,
+        )
 
     def _refuse(
         self,
@@ -360,8 +366,10 @@
         refusal: Refusal,
         request_id: str,
         cause: RefusedError | None = None,
+        *,
+        is_retry: bool = False,
     ) -> None:
-        self._log.refused(request_id, refusal, cause)
+        self._log.refused(request_id, refusal, cause, is_retry=is_retry)
         answer = self._codec.encode_refusal(refusal)
         exchange.answer(
             answer.status,
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -401,10 +401,11 @@
     """The refusal of a job that cannot be answered in time."""
 
     def __init__(self, given_up: RejectDecision) -> None:
-        """Store when to retry and the forecast behind the decision."""
+        """Store when to retry and what the decision was based on."""
         refusal = Refusal.of(
             Reason.deadline_unreachable,
             retry_after=given_up.retry_after_s,
         )
         super().__init__(refusal)
         self.forecast = given_up.forecast
+        self.cause = given_up.cause
--- a/packages/edge/src/tallyhall_edge/telemetry.py
+++ b/packages/edge/src/tallyhall_edge/telemetry.py
@@ -14,6 +14,11 @@
         """Log an event."""
 
     def record_request_end(
-        self, outcome: str, total_s: float, route_kind: str
+        self,
+        outcome: str,
+        total_s: float,
+        route_kind: str,
+        *,
+        is_retry: bool,
     ) -> None:
         """Record the outcome and duration of a request."""
--- a/packages/entry/src/tallyhall_entry/exposition.py
+++ b/packages/entry/src/tallyhall_entry/exposition.py
@@ -56,6 +56,18 @@
                 'reason',
                 self._metrics.refusals,
             ),
+            (
+                'tallyhall_rejections',
+                'Requests rejected where an urgency defers, by cause.',
+                'cause',
+                self._metrics.rejections,
+            ),
+            (
+                'tallyhall_retries',
+                'Ended requests whose caller was refused before, by outcome.',
+                'outcome',
+                self._metrics.retries,
+            ),
             (
                 'tallyhall_sends',
                 'Sends to upstreams, by how they ended.',
--- a/packages/entry/src/tallyhall_entry/telemetry.py
+++ b/packages/entry/src/tallyhall_entry/telemetry.py
@@ -22,15 +22,25 @@
         """Log a request event and update the metrics that depend on it."""
         if event is Event.refused:
             self._metrics.refusals[str(fields['reason'])] += 1
+            cause = fields.get('cause')
+            if cause is not None:
+                self._metrics.rejections[str(cause)] += 1
         elif event is Event.send_ended:
             self._count_send(fields)
         self._log.event(event, **fields)
 
     def record_request_end(
-        self, outcome: str, total_s: float, route_kind: str
+        self,
+        outcome: str,
+        total_s: float,
+        route_kind: str,
+        *,
+        is_retry: bool,
     ) -> None:
         """Count a request that has ended."""
         self._metrics.ended(route_kind, outcome, total_s)
+        if is_retry:
+            self._metrics.retries[outcome] += 1
 
     def _count_send(self, fields: dict[str, object]) -> None:
         self._metrics.sends[str(fields['ending'])] += 1
--- a/packages/transport/src/tallyhall_transport/peer_codec.py
+++ b/packages/transport/src/tallyhall_transport/peer_codec.py
@@ -13,7 +13,11 @@
 from typing import TYPE_CHECKING
 
 from tallyhall_dispatch.jobs import AttemptOutcome, Job, RunReport
-from tallyhall_dispatch.rejection import RejectDecision, RejectionForecast
+from tallyhall_dispatch.rejection import (
+    RejectDecision,
+    RejectionCause,
+    RejectionForecast,
+)
 
 if TYPE_CHECKING:
     from .generated import peers_pb2
@@ -85,6 +89,8 @@
     give_up.ahead = forecast.ahead
     give_up.rate = forecast.rate
     give_up.free = forecast.free
+    if given_up.cause is not None:
+        give_up.cause = given_up.cause.value
 
 
 def decode_give_up(give_up: peers_pb2.GiveUp) -> RejectDecision:
@@ -98,9 +104,18 @@
             give_up.rate,
             give_up.free,
         ),
+        _decode_cause(give_up.cause),
     )
 
 
+def _decode_cause(text: str) -> RejectionCause | None:
+    """Decode a cause; None if it is absent or from a later version."""
+    try:
+        return RejectionCause(text)
+    except ValueError:
+        return None
+
+
 def encode_done(
     done: peers_pb2.Done,
     key: str,
--- a/tests/platform/test_limit_returns.py
+++ b/tests/platform/test_limit_returns.py
@@ -3,13 +3,14 @@
 import random
 
 import pytest
+from tallyhall_dispatch.class_priority import ClassPriority
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.forecast import Forecast
 from tallyhall_dispatch.group import UpstreamGroup
 from tallyhall_dispatch.jobs import Job
 from tallyhall_dispatch.rejection import RejectionPolicy
 from tallyhall_dispatch.switches import ALL_ENABLED
-from tallyhall_dispatch.urgency_stats import GrantRates
+from tallyhall_dispatch.urgency_stats import GrantRates, ServedFractions
 
 _LIMIT_PER_S = 0.25
 
@@ -31,7 +32,8 @@
         for name in ('u', 'v')
     )
     group.apply_limits(dict.fromkeys(limited, _LIMIT_PER_S), 1, 0)
-    policy = RejectionPolicy(group, GrantRates(), rng, ALL_ENABLED)
+    priority = ClassPriority(ServedFractions())
+    policy = RejectionPolicy(group, GrantRates(), priority, rng, ALL_ENABLED)
     job = Job('k', 'svc', 'a', 0, 100, 30, 0, 1, 2)
     rate = 2 * _LIMIT_PER_S
     rejection = policy.evaluate(job, 4, Forecast(0, rate, 0.03, 0.0001))
