--- a/packages/dispatch/src/tallyhall_dispatch/queue_checks.py
+++ b/packages/dispatch/src/tallyhall_dispatch/queue_checks.py
@@ -46,6 +46,12 @@
         """Forget the new jobs, as the queue is empty."""
         self._unchecked.clear()
 
+    @property
+    def new_jobs(self) -> Iterator[Job]:
+        """Return the queued jobs that have not been checked yet."""
+        jobs = map(self._waiting.get, self._unchecked)
+        return (job for job in jobs if job is not None)
+
     def next_jobs(self, forecast: Forecast) -> Iterator[tuple[Job, int]]:
         """Yield the jobs to check for rejection.
 
