--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -30,13 +30,13 @@
 from .upstream_selection import UpstreamSelector
 from .upstream_state import UpstreamState
 from .urgency_stats import GrantRates, ServedFractions
+from .wait_forecast import WaitForecast
 from .waiting import WaitingJobs
 
 if TYPE_CHECKING:
     from .rollout import Rollout
 
 
-
 class GrantDecision(msgspec.Struct, frozen=True):
     """A job may be sent to this upstream once.
 
@@ -81,12 +81,6 @@
         self._selector = UpstreamSelector(
             self._group, event_tokens, rng, switches
         )
-        self._rejection_policy = RejectionPolicy(
-            self._group, self._rates, self.class_priority, rng, switches
-        )
-        self._checks = QueueChecks(
-            self._waiting, self._rejection_policy, self.class_priority, switches
-        )
         self._trials = SuspectTrials()
         self._candidates = Candidates(
             self._waiting,
@@ -95,6 +89,18 @@
             self._trials,
             switches,
         )
+        self._rejection_policy = RejectionPolicy(
+            self._group,
+            WaitForecast(
+                self._rates, self.class_priority, self._candidates.slot_limit
+            ),
+            self.class_priority,
+            rng,
+            switches,
+        )
+        self._checks = QueueChecks(
+            self._waiting, self._rejection_policy, self.class_priority, switches
+        )
 
     @property
     def is_model(self) -> bool:
--- a/packages/dispatch/src/tallyhall_dispatch/rejection.py
+++ b/packages/dispatch/src/tallyhall_dispatch/rejection.py
@@ -18,7 +18,6 @@
 from .jobs import Job
 from .retry_delays import MIN_RETRY_S, RetryDelays
 from .switches import Switches
-from .urgency_stats import GrantRates
 from .wait_forecast import WaitForecast
 
 # A job is rejected this many seconds before the time at which no upstream could
@@ -75,18 +74,18 @@
     def __init__(
         self,
         group: UpstreamGroup,
-        rates: GrantRates,
+        wait_forecast: WaitForecast,
         priority: ClassPriority,
         rng: random.Random,
         switches: Switches,
     ) -> None:
-        """Use these upstreams, and grant rates and priorities of urgencies."""
+        """Use these upstreams, forecasts of waits and priorities."""
         # Number of queued jobs that could meet their deadlines in the last
         # sweep.
         self.in_time_count = 0
         self._group = group
         self._priority = priority
-        self._wait_forecast = WaitForecast(group, rates, priority)
+        self._wait_forecast = wait_forecast
         self._retry_delays = RetryDelays(group, rng, switches)
         self._switches = switches
 
--- a/packages/dispatch/src/tallyhall_dispatch/wait_forecast.py
+++ b/packages/dispatch/src/tallyhall_dispatch/wait_forecast.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from .class_priority import ClassPriority
 from .forecast import Forecast
-from .group import UpstreamGroup
 from .jobs import Job
 from .urgency_stats import GrantRates
 
@@ -23,14 +24,17 @@
 
     def __init__(
         self,
-        group: UpstreamGroup,
         rates: GrantRates,
         priority: ClassPriority,
+        slot_limit: Callable[[int, float], float],
     ) -> None:
-        """Use these upstreams, grant rates and priorities."""
-        self._group = group
+        """Use these grant rates and priorities.
+
+        slot_limit: returns the slot limit of an urgency at a time.
+        """
         self._rates = rates
         self._priority = priority
+        self._slot_limit = slot_limit
 
     def wait_s(self, job: Job, ahead: int, forecast: Forecast) -> float:
         """Return the expected wait behind `ahead` jobs, 0 if unknown.
@@ -54,8 +58,9 @@
         return max(own, forecast.rate - self._rates.above(job.urgency, now))
 
     def _is_at_limit(self, urgency: int, now: float) -> bool:
-        slots = self._group.slots * self._group.share
-        return not self._priority.may_start(urgency, slots, now)
+        if not self._priority.goes_last(urgency):
+            return False
+        return self._priority.running(urgency) >= self._slot_limit(urgency, now)
 
     def _own_releases_per_s(self, urgency: int) -> float:
         """Return how many slots the runs of an urgency release per second."""
--- a/tests/platform/test_limit_returns.py
+++ b/tests/platform/test_limit_returns.py
@@ -11,6 +11,7 @@
 from tallyhall_dispatch.rejection import RejectionPolicy
 from tallyhall_dispatch.switches import ALL_ENABLED
 from tallyhall_dispatch.urgency_stats import GrantRates, ServedFractions
+from tallyhall_dispatch.wait_forecast import WaitForecast
 
 _LIMIT_PER_S = 0.25
 
@@ -33,7 +34,8 @@
     )
     group.apply_limits(dict.fromkeys(limited, _LIMIT_PER_S), 1, 0)
     priority = ClassPriority(ServedFractions())
-    policy = RejectionPolicy(group, GrantRates(), priority, rng, ALL_ENABLED)
+    waits = WaitForecast(GrantRates(), priority, lambda _urgency, _now: 9)
+    policy = RejectionPolicy(group, waits, priority, rng, ALL_ENABLED)
     job = Job('k', 'svc', 'a', 0, 100, 30, 0, 1, 2)
     rate = 2 * _LIMIT_PER_S
     rejection = policy.evaluate(job, 4, Forecast(0, rate, 0.03, 0.0001))
