Emulator: callers return within the part of their time that they honour

Callers honour a Retry-After for up to a third of the time that they have left. The emulated ones honoured any, so a delay beyond their timeout looked like a refusal that costs nothing: it was not counted as a second one.

--- a/packages/emulator/src/tallyhall_emulator/callers.py
+++ b/packages/emulator/src/tallyhall_emulator/callers.py
@@ -83,7 +83,7 @@
         for _ in range(arrival.kind.returns):
             if outcome is not Outcome.refused:
                 break
-            yield self._env.timeout(visit.retry_after_s)
+            yield self._env.timeout(_return_delay_s(visit, self._env.now))
             if self._env.now >= visit.end_at:
                 break
             outcome = yield from self._try(visit)
@@ -227,6 +227,13 @@
         return self.first_at + self.arrival.kind.timeout_s
 
 
+def _return_delay_s(visit: _Visit, now: float) -> float:
+    honoured = visit.arrival.kind.honoured
+    if honoured == 1:
+        return visit.retry_after_s
+    return min(visit.retry_after_s, honoured * (visit.end_at - now))
+
+
 def _route(kind: Kind) -> Route:
     return Route(
         name=kind.name,
--- a/packages/emulator/src/tallyhall_emulator/scenario.py
+++ b/packages/emulator/src/tallyhall_emulator/scenario.py
@@ -63,8 +63,9 @@
 
     per_s: how many arrive. worth, late_worth: what an answer in time and a
     late one are worth. stated: how many times the events that come a caller
-    states. returns: how often a caller comes back after a refusal. attempts:
-    the most engines it may be sent to.
+    states. returns: how often a caller comes back after a refusal. honoured:
+    part of the time that it has left after which it comes back at the latest.
+    attempts: the most engines it may be sent to.
     """
 
     name: str
@@ -79,6 +80,7 @@
     urgency: int
     stated: Positive = 1
     returns: int = 1
+    honoured: Part = 1
     attempts: Count = 1
 
 
--- a/tests/unit/test_emulator.py
+++ b/tests/unit/test_emulator.py
@@ -22,7 +22,7 @@
 from tallyhall_emulator.callers import Outcome
 from tallyhall_emulator.engine import Engine
 from tallyhall_emulator.experiment import run_experiment, switched_off
-from tallyhall_emulator.figures import figures, interval
+from tallyhall_emulator.figures import Figures, figures, interval
 from tallyhall_emulator.play import play
 from tallyhall_emulator.scenario import (
     Burst,
@@ -113,6 +113,22 @@
     assert endings == {AttemptOutcome.broken, AttemptOutcome.unknown}
 
 
+def _overloaded(honoured: float) -> Figures:
+    kind = msgspec.structs.replace(
+        _KIND, per_s=60, timeout_s=1.2, honoured=honoured
+    )
+    scenario = _with(warm_s=5, kinds=(kind,))
+    return figures(scenario, play(scenario, 1))
+
+
+def test_callers_return_within_the_part_that_they_honour() -> None:
+    """Otherwise a long retry delay would look as good as a served caller."""
+    returning, leaving = _overloaded(0.3), _overloaded(1)
+    assert leaving.refused > 0
+    assert not returning.refused
+    assert returning.refused_again > leaving.refused_again
+
+
 def test_a_calm_service_serves_all_in_time() -> None:
     # Before, it is not known which engine is slow.
     kind = msgspec.structs.replace(_KIND, per_s=1)
