Load reports: forwarded to the owner of the service

An instance receives a response of a given upstream once in several seconds, but the owner of the service selects the upstreams of all. A grant carries the slowdown that was known, for line 401 and `explain`. Metrics of fresh and slowed upstreams and of reports by step; line 418 when a service begins to report slowdowns. The upstream stand-in learns the header, the slowdown and wrong reports.

--- a/packages/core/src/tallyhall_core/events.py
+++ b/packages/core/src/tallyhall_core/events.py
@@ -59,6 +59,7 @@
     upstream_leaves = 413
     header_unread = 414
     limit_named = 415
+    slowdowns_reported = 418
     logs_dropped = 501
     internal_error = 500
     order_sent = 600
--- a/packages/edge/src/tallyhall_edge/request_log.py
+++ b/packages/edge/src/tallyhall_edge/request_log.py
@@ -55,8 +55,14 @@
             **_charge_fields(admitted),
         )
 
-    def permitted(self, context: RequestContext, grant: SlotGrant) -> None:
-        """Log the upstream that a request is sent to."""
+    def permitted(
+        self, context: RequestContext, grant: SlotGrant, slowdown: float
+    ) -> None:
+        """Log the upstream that a request is sent to.
+
+        slowdown: what was known of it when it was granted.
+        """
+        slowed = {'slowdown': round(slowdown, 2)} if slowdown > 1 else {}
         self._telemetry.event(
             Event.permitted,
             served=True,
@@ -66,6 +72,7 @@
             waited_ms=_millis(grant.waited_s),
             send=context.sends,
             after_event=context.last_event,
+            **slowed,
         )
 
     def send_ended(
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -198,7 +198,9 @@
             job = self._job(context, suspect=context.content if ends else '')
             grant = await self._acquire(context, job)
             record_send(context, grant, self._loop.time())
-            self._log.permitted(context, grant)
+            self._log.permitted(
+                context, grant, self._scheduler.known_slowdown(job)
+            )
             ending, relay = await self._sender.send(
                 context,
                 job,
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -92,6 +92,9 @@
         result is 0 if any upstream is not in backoff.
         """
 
+    def known_slowdown(self, job: Job) -> float:
+        """Return the slowdown of its upstream known when a job was granted."""
+
     def finish(self, job: Job, upstream: Upstream, report: RunReport) -> None:
         """Record that a send has ended."""
 
--- a/packages/entry/src/tallyhall_entry/explain.py
+++ b/packages/entry/src/tallyhall_entry/explain.py
@@ -154,14 +154,26 @@
         )
     text = _CAUSES.get(outcome, f'It ended with outcome {outcome}')
     sends = [line for line in lines if line.event == Event.send_ended.name]
+    slowed = _slowed(lines)
     if not sends:
-        return f'{text}.'
+        return f'{text}.{slowed}'
     tried = ', '.join(
         f'{line.fields["upstream"]} ({line.fields["ending"]} after '
         f'{line.fields["total_ms"]} ms)'
         for line in sends
     )
-    return f'{text}. Sent to {tried}.'
+    return f'{text}. Sent to {tried}.{slowed}'
+
+
+def _slowed(lines: list[Line]) -> str:
+    """Return which upstreams were known to be slowed when they were granted."""
+    known = ', '.join(
+        f'{line.fields["upstream"]} ({line.fields["slowdown"]} times as long '
+        'as usual)'
+        for line in lines
+        if line.event == Event.permitted.name and 'slowdown' in line.fields
+    )
+    return f' Known to be slowed when granted: {known}.' if known else ''
 
 
 def _outcome(lines: list[Line]) -> str | None:
--- a/packages/entry/src/tallyhall_entry/exposition.py
+++ b/packages/entry/src/tallyhall_entry/exposition.py
@@ -62,6 +62,12 @@
                 'ending',
                 self._metrics.sends,
             ),
+            (
+                'tallyhall_load_reports',
+                'Load reports of upstreams, by what happened to them.',
+                'step',
+                self._metrics.load_reports,
+            ),
         ):
             family = CounterMetricFamily(
                 name,
@@ -110,6 +116,16 @@
                 'Upstreams that name what they take from all instances.',
                 self._metrics.limited_upstreams,
             ),
+            (
+                'tallyhall_reporting_upstreams',
+                'Upstreams with a load report that is not outdated.',
+                self._metrics.reporting_upstreams,
+            ),
+            (
+                'tallyhall_slowed_upstreams',
+                'Upstreams whose last load report states a slowdown.',
+                self._metrics.slowed_upstreams,
+            ),
             (
                 'tallyhall_desired_state_version',
                 'Version of the desired state in force, -1 before the first.',
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -387,6 +387,7 @@
         self._peer_reports.fill(peer, batch)
         self._store_changes.fill(peer, batch)
         self._usage_exchange.fill(peer, batch)
+        self._scheduler.loads.fill(peer, batch)
 
     def _on_peer_lost(self, peer: Peer, exc: Exception) -> None:
         self.log.event(Event.peer_down, peer=peer.name, cause=repr(exc)[:100])
@@ -484,3 +485,4 @@
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
             self._conns.close_expired()
             self._reports.update(self._gate, self._front, self._dispatcher)
+            self._reports.update_loads(self._dispatcher, self._scheduler.loads)
--- a/packages/entry/src/tallyhall_entry/job_messages.py
+++ b/packages/entry/src/tallyhall_entry/job_messages.py
@@ -12,29 +12,40 @@
     encode_done,
     encode_give_up,
     encode_job,
+    encode_slowdown,
 )
 from tallyhall_transport.peer_streams import PeerStreams
 
+from .load_sharing import LoadSharing
+
 _MILLI = 1000
 
 
 class PeerOrigin:
     """Forwards scheduling decisions to the peer that asked; a `JobListener`."""
 
-    def __init__(self, peer_streams: PeerStreams, peer: str) -> None:
+    def __init__(
+        self, peer_streams: PeerStreams, peer: str, loads: LoadSharing
+    ) -> None:
         """Forward decisions to this peer."""
+        self._loads = loads
         self._peer_streams = peer_streams
         self._peer = peer
 
     def on_granted(self, granted: GrantDecision) -> None:
         """Tell the peer that a job may be sent to an upstream."""
         batch = self._peer_streams.next_batch(self._peer, urgent=True)
-        if batch is not None:
-            batch.grants.add(
-                key=granted.key,
-                upstream=granted.upstream.incarnation,
-                forecast_ms=int(granted.forecast_s * _MILLI),
-            )
+        if batch is None:
+            return
+        incarnation = granted.upstream.incarnation
+        grant = batch.grants.add(
+            key=granted.key,
+            upstream=incarnation,
+            forecast_ms=int(granted.forecast_s * _MILLI),
+        )
+        slowdown = self._loads.slowdown(incarnation)
+        if slowdown > 1:
+            grant.slowdown_percent = encode_slowdown(slowdown)
 
     def on_rejected(self, given_up: RejectDecision) -> None:
         """Tell the peer that a job cannot meet its deadline."""
--- a/packages/entry/src/tallyhall_entry/metrics.py
+++ b/packages/entry/src/tallyhall_entry/metrics.py
@@ -57,6 +57,11 @@
         self.turned_away = 0
         self.waiting = 0
         self.limited_upstreams = 0
+        # Upstreams with a fresh load report, and those that are slowed.
+        self.reporting_upstreams = 0
+        self.slowed_upstreams = 0
+        # Load reports, by what happened to them.
+        self.load_reports: Mapping[str, int] = {}
         self.state_version = -1
         self.confirmation_age_seconds: float = 0
         self.store_up = 0
--- a/packages/entry/src/tallyhall_entry/reports.py
+++ b/packages/entry/src/tallyhall_entry/reports.py
@@ -11,6 +11,7 @@
 from tallyhall_edge.server import HttpServer
 from tallyhall_platform.call_counts import CallCounts
 
+from .load_sharing import LoadSharing
 from .logs import EventLog
 from .metrics import Metrics
 
@@ -88,3 +89,14 @@
         age = gate.freshness.age(now)
         if age is not None:
             metrics.confirmation_age_seconds = age
+
+    def update_loads(self, dispatcher: Dispatcher, loads: LoadSharing) -> None:
+        """Update the metrics of load reports."""
+        now = self._loop.time()
+        slowed = [
+            report.is_slowed
+            for _, report, _ in dispatcher.upstream_loads.fresh(now)
+        ]
+        self._metrics.reporting_upstreams = len(slowed)
+        self._metrics.slowed_upstreams = sum(slowed)
+        self._metrics.load_reports = loads.counts
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -30,11 +30,13 @@
     decode_done,
     decode_give_up,
     decode_job,
+    decode_slowdown,
 )
 from tallyhall_transport.peer_streams import PeerStreams
 
 from .job_messages import JobMessages, PeerOrigin
 from .knowledge import PeerKnowledge, peer_knowledge
+from .load_sharing import LoadSharing
 from .owners import Owners
 from .peer_tracker import PeerTracker
 from .upstream_announcements import UpstreamAnnouncements
@@ -66,6 +68,8 @@
     unanswered: int = 0
     upstream: Upstream | None = None
     forecast_s: float = 0
+    # The slowdown of the upstream that was known when it was granted.
+    slowdown: float = 1
     begun: bool = False
     # Queued nowhere until this instance's share of the slots allows it.
     held: bool = False
@@ -100,8 +104,11 @@
         self._alone: dict[str, set[str]] = collections.defaultdict(set)
         self._peer_tracker = PeerTracker(name, peer_streams)
         self._messages = JobMessages(peer_streams)
+        self.loads = LoadSharing(
+            dispatcher, peer_streams, self._owners.usable, log
+        )
         self.upstream_listener = UpstreamAnnouncements(
-            dispatcher, peer_streams, log
+            dispatcher, peer_streams, log, self.loads
         )
         self._known = PeerKnowledge()
 
@@ -145,6 +152,11 @@
         for peer in ticket.informed:
             self._messages.begun(peer, job.key)
 
+    def known_slowdown(self, job: Job) -> float:
+        """Return the slowdown that was known when a job was granted."""
+        ticket = self._tickets.get(job.key)
+        return 1 if ticket is None else ticket.slowdown
+
     def finish(self, job: Job, upstream: Upstream, report: RunReport) -> None:
         """Record that a send has ended."""
         ticket = self._tickets.pop(job.key, None)
@@ -221,6 +233,7 @@
         _stop_timer(ticket)
         ticket.upstream = upstream
         ticket.forecast_s = granted.forecast_s
+        ticket.slowdown = self.loads.slowdown(upstream.incarnation)
         ticket.fut.set_result(upstream)
 
     def on_rejected(self, given_up: RejectDecision) -> None:
@@ -287,7 +300,7 @@
     def _handle_ask(self, peer: str, job: Job) -> None:
         origin = self._origins.setdefault(
             peer,
-            PeerOrigin(self._peer_streams, peer),
+            PeerOrigin(self._peer_streams, peer, self.loads),
         )
         self._dispatcher.submit(job, origin)
         if self._dispatcher.is_waiting(job.key):
@@ -323,6 +336,7 @@
         self.on_granted(
             GrantDecision(key, upstream, grant.forecast_ms / _MILLI)
         )
+        ticket.slowdown = decode_slowdown(grant.slowdown_percent)
 
     def _refuse_grant(self, peer: str, key: str, incarnation: str) -> None:
         service = self._dispatcher.service_of(incarnation)
--- a/packages/entry/src/tallyhall_entry/upstream_announcements.py
+++ b/packages/entry/src/tallyhall_entry/upstream_announcements.py
@@ -19,6 +19,8 @@
 from tallyhall_transport.peer import Peer
 from tallyhall_transport.peer_streams import PeerStreams
 
+from .load_sharing import LoadSharing
+
 if TYPE_CHECKING:
     from tallyhall_transport.generated import peers_pb2
 
@@ -37,8 +39,10 @@
         dispatcher: Dispatcher,
         peer_streams: PeerStreams,
         log: Callable[..., None],
+        loads: LoadSharing,
     ) -> None:
         """Apply announcements to this dispatcher."""
+        self._loads = loads
         self._dispatcher = dispatcher
         self._peer_streams = peer_streams
         self._log = log
@@ -73,9 +77,7 @@
 
     def on_load_reported(self, incarnation: str, report: LoadReport) -> None:
         """Record the load that an upstream stated in a response."""
-        self._dispatcher.upstream_loads.record(
-            incarnation, report, self._loop.time()
-        )
+        self._loads.on_load_reported(incarnation, report)
 
     # -- peer callbacks
 
@@ -98,6 +100,7 @@
                 self._broadcast_leaving(leaver, peer.name)
         for message in batch.named_limits:
             self._handle_limit(peer.name, message)
+        self._loads.take(peer, batch)
 
     def resend_leaving(self, peer: str, incarnation: str) -> None:
         """Resend to a peer that an upstream is leaving, if that is known."""
--- a/packages/standins/src/tallyhall_standins/platform_engine.py
+++ b/packages/standins/src/tallyhall_standins/platform_engine.py
@@ -17,6 +17,8 @@
 
 import httptools
 
+from .engine_load import EngineLoad
+
 _SLOTS = 10
 
 
@@ -109,6 +111,8 @@
         self.rest_s: float | None = None
         # Names in all its answers what it takes in a second.
         self.limit_per_s: float | None = None
+        # How much it is slowed, and the load that it reports, if any.
+        self.load = EngineLoad()
         # Further header lines of all its answers.
         self.says: tuple[str, ...] = ()
         # Set once it has ended, with all that ran.
@@ -288,7 +292,8 @@
         if fault is EngineFault.closes_first:
             self._closed = True
             return
-        times = _SLOW_TIMES if fault is EngineFault.slow else 1
+        times: float = _SLOW_TIMES if fault is EngineFault.slow else 1
+        times *= self._engine.load.slowdown
         await asyncio.sleep(self._engine.first_s * times)
         if self._engine.fatal is not None and self._body == self._engine.fatal:
             self._engine.end()
@@ -347,7 +352,8 @@
                 continue
             self._chunk(f'id: {number}\ndata: t{number}\n\n'.encode())
             await self._writer.drain()
-            times = _SLOW_TIMES if fault is EngineFault.slow else 1
+            times: float = _SLOW_TIMES if fault is EngineFault.slow else 1
+            times *= self._engine.load.slowdown
             await asyncio.sleep(self._engine.event_s * times)
         self._writer.write(b'0\r\n\r\n')
 
@@ -372,9 +378,10 @@
             lines = (*lines, 'Server-Leaving: 1')
         if self._engine.limit_per_s is not None:
             lines = (*lines, f'Server-Limit: {self._engine.limit_per_s}')
-        lines = (*lines, *self._engine.says)
+        reported = self._engine.load.header_lines(self._engine.running)
+        lines = (*lines, *reported, *self._engine.says)
         head = '\r\n'.join((f'HTTP/1.1 {status} Status', *lines, '', ''))
-        self._writer.write(head.encode())
+        self._writer.write(head.encode('latin-1'))
 
     def _chunk(self, payload: bytes) -> None:
         self._writer.write(b'%x\r\n%b\r\n' % (len(payload), payload))
--- a/packages/transport/src/tallyhall_transport/peer_codec.py
+++ b/packages/transport/src/tallyhall_transport/peer_codec.py
@@ -13,12 +13,19 @@
 from typing import TYPE_CHECKING
 
 from tallyhall_dispatch.jobs import AttemptOutcome, Job, RunReport
+from tallyhall_dispatch.load_reports import LoadReport
 from tallyhall_dispatch.rejection import RejectDecision, RejectionForecast
 
 if TYPE_CHECKING:
     from .generated import peers_pb2
 
 _MILLI = 1000
+_PERCENT = 100
+# Range of the slowdowns that are accepted, in percent, and the maximum number
+# of requests, as for the header of upstreams.
+_MIN_SLOWDOWN_PERCENT = 20
+_MAX_SLOWDOWN_PERCENT = 2000
+_MAX_REQUESTS = 10_000
 _NO_FIRST_EVENT = -1
 # Longer waits are sent as one hour, in milliseconds.
 _MAX_WAIT_MS = 3_600_000
@@ -128,3 +135,42 @@
         done.stream_ms / _MILLI,
         done.pause_ms / _MILLI,
     )
+
+
+def encode_load(
+    load: peers_pb2.Load, upstream: str, report: LoadReport, age_s: float
+) -> None:
+    """Encode the load that an upstream reported some time ago."""
+    load.upstream = upstream
+    load.running = report.running
+    load.waiting = report.waiting
+    load.slots = report.slots
+    load.slowdown_percent = encode_slowdown(report.slowdown or 0)
+    load.age_ms = max(0, int(age_s * _MILLI))
+
+
+def decode_load(load: peers_pb2.Load) -> tuple[LoadReport, float] | None:
+    """Decode a forwarded report and its age in seconds.
+
+    Returns None for one without a slowdown or with values that no upstream may
+    report, which a peer of another version may forward.
+    """
+    if max(load.running, load.waiting, load.slots) > _MAX_REQUESTS:
+        return None
+    percent = load.slowdown_percent
+    if not _MIN_SLOWDOWN_PERCENT <= percent <= _MAX_SLOWDOWN_PERCENT:
+        return None
+    report = LoadReport(
+        load.running, load.waiting, load.slots, percent / _PERCENT
+    )
+    return report, load.age_ms / _MILLI
+
+
+def encode_slowdown(slowdown: float) -> int:
+    """Return a slowdown in percent."""
+    return round(slowdown * _PERCENT)
+
+
+def decode_slowdown(percent: int) -> float:
+    """Return a slowdown from percent, 1 if it is unknown."""
+    return percent / _PERCENT if percent else 1
