Load reports: tests of the sharing with simulated fleets

The simulated fleet of the limit tests learns load reports and counts their bytes. Covered: newest report only, fair order, expiry, byte limit, codec, lost link, lost owner, instances alone, 410 instances.

--- a/tests/platform/limit_fleet.py
+++ b/tests/platform/limit_fleet.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import functools
@@ -20,6 +21,7 @@
 from tallyhall_core.refusals import RefusedError
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.jobs import AttemptOutcome, Job, RunReport
+from tallyhall_dispatch.load_reports import LoadReport
 from tallyhall_edge.scheduling import Dispatcher, JobRejectedError
 from tallyhall_entry.shared import SharedScheduler
 from tallyhall_platform.decode import decode_state
@@ -131,6 +133,8 @@
     limit_per_s: float | None = None
     # Announces in its responses that it is leaving.
     leaving: bool = False
+    # Reports this load in its responses.
+    load: LoadReport | None = None
     run_s: float = 0.1
     arrivals: list[float] = dataclasses.field(default_factory=list)
 
@@ -173,6 +177,10 @@
         self.refused: list[float] = []
         # The partition of each instance; batches cross no partition boundary.
         self.partitions: dict[str, int] = {}
+        # When instances sent load reports, by sender, and their bytes.
+        self.load_bytes: dict[str, list[tuple[float, float]]] = (
+            collections.defaultdict(list)
+        )
         self.engines = {
             f'e{number}': RateLimitedEngine(
                 Upstream(f'e{number}', service, 'h', 1, 'a', 10, leaving=False),
@@ -283,6 +291,10 @@
             engine.limit_per_s,
             asked_at,
         )
+        if engine.load is not None:
+            node.scheduler.upstream_listener.on_load_reported(
+                engine.upstream.incarnation, engine.load
+            )
         if engine.leaving:
             node.scheduler.upstream_listener.on_leaving(
                 engine.upstream.incarnation
@@ -304,7 +316,7 @@
             name,
             run,
             lambda peer, batch: schedulers[0].on_batch(peer, batch),
-            lambda peer, batch: None,
+            lambda peer, batch: schedulers[0].loads.fill(peer, batch),
             lambda peer, exc: None,
             lambda peer: schedulers[0].on_opened(peer),
         )
@@ -350,6 +362,9 @@
         batch: peers_pb2.Batch,
     ) -> bool:
         """Send a batch; return whether its stream is still open."""
+        if batch.loads:
+            size = peers_pb2.Batch(loads=batch.loads).ByteSize()
+            self.load_bytes[sender].append((self.now, size))
         if self.partitions.get(sender) != self.partitions.get(receiver):
             return True
         node = self.nodes.get(receiver)
