Load reports: decoding, and use in expected times and free slots

X-Tallyhall-Server-Load was ignored, so a slowdown of an upstream's machine was learned as its speed and noticed only after some runs. The header is decoded, learned speeds and hold times are divided by the slowdown during the run, and expected times are multiplied by the current one. Running requests that the owner of a model service does not know of occupy slots while the report is fresh. Services without a fourth figure decide as before: the factor is 1. Switch load_reports.

--- a/packages/dispatch/src/tallyhall_dispatch/group.py
+++ b/packages/dispatch/src/tallyhall_dispatch/group.py
@@ -10,6 +10,7 @@
 from .desired import Upstream
 from .forecast import Forecast
 from .jobs import Job
+from .load_reports import UpstreamLoads
 from .switches import Switches
 from .token_bucket import TokenBucket
 from .upstream_state import FIXED_FIRST_EVENT_S, UpstreamState
@@ -24,9 +25,24 @@
 class UpstreamGroup:
     """The states of the registered upstreams, by incarnation."""
 
-    def __init__(self, switches: Switches, rng: random.Random) -> None:
-        """Create a group without upstreams."""
+    def __init__(
+        self,
+        switches: Switches,
+        rng: random.Random,
+        loads: UpstreamLoads | None = None,
+        *,
+        one_owner: bool = True,
+    ) -> None:
+        """Create a group without upstreams.
+
+        loads: their load reports, None if none are received. one_owner: whether
+        one instance grants all slots of the service.
+        """
+        self._one_owner = one_owner
         self._rng = rng
+        if loads is None or not switches.load_reports:
+            loads = UpstreamLoads()
+        self._loads = loads
         # Share of all slots that this instance may fill. The rest is left to
         # instances that cannot be reached and may be filling slots themselves.
         self.share: float = 1
@@ -55,14 +71,17 @@
         """Replace the list of registered upstreams of the service."""
         known = {upstream.incarnation: upstream for upstream in upstreams}
         for gone in self._views.keys() - known.keys():
-            self._views.pop(gone)
+            self._remove(gone)
         self._ignored &= known.keys()
         for incarnation, upstream in known.items():
             if incarnation in self._ignored:
                 continue
             view = self._views.get(incarnation)
             if view is None:
-                self._views[incarnation] = UpstreamState(upstream)
+                load = self._loads.add(upstream.service, incarnation)
+                self._views[incarnation] = UpstreamState(
+                    upstream, load, one_owner=self._one_owner
+                )
                 continue
             view.upstream = upstream
 
@@ -113,7 +132,8 @@
         registered for three more heartbeats, in which each attempt to use it
         would delay a request.
         """
-        if self._views.pop(incarnation, None) is not None:
+        if incarnation in self._views:
+            self._remove(incarnation)
             self._ignored.add(incarnation)
 
     def usable(self, now: float) -> list[UpstreamState]:
@@ -213,14 +233,18 @@
         usable: Collection[UpstreamState],
         now: float,
     ) -> Forecast:
-        rate = sum(view.slot_release_rate for view in usable)
+        rate = sum(view.slot_release_rate(now) for view in usable)
         first_s = FIXED_FIRST_EVENT_S if usable else 0
-        token_s = min((view.token_s for view in usable), default=0)
+        token_s = min((view.token_s(now) for view in usable), default=0)
         return Forecast(now, rate, first_s, token_s)
 
+    def _remove(self, incarnation: str) -> None:
+        self._views.pop(incarnation)
+        self._loads.remove(incarnation)
+
     def _count_free(self, views: Iterable[UpstreamState], now: float) -> int:
         return sum(
-            view.free_slots(self.share)
+            view.free_slots(self.share, now)
             for view in views
             if self.has_slot(view, now)
         )
--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -22,6 +22,7 @@
 from .forecast import Forecast
 from .group import UpstreamGroup
 from .jobs import INTERRUPTED, AttemptOutcome, Job, RunReport
+from .load_reports import UpstreamLoads
 from .rejection import RejectDecision, RejectionPolicy
 from .switches import ALL_ENABLED, Switches
 from .upstream_selection import UpstreamSelector
@@ -77,6 +78,7 @@
         event_tokens: int,
         rng: random.Random,
         switches: Switches = ALL_ENABLED,
+        loads: UpstreamLoads | None = None,
     ) -> None:
         """Create a pool without upstreams or jobs."""
         self.service = service
@@ -84,7 +86,9 @@
         self.rollout: Rollout | None = None
         self._event_tokens = event_tokens
         self._switches = switches
-        self._group = UpstreamGroup(switches, rng)
+        self._group = UpstreamGroup(
+            switches, rng, loads, one_owner=self.is_model
+        )
         self._waiting = WaitingJobs()
         # The upstream on which each granted job runs, by job key.
         self._granted: dict[str, UpstreamState] = {}
@@ -182,7 +186,7 @@
         """Record a running job that was granted by another instance."""
         view = self.views.get(incarnation)
         if view is not None and job.key not in self._granted:
-            view.grant(job)
+            view.add_running(job)
             self._granted[job.key] = view
 
     def remove_jobs(self, prefix: str) -> None:
@@ -252,7 +256,7 @@
             view = self._select(job, free, forecast)
             if view is None:
                 continue
-            forecast_s = view.first_s(job)
+            forecast_s = view.first_s(job, now)
             self._start(job, view, now)
             yield GrantDecision(job.key, view.upstream, forecast_s)
             if not self._group.has_slot(view, now):
@@ -337,14 +341,14 @@
         return True
 
     def _start(self, job: Job, view: UpstreamState, now: float) -> None:
-        view.grant(job)
+        view.grant(job, now)
         self._granted[job.key] = view
         if self.rollout is not None:
             self.rollout.record_placed(job, canary=view.upstream.canary)
         if job.over_quota:
             return
         self._rates.record(job.urgency, now)
-        in_time = now + view.first_s(job) <= job.due_at
+        in_time = now + view.first_s(job, now) <= job.due_at
         self._served_fractions.record(job.urgency, served=in_time)
 
     # -- rejections
--- a/packages/dispatch/src/tallyhall_dispatch/switches.py
+++ b/packages/dispatch/src/tallyhall_dispatch/switches.py
@@ -20,11 +20,12 @@
     that cannot meet their deadlines. late_places: late jobs leave some slots
     free. late_returns: callers that will be late at any retry get a longer,
     jittered retry delay. lengths: response lengths are estimated from earlier
-    responses. pauses: a stream waits for an upstream that meets its pause
-    limit. served_shares: urgencies are ranked by the share of each that was
-    served. silence: a response that does not start is considered lost. speeds:
-    the upstream with the earliest expected completion is selected, instead of
-    the one with the most free slots.
+    responses. load_reports: expected times and free slots account for the loads
+    that upstreams report. pauses: a stream waits for an upstream that meets its
+    pause limit. served_shares: urgencies are ranked by the share of each that
+    was served. silence: a response that does not start is considered lost.
+    speeds: the upstream with the earliest expected completion is selected,
+    instead of the one with the most free slots.
     """
 
     aside: bool = True
@@ -35,6 +36,7 @@
     late_places: bool = True
     late_returns: bool = True
     lengths: bool = True
+    load_reports: bool = True
     pauses: bool = True
     served_shares: bool = True
     silence: bool = True
--- a/packages/dispatch/src/tallyhall_dispatch/upstream_selection.py
+++ b/packages/dispatch/src/tallyhall_dispatch/upstream_selection.py
@@ -66,8 +66,9 @@
         lowest: float = 0
         events = self._expected_events(job)
         for view in self._candidates(job, free, forecast):
-            # Keeps instances without samples from all selecting the same one.
-            cost = self._cost(view, job, events)
+            # Keeps instances without samples, and those that have just received
+            # the same load report, from all selecting the same one.
+            cost = self._cost(view, job, events, forecast.now)
             cost *= self._rng.uniform(1, _MAX_JITTER)
             if view.upstream.zone != job.zone:
                 cost *= _CROSS_ZONE_FACTOR
@@ -87,13 +88,15 @@
             return stated
         return min(stated, self._lengths.events(job.urgency, stated))
 
-    def _cost(self, view: UpstreamState, job: Job, events: float) -> float:
+    def _cost(
+        self, view: UpstreamState, job: Job, events: float, now: float
+    ) -> float:
         if job.suspect_digest:
             # If it terminates the upstream, all requests running there fail.
             return 1 + len(view.runs)
         if not self._switches.speeds:
-            return 1 / view.free_slots(self._group.share)
-        return view.total_s(job, events)
+            return 1 / view.free_slots(self._group.share, now)
+        return view.total_s(job, events, now)
 
     def _candidates(
         self,
@@ -132,7 +135,7 @@
     ) -> bool:
         if not self._switches.forecasts:
             return False
-        return view.first_s(job) > job.due_at - now
+        return view.first_s(job, now) > job.due_at - now
 
     def _waits_for_fast_upstream(self, job: Job, now: float) -> bool:
         """Return whether a job waits for an upstream without long pauses.
--- a/packages/dispatch/src/tallyhall_dispatch/upstream_state.py
+++ b/packages/dispatch/src/tallyhall_dispatch/upstream_state.py
@@ -2,6 +2,8 @@
 
 The upstreams of a service differ in speed by a factor of five and slow down as
 their batch fills. Both effects are estimated from the requests that they run.
+Temporary slowdowns by other workloads on their machines are not part of the
+estimates; they are known from the load reports of the upstreams.
 """
 
 from __future__ import annotations
@@ -12,6 +14,7 @@
 
 from .desired import Upstream
 from .jobs import NOT_SENT, AttemptOutcome, Job, RunReport
+from .load_reports import UpstreamLoad
 from .token_bucket import TokenBucket
 
 # Weight of the latest sample in a moving average: ten samples make up four
@@ -59,20 +62,33 @@
     """A job that runs on an upstream.
 
     prefill_tokens_ahead: prompt tokens that were in prefill when the job
-    started.
+    started. slowdown: of the upstream at that time, None if another instance
+    granted the job.
     """
 
     job: Job
     prefill_tokens_ahead: int
+    slowdown: float | None
     in_prefill: bool = True
 
 
 class UpstreamState:
     """The state of one upstream incarnation, as known to this instance."""
 
-    def __init__(self, upstream: Upstream) -> None:
-        """Create the state of an upstream that has not run anything yet."""
+    def __init__(
+        self,
+        upstream: Upstream,
+        load: UpstreamLoad,
+        *,
+        one_owner: bool = True,
+    ) -> None:
+        """Create the state of an upstream that has not run anything yet.
+
+        one_owner: whether one instance grants all its slots.
+        """
         self.upstream = upstream
+        self._load = load
+        self._one_owner = one_owner
         # Cached because it is read for each pair of job and upstream, and is
         # constant while other fields of the upstream change.
         self.incarnation = upstream.incarnation
@@ -95,27 +111,39 @@
         # For the rate limit announced by the upstream, None if there is none.
         self.bucket: TokenBucket | None = None
 
-    @property
-    def slot_release_rate(self) -> float:
+    def slot_release_rate(self, now: float) -> float:
         """Return how many slots become free per second, 0 if unknown."""
         if self.service_time_s is None:
             return 0
-        rate = self.upstream.slots / max(_MIN_HOLD_S, self.service_time_s)
+        hold_s = self.service_time_s * self._load.slowdown(now)
+        rate = self.upstream.slots / max(_MIN_HOLD_S, hold_s)
         return rate if self.bucket is None else min(rate, self.bucket.rate)
 
-    @property
-    def token_s(self) -> float:
+    def token_s(self, now: float) -> float:
         """Return the expected prefill time per prompt token."""
-        return self._token_s or DEFAULT_PREFILL_TOKEN_S
-
-    def free_slots(self, share: float) -> int:
-        """Return how many more requests may run in this share of the slots."""
-        slots = math.ceil(self.upstream.slots * share)
-        return max(1, slots) - len(self.runs)
+        usual_s = self._token_s or DEFAULT_PREFILL_TOKEN_S
+        return usual_s * self._load.slowdown(now)
+
+    def free_slots(self, share: float, now: float) -> int:
+        """Return how many more requests may run in this share of the slots.
+
+        Runs that only the upstream knows of occupy slots too, unless every
+        instance grants slots here and knows its own runs alone. They count
+        against all slots and not against the share: if instances decide alone,
+        the rest of the slots is meant for the runs of the others. One slot is
+        never counted as occupied by them, so that an upstream with a frozen or
+        wrong report still gets requests, which bring its next report.
+        """
+        slots = self.upstream.slots
+        free = max(1, math.ceil(slots * share)) - len(self.runs)
+        unknown = self._load.unknown_runs(now)
+        if not unknown or not self._one_owner:
+            return free
+        return min(free, max(1, slots - unknown) - len(self.runs))
 
     def has_slot(self, share: float, now: float) -> bool:
         """Return whether a request may start here now."""
-        if self.free_slots(share) <= 0:
+        if self.free_slots(share, now) <= 0:
             return False
         return self.bucket is None or self.bucket.has_token(now)
 
@@ -131,26 +159,30 @@
             for run in self.runs.values()
         )
 
-    def first_s(self, job: Job) -> float:
+    def first_s(self, job: Job, now: float) -> float:
         """Return the expected time to the first event of a job."""
         if not job.output_tokens:
-            return self._plain_s or DEFAULT_PLAIN_S
+            plain_s = self._plain_s or DEFAULT_PLAIN_S
+            return plain_s * self._load.slowdown(now)
         tokens = self.prefill_tokens + job.prompt_tokens
-        return FIXED_FIRST_EVENT_S + tokens * self.token_s
+        return FIXED_FIRST_EVENT_S + tokens * self.token_s(now)
 
-    def total_s(self, job: Job, events: float) -> float:
+    def total_s(self, job: Job, events: float, now: float) -> float:
         """Return the expected time to the last of this number of events."""
+        first_s = self.first_s(job, now)
         if not job.output_tokens:
             load = 1 + len(self.runs) / self.upstream.slots
-            return load * (self._plain_s or DEFAULT_PLAIN_S)
-        return self.first_s(job) + events * (self._event_s or DEFAULT_EVENT_S)
+            return load * first_s
+        event_s = self._event_s or DEFAULT_EVENT_S
+        return first_s + events * event_s * self._load.slowdown(now)
 
     def meets_pause_limit(self, job: Job, event_tokens: int) -> bool:
         """Return whether no pause in the response should exceed the limit.
 
         The engines of a service differ in speed by a factor of five. On an
         engine that needs longer for one event than the route allows, a response
-        is late no matter how early it starts.
+        is late no matter how early it starts. Unlike speeds, pauses include
+        temporary slowdowns, as the next one may begin during any response.
         """
         if not job.pause_s or self._pause_s is None:
             return True
@@ -159,17 +191,21 @@
         longest_s = self._pause_s + _PAUSE_DEVIATIONS * self._pause_deviation_s
         return longest_s <= job.pause_s
 
-    def grant(self, job: Job) -> None:
-        """Record that a job runs here."""
-        self.runs[job.key] = RunningJob(job, self.prefill_tokens)
-        self.prefill_tokens += job.prompt_tokens
-        if self.bucket is not None:
-            self.bucket.take_token()
+    def grant(self, job: Job, now: float) -> None:
+        """Record that a job starts here."""
+        self._load.add_run()
+        self._add(job, self._load.slowdown(now))
+
+    def add_running(self, job: Job) -> None:
+        """Record that a job runs here that another instance granted."""
+        self._load.adopt_run()
+        self._add(job, None)
 
     def drop(self, key: str) -> None:
         """Remove a job without taking samples from it."""
         run = self.runs.pop(key, None)
         if run is not None:
+            self._load.drop_run()
             self._end_prefill(run)
 
     def record_first_byte(self, key: str) -> None:
@@ -183,28 +219,50 @@
         run = self.runs.pop(key, None)
         if run is None:
             return
+        self._load.end_run(now)
         self._end_prefill(run)
         if self.bucket is not None and report.ending in NOT_SENT:
             self.bucket.return_token()
         self._update_ejection(report.ending, now)
+        slowdown = self._slowdown_during(run, now)
         if report.total_s:
             self.service_time_s = _moving_average(
-                self.service_time_s, report.total_s
+                self.service_time_s, report.total_s / slowdown
             )
-        if report.ending is not AttemptOutcome.answered:
-            return
+        if report.ending is AttemptOutcome.answered:
+            self._sample_speed(run, report, slowdown)
+
+    def _add(self, job: Job, slowdown: float | None) -> None:
+        self.runs[job.key] = RunningJob(job, self.prefill_tokens, slowdown)
+        self.prefill_tokens += job.prompt_tokens
+        if self.bucket is not None:
+            self.bucket.take_token()
+
+    def _slowdown_during(self, run: RunningJob, now: float) -> float:
+        """Return the mean of the slowdowns at the start and end of a run."""
+        slowdown = self._load.slowdown(now)
+        if run.slowdown is None:
+            return slowdown
+        return (run.slowdown + slowdown) / 2
+
+    def _sample_speed(
+        self, run: RunningJob, report: RunReport, slowdown: float
+    ) -> None:
+        """Update the usual speed from a run during this slowdown."""
         if not run.job.output_tokens:
-            self._plain_s = _moving_average(self._plain_s, report.total_s)
+            plain_s = report.total_s / slowdown
+            self._plain_s = _moving_average(self._plain_s, plain_s)
             return
         if report.events > 1:
-            event_s = report.stream_s / (report.events - 1)
+            event_s = report.stream_s / (report.events - 1) / slowdown
             self._event_s = _moving_average(self._event_s, event_s)
         if report.events >= _MIN_PAUSE_EVENTS:
             self._sample_pause(report.pause_s)
         tokens = run.prefill_tokens_ahead + run.job.prompt_tokens
         if report.first_s is not None and tokens >= _MIN_PREFILL_TOKENS:
             prefill_s = max(0, report.first_s - FIXED_FIRST_EVENT_S)
-            self._token_s = _moving_average(self._token_s, prefill_s / tokens)
+            token_s = prefill_s / tokens / slowdown
+            self._token_s = _moving_average(self._token_s, token_s)
 
     def _sample_pause(self, pause_s: float) -> None:
         if self._pause_s is not None:
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -173,6 +173,7 @@
                     name,
                     service.event_tokens,
                     self._rng,
+                    loads=self.upstream_loads,
                 )
         self.apply_upstreams(self._upstreams)
 
--- a/packages/platform/src/tallyhall_platform/headers.py
+++ b/packages/platform/src/tallyhall_platform/headers.py
@@ -7,6 +7,7 @@
 import math
 
 from tallyhall_core.refusals import CATALOGUE, Refusal
+from tallyhall_dispatch.load_reports import LoadReport
 from tallyhall_edge.dialect import (
     InvalidHeaderError,
     LocalResponse,
@@ -43,6 +44,9 @@
 _NOT_EXECUTED = b'x-tallyhall-not-executed'
 _LEAVING = b'server-leaving'
 _LIMIT = b'server-limit'
+# Requests running, requests waiting and slots, then optionally how long work
+# takes at this moment in percent of the usual time.
+_LOAD = b'x-tallyhall-server-load'
 _RETRY_AFTER = b'retry-after'
 # Prefixes of headers that describe the upstream or the request.
 _NAMESPACES = (b'server-', b'x-tallyhall-')
@@ -53,7 +57,7 @@
         _SIGNATURE,
         _NOT_EXECUTED,
         _LEAVING,
-        b'x-tallyhall-server-load',
+        _LOAD,
         b'x-tallyhall-weight-versions',
         b'x-tallyhall-instance-id',
     ),
@@ -61,11 +65,18 @@
 _SCHEME = 'bearer '
 _MILLI = 1000
 _HUNDREDTHS = 100
+# Figures of a load that are requests or slots.
+_COUNTS_OF_LOAD = 3
 _MISDIRECTED_REQUEST = 421
 _SERVICE_UNAVAILABLE = 503
 # Longest Retry-After of an upstream that is honoured, in seconds; it can send
 # another one.
 _MAX_RETRY_AFTER_S = 600.0
+# Bounds of credible loads. Engines have up to some tens of slots, and observed
+# slowdowns reach a factor of three.
+_MAX_REPORTED_REQUESTS = 10_000
+_MIN_SLOWDOWN = 0.2
+_MAX_SLOWDOWN = 20.0
 # Headers that are never forwarded from a caller: they could select an
 # upstream, a workspace or engine memory that belongs to other requests.
 OVERRIDDEN_HEADERS = (
@@ -152,6 +163,7 @@
             leaving=not misplaced and _is_set(head.headers, _LEAVING),
             backoff_s=_retry_after_s(head),
             limit_per_s=None if misplaced else limit_per_s,
+            load=None if misplaced else _load(head.headers),
             unknown_headers=_unknown_headers(
                 head.headers,
                 has_limit=limit_per_s is not None,
@@ -216,6 +228,40 @@
     return limit if 0 <= limit < math.inf else None
 
 
+def _load(headers: Headers) -> LoadReport | None:
+    """Return the stated load, None if it is missing or not credible."""
+    text = find_header(headers, _LOAD)
+    if text is None:
+        return None
+    parts = text.split(b',')
+    counts = tuple(map(_count, parts[:_COUNTS_OF_LOAD]))
+    if len(counts) < _COUNTS_OF_LOAD or None in counts:
+        return None
+    slowdown: float | None = None
+    if len(parts) > _COUNTS_OF_LOAD:
+        slowdown = _slowdown(parts[_COUNTS_OF_LOAD])
+        if slowdown is None:
+            return None
+    running, waiting, slots = (count or 0 for count in counts)
+    return LoadReport(running, waiting, slots, slowdown)
+
+
+def _count(part: bytes) -> int | None:
+    try:
+        count = int(part)
+    except ValueError:
+        return None
+    return count if 0 <= count <= _MAX_REPORTED_REQUESTS else None
+
+
+def _slowdown(part: bytes) -> float | None:
+    try:
+        slowdown = float(part) / _HUNDREDTHS
+    except ValueError:
+        return None
+    return slowdown if _MIN_SLOWDOWN <= slowdown <= _MAX_SLOWDOWN else None
+
+
 def _unknown_headers(headers: Headers, *, has_limit: bool) -> tuple[str, ...]:
     """Return unknown header names, and the limit's if it is no number."""
     known = _KNOWN_HEADERS | {_LIMIT} if has_limit else _KNOWN_HEADERS
