--- a/packages/bench/src/tallyhall_bench/soak_site.py
+++ b/packages/bench/src/tallyhall_bench/soak_site.py
@@ -36,6 +36,8 @@
     rng: random.Random
     # Whether links to engines and between instances are disturbed as well.
     all_links: bool = False
+    # Whether upstreams report their load.
+    reports_loads: bool = False
     store_links: list[FaultyLink] = dataclasses.field(default_factory=list)
     front_links: list[FaultyLink] = dataclasses.field(default_factory=list)
     engine_links: list[FaultyLink] = dataclasses.field(default_factory=list)
--- a/tests/processes/test_platform_soak.py
+++ b/tests/processes/test_platform_soak.py
@@ -28,3 +28,10 @@
     site = asyncio.run(soak(1001, _SECONDS, all_links=True, fatal=True))
     assert not site.violations, (site.violations, site.faults)
     assert site.ended > 0
+
+
+def test_no_violations_under_wrong_load_reports() -> None:
+    """Reports are missing, frozen, garbled, out of range or misleading."""
+    site = asyncio.run(soak(1101, _SECONDS, all_links=True, loads=True))
+    assert not site.violations, (site.violations, site.faults)
+    assert sum(tried.status == 200 for tried in site.tries) > 100
