Load reports: tests, and slowed engines in the emulator

The emulator had no temporary slowdowns, so the effect of load reports could not be measured. Engines may now be slowed for a share of the time and report their load at the first event and the end of a run; all other scenarios report nothing.

--- a/packages/emulator/src/tallyhall_emulator/callers.py
+++ b/packages/emulator/src/tallyhall_emulator/callers.py
@@ -98,6 +98,7 @@
         group = self._service.group_of(
             visit.rng.randrange(self._scenario.instances),
         )
+        visit.group = group
         yield self._env.timeout(self._scenario.ask_s)
         job = self._job(visit)
         while True:
@@ -132,11 +133,13 @@
             return AttemptOutcome.unsent
         fault = self._fault(visit, upstream)
         yield run.begun | run.ended
+        self._service.report_load(upstream, visit.group)
         if fault is None:
             self._service.first_byte(job)
         else:
             yield from self._break(visit, run, upstream, fault)
         report: RunReport = yield run.ended
+        self._service.report_load(upstream, visit.group)
         self._service.finish(job, report)
         if report.ending is AttemptOutcome.answered:
             visit.begun_at = run.started_at + (report.first_s or 0)
@@ -214,6 +217,7 @@
     arrival: Arrival
     first_at: float
     rng: random.Random
+    group: int = 0
     waited_s: float = 0
     retry_after_s: float = 0
     sends: int = 0
--- a/packages/emulator/src/tallyhall_emulator/engine.py
+++ b/packages/emulator/src/tallyhall_emulator/engine.py
@@ -8,10 +8,12 @@
 import msgspec
 import simpy
 from tallyhall_dispatch.jobs import AttemptOutcome, RunReport
+from tallyhall_dispatch.load_reports import LoadReport
 
 from .arrivals import Arrival
 from .clock import Waiting
 from .scenario import Engines
+from .slowdowns import SlowdownTrace
 
 
 class Run(msgspec.Struct):
@@ -41,12 +43,20 @@
     """Runs requests in steps; more than its places wait in its queue."""
 
     def __init__(
-        self, env: simpy.Environment, spec: Engines, slowness: float
+        self,
+        env: simpy.Environment,
+        spec: Engines,
+        slowness: float,
+        slowdowns: SlowdownTrace | None = None,
     ) -> None:
-        """Be so many times as slow as the usual engine."""
+        """Be so many times as slow as the usual engine.
+
+        slowdowns: temporary ones, None if there are none.
+        """
         self._env = env
         self._spec = spec
         self._slowness = slowness
+        self._slowdowns = slowdowns
         self._runs: list[Run] = []
         self._queue: collections.deque[Run] = collections.deque()
         self._held_tokens = 0
@@ -54,6 +64,18 @@
         self._dead = False
         env.process(self._steps())
 
+    @property
+    def load(self) -> LoadReport | None:
+        """Return the load that a response states, None if it states none."""
+        if self._slowdowns is None:
+            return None
+        return LoadReport(
+            len(self._runs),
+            len(self._queue),
+            self._spec.places,
+            self._slowdowns.factor(self._env.now),
+        )
+
     def start(self, arrival: Arrival) -> Run | None:
         """Take a request; None where the queue is full or nothing listens."""
         if self._dead:
@@ -133,7 +155,12 @@
             spent_s += chunk * spec.read_s
             pairs = chunk * (reading.context + chunk / 2)
             spent_s += pairs * spec.read_pair_s
-        return spent_s * self._slowness
+        return spent_s * self._current_slowness()
+
+    def _current_slowness(self) -> float:
+        if self._slowdowns is None:
+            return self._slowness
+        return self._slowness * self._slowdowns.factor(self._env.now)
 
     def _step(self, reading: Run | None, chunk: int) -> None:
         now = self._env.now
@@ -141,7 +168,8 @@
             reading.unread -= chunk
             reading.context += chunk
             if not reading.unread:
-                reading.ready_at = now + self._spec.first_s * self._slowness
+                first_s = self._spec.first_s * self._current_slowness()
+                reading.ready_at = now + first_s
         for run in tuple(self._runs):
             if run.unread or now < run.ready_at:
                 continue
--- a/packages/emulator/src/tallyhall_emulator/play.py
+++ b/packages/emulator/src/tallyhall_emulator/play.py
@@ -26,7 +26,7 @@
     """
     env = simpy.Environment()
     rng = random.Random(f'{seed}/decisions')
-    service = Service(env, scenario, rng, switches)
+    service = Service(env, scenario, rng, seed, switches)
     callers = Callers(env, scenario, service, seed, switches)
     for arrival in arrivals(scenario, seed):
         env.process(callers.call(arrival))
--- a/packages/emulator/src/tallyhall_emulator/scenario.py
+++ b/packages/emulator/src/tallyhall_emulator/scenario.py
@@ -26,6 +26,18 @@
     """What all sections have in common."""
 
 
+class Slowdowns(_Section, frozen=True):
+    """Temporary slowdowns of engines by other workloads on their machines.
+
+    share: part of the time that an engine is slowed. factor: of all its times.
+    mean_s: mean duration of a slowdown; durations are exponential.
+    """
+
+    share: Annotated[float, msgspec.Meta(gt=0, lt=1)]
+    factor: Annotated[float, msgspec.Meta(ge=1)]
+    mean_s: Positive
+
+
 class Engines(_Section, frozen=True):
     """The engines of the service.
 
@@ -33,7 +45,8 @@
     step_s, step_per_run_s: time of a step, and more for each run. read_s:
     time to read a token of a prompt, and read_pair_s for each pair of tokens.
     chunk_tokens: read in one step. first_s: from the end of reading to the
-    first event. event_tokens: tokens in an event.
+    first event. event_tokens: tokens in an event. slowdowns: none if left out;
+    if given, engines report their load.
     """
 
     count: Count
@@ -48,6 +61,7 @@
     first_s: Amount
     event_tokens: Count
     memory_tokens: Count
+    slowdowns: Slowdowns | None = None
 
 
 class Length(_Section, frozen=True):
--- a/packages/emulator/src/tallyhall_emulator/service.py
+++ b/packages/emulator/src/tallyhall_emulator/service.py
@@ -13,6 +13,7 @@
 import simpy
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.jobs import Job, RunReport
+from tallyhall_dispatch.load_reports import UpstreamLoads
 from tallyhall_dispatch.pool import ServicePool
 from tallyhall_dispatch.switches import Switches
 
@@ -20,6 +21,7 @@
 from .clock import Waiting
 from .engine import Engine, Run
 from .scenario import Scenario
+from .slowdowns import SlowdownTrace
 
 SERVICE = 'service'
 ZONE = 'zone'
@@ -43,10 +45,12 @@
         env: simpy.Environment,
         scenario: Scenario,
         rng: random.Random,
+        seed: int,
         switches: Switches,
     ) -> None:
         """Start all engines and one pool."""
         self._env = env
+        self._seed = seed
         self._scenario = scenario
         self._rng = rng
         self._switches = switches
@@ -55,6 +59,8 @@
         for number in range(scenario.engines.count):
             self._start_engine(number)
         self._pools: list[ServicePool] = []
+        # The load reports that each pool has received.
+        self._loads: list[UpstreamLoads] = []
         # Jobs that wait: who hears of each, and in which group.
         self._asked: dict[str, _Asked] = {}
         self._looking: set[int] = set()
@@ -69,15 +75,19 @@
     def set_groups(self, count: int) -> None:
         """Cut the instances into so many groups, or join them again."""
         kept = self._pools[:count]
+        self._loads = self._loads[:count]
         while len(kept) < count:
+            loads = UpstreamLoads()
             pool = ServicePool(
                 SERVICE,
                 self._scenario.engines.event_tokens,
                 random.Random(self._rng.random()),
                 self._switches,
+                loads,
             )
             pool.set_upstreams(self._upstreams.values())
             kept.append(pool)
+            self._loads.append(loads)
         joined = count < len(self._pools)
         self._pools = kept
         for pool in self._pools:
@@ -111,6 +121,13 @@
         if engine is not None:
             engine.cut(run, ending)
 
+    def report_load(self, upstream: Upstream, group: int) -> None:
+        """Tell a group the load that a response of an engine states."""
+        engine = self._engines.get(upstream.incarnation)
+        load = None if engine is None else engine.load
+        if load is not None and group < len(self._loads):
+            self._loads[group].record(upstream.incarnation, load, self._env.now)
+
     def first_byte(self, job: Job) -> None:
         """Take that the answer of a job has begun."""
         for pool in self._pools:
@@ -169,8 +186,14 @@
             started_ms=int(self._env.now * _MILLI) + 1,
         )
         speed = spec.speeds[number % len(spec.speeds)]
+        slowdowns: SlowdownTrace | None = None
+        if spec.slowdowns is not None:
+            rng = random.Random(f'{self._seed}/slowdowns/{number}')
+            slowdowns = SlowdownTrace(spec.slowdowns, rng)
         self._upstreams[upstream.incarnation] = upstream
-        self._engines[upstream.incarnation] = Engine(self._env, spec, speed)
+        self._engines[upstream.incarnation] = Engine(
+            self._env, spec, speed, slowdowns
+        )
 
     def _tell_upstreams(self) -> None:
         for group, pool in enumerate(self._pools):
--- a/tests/unit/test_emulator.py
+++ b/tests/unit/test_emulator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
 import pathlib
@@ -17,6 +18,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from tallyhall_dispatch.jobs import AttemptOutcome, RunReport
+from tallyhall_dispatch.load_reports import LoadReport
 from tallyhall_emulator.arrivals import Arrival, arrivals, draw
 from tallyhall_emulator.bound import bound
 from tallyhall_emulator.callers import Outcome
@@ -32,8 +34,10 @@
     Length,
     Scenario,
     ScenarioError,
+    Slowdowns,
     load_scenario,
 )
+from tallyhall_emulator.slowdowns import SlowdownTrace
 
 _HEAVY = pathlib.Path('scenarios/experiments/heavy.toml')
 _ENGINES = Engines(
@@ -50,6 +54,7 @@
     event_tokens=5,
     memory_tokens=100_000,
 )
+_SLOWDOWNS = Slowdowns(share=0.2, factor=2.5, mean_s=0.6)
 _KIND = Kind(
     name='chat',
     per_s=4,
@@ -101,6 +106,46 @@
     assert slow.total_s == pytest.approx(3 * usual.total_s, rel=0.05)
 
 
+def test_slowdowns_have_the_stated_share_and_duration() -> None:
+    trace = SlowdownTrace(_SLOWDOWNS, random.Random(1))
+    factors = [trace.factor(step / 100) for step in range(400_000)]
+    slowed = factors.count(2.5)
+    begins = sum(
+        earlier < later for earlier, later in itertools.pairwise(factors)
+    )
+    assert slowed / len(factors) == pytest.approx(0.2, rel=0.1)
+    assert slowed / 100 / begins == pytest.approx(0.6, rel=0.1)
+
+
+def test_only_engines_with_slowdowns_report_their_load() -> None:
+    """Other scenarios must decide as without reports."""
+    env = simpy.Environment()
+    assert Engine(env, _ENGINES, 1).load is None
+    spec = msgspec.structs.replace(_SLOWDOWNS, share=0.99)
+    trace = SlowdownTrace(spec, random.Random(1))
+    engine = Engine(env, _ENGINES, 1, trace)
+    runs = [engine.start(Arrival(one, 0, _KIND, 2000, 10)) for one in range(5)]
+    env.run(until=0.01)
+    assert engine.load == LoadReport(4, 1, 4, 2.5)
+    env.run(until=60)
+    usual_s = max(report.total_s for report in _report(5))
+    assert runs[4] is not None
+    slowed_s = runs[4].ended.value.total_s
+    assert slowed_s == pytest.approx(2.5 * usual_s, rel=0.1)
+
+
+def test_both_sets_of_switches_meet_the_same_slowdowns() -> None:
+    engines = msgspec.structs.replace(_ENGINES, slowdowns=_SLOWDOWNS)
+    scenario = _with(engines=engines)
+    assert play(scenario, 3) == play(scenario, 3)
+    trace = SlowdownTrace(_SLOWDOWNS, random.Random(7))
+    other = SlowdownTrace(_SLOWDOWNS, random.Random(7))
+    # Asked at different times.
+    seldom = [other.factor(step) for step in range(100)]
+    often = [trace.factor(step / 100) for step in range(10_000)]
+    assert often[::100] == seldom
+
+
 def test_a_full_queue_and_a_crash_turn_requests_away() -> None:
     env = simpy.Environment()
     engine = Engine(env, _ENGINES, 1)
