Load reports: an overstated slowdown does not make an upstream look fast

Measured times are divided by the reported slowdown. An upstream that always reports 2,000% looked 20 times as fast as it is once its report had expired, attracted all requests and inflated the forecast. A sample is no longer below the lowest time measured lately; that bound rises with samples taken without a slowdown only, so that real slowdowns do not raise it.

Without the bound the new test fails (20 of 20 grants to that upstream).

--- a/packages/dispatch/src/tallyhall_dispatch/load_reports.py
+++ b/packages/dispatch/src/tallyhall_dispatch/load_reports.py
@@ -27,7 +27,7 @@
 _DURATION_WEIGHT = 0.02
 # Slowdowns from which on a machine counts as slowed. Lower ones change less
 # than the random factor of the selection (1.1) and may be noise.
-_SLOWED = 1.2
+SLOWED = 1.2
 # Upper bound for the time from the state that a report describes until its
 # response is received, in seconds: latency between zones (5.4 ms) and stalls of
 # an event loop. A run that ends in this time must not be counted as unknown.
@@ -50,7 +50,7 @@
     @property
     def is_slowed(self) -> bool:
         """Return whether work takes noticeably longer than usual."""
-        return self.slowdown is not None and self.slowdown >= _SLOWED
+        return self.slowdown is not None and self.slowdown >= SLOWED
 
 
 class ServiceSlowdowns:
--- a/packages/dispatch/src/tallyhall_dispatch/upstream_state.py
+++ b/packages/dispatch/src/tallyhall_dispatch/upstream_state.py
@@ -16,10 +16,8 @@
 from .jobs import NOT_SENT, AttemptOutcome, Job, RunReport
 from .load_reports import UpstreamLoad
 from .token_bucket import TokenBucket
+from .usual_time import UsualTime, moving_average
 
-# Weight of the latest sample in a moving average: ten samples make up four
-# fifths of it.
-_SAMPLE_WEIGHT = 0.15
 # Defaults until the first sample: seconds per event, seconds per prompt token,
 # and seconds per plain request.
 DEFAULT_EVENT_S = 0.03
@@ -95,22 +93,26 @@
         self.runs: dict[str, RunningJob] = {}
         # Prompt tokens of the runs whose response has not started.
         self.prefill_tokens = 0
-        # None until the first sample, which replaces the default completely.
-        # Otherwise it would take ten jobs to detect an engine that is twice as
-        # slow.
-        self._event_s: float | None = None
-        self._token_s: float | None = None
-        self._plain_s: float | None = None
+        # Time per event, per prompt token and of a plain request.
+        self._event = UsualTime()
+        self._token = UsualTime()
+        self._plain = UsualTime()
         # Moving average and mean deviation of the longest pause in a response.
         self._pause_s: float | None = None
         self._pause_deviation_s: float = 0
-        # No default, so that no request is refused because of one.
-        self.service_time_s: float | None = None
+        # Time that a request holds its slot. It has no default, so that no
+        # request is refused because of one.
+        self._hold = UsualTime()
         self._ejected_until: float = 0
         self._consecutive_failures = 0
         # For the rate limit announced by the upstream, None if there is none.
         self.bucket: TokenBucket | None = None
 
+    @property
+    def service_time_s(self) -> float | None:
+        """Return how long a request usually holds its slot, None if unknown."""
+        return self._hold.usual_s
+
     def slot_release_rate(self, now: float) -> float:
         """Return how many slots become free per second, 0 if unknown."""
         if self.service_time_s is None:
@@ -121,7 +123,7 @@
 
     def token_s(self, now: float) -> float:
         """Return the expected prefill time per prompt token."""
-        usual_s = self._token_s or DEFAULT_PREFILL_TOKEN_S
+        usual_s = self._token.usual_s or DEFAULT_PREFILL_TOKEN_S
         return usual_s * self._load.slowdown(now)
 
     def free_slots(self, share: float, now: float) -> int:
@@ -162,7 +164,7 @@
     def first_s(self, job: Job, now: float) -> float:
         """Return the expected time to the first event of a job."""
         if not job.output_tokens:
-            plain_s = self._plain_s or DEFAULT_PLAIN_S
+            plain_s = self._plain.usual_s or DEFAULT_PLAIN_S
             return plain_s * self._load.slowdown(now)
         tokens = self.prefill_tokens + job.prompt_tokens
         return FIXED_FIRST_EVENT_S + tokens * self.token_s(now)
@@ -173,7 +175,7 @@
         if not job.output_tokens:
             load = 1 + len(self.runs) / self.upstream.slots
             return load * first_s
-        event_s = self._event_s or DEFAULT_EVENT_S
+        event_s = self._event.usual_s or DEFAULT_EVENT_S
         return first_s + events * event_s * self._load.slowdown(now)
 
     def meets_pause_limit(self, job: Job, event_tokens: int) -> bool:
@@ -226,9 +228,7 @@
         self._update_ejection(report.ending, now)
         slowdown = self._slowdown_during(run, now)
         if report.total_s:
-            self.service_time_s = _moving_average(
-                self.service_time_s, report.total_s / slowdown
-            )
+            self._hold.record(report.total_s, slowdown)
         if report.ending is AttemptOutcome.answered:
             self._sample_speed(run, report, slowdown)
 
@@ -250,27 +250,25 @@
     ) -> None:
         """Update the usual speed from a run during this slowdown."""
         if not run.job.output_tokens:
-            plain_s = report.total_s / slowdown
-            self._plain_s = _moving_average(self._plain_s, plain_s)
+            self._plain.record(report.total_s, slowdown)
             return
         if report.events > 1:
-            event_s = report.stream_s / (report.events - 1) / slowdown
-            self._event_s = _moving_average(self._event_s, event_s)
+            event_s = report.stream_s / (report.events - 1)
+            self._event.record(event_s, slowdown)
         if report.events >= _MIN_PAUSE_EVENTS:
             self._sample_pause(report.pause_s)
         tokens = run.prefill_tokens_ahead + run.job.prompt_tokens
         if report.first_s is not None and tokens >= _MIN_PREFILL_TOKENS:
             prefill_s = max(0, report.first_s - FIXED_FIRST_EVENT_S)
-            token_s = prefill_s / tokens / slowdown
-            self._token_s = _moving_average(self._token_s, token_s)
+            self._token.record(prefill_s / tokens, slowdown)
 
     def _sample_pause(self, pause_s: float) -> None:
         if self._pause_s is not None:
             deviation_s = abs(pause_s - self._pause_s)
-            self._pause_deviation_s = _moving_average(
+            self._pause_deviation_s = moving_average(
                 self._pause_deviation_s, deviation_s
             )
-        self._pause_s = _moving_average(self._pause_s, pause_s)
+        self._pause_s = moving_average(self._pause_s, pause_s)
 
     def _end_prefill(self, run: RunningJob) -> None:
         if run.in_prefill:
@@ -291,9 +289,3 @@
         if excess >= 0:
             ejection_s = min(_MAX_EJECTION_S, _EJECTION_S * 2**excess)
             self._ejected_until = now + ejection_s
-
-
-def _moving_average(average: float | None, sample: float) -> float:
-    if average is None:
-        return sample
-    return average + _SAMPLE_WEIGHT * (sample - average)
--- a/tests/platform/test_load_reports.py
+++ b/tests/platform/test_load_reports.py
@@ -13,6 +13,7 @@
 from tallyhall_dispatch.load_reports import LoadReport, UpstreamLoads
 from tallyhall_dispatch.pool import Decision, GrantDecision, ServicePool
 from tallyhall_dispatch.switches import ALL_ENABLED
+from tallyhall_dispatch.usual_time import UsualTime, moving_average
 from tallyhall_edge.messages import ResponseHead
 from tallyhall_platform.headers import PlatformHeaderCodec
 
@@ -351,6 +352,54 @@
     assert {service.grant(f'{one}', 30) for one in range(10)} == {'usual'}
 
 
+def test_overstated_slowdown_does_not_attract_requests() -> None:
+    """Not even when the report has expired.
+
+    The measured times were divided by 20, so that the upstream looked 20 times
+    as fast as the others and its slots seemed to become free as often.
+    """
+    service = _Service([_upstream('liar', 40), _upstream('usual', 40)])
+    for number in range(30):
+        now = 2.0 * number
+        for name, slowdown in (('liar', 20), ('usual', 1)):
+            load = LoadReport(1, 0, 40, slowdown)
+            service.loads.record(name, load, now)
+            service.run(name, _RAN, now)
+    names = []
+    for number in range(20):
+        names.append(service.grant(f'{number}', 90))
+        service.pool.record_first_byte(f'{number}')
+    assert 5 <= names.count('liar') <= 15
+    rate = service.pool.upstreams.forecast(91).rate
+    assert rate == pytest.approx(80 / 0.4, rel=0.1)
+
+
+def test_upstream_that_becomes_slower_for_good_is_learned() -> None:
+    """Its best time must not hide that, nor count for ever."""
+    usual = UsualTime()
+    for _ in range(20):
+        usual.record(0.1, 1)
+    for _ in range(60):
+        usual.record(0.3, 1)
+    assert usual.usual_s == pytest.approx(0.3, rel=0.01)
+    # 0.3 now is the time under a slowdown, but was also the usual time.
+    usual.record(0.3, 2.5)
+    assert usual.usual_s == pytest.approx(0.3, rel=0.01)
+
+
+@given(st.lists(st.floats(0.001, 10), min_size=1, max_size=50))
+def test_usual_time_without_slowdowns_is_the_moving_average(
+    times: list[float],
+) -> None:
+    """Services that report no slowdowns must decide as before."""
+    usual = UsualTime()
+    average: float | None = None
+    for time_s in times:
+        usual.record(time_s, 1)
+        average = moving_average(average, time_s)
+    assert usual.usual_s == average
+
+
 def test_forecast_counts_slowed_upstreams() -> None:
     service = _Service([_upstream('a')])
     service.run('a', _RAN, 1)
