--- a/packages/dispatch/src/tallyhall_dispatch/load_reports.py
+++ b/packages/dispatch/src/tallyhall_dispatch/load_reports.py
@@ -82,6 +82,9 @@
         self._known_runs = 0
         self._ended_at: collections.deque[float] = collections.deque()
         self._unknown_runs = 0
+        # Read for each pair of job and upstream, so that `unknown_runs` is
+        # called only if there are any.
+        self.has_unknown_runs = False
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the last report is in effect."""
@@ -102,9 +105,9 @@
 
     def unknown_runs(self, now: float) -> int:
         """Return how many running requests are not known to this instance."""
-        if not self._unknown_runs or not self._service.are_reported:
+        if not self._service.are_reported or not self.is_fresh(now):
             return 0
-        return self._unknown_runs if self.is_fresh(now) else 0
+        return self._unknown_runs
 
     def record(self, report: LoadReport, received_at: float) -> None:
         """Record a report, unless a newer one is known."""
@@ -121,7 +124,7 @@
         written_at = received_at - _MAX_TRANSIT_S
         ended = sum(ended_at >= written_at for ended_at in self._ended_at)
         known = self._known_runs + ended
-        self._unknown_runs = max(0, report.running - known)
+        self._set_unknown_runs(report.running - known)
 
     def add_run(self) -> None:
         """Record that a run was granted here."""
@@ -130,7 +133,7 @@
     def adopt_run(self) -> None:
         """Record a run of another instance, which the report may include."""
         self._known_runs += 1
-        self._unknown_runs = max(0, self._unknown_runs - 1)
+        self._set_unknown_runs(self._unknown_runs - 1)
 
     def drop_run(self) -> None:
         """Record that a run is no longer known, though it may continue."""
@@ -145,6 +148,10 @@
         while self._ended_at[0] < now - _MAX_DURATION_S:
             self._ended_at.popleft()
 
+    def _set_unknown_runs(self, count: int) -> None:
+        self._unknown_runs = max(0, count)
+        self.has_unknown_runs = self._unknown_runs > 0
+
     def _observe_duration(self, report: LoadReport, received_at: float) -> None:
         """Learn how long slowdowns last after they were first reported.
 
--- a/packages/dispatch/src/tallyhall_dispatch/upstream_state.py
+++ b/packages/dispatch/src/tallyhall_dispatch/upstream_state.py
@@ -138,9 +138,9 @@
         """
         slots = self.upstream.slots
         free = max(1, math.ceil(slots * share)) - len(self.runs)
-        unknown = self._load.unknown_runs(now)
-        if not unknown or not self._one_owner:
+        if not self._load.has_unknown_runs or not self._one_owner:
             return free
+        unknown = self._load.unknown_runs(now)
         return min(free, max(1, slots - unknown) - len(self.runs))
 
     def has_slot(self, share: float, now: float) -> bool:
@@ -163,20 +163,17 @@
 
     def first_s(self, job: Job, now: float) -> float:
         """Return the expected time to the first event of a job."""
-        if not job.output_tokens:
-            plain_s = self._plain.usual_s or DEFAULT_PLAIN_S
-            return plain_s * self._load.slowdown(now)
-        tokens = self.prefill_tokens + job.prompt_tokens
-        return FIXED_FIRST_EVENT_S + tokens * self.token_s(now)
+        return self._first_s(job, self._load.slowdown(now))
 
     def total_s(self, job: Job, events: float, now: float) -> float:
         """Return the expected time to the last of this number of events."""
-        first_s = self.first_s(job, now)
+        slowdown = self._load.slowdown(now)
+        first_s = self._first_s(job, slowdown)
         if not job.output_tokens:
             load = 1 + len(self.runs) / self.upstream.slots
             return load * first_s
         event_s = self._event.usual_s or DEFAULT_EVENT_S
-        return first_s + events * event_s * self._load.slowdown(now)
+        return first_s + events * event_s * slowdown
 
     def meets_pause_limit(self, job: Job, event_tokens: int) -> bool:
         """Return whether no pause in the response should exceed the limit.
@@ -232,6 +229,13 @@
         if report.ending is AttemptOutcome.answered:
             self._sample_speed(run, report, slowdown)
 
+    def _first_s(self, job: Job, slowdown: float) -> float:
+        if not job.output_tokens:
+            return (self._plain.usual_s or DEFAULT_PLAIN_S) * slowdown
+        tokens = self.prefill_tokens + job.prompt_tokens
+        token_s = self._token.usual_s or DEFAULT_PREFILL_TOKEN_S
+        return FIXED_FIRST_EVENT_S + tokens * token_s * slowdown
+
     def _add(self, job: Job, slowdown: float | None) -> None:
         self.runs[job.key] = RunningJob(job, self.prefill_tokens, slowdown)
         self.prefill_tokens += job.prompt_tokens
