--- a/packages/dispatch/src/tallyhall_dispatch/candidates.py
+++ b/packages/dispatch/src/tallyhall_dispatch/candidates.py
@@ -72,7 +72,7 @@
     def slot_limit(self, urgency: int, now: float) -> int:
         """Return how many slots an urgency may occupy on this instance."""
         slots = sum(
-            view.free_slots(self._group.share) + len(view.runs)
+            view.free_slots(self._group.share, now) + len(view.runs)
             for view in self._group.usable(now)
         )
         return self._class_priority.slot_limit(urgency, slots, now)
--- a/packages/dispatch/src/tallyhall_dispatch/upstream_state.py
+++ b/packages/dispatch/src/tallyhall_dispatch/upstream_state.py
@@ -2,6 +2,8 @@
 
 The upstreams of a service differ in speed by a factor of five and slow down as
 their batch fills. Both effects are estimated from the requests that they run.
+Temporary slowdowns by other workloads on their machines are not part of the
+estimates; they are known from the load reports of the upstreams.
 """
 
 from __future__ import annotations
@@ -12,11 +14,10 @@
 
 from .desired import Upstream
 from .jobs import NOT_SENT, AttemptOutcome, Job, RunReport
+from .load_reports import UpstreamLoad
 from .token_bucket import TokenBucket
+from .usual_time import UsualTime, moving_average
 
-# Weight of the latest sample in a moving average: ten samples make up four
-# fifths of it.
-_SAMPLE_WEIGHT = 0.15
 # Defaults until the first sample: seconds per event, seconds per prompt token,
 # and seconds per plain request.
 DEFAULT_EVENT_S = 0.03
@@ -59,63 +60,92 @@
     """A job that runs on an upstream.
 
     prefill_tokens_ahead: prompt tokens that were in prefill when the job
-    started.
+    started. slowdown: of the upstream at that time, None if another instance
+    granted the job.
     """
 
     job: Job
     prefill_tokens_ahead: int
+    slowdown: float | None
     in_prefill: bool = True
 
 
 class UpstreamState:
     """The state of one upstream incarnation, as known to this instance."""
 
-    def __init__(self, upstream: Upstream) -> None:
-        """Create the state of an upstream that has not run anything yet."""
+    def __init__(
+        self,
+        upstream: Upstream,
+        load: UpstreamLoad,
+        *,
+        one_owner: bool = True,
+    ) -> None:
+        """Create the state of an upstream that has not run anything yet.
+
+        one_owner: whether one instance grants all its slots.
+        """
         self.upstream = upstream
+        self._load = load
+        self._one_owner = one_owner
         # Cached because it is read for each pair of job and upstream, and is
         # constant while other fields of the upstream change.
         self.incarnation = upstream.incarnation
         self.runs: dict[str, RunningJob] = {}
         # Prompt tokens of the runs whose response has not started.
         self.prefill_tokens = 0
-        # None until the first sample, which replaces the default completely.
-        # Otherwise it would take ten jobs to detect an engine that is twice as
-        # slow.
-        self._event_s: float | None = None
-        self._token_s: float | None = None
-        self._plain_s: float | None = None
+        # Time per event, per prompt token and of a plain request.
+        self._event = UsualTime()
+        self._token = UsualTime()
+        self._plain = UsualTime()
         # Moving average and mean deviation of the longest pause in a response.
         self._pause_s: float | None = None
         self._pause_deviation_s: float = 0
-        # No default, so that no request is refused because of one.
-        self.service_time_s: float | None = None
+        # Time that a request holds its slot. It has no default, so that no
+        # request is refused because of one.
+        self._hold = UsualTime()
         self._ejected_until: float = 0
         self._consecutive_failures = 0
         # For the rate limit announced by the upstream, None if there is none.
         self.bucket: TokenBucket | None = None
 
     @property
-    def slot_release_rate(self) -> float:
+    def service_time_s(self) -> float | None:
+        """Return how long a request usually holds its slot, None if unknown."""
+        return self._hold.usual_s
+
+    def slot_release_rate(self, now: float) -> float:
         """Return how many slots become free per second, 0 if unknown."""
         if self.service_time_s is None:
             return 0
-        rate = self.upstream.slots / max(_MIN_HOLD_S, self.service_time_s)
+        hold_s = self.service_time_s * self._load.slowdown(now)
+        rate = self.upstream.slots / max(_MIN_HOLD_S, hold_s)
         return rate if self.bucket is None else min(rate, self.bucket.rate)
 
-    @property
-    def token_s(self) -> float:
+    def token_s(self, now: float) -> float:
         """Return the expected prefill time per prompt token."""
-        return self._token_s or DEFAULT_PREFILL_TOKEN_S
-
-    def free_slots(self, share: float) -> int:
-        """Return how many more requests may run in this share of the slots."""
-        slots = math.ceil(self.upstream.slots * share)
-        return max(1, slots) - len(self.runs)
+        usual_s = self._token.usual_s or DEFAULT_PREFILL_TOKEN_S
+        return usual_s * self._load.slowdown(now)
+
+    def free_slots(self, share: float, now: float) -> int:
+        """Return how many more requests may run in this share of the slots.
+
+        Runs that only the upstream knows of occupy slots too, unless every
+        instance grants slots here and knows its own runs alone. They count
+        against all slots and not against the share: if instances decide alone,
+        the rest of the slots is meant for the runs of the others. One slot is
+        never counted as occupied by them, so that an upstream with a frozen or
+        wrong report still gets requests, which bring its next report.
+        """
+        slots = self.upstream.slots
+        free = max(1, math.ceil(slots * share)) - len(self.runs)
+        if not self._load.has_unknown_runs or not self._one_owner:
+            return free
+        unknown = self._load.unknown_runs(now)
+        return min(free, max(1, slots - unknown) - len(self.runs))
 
     def has_slot(self, share: float, now: float) -> bool:
         """Return whether a request may start here now."""
-        if self.free_slots(share) <= 0:
+        if self.free_slots(share, now) <= 0:
             return False
         return self.bucket is None or self.bucket.has_token(now)
 
@@ -131,26 +161,27 @@
             for run in self.runs.values()
         )
 
-    def first_s(self, job: Job) -> float:
+    def first_s(self, job: Job, now: float) -> float:
         """Return the expected time to the first event of a job."""
-        if not job.output_tokens:
-            return self._plain_s or DEFAULT_PLAIN_S
-        tokens = self.prefill_tokens + job.prompt_tokens
-        return FIXED_FIRST_EVENT_S + tokens * self.token_s
+        return self._first_s(job, self._load.slowdown(now))
 
-    def total_s(self, job: Job, events: float) -> float:
+    def total_s(self, job: Job, events: float, now: float) -> float:
         """Return the expected time to the last of this number of events."""
+        slowdown = self._load.slowdown(now)
+        first_s = self._first_s(job, slowdown)
         if not job.output_tokens:
             load = 1 + len(self.runs) / self.upstream.slots
-            return load * (self._plain_s or DEFAULT_PLAIN_S)
-        return self.first_s(job) + events * (self._event_s or DEFAULT_EVENT_S)
+            return load * first_s
+        event_s = self._event.usual_s or DEFAULT_EVENT_S
+        return first_s + events * event_s * slowdown
 
     def meets_pause_limit(self, job: Job, event_tokens: int) -> bool:
         """Return whether no pause in the response should exceed the limit.
 
         The engines of a service differ in speed by a factor of five. On an
         engine that needs longer for one event than the route allows, a response
-        is late no matter how early it starts.
+        is late no matter how early it starts. Unlike speeds, pauses include
+        temporary slowdowns, as the next one may begin during any response.
         """
         if not job.pause_s or self._pause_s is None:
             return True
@@ -159,17 +190,21 @@
         longest_s = self._pause_s + _PAUSE_DEVIATIONS * self._pause_deviation_s
         return longest_s <= job.pause_s
 
-    def grant(self, job: Job) -> None:
-        """Record that a job runs here."""
-        self.runs[job.key] = RunningJob(job, self.prefill_tokens)
-        self.prefill_tokens += job.prompt_tokens
-        if self.bucket is not None:
-            self.bucket.take_token()
+    def grant(self, job: Job, now: float) -> None:
+        """Record that a job starts here."""
+        self._load.add_run()
+        self._add(job, self._load.slowdown(now))
+
+    def add_running(self, job: Job) -> None:
+        """Record that a job runs here that another instance granted."""
+        self._load.adopt_run()
+        self._add(job, None)
 
     def drop(self, key: str) -> None:
         """Remove a job without taking samples from it."""
         run = self.runs.pop(key, None)
         if run is not None:
+            self._load.drop_run()
             self._end_prefill(run)
 
     def record_first_byte(self, key: str) -> None:
@@ -183,36 +218,61 @@
         run = self.runs.pop(key, None)
         if run is None:
             return
+        self._load.end_run(now)
         self._end_prefill(run)
         if self.bucket is not None and report.ending in NOT_SENT:
             self.bucket.return_token()
         self._update_ejection(report.ending, now)
+        slowdown = self._slowdown_during(run, now)
         if report.total_s:
-            self.service_time_s = _moving_average(
-                self.service_time_s, report.total_s
-            )
-        if report.ending is not AttemptOutcome.answered:
-            return
+            self._hold.record(report.total_s, slowdown)
+        if report.ending is AttemptOutcome.answered:
+            self._sample_speed(run, report, slowdown)
+
+    def _first_s(self, job: Job, slowdown: float) -> float:
+        if not job.output_tokens:
+            return (self._plain.usual_s or DEFAULT_PLAIN_S) * slowdown
+        tokens = self.prefill_tokens + job.prompt_tokens
+        token_s = self._token.usual_s or DEFAULT_PREFILL_TOKEN_S
+        return FIXED_FIRST_EVENT_S + tokens * token_s * slowdown
+
+    def _add(self, job: Job, slowdown: float | None) -> None:
+        self.runs[job.key] = RunningJob(job, self.prefill_tokens, slowdown)
+        self.prefill_tokens += job.prompt_tokens
+        if self.bucket is not None:
+            self.bucket.take_token()
+
+    def _slowdown_during(self, run: RunningJob, now: float) -> float:
+        """Return the mean of the slowdowns at the start and end of a run."""
+        slowdown = self._load.slowdown(now)
+        if run.slowdown is None:
+            return slowdown
+        return (run.slowdown + slowdown) / 2
+
+    def _sample_speed(
+        self, run: RunningJob, report: RunReport, slowdown: float
+    ) -> None:
+        """Update the usual speed from a run during this slowdown."""
         if not run.job.output_tokens:
-            self._plain_s = _moving_average(self._plain_s, report.total_s)
+            self._plain.record(report.total_s, slowdown)
             return
         if report.events > 1:
             event_s = report.stream_s / (report.events - 1)
-            self._event_s = _moving_average(self._event_s, event_s)
+            self._event.record(event_s, slowdown)
         if report.events >= _MIN_PAUSE_EVENTS:
             self._sample_pause(report.pause_s)
         tokens = run.prefill_tokens_ahead + run.job.prompt_tokens
         if report.first_s is not None and tokens >= _MIN_PREFILL_TOKENS:
             prefill_s = max(0, report.first_s - FIXED_FIRST_EVENT_S)
-            self._token_s = _moving_average(self._token_s, prefill_s / tokens)
+            self._token.record(prefill_s / tokens, slowdown)
 
     def _sample_pause(self, pause_s: float) -> None:
         if self._pause_s is not None:
             deviation_s = abs(pause_s - self._pause_s)
-            self._pause_deviation_s = _moving_average(
+            self._pause_deviation_s = moving_average(
                 self._pause_deviation_s, deviation_s
             )
-        self._pause_s = _moving_average(self._pause_s, pause_s)
+        self._pause_s = moving_average(self._pause_s, pause_s)
 
     def _end_prefill(self, run: RunningJob) -> None:
         if run.in_prefill:
@@ -233,9 +293,3 @@
         if excess >= 0:
             ejection_s = min(_MAX_EJECTION_S, _EJECTION_S * 2**excess)
             self._ejected_until = now + ejection_s
-
-
-def _moving_average(average: float | None, sample: float) -> float:
-    if average is None:
-        return sample
-    return average + _SAMPLE_WEIGHT * (sample - average)
--- a/packages/entry/src/tallyhall_entry/metrics.py
+++ b/packages/entry/src/tallyhall_entry/metrics.py
@@ -64,6 +64,11 @@
         # By service and urgency, where an urgency of the service defers.
         self.running: dict[_Labels, int] = {}
         self.slot_limits: dict[_Labels, int] = {}
+        # Upstreams with a fresh load report, and those that are slowed.
+        self.reporting_upstreams = 0
+        self.slowed_upstreams = 0
+        # Load reports, by what happened to them.
+        self.load_reports: Mapping[str, int] = {}
         self.state_version = -1
         self.confirmation_age_seconds: float = 0
         self.store_up = 0
