--- a/packages/entry/src/tallyhall_entry/exposition.py
+++ b/packages/entry/src/tallyhall_entry/exposition.py
@@ -131,12 +131,12 @@
             (
                 'tallyhall_reporting_upstreams',
                 'Upstreams with a load report that is not outdated.',
-                self._metrics.reporting_upstreams,
+                self._metrics.upstream_loads.reporting,
             ),
             (
                 'tallyhall_slowed_upstreams',
                 'Upstreams whose last load report states a slowdown.',
-                self._metrics.slowed_upstreams,
+                self._metrics.upstream_loads.slowed,
             ),
             (
                 'tallyhall_desired_state_version',
--- a/packages/entry/src/tallyhall_entry/metrics.py
+++ b/packages/entry/src/tallyhall_entry/metrics.py
@@ -13,6 +13,8 @@
 import math
 from collections.abc import Mapping
 
+import msgspec
+
 from .logs import BoundedStream
 
 _BUCKET_BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 15)
@@ -40,6 +42,13 @@
         )
 
 
+class UpstreamLoadCounts(msgspec.Struct, frozen=True):
+    """Numbers of upstreams with a fresh load report, and of slowed ones."""
+
+    reporting: int = 0
+    slowed: int = 0
+
+
 class Metrics:
     """All metrics of one process, described in docs/METRICS.md."""
 
@@ -64,9 +73,7 @@
         # By service and urgency, where an urgency of the service defers.
         self.running: dict[_Labels, int] = {}
         self.slot_limits: dict[_Labels, int] = {}
-        # Upstreams with a fresh load report, and those that are slowed.
-        self.reporting_upstreams = 0
-        self.slowed_upstreams = 0
+        self.upstream_loads = UpstreamLoadCounts()
         # Load reports, by what happened to them.
         self.load_reports: Mapping[str, int] = {}
         self.state_version = -1
--- a/packages/entry/src/tallyhall_entry/reports.py
+++ b/packages/entry/src/tallyhall_entry/reports.py
@@ -15,7 +15,7 @@
 
 from .load_sharing import LoadSharing
 from .logs import EventLog
-from .metrics import Metrics
+from .metrics import Metrics, UpstreamLoadCounts
 
 # Interval of the log lines about store calls, in seconds: a line of 300 bytes
 # every 2 s is a hundredth of an instance's log budget.
@@ -107,6 +107,18 @@
         if age is not None:
             metrics.confirmation_age_seconds = age
 
+    def update_loads(self, dispatcher: Dispatcher, loads: LoadSharing) -> None:
+        """Update the metrics of load reports."""
+        now = self._loop.time()
+        slowed = [
+            report.is_slowed
+            for _, report, _ in dispatcher.upstream_loads.fresh(now)
+        ]
+        self._metrics.upstream_loads = UpstreamLoadCounts(
+            len(slowed), sum(slowed)
+        )
+        self._metrics.load_reports = loads.counts
+
     def _update_service(
         self, service: str, pool: ServicePool, now: float
     ) -> None:
@@ -117,14 +129,3 @@
             if priority.is_deferring(urgency):
                 limit = pool.slot_limit(urgency, now)
                 self._metrics.slot_limits[labels] = limit
-
-    def update_loads(self, dispatcher: Dispatcher, loads: LoadSharing) -> None:
-        """Update the metrics of load reports."""
-        now = self._loop.time()
-        slowed = [
-            report.is_slowed
-            for _, report, _ in dispatcher.upstream_loads.fresh(now)
-        ]
-        self._metrics.reporting_upstreams = len(slowed)
-        self._metrics.slowed_upstreams = sum(slowed)
-        self._metrics.load_reports = loads.counts
