--- a/packages/dispatch/src/tallyhall_dispatch/options.py
+++ b/packages/dispatch/src/tallyhall_dispatch/options.py
@@ -69,3 +69,5 @@
     descriptors: int
     # Available CPU time in seconds per second, on a typical core.
     cores: float
+    # Memory limit of the process; 0 if there is none.
+    memory_bytes: int = 0
--- a/packages/platform/src/tallyhall_platform/settings.py
+++ b/packages/platform/src/tallyhall_platform/settings.py
@@ -21,6 +21,7 @@
 # Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = 'TALLYHALL_CONFIG'
 _MILLI = 1000
+_BYTES_PER_MB = 1_000_000
 # Offsets into `port-range`, the ports reserved for traffic between instances.
 _PEER_PORT_OFFSET = 0
 _METRICS_PORT_OFFSET = 1
@@ -37,6 +38,7 @@
 
 class _Limits(KebabStruct, frozen=True):
     max_fds: Annotated[int, msgspec.Meta(gt=0)] = 1024
+    memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0
     # The share of one core that a process gets, and the speed of that core
     # relative to a standard one; not a number of cores.
     cpu_share: _Positive = 1
@@ -183,4 +185,5 @@
         ),
         descriptors=raw.limits.max_fds,
         cores=raw.limits.cpu_share * raw.limits.cores,
+        memory_bytes=int(raw.limits.memory_mb * _BYTES_PER_MB),
     )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -52,6 +52,13 @@
     assert options.store.heartbeat_s == 0.9
     assert options.descriptors == 4100
     assert options.cores == pytest.approx(1.074)
+    assert options.memory_bytes == 150_000_000
+
+
+def test_no_memory_limit_is_assumed(tmp_path: Path) -> None:
+    path = tmp_path / 'settings.yaml'
+    path.write_text(_VALID.replace('memory-mb: 150, ', ''))
+    assert load_options(path).memory_bytes == 0
 
 
 _INVALID = [
@@ -78,6 +85,11 @@
         'platform.address: a port must be between 1 and 65535 (example: ',
     ),
     ('max-fds: 4100', 'max-fds: 0', 'limits.max-fds: Expected `int` >= 1'),
+    (
+        'memory-mb: 150',
+        'memory-mb: -1',
+        'limits.memory-mb: Expected `float` >= 0.0',
+    ),
     ('zone: "a"', 'zone: [', 'invalid YAML'),
     (_VALID, '', 'the file: Expected `object`, got `null`'),
     (_VALID, '{"node": "front-a-1"}', 'zone: is required (example: zone: '),
