--- a/packages/edge/src/tallyhall_edge/client.py
+++ b/packages/edge/src/tallyhall_edge/client.py
@@ -268,7 +268,9 @@
     # -- internals
 
     def _fail_stalled(self) -> None:
-        self.fail(UpstreamStalledError('the upstream has stopped to read'))
+        self.fail(
+            UpstreamStalledError('the upstream does not read the request')
+        )
 
     def _has_written_all(self) -> bool:
         # An upstream may answer before it has read the whole request; no other
--- a/packages/edge/src/tallyhall_edge/errors.py
+++ b/packages/edge/src/tallyhall_edge/errors.py
@@ -28,7 +28,7 @@
 
 
 class UpstreamStalledError(ConnectionFailedError):
-    """The upstream has stopped to read the request; it may still run it."""
+    """The upstream does not read the request; it may still run it."""
 
 
 class InvalidResponseError(ConnectionFailedError):
--- a/packages/entry/src/tallyhall_entry/explain.py
+++ b/packages/entry/src/tallyhall_entry/explain.py
@@ -38,6 +38,10 @@
             'It was refused because of load: the queue of its service was too '
             'long to meet the deadline; it did not run'
         ),
+        'shed': (
+            'It was refused because its instance ran short of memory for slow '
+            'callers and upstreams; look for event 103; it did not run'
+        ),
         'no_upstream': 'No upstream of its service could be reached',
         'upstream_full': 'Every upstream that it was sent to rejected it',
         'quarantined': (
