--- a/packages/entry/src/tallyhall_entry/metrics.py
+++ b/packages/entry/src/tallyhall_entry/metrics.py
@@ -14,6 +14,7 @@
 from collections.abc import Mapping
 
 import msgspec
+from tallyhall_edge.memory_budget import MemoryBudget
 
 from .logs import BoundedStream
 
@@ -42,6 +43,16 @@
         )
 
 
+class UrgencySlots(msgspec.Struct, frozen=True):
+    """Slots in use and slot limits, by service and urgency.
+
+    Only of services in which an urgency defers.
+    """
+
+    running: dict[_Labels, int] = msgspec.field(default_factory=dict)
+    limits: dict[_Labels, int] = msgspec.field(default_factory=dict)
+
+
 class UpstreamLoadCounts(msgspec.Struct, frozen=True):
     """Numbers of upstreams with a fresh load report, and of slowed ones."""
 
@@ -70,15 +81,15 @@
         self.turned_away = 0
         self.waiting = 0
         self.limited_upstreams = 0
-        # By service and urgency, where an urgency of the service defers.
-        self.running: dict[_Labels, int] = {}
-        self.slot_limits: dict[_Labels, int] = {}
+        self.urgency_slots = UrgencySlots()
         self.upstream_loads = UpstreamLoadCounts()
         # Load reports, by what happened to them.
         self.load_reports: Mapping[str, int] = {}
         self.state_version = -1
         self.confirmation_age_seconds: float = 0
         self.store_up = 0
+        # None if the settings state no memory limit.
+        self.memory: MemoryBudget | None = None
 
     def ended(self, kind: str, outcome: str, total_s: float) -> None:
         """Count a request that has ended."""
--- a/packages/entry/src/tallyhall_entry/reports.py
+++ b/packages/entry/src/tallyhall_entry/reports.py
@@ -70,8 +70,9 @@
 
     def update_urgencies(self, dispatcher: Dispatcher, now: float) -> None:
         """Update the gauges of urgencies, and log which of them defer."""
-        self._metrics.running.clear()
-        self._metrics.slot_limits.clear()
+        slots = self._metrics.urgency_slots
+        slots.running.clear()
+        slots.limits.clear()
         for service, pool in dispatcher.pools.items():
             for change in pool.class_priority.take_changes():
                 self._log.event(
@@ -122,10 +123,11 @@
     def _update_service(
         self, service: str, pool: ServicePool, now: float
     ) -> None:
+        slots = self._metrics.urgency_slots
         priority = pool.class_priority
         for urgency in priority.urgencies:
             labels = (service, str(urgency))
-            self._metrics.running[labels] = priority.running(urgency)
+            slots.running[labels] = priority.running(urgency)
             if priority.is_deferring(urgency):
                 limit = pool.slot_limit(urgency, now)
-                self._metrics.slot_limits[labels] = limit
+                slots.limits[labels] = limit
--- a/packages/platform/src/tallyhall_platform/settings.py
+++ b/packages/platform/src/tallyhall_platform/settings.py
@@ -21,6 +21,9 @@
 # Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = 'TALLYHALL_CONFIG'
 _MILLI = 1000
+_BYTES_PER_MB = 1_000_000
+# Contract of deployments whose callers and upstreams may read slowly.
+_SLOW_PEERS_CONTRACT = 'pressure'
 # Offsets into `port-range`, the ports reserved for traffic between instances.
 _PEER_PORT_OFFSET = 0
 _METRICS_PORT_OFFSET = 1
@@ -37,6 +40,7 @@
 
 class _Limits(KebabStruct, frozen=True):
     max_fds: Annotated[int, msgspec.Meta(gt=0)] = 1024
+    memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0
     # The share of one core that a process gets, and the speed of that core
     # relative to a standard one; not a number of cores.
     cpu_share: _Positive = 1
@@ -74,6 +78,7 @@
     region: str = ''
     heartbeat_ms: Milliseconds = 1200
     limits: _Limits = _Limits()
+    contracts: tuple[str, ...] = ()
     bounds: _Bounds = _Bounds()
 
 
@@ -150,6 +155,13 @@
         raise _InvalidValueError(key, str(exc)) from exc
 
 
+def _memory_bytes(raw: _SettingsFile) -> int:
+    """Return the memory limit to keep; 0 if peers are not said to be slow."""
+    if _SLOW_PEERS_CONTRACT not in raw.contracts:
+        return 0
+    return int(raw.limits.memory_mb * _BYTES_PER_MB)
+
+
 def _options(raw: _SettingsFile) -> Options:
     bounds = raw.bounds
     first_port = raw.port_range[0]
@@ -183,4 +195,5 @@
         ),
         descriptors=raw.limits.max_fds,
         cores=raw.limits.cpu_share * raw.limits.cores,
+        memory_bytes=_memory_bytes(raw),
     )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -29,6 +29,7 @@
 port-range: [7600, 7615]
 heartbeat-ms: 900
 limits: {memory-mb: 150, max-fds: 4100, cpu-share: 0.537, cores: 2}
+contracts: ["base", "pressure"]
 bounds:
   {revoke-ms: 5000, contact-ms: 2500, grace-s: 8, ttl_max_s: 5,
   quota-window-s: 8, drain-ms: 1500, config-apply-ms: 1700}
@@ -52,6 +53,15 @@
     assert options.store.heartbeat_s == 0.9
     assert options.descriptors == 4100
     assert options.cores == pytest.approx(1.074)
+    assert options.memory_bytes == 150_000_000
+
+
+@pytest.mark.parametrize('missing', ['memory-mb: 150, ', ', "pressure"'])
+def test_no_memory_limit_is_assumed(tmp_path: Path, missing: str) -> None:
+    """Deployments that do not call for a budget must be served as before."""
+    path = tmp_path / 'settings.yaml'
+    path.write_text(_VALID.replace(missing, ''))
+    assert load_options(path).memory_bytes == 0
 
 
 _INVALID = [
@@ -78,6 +88,11 @@
         'platform.address: a port must be between 1 and 65535 (example: ',
     ),
     ('max-fds: 4100', 'max-fds: 0', 'limits.max-fds: Expected `int` >= 1'),
+    (
+        'memory-mb: 150',
+        'memory-mb: -1',
+        'limits.memory-mb: Expected `float` >= 0.0',
+    ),
     ('zone: "a"', 'zone: [', 'invalid YAML'),
     (_VALID, '', 'the file: Expected `object`, got `null`'),
     (_VALID, '{"node": "front-a-1"}', 'zone: is required (example: zone: '),
