--- a/packages/dispatch/src/tallyhall_dispatch/unsent_loads.py
+++ b/packages/dispatch/src/tallyhall_dispatch/unsent_loads.py
@@ -16,8 +16,8 @@
 # Upper bound of the size of a report without the upstream's name: tags, lengths
 # and numbers of up to 16,383.
 _FIXED_BYTES = 24
-# Bytes per second of all instances together. 3,500 responses a second with
-# names of 20 characters need 154,000.
+# Bytes per second of all instances together. Reports of 3,500 responses a
+# second with names of 24 characters are charged 168,000.
 _FLEET_BYTES_PER_S = 240_000
 # Maximum bytes per second of one instance in a small fleet, less than half of
 # the 10 KB/s that an instance may spend on all control messages.
@@ -55,10 +55,6 @@
         self._budget_bytes: float = _MAX_BYTES_PER_S * _CAPACITY_S
         self._refilled_at = now
 
-    def __len__(self) -> int:
-        """Return the number of waiting reports."""
-        return len(self._waiting)
-
     def add(self, load: UnsentLoad) -> None:
         """Queue a report; it replaces an earlier one of its upstream."""
         self._waiting[load.incarnation] = load
