A job that is granted again counts once as running

An instance whose grant was lost asks again with the same key. The second start was counted, but only one end follows, so the urgency could start one run less until the restart of the owner. The new test fails without the change; 101 tests of placing, decisions, the emulator, asks, suspects, logs and class priority pass.

--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -295,9 +295,11 @@
             )
 
     def _start(self, job: Job, view: UpstreamState, now: float) -> None:
+        # A job whose grant was lost is asked for and granted again.
+        if job.key not in self._granted:
+            self.class_priority.record_start(job.urgency)
         view.grant(job)
         self._granted[job.key] = view
-        self.class_priority.record_start(job.urgency)
         if self.rollout is not None:
             self.rollout.record_placed(job, canary=view.upstream.canary)
         if job.over_quota:
--- a/tests/platform/test_class_priority.py
+++ b/tests/platform/test_class_priority.py
@@ -437,6 +437,21 @@
     assert pool.class_priority.running(_DEFERRING) == 1
 
 
+def test_job_that_is_granted_again_counts_once() -> None:
+    """An instance asks again if the grant is lost.
+
+    A run that is never taken off the count would lower what its urgency may
+    start until the instance restarts.
+    """
+    pool = _pool()
+    for _ in range(2):
+        pool.enqueue(_job('long', _DEFERRING, 1))
+        assert _granted(pool.decide(1)) == ['long']
+    assert pool.class_priority.running(_DEFERRING) == 1
+    pool.finish('long', _answered(1), 2)
+    assert pool.class_priority.running(_DEFERRING) == 0
+
+
 def test_new_owner_decides_as_before_until_it_has_learned() -> None:
     """It has no hold times, and counts the runs that it is told of."""
     pool = _pool()
