--- a/packages/dispatch/src/tallyhall_dispatch/urgency_stats.py
+++ b/packages/dispatch/src/tallyhall_dispatch/urgency_stats.py
@@ -94,3 +94,9 @@
         """Return the grant rate of one urgency class."""
         grants = self._grants.get(urgency)
         return 0 if grants is None else grants.total(now) / _RATE_WINDOW_S
+
+    def above(self, urgency: int, now: float) -> float:
+        """Return the grant rate of all more urgent classes."""
+        return sum(
+            self.per_s(other, now) for other in self._grants if other < urgency
+        )
--- a/packages/dispatch/src/tallyhall_dispatch/wait_forecast.py
+++ b/packages/dispatch/src/tallyhall_dispatch/wait_forecast.py
@@ -58,12 +58,20 @@
         if self._is_at_limit(urgency, now):
             return self._own_releases_per_s(urgency)
         own = self._rates.per_s(urgency, now)
-        taken = sum(
+        if self._priority.has_deferring:
+            taken = self._taken_per_s(urgency, now)
+        else:
+            taken = self._rates.above(urgency, now)
+        return max(own, forecast.rate - taken)
+
+    def _taken_per_s(self, urgency: int, now: float) -> float:
+        """Return the slots per second granted to those served before."""
+        own_order = self._order(urgency)
+        return sum(
             self._rates.per_s(other, now)
             for other in self._rates.urgencies
-            if self._order(other) < self._order(urgency)
+            if self._order(other) < own_order
         )
-        return max(own, forecast.rate - taken)
 
     def _order(self, urgency: int) -> tuple[bool, int]:
         return (self._priority.goes_last(urgency), urgency)
