Memory budget: name its metrics without a limit too; arrival test

Cause: the catalogue of metrics is checked against what an instance exposes, which lacked the three metrics unless there is a memory limit (test_every_metric_is_in_its_catalogue failed). Nothing tested that the time of a request that lay unread counts from its arrival.

Change: the families are always exposed, without samples if there is no limit, as those with labels are. A test of the arrival time.

--- a/packages/entry/src/tallyhall_entry/exposition.py
+++ b/packages/entry/src/tallyhall_entry/exposition.py
@@ -75,30 +75,30 @@
             yield family
 
     def _memory(self) -> Iterator[Metric]:
-        memory = self._metrics.memory
-        if memory is None:
-            return
-        yield GaugeMetricFamily(
+        """Yield the metrics of the memory budget, without samples if none."""
+        size = GaugeMetricFamily(
             'tallyhall_memory_budget_bytes',
             'Bytes that connections and requests may hold.',
-            memory.size,
+            labels=(),
         )
         held = GaugeMetricFamily(
             'tallyhall_memory_bytes',
             'Bytes held for callers and upstreams, by holder.',
             labels=('holder',),
         )
-        for holder, size in memory.held.items():
-            held.add_metric((holder.value,), size)
-        yield held
         steps = CounterMetricFamily(
             'tallyhall_memory_steps',
             'How often each step of the memory budget was entered.',
             labels=('step',),
         )
-        for step in tuple(Step)[1:]:
-            steps.add_metric((step.name,), memory.entered[step])
-        yield steps
+        memory = self._metrics.memory
+        if memory is not None:
+            size.add_metric((), memory.size)
+            for holder, count in memory.held.items():
+                held.add_metric((holder.value,), count)
+            for step in tuple(Step)[1:]:
+                steps.add_metric((step.name,), memory.entered[step])
+        yield from (size, held, steps)
 
     def _histograms(self) -> Iterator[Metric]:
         requests = HistogramMetricFamily(
--- a/tests/platform/test_memory_limits.py
+++ b/tests/platform/test_memory_limits.py
@@ -82,6 +82,17 @@
         exchange.answer(200, b'OK', headers, bytes(self.size))
 
 
+class _Arrivals:
+    """Records when requests were received."""
+
+    def __init__(self) -> None:
+        self.times: list[float] = []
+
+    async def respond(self, exchange: Exchange) -> None:
+        self.times.append(exchange.received_at)
+        exchange.answer(200, b'OK', (), b'')
+
+
 def _raise(exc: Exception) -> None:
     raise exc
 
@@ -273,6 +284,33 @@
         assert not upstream.seen
 
 
+async def test_the_time_of_an_unread_request_counts_from_its_arrival() -> None:
+    """Counted from its first read, its response would come too late."""
+    budget = MemoryBudget(_MB)
+    monitor = MemoryMonitor(budget)
+    arrivals = _Arrivals()
+    server = HttpServer(
+        arrivals.respond, _raise, ServerLimits(), memory=monitor
+    )
+    port = free_ports(1)[0]
+    await server.listen(HOST, port)
+    _fill(budget, 50)
+    _, writer = await asyncio.open_connection(HOST, port)
+    writer.write(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+    await until(lambda: bool(monitor.paused))
+    await asyncio.sleep(0.05)
+    arrived_at = asyncio.get_running_loop().time()
+    monitor.poll(arrived_at)
+    assert budget.held[Holder.received] > 0
+    await asyncio.sleep(0.2)
+    _fill(budget, 10)
+    server.apply_memory_step()
+    await until(lambda: bool(arrivals.times))
+    assert arrivals.times == [arrived_at]
+    writer.close()
+    server.close()
+
+
 async def test_idle_connections_are_not_read_at_70_percent() -> None:
     async with _limited() as (made, upstream, budget):
         idle = made.caller()
