--- a/packages/dispatch/src/tallyhall_dispatch/candidates.py
+++ b/packages/dispatch/src/tallyhall_dispatch/candidates.py
@@ -17,8 +17,7 @@
 _MIN_FREE_OVER_QUOTA = 0.25
 # The same for a late job. It occupies a slot for as long as a job in time but
 # has only a part of its value, so jobs that arrive meanwhile should not have to
-# wait for its end. This improved the score of the worst two seconds in eight
-# days under load from 0.335 to 0.354.
+# wait for its end.
 _MIN_FREE_LATE = 0.08
 # Maximum number of jobs per urgency to match with the free slots in one pass.
 # Each match reads the state of all upstreams.
--- a/packages/dispatch/src/tallyhall_dispatch/class_priority.py
+++ b/packages/dispatch/src/tallyhall_dispatch/class_priority.py
@@ -33,8 +33,8 @@
 # Fraction served in time below which a deferring class is treated as if it did
 # not defer. Prevents starvation.
 _FLOOR = 0.05
-# Window of the arrival rate in seconds, and its number of buckets. Bursts last
-# 2 s or more.
+# Window of the arrival rate in seconds, short enough to follow the begin of a
+# burst, and its number of buckets.
 _RATE_WINDOW_S = 1.0
 _RATE_BUCKETS = 10
 _MAX_CHANGES = 100
--- a/packages/dispatch/src/tallyhall_dispatch/load_reports.py
+++ b/packages/dispatch/src/tallyhall_dispatch/load_reports.py
@@ -13,24 +13,28 @@
 
 import msgspec
 
+# Ranges of credible reports: engines have some tens of slots, and work that
+# takes twenty times as long as usual is a failure, not a slowdown.
+MAX_REQUESTS = 10_000
+MIN_SLOWDOWN = 0.2
+MAX_SLOWDOWN = 20.0
 # Expected duration of a slowdown until the first one has been observed, in
-# seconds: slowdowns of the engines in docs/HARD-LOAD.md last 0.6 s on average.
+# seconds: the time of a few responses of one upstream.
 _INITIAL_DURATION_S = 0.5
 # Bounds for the learned duration, in seconds. A shorter one than the mean time
 # between two reports of an upstream (0.1 s) could not be observed; a longer one
 # would let a single wrong report exclude an upstream for too long.
 _MIN_DURATION_S = 0.1
 _MAX_DURATION_S = 5.0
-# Weight of the latest slowdown in the learned duration. About ten slowdowns
-# begin per second on 45 engines, so it follows a change within 5 s. With 0.05,
-# the duration learned from slowdowns of 0.6 s varied between 0.45 and 0.76 s.
+# Weight of the latest slowdown in the learned duration: fifty slowdowns make up
+# two thirds of it, as single durations vary as much as their mean.
 _DURATION_WEIGHT = 0.02
 # Slowdowns from which on a machine counts as slowed. Lower ones change less
 # than the random factor of the selection (1.1) and may be noise.
 SLOWED = 1.2
 # Upper bound for the time from the state that a report describes until its
-# response is received, in seconds: latency between zones (5.4 ms) and stalls of
-# an event loop. A run that ends in this time must not be counted as unknown.
+# response is received, in seconds: latency between zones and stalls of an event
+# loop. A run that ends in this time must not be counted as unknown.
 _MAX_TRANSIT_S = 0.05
 
 
--- a/packages/dispatch/src/tallyhall_dispatch/retry_delays.py
+++ b/packages/dispatch/src/tallyhall_dispatch/retry_delays.py
@@ -9,9 +9,9 @@
 from .switches import Switches
 
 # Bounds for the retry delay of a rejected caller, in seconds: the minimum, the
-# maximum, and the minimum for a caller that will be late at any retry.
-# Spreading the latter between the last two bounds reduced the cost of rejecting
-# it again from 0.015 to 0.014.
+# maximum, and the minimum for a caller that will be late at any retry. The
+# delays of such callers are spread between the last two bounds, so that few of
+# them return at the same time.
 MIN_RETRY_S = 0.25
 _MAX_RETRY_S = 3.0
 _MIN_LATE_RETRY_S = 1.0
--- a/packages/dispatch/src/tallyhall_dispatch/unsent_loads.py
+++ b/packages/dispatch/src/tallyhall_dispatch/unsent_loads.py
@@ -16,8 +16,8 @@
 # Upper bound of the size of a report without the upstream's name: tags, lengths
 # and numbers of up to 16,383.
 _FIXED_BYTES = 24
-# Bytes per second of all instances together. Reports of 3,500 responses a
-# second with names of 24 characters are charged 168,000.
+# Bytes per second of all instances together, enough for a report in each of
+# 5,000 responses per second with upstream names of 24 characters.
 _FLEET_BYTES_PER_S = 240_000
 # Maximum bytes per second of one instance in a small fleet, less than half of
 # the 10 KB/s that an instance may spend on all control messages.
@@ -27,7 +27,7 @@
 _CAPACITY_S = 0.5
 # Reports that wait for longer are discarded. Batches are sent at least once
 # per heartbeat, so the stream to the owner has then failed or the limit was
-# exceeded. Slowdowns last 0.6 s.
+# exceeded.
 _MAX_WAIT_S = 2 * MAX_BEAT_S
 
 
--- a/packages/platform/src/tallyhall_platform/headers.py
+++ b/packages/platform/src/tallyhall_platform/headers.py
@@ -7,7 +7,12 @@
 import math
 
 from tallyhall_core.refusals import CATALOGUE, Refusal
-from tallyhall_dispatch.load_reports import LoadReport
+from tallyhall_dispatch.load_reports import (
+    MAX_REQUESTS,
+    MAX_SLOWDOWN,
+    MIN_SLOWDOWN,
+    LoadReport,
+)
 from tallyhall_edge.dialect import (
     InvalidHeaderError,
     LocalResponse,
@@ -72,11 +77,6 @@
 # Longest Retry-After of an upstream that is honoured, in seconds; it can send
 # another one.
 _MAX_RETRY_AFTER_S = 600.0
-# Bounds of credible loads. Engines have up to some tens of slots, and observed
-# slowdowns reach a factor of three.
-_MAX_REPORTED_REQUESTS = 10_000
-_MIN_SLOWDOWN = 0.2
-_MAX_SLOWDOWN = 20.0
 # Headers that are never forwarded from a caller: they could select an
 # upstream, a workspace or engine memory that belongs to other requests.
 OVERRIDDEN_HEADERS = (
@@ -251,7 +251,7 @@
         count = int(part)
     except ValueError:
         return None
-    return count if 0 <= count <= _MAX_REPORTED_REQUESTS else None
+    return count if 0 <= count <= MAX_REQUESTS else None
 
 
 def _slowdown(part: bytes) -> float | None:
@@ -259,7 +259,7 @@
         slowdown = float(part) / _HUNDREDTHS
     except ValueError:
         return None
-    return slowdown if _MIN_SLOWDOWN <= slowdown <= _MAX_SLOWDOWN else None
+    return slowdown if MIN_SLOWDOWN <= slowdown <= MAX_SLOWDOWN else None
 
 
 def _unknown_headers(headers: Headers, *, has_limit: bool) -> tuple[str, ...]:
--- a/packages/transport/src/tallyhall_transport/peer_codec.py
+++ b/packages/transport/src/tallyhall_transport/peer_codec.py
@@ -13,7 +13,12 @@
 from typing import TYPE_CHECKING
 
 from tallyhall_dispatch.jobs import AttemptOutcome, Job, RunReport
-from tallyhall_dispatch.load_reports import LoadReport
+from tallyhall_dispatch.load_reports import (
+    MAX_REQUESTS,
+    MAX_SLOWDOWN,
+    MIN_SLOWDOWN,
+    LoadReport,
+)
 from tallyhall_dispatch.rejection import (
     RejectDecision,
     RejectionCause,
@@ -25,11 +30,6 @@
 
 _MILLI = 1000
 _PERCENT = 100
-# Range of the slowdowns that are accepted, in percent, and the maximum number
-# of requests, as for the header of upstreams.
-_MIN_SLOWDOWN_PERCENT = 20
-_MAX_SLOWDOWN_PERCENT = 2000
-_MAX_REQUESTS = 10_000
 _NO_FIRST_EVENT = -1
 # Longer waits are sent as one hour, in milliseconds.
 _MAX_WAIT_MS = 3_600_000
@@ -177,14 +177,12 @@
     Returns None for one without a slowdown or with values that no upstream may
     report, which a peer of another version may forward.
     """
-    if max(load.running, load.waiting, load.slots) > _MAX_REQUESTS:
+    if max(load.running, load.waiting, load.slots) > MAX_REQUESTS:
         return None
-    percent = load.slowdown_percent
-    if not _MIN_SLOWDOWN_PERCENT <= percent <= _MAX_SLOWDOWN_PERCENT:
+    slowdown = load.slowdown_percent / _PERCENT
+    if not MIN_SLOWDOWN <= slowdown <= MAX_SLOWDOWN:
         return None
-    report = LoadReport(
-        load.running, load.waiting, load.slots, percent / _PERCENT
-    )
+    report = LoadReport(load.running, load.waiting, load.slots, slowdown)
     return report, load.age_ms / _MILLI
 
 
