--- a/packages/dispatch/src/tallyhall_dispatch/jobs.py
+++ b/packages/dispatch/src/tallyhall_dispatch/jobs.py
@@ -26,8 +26,7 @@
     to which the sending instance must not send anything, and until when. route:
     the route of the request if its service has canary upstreams, else empty.
     non_idempotent: whether the request may run only once. is_retry: whether its
-    caller was refused before. timeout_at: when its caller's timeout expires, 0
-    if unknown.
+    caller was refused before.
     """
 
     key: str
@@ -47,7 +46,6 @@
     route: str = ''
     non_idempotent: bool = False
     is_retry: bool = False
-    timeout_at: float = 0
 
 
 class SlotGrant(msgspec.Struct, frozen=True):
--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -309,6 +309,6 @@
             self.rollout.record_placed(job, canary=view.upstream.canary)
         if job.over_quota:
             return
-        self._rates.record(job.urgency, now)
         in_time = now + view.first_s(job, now) <= job.due_at
+        self._rates.record(job.urgency, now, late=not in_time)
         self._served_fractions.record(job.urgency, served=in_time)
--- a/packages/dispatch/src/tallyhall_dispatch/rejection.py
+++ b/packages/dispatch/src/tallyhall_dispatch/rejection.py
@@ -109,7 +109,7 @@
             return None
         return RejectDecision(
             job.key,
-            self._retry_s(job, wait_s, forecast.now),
+            self._retry_delays.delay_s(job, wait_s, forecast.now),
             RejectionForecast(
                 ahead,
                 wait_s,
@@ -145,15 +145,6 @@
             return None
         if starts_at > job.reject_at:
             return RejectionCause.no_slot
-        if job.is_retry and self._priority.has_deferring:
-            # A second refusal costs callers most, and a late response is worth
-            # a third to a half of one in time.
-            return None
         if self.in_time_count >= _IN_TIME_THRESHOLD:
             return RejectionCause.late
         return None
-
-    def _retry_s(self, job: Job, wait_s: float, now: float) -> float:
-        if self._priority.has_deferring:
-            return self._retry_delays.honoured_s(job, wait_s, now)
-        return self._retry_delays.delay_s(job, wait_s, now)
--- a/packages/dispatch/src/tallyhall_dispatch/retry_delays.py
+++ b/packages/dispatch/src/tallyhall_dispatch/retry_delays.py
@@ -18,17 +18,6 @@
 # Maximum retry delay caused by a rate limit of the upstreams, in seconds. The
 # limit is likely to change within this time.
 _MAX_LIMIT_RETRY_S = 30.0
-# Part of its remaining time for which a caller honours a retry delay.
-_HONOURED_PART = 1 / 3
-# Time in which a refusal reaches its caller, in seconds. The caller then has
-# less time left than the instance that decides knows of.
-_REFUSAL_TRANSIT_S = 0.05
-# Maximum retry delay, in seconds, of a caller that has more time left. A retry
-# that is older than 5 s is not recognised as one, and callers wait up to 1 s
-# for a connection.
-_MAX_HONOURED_S = 4.0
-# Jitter of a retry delay, so that callers do not return all at once.
-_JITTER = 0.25
 
 
 class RetryDelays:
@@ -46,7 +35,7 @@
         self._switches = switches
 
     def delay_s(self, job: Job, wait_s: float, now: float) -> float:
-        """Return the retry delay for a caller on a service without deferral.
+        """Return the retry delay for a rejected caller.
 
         Callers that will be late at any retry get a longer delay, so that they
         return after the load peak, with jitter, so that they do not return all
@@ -61,22 +50,6 @@
         late_retry_s = self._rng.uniform(_MIN_LATE_RETRY_S, _MAX_RETRY_S)
         return max(retry_s, late_retry_s)
 
-    def honoured_s(self, job: Job, wait_s: float, now: float) -> float:
-        """Return the expected wait, within what the caller honours.
-
-        The jitter stays within the bounds, as it would have no effect if most
-        delays were cut to the same maximum.
-        """
-        timeout_at = job.timeout_at or job.reject_at
-        left_s = timeout_at - now - _REFUSAL_TRANSIT_S
-        max_s = max(MIN_RETRY_S, min(_MAX_HONOURED_S, _HONOURED_PART * left_s))
-        if self._group.all_limited:
-            wait_s = max(wait_s, self._limit_wait_s(wait_s, now))
-        base_s = min(wait_s, max_s / (1 + _JITTER))
-        base_s = max(MIN_RETRY_S, base_s)
-        jitter_s = min(_JITTER * base_s, max_s - base_s)
-        return base_s + self._rng.uniform(0, jitter_s)
-
     def _limit_wait_s(self, wait_s: float, now: float) -> float:
         """Return the wait for a slot that a rate limit admits."""
         limit_wait_s = max(wait_s, self._group.next_token_in_s(now))
--- a/packages/dispatch/src/tallyhall_dispatch/urgency_stats.py
+++ b/packages/dispatch/src/tallyhall_dispatch/urgency_stats.py
@@ -76,27 +76,46 @@
     def __init__(self) -> None:
         """Start without grants."""
         self._grants: dict[int, SlidingSum] = {}
+        self._late_grants: dict[int, SlidingSum] = {}
 
     @property
     def urgencies(self) -> tuple[int, ...]:
         """Return the urgency classes that were granted slots."""
         return tuple(self._grants)
 
-    def record(self, urgency: int, now: float) -> None:
-        """Record that a job was granted a slot."""
-        grants = self._grants.get(urgency)
-        if grants is None:
-            grants = SlidingSum(_RATE_WINDOW_S, _RATE_BUCKETS)
-            self._grants[urgency] = grants
-        grants.add(1, now)
+    def record(self, urgency: int, now: float, *, late: bool) -> None:
+        """Record that a job was granted a slot, and whether it will be late."""
+        _add_grant(self._grants, urgency, now)
+        if late:
+            _add_grant(self._late_grants, urgency, now)
 
     def per_s(self, urgency: int, now: float) -> float:
         """Return the grant rate of one urgency class."""
-        grants = self._grants.get(urgency)
-        return 0 if grants is None else grants.total(now) / _RATE_WINDOW_S
+        return _grants_per_s(self._grants, urgency, now)
+
+    def late_per_s(self, urgency: int, now: float) -> float:
+        """Return the grant rate of the late jobs of one urgency class."""
+        return _grants_per_s(self._late_grants, urgency, now)
+
+    def in_time_per_s(self, urgency: int, now: float) -> float:
+        """Return the grant rate of the jobs in time of one urgency class."""
+        return self.per_s(urgency, now) - self.late_per_s(urgency, now)
 
     def above(self, urgency: int, now: float) -> float:
         """Return the grant rate of all more urgent classes."""
         return sum(
             self.per_s(other, now) for other in self._grants if other < urgency
         )
+
+
+def _add_grant(grants: dict[int, SlidingSum], urgency: int, now: float) -> None:
+    if urgency not in grants:
+        grants[urgency] = SlidingSum(_RATE_WINDOW_S, _RATE_BUCKETS)
+    grants[urgency].add(1, now)
+
+
+def _grants_per_s(
+    grants: dict[int, SlidingSum], urgency: int, now: float
+) -> float:
+    window = grants.get(urgency)
+    return 0 if window is None else window.total(now) / _RATE_WINDOW_S
--- a/packages/dispatch/src/tallyhall_dispatch/wait_forecast.py
+++ b/packages/dispatch/src/tallyhall_dispatch/wait_forecast.py
@@ -1,7 +1,8 @@
 """Forecast of how long a queued job waits for a slot.
 
-Each urgency gets only the slots that those served before it leave. Urgencies
-that defer are served last and have a slot limit (see `ClassPriority`).
+Each urgency gets only a part of the slots that become free. Where an urgency
+defers (see `ClassPriority`), the parts also depend on which jobs are late, as
+late jobs are served behind those in time, and on the slot limits.
 """
 
 from __future__ import annotations
@@ -34,10 +35,6 @@
         self._rates = rates
         self._priority = priority
         self._slot_limit = slot_limit
-        # Limits by urgency at one time, because computing one reads the state
-        # of all upstreams.
-        self._limits: dict[int, float] = {}
-        self._limits_at: float = 0
 
     def wait_s(self, job: Job, ahead: int, forecast: Forecast) -> float:
         """Return the expected wait behind `ahead` jobs, 0 if unknown.
@@ -52,41 +49,58 @@
         return (ahead + 1) / max(rate, min(_MIN_RATE, forecast.rate))
 
     def _rate_for(self, job: Job, forecast: Forecast) -> float:
-        """Return how many slots per second the urgency of a job can get."""
         now = forecast.now
-        urgency = job.urgency
-        if self._is_at_limit(urgency, now):
-            return self._own_releases_per_s(urgency)
-        own = self._rates.per_s(urgency, now)
         if self._priority.has_deferring:
-            taken = self._taken_per_s(urgency, now)
-        else:
-            taken = self._rates.above(urgency, now)
-        return max(own, forecast.rate - taken)
-
-    def _taken_per_s(self, urgency: int, now: float) -> float:
-        """Return the slots per second granted to those served before."""
-        own_order = self._order(urgency)
-        return sum(
-            self._rates.per_s(other, now)
-            for other in self._rates.urgencies
-            if self._order(other) < own_order
-        )
-
-    def _order(self, urgency: int) -> tuple[bool, int]:
-        return (self._priority.goes_last(urgency), urgency)
+            if self._is_at_limit(job.urgency, now):
+                return self._own_releases_per_s(job.urgency)
+            return self._available_per_s(job, forecast)
+        own = self._rates.per_s(job.urgency, now)
+        return max(own, forecast.rate - self._rates.above(job.urgency, now))
 
     def _is_at_limit(self, urgency: int, now: float) -> bool:
         if not self._priority.goes_last(urgency):
             return False
-        if now != self._limits_at:
-            self._limits.clear()
-            self._limits_at = now
-        if urgency not in self._limits:
-            self._limits[urgency] = self._slot_limit(urgency, now)
-        return self._priority.running(urgency) >= self._limits[urgency]
+        return self._priority.running(urgency) >= self._slot_limit(urgency, now)
 
     def _own_releases_per_s(self, urgency: int) -> float:
         """Return how many slots the runs of an urgency release per second."""
         hold_s = self._priority.mean_hold_s(urgency)
         return self._priority.running(urgency) / hold_s if hold_s else 0
+
+    def _available_per_s(self, job: Job, forecast: Forecast) -> float:
+        """Return the slots per second that are left for a job of this kind."""
+        now = forecast.now
+        late = not forecast.can_meet_deadline(job, now)
+        rates = self._rates
+        own = (
+            rates.late_per_s(job.urgency, now)
+            if late
+            else rates.in_time_per_s(job.urgency, now)
+        )
+        taken = sum(
+            self._taken_per_s(other, job.urgency, now, late=late)
+            for other in rates.urgencies
+        )
+        return max(own, forecast.rate - taken)
+
+    def _taken_per_s(
+        self, other: int, urgency: int, now: float, *, late: bool
+    ) -> float:
+        """Return the slots per second that another urgency gets first.
+
+        A late job is served behind the jobs in time of all urgencies that do
+        not defer, including its own.
+        """
+        is_above = other < urgency
+        other_last = self._priority.goes_last(other)
+        if self._priority.goes_last(urgency):
+            if is_above or not other_last:
+                return self._rates.per_s(other, now)
+            return 0
+        if other_last:
+            return 0
+        if not late:
+            return self._rates.in_time_per_s(other, now) if is_above else 0
+        if is_above:
+            return self._rates.per_s(other, now)
+        return self._rates.in_time_per_s(other, now)
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -285,7 +285,6 @@
             route=route.name,
             non_idempotent=not route.repeatable,
             is_retry=context.is_retry,
-            timeout_at=context.end_at,
         )
 
     # -- outcomes
--- a/packages/emulator/src/tallyhall_emulator/callers.py
+++ b/packages/emulator/src/tallyhall_emulator/callers.py
@@ -211,7 +211,6 @@
             reject_at=now + max_queue_time_s(route, left_s),
             pause_s=kind.pause_s,
             is_retry=since_s > 0,
-            timeout_at=visit.end_at,
         )
 
 
--- a/packages/transport/src/tallyhall_transport/peer_codec.py
+++ b/packages/transport/src/tallyhall_transport/peer_codec.py
@@ -52,8 +52,6 @@
     ask.route = job.route
     ask.once = job.non_idempotent
     ask.retry = job.is_retry
-    if job.timeout_at:
-        ask.timeout_in_ms = int((job.timeout_at - now) * _MILLI)
     for upstream, until in job.backoffs.items():
         left_ms = math.ceil((until - now) * _MILLI)
         ask.resting.add(upstream=upstream, left_ms=max(0, left_ms))
@@ -81,9 +79,6 @@
         route=ask.route,
         non_idempotent=ask.once,
         is_retry=ask.retry,
-        timeout_at=(
-            now + ask.timeout_in_ms / _MILLI if ask.timeout_in_ms else 0
-        ),
     )
 
 
