Read-through: wording, one rule for late jobs ahead, no unread field

The rule which late jobs count as ahead stood twice in queue_checks.py: one method now. Docstrings and comments that named a figure of one deployment, or said the opposite of what was meant, are rewritten.

--- a/packages/dispatch/src/tallyhall_dispatch/class_priority.py
+++ b/packages/dispatch/src/tallyhall_dispatch/class_priority.py
@@ -33,7 +33,7 @@
 # Fraction served in time below which a deferring class is treated as if it did
 # not defer. Prevents starvation.
 _FLOOR = 0.05
-# Window of the arrival rate in seconds, short enough to follow the begin of a
+# Window of the arrival rate in seconds, short enough to follow the start of a
 # burst, and its number of buckets.
 _RATE_WINDOW_S = 1.0
 _RATE_BUCKETS = 10
--- a/packages/dispatch/src/tallyhall_dispatch/jobs.py
+++ b/packages/dispatch/src/tallyhall_dispatch/jobs.py
@@ -25,8 +25,7 @@
     if an upstream terminated while running it, else empty. backoffs: upstreams
     to which the sending instance must not send anything, and until when. route:
     the route of the request if its service has canary upstreams, else empty.
-    non_idempotent: whether the request may run only once. is_retry: whether its
-    caller was refused before.
+    non_idempotent: whether the request may run only once.
     """
 
     key: str
@@ -45,7 +44,6 @@
     backoffs: Mapping[str, float] = types.MappingProxyType({})
     route: str = ''
     non_idempotent: bool = False
-    is_retry: bool = False
 
 
 class SlotGrant(msgspec.Struct, frozen=True):
--- a/packages/dispatch/src/tallyhall_dispatch/load_reports.py
+++ b/packages/dispatch/src/tallyhall_dispatch/load_reports.py
@@ -162,7 +162,7 @@
         Only slowdowns with an observed end count, so that an upstream that is
         always slowed, or sends a frozen report, does not extend the duration. A
         longer gap between two reports may hide the end of one slowdown and the
-        begin of another.
+        start of another.
         """
         gap_s = received_at - self.received_at
         if gap_s > max(_INITIAL_DURATION_S, self._service.duration_s):
@@ -205,7 +205,7 @@
             load.record(report, received_at)
 
     def fresh(self, now: float) -> Iterator[tuple[str, LoadReport, float]]:
-        """Yield the reports of slowdowns that are in effect.
+        """Yield the fresh reports that state a slowdown, even if it is 1.
 
         Each comes with its upstream and the time at which it was received.
         Reports without a slowdown are left out.
--- a/packages/dispatch/src/tallyhall_dispatch/queue_checks.py
+++ b/packages/dispatch/src/tallyhall_dispatch/queue_checks.py
@@ -82,24 +82,16 @@
         late_ahead: collections.Counter[int] = collections.Counter()
         for job in sorted(self._waiting.all(), key=_due_at):
             is_late = job.key not in in_time
-            counts_late = is_late and self._priority.has_deferring
-            yield (
-                job,
-                ahead[job.urgency] + counts_late * late_ahead[job.urgency],
-            )
-            is_waiting = self._waiting.get(job.key) is not None
-            # Late jobs only use idle slots, so no job in time waits behind
-            # them.
-            if is_late and self._switches.late_aside:
-                late_ahead[job.urgency] += is_waiting
-            else:
-                ahead[job.urgency] += is_waiting
+            position = ahead[job.urgency]
+            if self._waits_behind_late(is_late=is_late):
+                position += late_ahead[job.urgency]
+            yield job, position
+            counts = late_ahead if is_late else ahead
+            counts[job.urgency] += self._waiting.get(job.key) is not None
 
     def _count_ahead(self, job: Job, forecast: Forecast) -> int:
         is_late = not forecast.can_meet_deadline(job, forecast.now)
-        counts_late = not self._switches.late_aside or (
-            is_late and self._priority.has_deferring
-        )
+        counts_late = self._waits_behind_late(is_late=is_late)
         return sum(
             other.urgency == job.urgency
             and other.due_at < job.due_at
@@ -107,6 +99,15 @@
             for other in self._waiting.all()
         )
 
+    def _waits_behind_late(self, *, is_late: bool) -> bool:
+        """Return whether late jobs with earlier deadlines are served first.
+
+        Late jobs only use idle slots, so no job in time waits behind them.
+        """
+        return not self._switches.late_aside or (
+            is_late and self._priority.has_deferring
+        )
+
 
 def _due_at(job: Job) -> float:
     return job.due_at
--- a/packages/dispatch/src/tallyhall_dispatch/rejection.py
+++ b/packages/dispatch/src/tallyhall_dispatch/rejection.py
@@ -57,9 +57,9 @@
 
 
 class RejectDecision(msgspec.Struct, frozen=True):
-    """A job was rejected without being sent, as it cannot meet its deadline.
+    """A job was rejected without being sent.
 
-    cause: why, None if no urgency of its service defers.
+    cause: reason for the log, None unless an urgency of its service defers.
     """
 
     key: str
@@ -116,18 +116,18 @@
                 forecast.rate,
                 self._group.free_slots(forecast.now),
             ),
-            self._stated(cause),
+            self._cause_to_log(cause),
         )
 
     def _reject_unsendable(self, job: Job, backoff_s: float) -> RejectDecision:
         return RejectDecision(
             job.key,
             max(MIN_RETRY_S, backoff_s),
-            cause=self._stated(RejectionCause.no_upstream),
+            cause=self._cause_to_log(RejectionCause.no_upstream),
         )
 
-    def _stated(self, cause: RejectionCause) -> RejectionCause | None:
-        """Return the cause where it is logged."""
+    def _cause_to_log(self, cause: RejectionCause) -> RejectionCause | None:
+        """Return the cause, None unless an urgency of the service defers."""
         return cause if self._priority.has_deferring else None
 
     def _cause(
--- a/packages/dispatch/src/tallyhall_dispatch/unsent_loads.py
+++ b/packages/dispatch/src/tallyhall_dispatch/unsent_loads.py
@@ -22,8 +22,8 @@
 # Maximum bytes per second of one instance in a small fleet, less than half of
 # the 10 KB/s that an instance may spend on all control messages.
 _MAX_BYTES_PER_S = 4000
-# Capacity in seconds at the rate. With 410 instances an instance sends at most
-# 1.5 x 585 = 878 bytes in any second; the limit is 1,000.
+# Capacity in seconds at the rate: in any second, an instance sends at most 1.5
+# times its rate, which stays below 1 KB/s in a fleet of 410 instances.
 _CAPACITY_S = 0.5
 # Reports that wait for longer are discarded. Batches are sent at least once
 # per heartbeat, so the stream to the owner has then failed or the limit was
--- a/packages/dispatch/src/tallyhall_dispatch/upstream_state.py
+++ b/packages/dispatch/src/tallyhall_dispatch/upstream_state.py
@@ -129,12 +129,12 @@
     def free_slots(self, share: float, now: float) -> int:
         """Return how many more requests may run in this share of the slots.
 
-        Runs that only the upstream knows of occupy slots too, unless every
-        instance grants slots here and knows its own runs alone. They count
-        against all slots and not against the share: if instances decide alone,
-        the rest of the slots is meant for the runs of the others. One slot is
-        never counted as occupied by them, so that an upstream with a frozen or
-        wrong report still gets requests, which bring its next report.
+        If one instance grants all slots, runs that only the upstream knows of
+        occupy slots too. They count against all slots and not against the
+        share: while instances cannot reach each other, the rest of the slots is
+        left to the others. At least one slot is never counted as occupied by
+        unknown runs, so that an upstream with a frozen or wrong report still
+        gets requests, whose responses bring its next report.
         """
         slots = self.upstream.slots
         free = max(1, math.ceil(slots * share)) - len(self.runs)
--- a/packages/dispatch/src/tallyhall_dispatch/wait_forecast.py
+++ b/packages/dispatch/src/tallyhall_dispatch/wait_forecast.py
@@ -26,7 +26,7 @@
         self,
         rates: GrantRates,
         priority: ClassPriority,
-        slot_limit: Callable[[int, float], float],
+        slot_limit: Callable[[int, float], int],
     ) -> None:
         """Use these grant rates and priorities.
 
@@ -88,8 +88,10 @@
     ) -> float:
         """Return the slots per second that another urgency gets first.
 
-        A late job is served behind the jobs in time of all urgencies that do
-        not defer, including its own.
+        A deferring urgency is served behind all that do not defer and behind
+        more urgent ones. Among the others, a job in time is served behind the
+        jobs in time of more urgent ones, a late job behind all jobs of more
+        urgent ones and all jobs in time, including those of its own urgency.
         """
         is_above = other < urgency
         other_last = self._priority.goes_last(other)
@@ -99,8 +101,6 @@
             return 0
         if other_last:
             return 0
-        if not late:
-            return self._rates.in_time_per_s(other, now) if is_above else 0
-        if is_above:
+        if is_above and late:
             return self._rates.per_s(other, now)
-        return self._rates.in_time_per_s(other, now)
+        return self._rates.in_time_per_s(other, now) if late or is_above else 0
--- a/packages/edge/src/tallyhall_edge/caller_connection.py
+++ b/packages/edge/src/tallyhall_edge/caller_connection.py
@@ -142,14 +142,14 @@
         return False
 
     def pause_writing(self) -> None:
-        """Pause the upstream while the caller does not read."""
+        """Pause the upstream, or buffer up to a limit if memory is budgeted."""
         if self.memory is None:
             self._notify_writable(False)
         else:
             self.memory.begin_unread(self._loop.time())
 
     def resume_writing(self) -> None:
-        """Resume the upstream."""
+        """Resume the upstream, as the caller reads again."""
         if self.memory is None:
             self._notify_writable(True)
         else:
@@ -239,11 +239,12 @@
         if transport is None:
             return
         memory = self.memory
-        if memory is None or memory.progress is None:
-            transport.write(payload)
-            return
+        # Read before the write: if the write itself calls `pause_writing`, the
+        # payload is counted there.
+        is_counted = memory is not None and memory.progress is not None
         transport.write(payload)
-        memory.record_write(len(payload))
+        if memory is not None and is_counted:
+            memory.record_write(len(payload))
 
     def on_error(self, exc: Exception) -> None:
         """Report an unexpected exception."""
--- a/packages/edge/src/tallyhall_edge/connection_memory.py
+++ b/packages/edge/src/tallyhall_edge/connection_memory.py
@@ -34,7 +34,8 @@
 class ConnectionMemory:
     """Counts what one connection holds.
 
-    close: closes the connection if its peer has stopped to read.
+    close: closes the connection called if its peer has stopped
+        reading.
     """
 
     holder = Holder.upstream_writes
@@ -65,7 +66,7 @@
         self.budget.add(Holder.connections, _CONNECTION_BYTES)
 
     def release(self) -> None:
-        """Count nothing any more: the connection is closed."""
+        """Release all counted bytes, as the connection is closed."""
         self.end_unread()
         self.reading_resumed()
         self.budget.add(Holder.connections, -_CONNECTION_BYTES)
@@ -181,7 +182,7 @@
         super().__init__(monitor, transport, close)
 
     def release(self) -> None:
-        """Count nothing any more: the connection is closed."""
+        """Release all counted bytes, as the connection is closed."""
         self.add_body(-self._body_bytes)
         super().release()
 
@@ -290,7 +291,7 @@
         self.paused: set[ConnectionMemory] = set()
 
     def poll(self, now: float) -> None:
-        """Update all counts, and close peers that have stopped to read."""
+        """Update all counts, and close the connections of stalled peers."""
         for paused in tuple(self.paused):
             paused.poll_received(now)
         callers = []
--- a/packages/edge/src/tallyhall_edge/memory_budget.py
+++ b/packages/edge/src/tallyhall_edge/memory_budget.py
@@ -1,9 +1,9 @@
 """Memory budget of an instance: what connections hold, and load shedding.
 
-An instance with 128 MB is killed when it exceeds them, and loses all of its
-requests. Slow callers and upstreams make it buffer. This class counts what is
-held for them and decides which measure applies, in steps that all begin before
-the limit is reached.
+A process that exceeds its memory limit is killed and loses all of its requests.
+Slow callers and upstreams make it buffer. This module counts what is held for
+them and decides which measures apply, in steps that begin before the limit is
+reached.
 """
 
 from __future__ import annotations
@@ -24,15 +24,15 @@
 # Maximum bytes that are buffered for a slow caller before its upstream is
 # paused. An upstream cuts off a response that stays unread for some seconds.
 _MAX_CALLER_BUFFER_BYTES = 262_144
-# The slow callers of one workspace may hold half of the budget. Measures begin
-# before that, as requests that run already add to it, and as the first step,
-# which affects the callers of all workspaces, begins there.
+# Fractions of the budget held for the slow callers of one workspace at which
+# measures against this workspace begin and end. They begin well below the first
+# step, which affects all workspaces, because running requests still add bytes.
 _WORKSPACE_BEGINS = 0.35
 _WORKSPACE_ENDS = 0.25
 # A caller that has read nothing for this long, in seconds, may be closed.
 _CALLER_STALL_S = 2.0
-# An upstream that has not read for this long, in seconds, while more than this
-# number of bytes is buffered for it, has stopped.
+# An upstream is stalled if it has read nothing for this many seconds while more
+# than this number of bytes is buffered for it.
 _UPSTREAM_STALL_S = 5.0
 _UPSTREAM_STALL_BYTES = 65_536
 
@@ -107,7 +107,7 @@
         return now - self.read_at >= _CALLER_STALL_S
 
     def is_stalled_upstream(self, now: float) -> bool:
-        """Return whether the peer, an upstream, has stopped to read."""
+        """Return whether the peer, an upstream, has stopped reading."""
         if self.held <= _UPSTREAM_STALL_BYTES:
             return False
         return now - self.read_at >= _UPSTREAM_STALL_S
@@ -116,8 +116,8 @@
 class MemoryBudget:
     """Counts the bytes held for peers and decides on the measures.
 
-    The load condition is memory that fills because peers read slowly, not a
-    lack of slots. Counting costs two comparisons; nothing is scanned.
+    Counting takes constant time: the step is only computed again when the total
+    leaves the range of the current one.
     """
 
     def __init__(self, size: int) -> None:
--- a/packages/edge/src/tallyhall_edge/memory_shedding.py
+++ b/packages/edge/src/tallyhall_edge/memory_shedding.py
@@ -26,8 +26,8 @@
         """Refuse nothing until there is a budget."""
         self.budget: MemoryBudget | None = None
 
-    def admitted(self, context: RequestContext) -> None:
-        """Count what the caller does not read for its workspace."""
+    def assign_workspace(self, context: RequestContext) -> None:
+        """Count the caller's unread bytes for the workspace of its request."""
         memory = context.exchange.memory
         if memory is not None:
             memory.use_workspace(_workspace(context))
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -106,7 +106,7 @@
         except RefusedError as exc:
             self._refuse(exchange, exc.refusal, call.id_text, exc)
             return
-        self.shedding.admitted(context)
+        self.shedding.assign_workspace(context)
         await self._process(context)
 
     # -- steps
@@ -284,7 +284,6 @@
             backoffs=self._sender.backoffs.current(self._loop.time()),
             route=route.name,
             non_idempotent=not route.repeatable,
-            is_retry=context.is_retry,
         )
 
     # -- outcomes
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -404,7 +404,7 @@
 
 
 class JobRejectedError(RefusedError):
-    """The refusal of a job that cannot be answered in time."""
+    """The refusal of a job that the scheduler rejected."""
 
     def __init__(self, given_up: RejectDecision) -> None:
         """Store when to retry and what the decision was based on."""
--- a/packages/emulator/src/tallyhall_emulator/callers.py
+++ b/packages/emulator/src/tallyhall_emulator/callers.py
@@ -210,7 +210,6 @@
             due_at=now - since_s + kind.objective_s,
             reject_at=now + max_queue_time_s(route, left_s),
             pause_s=kind.pause_s,
-            is_retry=since_s > 0,
         )
 
 
--- a/packages/entry/src/tallyhall_entry/from_options.py
+++ b/packages/entry/src/tallyhall_entry/from_options.py
@@ -54,7 +54,7 @@
 def new_memory(
     options: Options, log: EventLog, metrics: Metrics
 ) -> InstanceMemory:
-    """Return the memory budget of an instance, unlimited without a limit."""
+    """Return the memory budget; it has no effect without a limit."""
     return InstanceMemory(options.memory_bytes, log, metrics)
 
 
--- a/packages/entry/src/tallyhall_entry/load_sharing.py
+++ b/packages/entry/src/tallyhall_entry/load_sharing.py
@@ -1,10 +1,10 @@
 """Forwards load reports of upstreams to the owners of their services.
 
-A response arrives at the instance that sent the request, and an instance sees
-a given upstream once in several seconds. The owner of the service selects the
-upstreams and needs the reports of all instances. Reports are added to batches
-that are sent anyway, the newest one of each upstream. They are not repeated or
-relayed: if one is lost, the next response brings another.
+A response arrives at the instance that sent the request, and an instance of a
+large fleet sees a given upstream only rarely. The owner of the service selects
+the upstreams and needs the reports of all instances. Reports are added to
+batches that are sent anyway, the newest one of each upstream. They are not
+repeated or relayed: if one is lost, the next response brings another.
 """
 
 from __future__ import annotations
--- a/packages/entry/src/tallyhall_entry/metrics.py
+++ b/packages/entry/src/tallyhall_entry/metrics.py
@@ -69,7 +69,7 @@
         self.requests: collections.Counter[_Labels] = collections.Counter()
         self.request_seconds: dict[str, Histogram] = {}
         self.refusals: collections.Counter[str] = collections.Counter()
-        # Refusals of services in which an urgency defers, by cause.
+        # Rejected jobs of services in which an urgency defers, by cause.
         self.rejections: collections.Counter[str] = collections.Counter()
         # Requests of callers that were refused before, by outcome.
         self.retries: collections.Counter[str] = collections.Counter()
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -336,6 +336,7 @@
         self.on_granted(
             GrantDecision(key, upstream, grant.forecast_ms / _MILLI)
         )
+        # The owner decided with its own reports; replaces the local value.
         ticket.slowdown = decode_slowdown(grant.slowdown_percent)
 
     def _refuse_grant(self, peer: str, key: str, incarnation: str) -> None:
--- a/packages/platform/src/tallyhall_platform/headers.py
+++ b/packages/platform/src/tallyhall_platform/headers.py
@@ -70,8 +70,8 @@
 _SCHEME = 'bearer '
 _MILLI = 1000
 _HUNDREDTHS = 100
-# Figures of a load that are requests or slots.
-_COUNTS_OF_LOAD = 3
+# Number of integer fields at the start of the load header.
+_LOAD_COUNTS = 3
 _MISDIRECTED_REQUEST = 421
 _SERVICE_UNAVAILABLE = 503
 # Longest Retry-After of an upstream that is honoured, in seconds; it can send
@@ -234,12 +234,12 @@
     if text is None:
         return None
     parts = text.split(b',')
-    counts = tuple(map(_count, parts[:_COUNTS_OF_LOAD]))
-    if len(counts) < _COUNTS_OF_LOAD or None in counts:
+    counts = tuple(map(_count, parts[:_LOAD_COUNTS]))
+    if len(counts) < _LOAD_COUNTS or None in counts:
         return None
     slowdown: float | None = None
-    if len(parts) > _COUNTS_OF_LOAD:
-        slowdown = _slowdown(parts[_COUNTS_OF_LOAD])
+    if len(parts) > _LOAD_COUNTS:
+        slowdown = _slowdown(parts[_LOAD_COUNTS])
         if slowdown is None:
             return None
     running, waiting, slots = (count or 0 for count in counts)
--- a/packages/platform/src/tallyhall_platform/settings.py
+++ b/packages/platform/src/tallyhall_platform/settings.py
@@ -156,7 +156,7 @@
 
 
 def _memory_bytes(raw: _SettingsFile) -> int:
-    """Return the memory limit to keep; 0 if peers are not said to be slow."""
+    """Return the memory limit; 0 without the contract of slow peers."""
     if _SLOW_PEERS_CONTRACT not in raw.contracts:
         return 0
     return int(raw.limits.memory_mb * _BYTES_PER_MB)
--- a/packages/transport/src/tallyhall_transport/peer_codec.py
+++ b/packages/transport/src/tallyhall_transport/peer_codec.py
@@ -51,7 +51,6 @@
     ask.suspect = job.suspect_digest
     ask.route = job.route
     ask.once = job.non_idempotent
-    ask.retry = job.is_retry
     for upstream, until in job.backoffs.items():
         left_ms = math.ceil((until - now) * _MILLI)
         ask.resting.add(upstream=upstream, left_ms=max(0, left_ms))
@@ -78,7 +77,6 @@
         },
         route=ask.route,
         non_idempotent=ask.once,
-        is_retry=ask.retry,
     )
 
 
--- a/tests/platform/test_rejection.py
+++ b/tests/platform/test_rejection.py
@@ -7,7 +7,6 @@
 
 import math
 import random
-from unittest import mock
 
 import msgspec
 import pytest
@@ -30,34 +29,17 @@
 from tallyhall_dispatch.urgency_stats import GrantRates, ServedFractions
 from tallyhall_dispatch.wait_forecast import WaitForecast
 from tallyhall_edge.request_log import RequestLog
-from tallyhall_edge.scheduling import (
-    Dispatcher,
-    JobRejectedError,
-)
+from tallyhall_edge.scheduling import JobRejectedError
 from tallyhall_entry.logs import EventLog
 from tallyhall_entry.metrics import Metrics
 from tallyhall_entry.telemetry import RequestTelemetry
 from tallyhall_transport.generated import peers_pb2
 from tallyhall_transport.peer_codec import (
     decode_give_up,
-    decode_job,
     encode_give_up,
-    encode_job,
 )
 
-from tests.platform.harness import PLAIN, deployment, log_stream
-
-
-@pytest.mark.parametrize('is_retry', [False, True])
-def test_retry_survives_encoding_and_decoding(*, is_retry: bool) -> None:
-    job = msgspec.structs.replace(
-        Job('one/1', 'svc', 'a', 0, 9, 9, 100, 100.5, 101), is_retry=is_retry
-    )
-    ask = peers_pb2.Ask()
-    encode_job(ask, job, 100)
-    sent = ask.SerializeToString()
-    decoded = decode_job(peers_pb2.Ask.FromString(sent), 7)
-    assert decoded.is_retry is is_retry
+from tests.platform.harness import PLAIN, deployment, log_stream, until
 
 
 _DEADLINE_S = 0.5
@@ -104,7 +86,6 @@
         asked_at,
         asked_at - age_s + _DEADLINE_S,
         asked_at + _REJECT_S,
-        is_retry=age_s > 0,
     )
 
 
@@ -123,16 +104,12 @@
     assert policy.evaluate(retry, 0, _forecast(0)) is None
 
 
-def test_retries_are_rejected_as_before_if_no_urgency_defers() -> None:
+def test_rejections_state_no_cause_if_no_urgency_defers() -> None:
     policy = _policy(ClassPriority(ServedFractions()))
-    for is_retry in (False, True):
-        job = msgspec.structs.replace(
-            _job('late', 0, 0, age_s=1), is_retry=is_retry
-        )
-        rejection = policy.evaluate(job, 0, _forecast(0))
-        assert rejection is not None
-        assert rejection.cause is None
-        assert 1 <= rejection.retry_after_s <= 3
+    rejection = policy.evaluate(_job('late', 0, 0, age_s=1), 0, _forecast(0))
+    assert rejection is not None
+    assert rejection.cause is None
+    assert 1 <= rejection.retry_after_s <= 3
 
 
 def test_rejection_states_its_cause() -> None:
@@ -397,20 +374,17 @@
 
 
 async def test_requests_with_less_time_than_others_are_retries() -> None:
-    """The instance that holds the request states it in the job."""
-    with mock.patch.object(
-        Dispatcher, 'submit', autospec=True, side_effect=Dispatcher.submit
-    ) as submit:
-        async with deployment(1) as made:
-            await made.add_engine('plain-0', PLAIN)
-            await made.ready()
-            submit.reset_mock()
-            for number, deadline_ms in enumerate((1000, 1000, 600)):
-                answer = await made.caller().ask(
-                    '/safe/x',
-                    f'r{number}',
-                    X_Tallyhall_Deadline_Ms=str(deadline_ms),
-                )
-                assert answer.status == 200
-        jobs = [call.args[1] for call in submit.call_args_list]
-    assert [job.is_retry for job in jobs] == [False, False, True]
+    """The instance that holds the request counts what becomes of them."""
+    async with deployment(1) as made:
+        await made.add_engine('plain-0', PLAIN)
+        await made.ready()
+        metrics = made.instances[0]._metrics
+        for number, deadline_ms in enumerate((1000, 1000, 600)):
+            assert not metrics.retries
+            answer = await made.caller().ask(
+                '/safe/x',
+                f'r{number}',
+                X_Tallyhall_Deadline_Ms=str(deadline_ms),
+            )
+            assert answer.status == 200
+        await until(lambda: metrics.retries == {'answered': 1})
