Comments of the memory of connections and of queue checks, in plain terms

Comments and docstrings only: some said the opposite of what was meant, others named a figure of one deployment.

--- a/packages/dispatch/src/tallyhall_dispatch/queue_checks.py
+++ b/packages/dispatch/src/tallyhall_dispatch/queue_checks.py
@@ -12,8 +12,8 @@
 from .switches import Switches
 from .waiting import WaitingJobs
 
-# Interval of the sweeps that search the queue for late jobs, in seconds. A
-# fortieth of the shortest latency objective.
+# Interval of the sweeps that search the queue for late jobs, in seconds; short
+# relative to any latency objective.
 _SWEEP_INTERVAL_S = 0.02
 # Queue length above which the sweep interval grows in proportion. Checking a
 # job takes 3 us, so sweeps use less than 2% of a core.
--- a/packages/edge/src/tallyhall_edge/caller_connection.py
+++ b/packages/edge/src/tallyhall_edge/caller_connection.py
@@ -275,7 +275,7 @@
         self.apply_memory_step()
 
     def apply_memory_step(self) -> None:
-        """Read or do not read an idle connection, by the memory in use."""
+        """Pause or resume reading if idle, by the current memory step."""
         memory = self.memory
         if memory is None or self._transport is None:
             return
--- a/packages/edge/src/tallyhall_edge/client.py
+++ b/packages/edge/src/tallyhall_edge/client.py
@@ -189,7 +189,7 @@
             self._memory.begin_unread(self._loop.time())
 
     def resume_writing(self) -> None:
-        """Count no more bytes: the upstream has read all."""
+        """Stop counting: the upstream has read all bytes."""
         if self._memory is not None:
             self._memory.end_unread()
 
--- a/packages/edge/src/tallyhall_edge/connection_memory.py
+++ b/packages/edge/src/tallyhall_edge/connection_memory.py
@@ -15,15 +15,14 @@
 
 from .memory_budget import Holder, MemoryBudget, Step, UnreadPeer
 
-# Memory of a connection in bytes, on either side: 12 KB of resident memory of
-# an idle one, 15 KB with a running request, and the socket in the kernel. See
-# docs/design/memory-budget.md.
+# Assumed memory of a connection in bytes, on either side: its objects in the
+# process and the socket in the kernel. See docs/design/memory-budget.md.
 _CONNECTION_BYTES = 16_384
 # Socket buffers of a connection under a budget, in bytes. The kernel would let
-# them grow to several MB, which count towards the limit of the process. With a
-# latency of 5.4 ms this size still allows 45 Mbit/s on each connection.
+# them grow to several MB, which count towards the limit of the process. This
+# size limits the throughput of a connection to 32 KB per round trip.
 _SOCKET_BUFFER_BYTES = 32_768
-# How long a request may wait unread, in seconds: the shortest objective. After
+# Maximum time in seconds for which a received request is left unread. After
 # that it is read and refused, so that its caller has time for another attempt.
 _MAX_HOLD_S = 0.5
 # Requests up to this size in bytes are read to be refused in any step; the body
@@ -34,8 +33,7 @@
 class ConnectionMemory:
     """Counts what one connection holds.
 
-    close: closes the connection called if its peer has stopped
-        reading.
+    close: closes the connection; called if its peer has stopped reading.
     """
 
     holder = Holder.upstream_writes
@@ -74,7 +72,7 @@
     # -- unread bytes
 
     def begin_unread(self, now: float) -> None:
-        """Begin to count: the peer does not read as fast as it is sent to."""
+        """Start counting unread bytes, as the peer reads too slowly."""
         if self.progress is not None:
             return
         held = self._unsent_bytes()
@@ -83,7 +81,7 @@
         self._count(held)
 
     def end_unread(self) -> None:
-        """End to count: all bytes were sent, or the connection is closed."""
+        """Stop counting: all bytes were sent, or the connection is closed."""
         progress = self.progress
         if progress is None:
             return
@@ -112,7 +110,7 @@
             self._received_for = workspace
 
     def reading_resumed(self) -> None:
-        """Count no more received bytes."""
+        """Stop counting received bytes."""
         self.monitor.paused.discard(self)
         self._count_received(0)
 
@@ -192,7 +190,7 @@
         return self.budget.step < Step.stop_buffering
 
     def apply_step(self) -> None:
-        """Read or do not read the connection, which is idle."""
+        """Pause or resume reading of this idle connection, by the step."""
         if self.budget.step >= self.pause_step:
             self._transport.pause_reading()
             self.reading_paused()
@@ -200,7 +198,7 @@
             self._resume()
 
     def begin_message(self, now: float) -> float:
-        """Return when the first byte of a request was received."""
+        """Start a request; return when its first byte was received."""
         received_at = self.received_at
         self.received_at = None
         if not self.refuses_next:
@@ -208,7 +206,7 @@
         return now if received_at is None else received_at
 
     def end_message(self, body_bytes: int) -> None:
-        """Count nothing for a request that has ended."""
+        """Release the body of a request that has ended."""
         self.refuses_next = False
         self.add_body(-body_bytes)
 
@@ -229,12 +227,12 @@
         self.workspace = name
 
     def begin_unread(self, now: float) -> None:
-        """Begin to count; pause the upstream if nothing may be buffered."""
+        """Start counting; pause the upstream if the limit is exceeded."""
         super().begin_unread(now)
         self._apply_buffer_limit()
 
     def end_unread(self) -> None:
-        """End to count, and let the upstream go on."""
+        """Stop counting, and resume the upstream."""
         if self.progress is not None:
             super().end_unread()
             self._notify_writable(True)
