One class for the rates of urgencies

ClassPriority kept a sliding sum of arrivals per urgency with the same window and buckets as GrantRates kept of grants. UrgencyRates serves both now, in place of two private functions and a second copy. Behaviour is unchanged: tests of class priority, rejection, placing, decisions and limit returns pass, linter, types and import contract are clean.

--- a/packages/dispatch/src/tallyhall_dispatch/class_priority.py
+++ b/packages/dispatch/src/tallyhall_dispatch/class_priority.py
@@ -16,8 +16,7 @@
 import msgspec
 
 from .jobs import NOT_SENT, AttemptOutcome, RunReport
-from .urgency_stats import ServedFractions
-from .windows import SlidingSum
+from .urgency_stats import ServedFractions, UrgencyRates
 
 # Ratio of the hold times from which on a class defers to a more urgent one:
 # each of its requests then takes the slot of two or more urgent requests.
@@ -33,10 +32,6 @@
 # Fraction served in time below which a deferring class is treated as if it did
 # not defer. Prevents starvation.
 _FLOOR = 0.05
-# Window of the arrival rate in seconds, short enough to follow the start of a
-# burst, and its number of buckets.
-_RATE_WINDOW_S = 1.0
-_RATE_BUCKETS = 10
 _MAX_CHANGES = 100
 # Outcomes in which the upstream did not run the request.
 _NOT_RUN = NOT_SENT | {AttemptOutcome.rejected, AttemptOutcome.misplaced}
@@ -98,7 +93,7 @@
         self._enabled = enabled
         self._ranked = ranked
         self._hold_times: dict[int, _HoldTime] = {}
-        self._arrivals: dict[int, SlidingSum] = {}
+        self._arrivals = UrgencyRates()
         self._running: collections.Counter[int] = collections.Counter()
         # The urgencies to which each deferring urgency defers.
         self._deferring: dict[int, frozenset[int]] = {}
@@ -136,11 +131,7 @@
 
     def record_arrival(self, urgency: int, now: float) -> None:
         """Record that a request within its quota was queued."""
-        arrivals = self._arrivals.get(urgency)
-        if arrivals is None:
-            arrivals = SlidingSum(_RATE_WINDOW_S, _RATE_BUCKETS)
-            self._arrivals[urgency] = arrivals
-        arrivals.add(1, now)
+        self._arrivals.record(urgency, now)
 
     def record_start(self, urgency: int) -> None:
         """Record that a request occupies a slot."""
@@ -193,11 +184,8 @@
         return self._served_fractions.fraction(urgency) < _FLOOR
 
     def _needed_slots(self, urgency: int, now: float) -> float:
-        arrivals = self._arrivals.get(urgency)
-        if arrivals is None:
-            return 0
-        per_s = arrivals.total(now) / _RATE_WINDOW_S
-        return per_s * (self.mean_hold_s(urgency) or 0)
+        hold_s = self.mean_hold_s(urgency) or 0
+        return self._arrivals.per_s(urgency, now) * hold_s
 
     def _update_deferring(self) -> None:
         deferring: dict[int, frozenset[int]] = {}
--- a/packages/dispatch/src/tallyhall_dispatch/urgency_stats.py
+++ b/packages/dispatch/src/tallyhall_dispatch/urgency_stats.py
@@ -70,32 +70,58 @@
         return self._events.get(urgency, unknown)
 
 
+class UrgencyRates:
+    """Events per second of each urgency class in the last second."""
+
+    def __init__(self) -> None:
+        """Start without events."""
+        self._sums: dict[int, SlidingSum] = {}
+
+    @property
+    def urgencies(self) -> tuple[int, ...]:
+        """Return the urgency classes with events so far."""
+        return tuple(self._sums)
+
+    def record(self, urgency: int, now: float) -> None:
+        """Record an event."""
+        known = self._sums.get(urgency)
+        if known is None:
+            known = SlidingSum(_RATE_WINDOW_S, _RATE_BUCKETS)
+            self._sums[urgency] = known
+        known.add(1, now)
+
+    def per_s(self, urgency: int, now: float) -> float:
+        """Return the rate of one urgency class."""
+        known = self._sums.get(urgency)
+        return 0 if known is None else known.total(now) / _RATE_WINDOW_S
+
+
 class GrantRates:
     """Slots granted per second to each urgency class."""
 
     def __init__(self) -> None:
         """Start without grants."""
-        self._grants: dict[int, SlidingSum] = {}
-        self._late_grants: dict[int, SlidingSum] = {}
+        self._grants = UrgencyRates()
+        self._late_grants = UrgencyRates()
 
     @property
     def urgencies(self) -> tuple[int, ...]:
         """Return the urgency classes that were granted slots."""
-        return tuple(self._grants)
+        return self._grants.urgencies
 
     def record(self, urgency: int, now: float, *, late: bool) -> None:
         """Record that a job was granted a slot, and whether it will be late."""
-        _add_grant(self._grants, urgency, now)
+        self._grants.record(urgency, now)
         if late:
-            _add_grant(self._late_grants, urgency, now)
+            self._late_grants.record(urgency, now)
 
     def per_s(self, urgency: int, now: float) -> float:
         """Return the grant rate of one urgency class."""
-        return _grants_per_s(self._grants, urgency, now)
+        return self._grants.per_s(urgency, now)
 
     def late_per_s(self, urgency: int, now: float) -> float:
         """Return the grant rate of the late jobs of one urgency class."""
-        return _grants_per_s(self._late_grants, urgency, now)
+        return self._late_grants.per_s(urgency, now)
 
     def in_time_per_s(self, urgency: int, now: float) -> float:
         """Return the grant rate of the jobs in time of one urgency class."""
@@ -104,18 +130,7 @@
     def above(self, urgency: int, now: float) -> float:
         """Return the grant rate of all more urgent classes."""
         return sum(
-            self.per_s(other, now) for other in self._grants if other < urgency
+            self.per_s(other, now)
+            for other in self.urgencies
+            if other < urgency
         )
-
-
-def _add_grant(grants: dict[int, SlidingSum], urgency: int, now: float) -> None:
-    if urgency not in grants:
-        grants[urgency] = SlidingSum(_RATE_WINDOW_S, _RATE_BUCKETS)
-    grants[urgency].add(1, now)
-
-
-def _grants_per_s(
-    grants: dict[int, SlidingSum], urgency: int, now: float
-) -> float:
-    window = grants.get(urgency)
-    return 0 if window is None else window.total(now) / _RATE_WINDOW_S
