Logs tell why nothing was sent, and whose failures leave an upstream out

The logs of the incident could not tell whether connections were refused or given up, nor whether sound instances had no place free because of the failures of others.

409 has the cause of a send that did not take place; 422 names the upstream that is left out, for how long, and the instance whose send failed last, as the first part of a job's key is the instance that runs it. Decisions are as before.

--- a/packages/core/src/tallyhall_core/events.py
+++ b/packages/core/src/tallyhall_core/events.py
@@ -62,6 +62,7 @@
     limit_named = 415
     slowdowns_reported = 418
     deferral_changed = 421
+    upstream_ejected = 422
     logs_dropped = 501
     internal_error = 500
     order_sent = 600
--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import collections
 import random
 from collections.abc import Iterable, Iterator, Mapping
 from typing import TYPE_CHECKING
@@ -29,7 +30,7 @@
 from .suspect_trials import SuspectTrials
 from .switches import ALL_ENABLED, Switches
 from .upstream_selection import UpstreamSelector
-from .upstream_state import UpstreamState
+from .upstream_state import Ejection, UpstreamState
 from .urgency_stats import GrantRates, ServedFractions
 from .wait_forecast import WaitForecast
 from .waiting import WaitingJobs
@@ -38,6 +39,10 @@
     from .rollout import Rollout
 
 
+# Ejections that are kept until they are taken.
+_MAX_EJECTIONS = 50
+
+
 class GrantDecision(msgspec.Struct, frozen=True):
     """A job may be sent to this upstream once.
 
@@ -73,6 +78,10 @@
             switches, rng, loads, one_owner=self.is_model
         )
         self._waiting = WaitingJobs()
+        # The newest ejections that were not taken yet.
+        self._ejections: collections.deque[Ejection] = collections.deque(
+            [], _MAX_EJECTIONS
+        )
         # The upstream on which each granted job runs, by job key.
         self._granted: dict[str, UpstreamState] = {}
         self._served_fractions = ServedFractions()
@@ -185,7 +194,16 @@
         if run is not None:
             self._record_outcome(run.job, report, now)
             self._report_to_rollout(run.job, view, report, now)
+        known = view.ejection
         view.finish(key, report, now)
+        if view.ejection is not None and view.ejection is not known:
+            self._ejections.append(view.ejection)
+
+    def take_ejections(self) -> tuple[Ejection, ...]:
+        """Return the ejections since the last call."""
+        taken = tuple(self._ejections)
+        self._ejections.clear()
+        return taken
 
     def add_running(self, job: Job, incarnation: str) -> None:
         """Record a running job that was granted by another instance."""
--- a/packages/dispatch/src/tallyhall_dispatch/upstream_state.py
+++ b/packages/dispatch/src/tallyhall_dispatch/upstream_state.py
@@ -70,6 +70,25 @@
     in_prefill: bool = True
 
 
+class Ejection(msgspec.Struct, frozen=True):
+    """The ejection of an upstream, on the clock of the event loop.
+
+    job: key of the job whose end caused it.
+    """
+
+    upstream: str
+    job: str
+    ending: AttemptOutcome
+    failures: int
+    since: float
+    until: float
+
+    @property
+    def reported_by(self) -> str:
+        """Return the instance that ran the job, the first part of its key."""
+        return self.job.partition('/')[0]
+
+
 class UpstreamState:
     """The state of one upstream incarnation, as known to this instance."""
 
@@ -103,7 +122,9 @@
         # Time that a request holds its slot. It has no default, so that no
         # request is refused because of one.
         self._hold = UsualTime()
-        self._ejected_until: float = 0
+        # The last ejection, None if the upstream has not failed since it last
+        # answered.
+        self.ejection: Ejection | None = None
         self._consecutive_failures = 0
         # For the rate limit announced by the upstream, None if there is none.
         self.bucket: TokenBucket | None = None
@@ -151,7 +172,7 @@
 
     def is_ejected(self, now: float) -> bool:
         """Return whether the upstream is ejected because of its failures."""
-        return now < self._ejected_until
+        return self.ejection is not None and now < self.ejection.until
 
     @property
     def has_suspect_in_prefill(self) -> bool:
@@ -222,7 +243,7 @@
         self._end_prefill(run)
         if self.bucket is not None and report.ending in NOT_SENT:
             self.bucket.return_token()
-        self._update_ejection(report.ending, now)
+        self._update_ejection(key, report.ending, now)
         slowdown = self._slowdown_during(run, now)
         if report.total_s:
             self._hold.record(report.total_s, slowdown)
@@ -279,10 +300,12 @@
             run.in_prefill = False
             self.prefill_tokens -= run.job.prompt_tokens
 
-    def _update_ejection(self, ending: AttemptOutcome, now: float) -> None:
+    def _update_ejection(
+        self, key: str, ending: AttemptOutcome, now: float
+    ) -> None:
         if ending is AttemptOutcome.answered:
             self._consecutive_failures = 0
-            self._ejected_until = 0
+            self.ejection = None
             return
         if ending not in _FAILURES:
             return
@@ -290,6 +313,14 @@
         # If nothing listens there, one refused connection is sufficient.
         threshold = 1 if ending is AttemptOutcome.unsent else _FAILURES_TO_EJECT
         excess = self._consecutive_failures - threshold
-        if excess >= 0:
-            ejection_s = min(_MAX_EJECTION_S, _EJECTION_S * 2**excess)
-            self._ejected_until = now + ejection_s
+        if excess < 0:
+            return
+        ejection_s = min(_MAX_EJECTION_S, _EJECTION_S * 2**excess)
+        self.ejection = Ejection(
+            self.incarnation,
+            key,
+            ending,
+            self._consecutive_failures,
+            now,
+            now + ejection_s,
+        )
--- a/packages/edge/src/tallyhall_edge/request_context.py
+++ b/packages/edge/src/tallyhall_edge/request_context.py
@@ -7,6 +7,7 @@
 from tallyhall_dispatch.jobs import SlotGrant
 
 from .dialect import RequestInfo
+from .errors import NotSentError
 from .exchange import Exchange
 from .guard import Permit
 from .relay import Relay
@@ -39,6 +40,8 @@
     sends: int = 0
     may_have_run: int = 0
     retry_charged: bool = False
+    # Why the last send did not take place, None if it did.
+    not_sent: NotSentError | None = None
     # The permit of the current send.
     permit: Permit | None = None
     waited_s: float = 0
--- a/packages/edge/src/tallyhall_edge/request_log.py
+++ b/packages/edge/src/tallyhall_edge/request_log.py
@@ -11,6 +11,7 @@
 from tallyhall_dispatch.quota import QuotaState
 
 from .dialect import RequestInfo
+from .errors import EdgeError
 from .lateness import lateness
 from .request_context import ANSWERED, RequestContext
 from .scheduling import JobRejectedError
@@ -197,8 +198,9 @@
 
 
 def _failure_fields(context: RequestContext) -> dict[str, object]:
-    relay = context.relay
-    error = None if relay is None else relay.error
+    error: EdgeError | None = context.not_sent
+    if error is None and context.relay is not None:
+        error = context.relay.error
     return {
         'content': context.content,
         'cause': None if error is None else str(error)[:_MAX_CAUSE_CHARS],
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -87,13 +87,16 @@
         if context.relay is not None:
             context.relay.discard()
         context.relay = relay
+        context.not_sent = None
         ending = AttemptOutcome.left
         try:
             ending = await self._send_once(context, upstream, relay)
-        except BackoffError:
+        except BackoffError as exc:
             ending = AttemptOutcome.withheld
-        except NotSentError:
+            context.not_sent = exc
+        except NotSentError as exc:
             ending = AttemptOutcome.unsent
+            context.not_sent = exc
         finally:
             # Read before this instance writes an answer of its own.
             context.begun = context.exchange.started
--- a/packages/entry/src/tallyhall_entry/reports.py
+++ b/packages/entry/src/tallyhall_entry/reports.py
@@ -20,6 +20,7 @@
 # Interval of the log lines about store calls, in seconds: a line of 300 bytes
 # every 2 s is a hundredth of an instance's log budget.
 _LOG_CALLS_S = 2.0
+_MILLI = 1000
 
 
 class Reports:
@@ -104,6 +105,7 @@
             for incarnation in dispatcher.announced_limits.current
         )
         self.update_urgencies(dispatcher, now)
+        self._log_ejections(dispatcher, now)
         age = gate.freshness.age(now)
         if age is not None:
             metrics.confirmation_age_seconds = age
@@ -120,6 +122,22 @@
         )
         self._metrics.load_reports = loads.counts
 
+    def _log_ejections(self, dispatcher: Dispatcher, now: float) -> None:
+        for service, pool in dispatcher.pools.items():
+            for ejection in pool.take_ejections():
+                self._log.event(
+                    Event.upstream_ejected,
+                    service=service,
+                    upstream=ejection.upstream,
+                    ending=ejection.ending.value,
+                    failures=ejection.failures,
+                    by=ejection.reported_by,
+                    ejected_ms=round(
+                        (ejection.until - ejection.since) * _MILLI
+                    ),
+                    ms_ago=round((now - ejection.since) * _MILLI),
+                )
+
     def _update_service(
         self, service: str, pool: ServicePool, now: float
     ) -> None:
--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import pytest
+from tallyhall_bench.ports import free_ports
 from tallyhall_core.events import Event
 from tallyhall_entry.explain import check_line, explain, read_line
 from tallyhall_entry.exposition import exposed
@@ -16,7 +17,13 @@
 from tallyhall_entry.metrics import Metrics
 from tallyhall_standins.platform_engine import EngineFault
 
-from tests.platform.harness import PLAIN, log_stream, logged_deployment, until
+from tests.platform.harness import (
+    HOST,
+    PLAIN,
+    log_stream,
+    logged_deployment,
+    until,
+)
 
 _DOCS = Path(__file__).resolve().parent.parent.parent / 'docs'
 
@@ -100,6 +107,26 @@
     assert not any(check_line(line) for line in lines)
 
 
+async def test_lines_tell_why_nothing_was_sent_and_who_is_left_out(
+    tmp_path: Path,
+) -> None:
+    path = tmp_path / 'log'
+    async with logged_deployment(path) as made:
+        made.register('plain-0', f'{HOST}:{free_ports(1)[0]}', PLAIN)
+        await made.ready()
+        answer = await made.caller().ask('/safe/x', 'r-unsent')
+        assert answer.status == 503
+        await until(lambda: 'upstream_ejected' in path.read_text())
+    lines = [read_line(text) for text in path.read_text().splitlines()]
+    by_event = {line.event: line.fields for line in lines if line is not None}
+    assert by_event['send_ended']['ending'] == 'unsent'
+    assert 'ConnectionRefused' in by_event['send_ended']['cause']
+    ejected = by_event['upstream_ejected']
+    assert ejected['upstream'] == 'plain-0'
+    assert ejected['by'] == 'entry-1'
+    assert ejected['ejected_ms'] == 500
+
+
 def test_invalid_lines_are_rejected() -> None:
     for text in ('', 'nonsense', '{"a": 1}', '{broken', '[1]', '{"time": {}'):
         assert read_line(text) is None
