Failing test: callers of isolated instances are served; make isolation

Six entry processes, each with links of its own to four upstreams of each kind (the store's stand-in shows each instance the addresses of its own links), 70 requests a second on three routes, one of which must not repeat; callers pick an instance at random and try once. Some instances lose all upstreams for 11 s, or three times for 5 s: silent, reset, new connections reset while open ones live, nothing that listens; two of six, the owner among two, all but one, again and again.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 # Tests wait as well as compute.
 TEST_WORKERS ?= 4
 
-.PHONY: run run-platform proto days soak rollouts limits test check fmt faults bench slopes overhead start-cost return-run
+.PHONY: run run-platform proto days soak rollouts limits isolation test check fmt faults bench slopes overhead start-cost return-run
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -54,6 +54,11 @@
 		--seeds $(SEEDS) --trouble none --trouble restarts \
 		--trouble stops --trouble freezes --trouble away
 
+# Instances that lose their way to all upstreams, on real processes.
+isolation: $(STAMP)
+	$(BIN)/python -m tallyhall_bench.isolation_run --seed $(SEED) \
+		--seeds $(SEEDS)
+
 # The users' bench plays each day of our own: BENCH and SITE are its program
 # and a site file.
 days:
--- a/packages/bench/src/tallyhall_bench/faulty_link.py
+++ b/packages/bench/src/tallyhall_bench/faulty_link.py
@@ -16,7 +16,8 @@
     """What the link does to bytes.
 
     up_cut and down_cut swallow one direction; silent both, on the
-    connections that are open, while new ones work.
+    connections that are open, while new ones work; unanswered both, also on
+    new ones. refused resets new connections, while open ones work.
     """
 
     none = 'none'
@@ -25,6 +26,7 @@
     down_cut = 'down_cut'
     silent = 'silent'
     refused = 'refused'
+    unanswered = 'unanswered'
 
 
 class _Pipe:
@@ -47,11 +49,13 @@
         self.fault = LinkFault.none
         self.delay_s: float = 0.05
         self._target = target
+        self._place: Listening | None = None
         self._pipes: set[_Pipe] = set()
         self._server: asyncio.Server | None = None
 
     async def listen(self, place: Listening) -> None:
         """Open the link's own address."""
+        self._place = place
         self._server = await asyncio.start_server(
             self._accept,
             place.host,
@@ -69,11 +73,16 @@
             pipe.silenced = True
 
     def close(self) -> None:
-        """Close everything."""
+        """Close everything: new connections find nothing that listens."""
         self.reset_all()
         if self._server is not None:
             self._server.close()
 
+    async def reopen(self) -> None:
+        """Listen again at the link's address after `close`."""
+        if self._place is not None:
+            await self.listen(self._place)
+
     async def _accept(
         self,
         reader: asyncio.StreamReader,
@@ -111,7 +120,7 @@
             passes = True
             while passes:
                 passes = await self._pass_on(pipe, reader, writer, cut)
-            if not pipe.silenced and self.fault is not cut:
+            if not self._swallows(pipe, cut):
                 writer.close()
             return
         pipe.reset()
@@ -128,7 +137,10 @@
             return False
         if self.fault is LinkFault.delayed:
             await asyncio.sleep(self.delay_s)
-        if not pipe.silenced and self.fault is not cut:
+        if not self._swallows(pipe, cut):
             writer.write(payload)
             await writer.drain()
         return True
+
+    def _swallows(self, pipe: _Pipe, cut: LinkFault) -> bool:
+        return pipe.silenced or self.fault in {cut, LinkFault.unanswered}
--- a/packages/bench/src/tallyhall_bench/platform_fleet.py
+++ b/packages/bench/src/tallyhall_bench/platform_fleet.py
@@ -21,7 +21,7 @@
 
 from tallyhall_dispatch.options import Listening
 from tallyhall_standins.platform_engine import EngineStandIn, entry_fields
-from tallyhall_standins.platform_store import StoreStandIn
+from tallyhall_standins.platform_store import StoreStandIn, View
 
 from .faulty_link import FaultyLink
 from .ports import HOST, free_ports
@@ -156,6 +156,20 @@
             named.fields['born'] = int(time.time() * _MILLI)
             self.store.put(f'servers/{name}', named.fields)
 
+    @property
+    def addresses(self) -> Mapping[str, Listening]:
+        """Return the address of each upstream."""
+        return {
+            name: Listening(HOST, named.port)
+            for name, named in self._named.items()
+        }
+
+    async def open_view(self, view: View) -> Listening:
+        """Return an address of the store at which a view of it is read."""
+        place = Listening(HOST, free_ports(1)[0])
+        await self.store.listen(HOST, place.port, view)
+        return place
+
     async def add_entry(
         self,
         store_at: Listening | None = None,
--- a/packages/standins/src/tallyhall_standins/platform_store.py
+++ b/packages/standins/src/tallyhall_standins/platform_store.py
@@ -11,6 +11,7 @@
 import contextlib
 import dataclasses
 import enum
+import functools
 import itertools
 import json
 from collections.abc import Callable
@@ -30,6 +31,8 @@
 _UNAVAILABLE = (503, b'Service Unavailable')
 _MILLI = 1000
 Fields = dict[str, Any]
+# Returns another value for a key and its value.
+View = Callable[[str, bytes], bytes]
 
 
 @enum.unique
@@ -78,26 +81,35 @@
         self.oldest = 0
         # Changes what an instance writes, so that tests can put a link between
         # instances, which learn each other's addresses here.
-        self.on_write: Callable[[str, bytes], bytes] = _unchanged
+        self.on_write: View = _unchanged
         self._kept: dict[str, StoredItem] = {}
         self._history: list[tuple[int, Fields]] = []
         self._leases: dict[int, asyncio.TimerHandle] = {}
         self._lease_s: dict[int, float] = {}
         self._lease_ids = itertools.count(1)
         self._changed = asyncio.Event()
-        self._server = HttpServer(
-            self._answer,
+        self._servers: list[HttpServer] = []
+
+    async def listen(
+        self, host: str, port: int, view: View | None = None
+    ) -> None:
+        """Serve on this address.
+
+        view: changes what is read here, given a key and its value, so that
+        instances can have different links to the same upstreams.
+        """
+        server = HttpServer(
+            functools.partial(self._answer, view or _unchanged),
             _raise,
             ServerLimits(idle_timeout_s=60),
         )
-
-    async def listen(self, host: str, port: int) -> None:
-        """Serve on this address."""
-        await self._server.listen(host, port)
+        self._servers.append(server)
+        await server.listen(host, port)
 
     def close(self) -> None:
         """Stop to serve."""
-        self._server.close()
+        for server in self._servers:
+            server.close()
 
     # -- for tests
 
@@ -154,7 +166,7 @@
         self._changed = asyncio.Event()
         changed.set()
 
-    async def _answer(self, exchange: Exchange) -> None:
+    async def _answer(self, view: View, exchange: Exchange) -> None:
         self.calls += 1
         self.watches += exchange.head.target.startswith(b'/kv-watch')
         if self.fault is StoreFault.silent:
@@ -175,7 +187,8 @@
             exchange.abort()
             return
         headers = ((b'Content-Type', b'application/json'),)
-        exchange.answer(*status, headers, json.dumps(fields).encode())
+        shown = _as_seen(view, fields)
+        exchange.answer(*status, headers, json.dumps(shown).encode())
 
     async def _route(
         self,
@@ -301,5 +314,17 @@
     return content
 
 
+def _as_seen(view: View, fields: Fields) -> Fields:
+    """Return an answer of the store with the values that a view shows."""
+    seen = dict(fields)
+    for name in ('items', 'events'):
+        if name in fields:
+            seen[name] = [_as_seen(view, item) for item in fields[name]]
+    if 'value' in fields:
+        content = base64.b64decode(fields['value'])
+        seen['value'] = base64.b64encode(view(fields['key'], content)).decode()
+    return seen
+
+
 def _raise(exc: Exception) -> None:
     raise exc
