Requests of an instance without a way to the upstreams go through another

What callers saw: instances that had lost all upstreams served 9 of 123 first tries, the others 253 of 260.

Cause: what one instance saw of an upstream was taken for the upstream's state. An instance had its own links only; each request was spent on its own attempts (379 of 300 ms each), what one learned the next did not know, and failures of lost links left sound upstreams out for all, or counted as their ends.

An instance that does not reach an upstream asks another one for a tunnel: a pair of connections whose bytes are passed on unchanged. The request stays where it came in, so that quota, keys, retries, deadline, resuming and what must not repeat are kept by whom they were kept before; a tunnel is never passed on to a third instance.

- LinkMonitor: several upstreams that fail one after the other, with no answer between, make an instance count as isolated; all its requests know it then.
Two of its upstreams are asked for their health until one answers.
- A connection that is refused is tried through another instance at once; an upstream that was silent is reached that way for a while.
- TunnelPeers: fewest zones crossed first, those that work before untried ones; heartbeats say who is isolated.
- An upstream has ended only if no other instance connects it.
What an isolated instance loses is reported as no_path, which leaves no upstream out.
- An answer without a length is never complete through a tunnel, as the loss of the other instance ends it in the same way.
- Log lines 423 to 426, via and tunnel in 409, explain shows both sides.

Why it works: whatever an instance can still reach is enough, one other instance that reaches the upstream; off the fault no message, probe or connection is added (a test counts them).

One test was changed: only_requests_that_ran_count_towards_the_hold_time lists the outcomes that did not run, and has the new one.

--- a/packages/bench/src/tallyhall_bench/isolation_run.py
+++ b/packages/bench/src/tallyhall_bench/isolation_run.py
@@ -13,25 +13,18 @@
 import dataclasses
 import functools
 import itertools
-import json
 import random
 import sys
 import types
 from collections.abc import Callable, Iterable, Mapping
 
-from tallyhall_dispatch.options import Listening
 from tallyhall_dispatch.ownership import Ownership
 
-from .faulty_link import FaultyLink, LinkFault
-from .platform_fleet import (
-    EntryProcess,
-    PlatformFleet,
-    open_link,
-    platform_fleet,
-)
+from .platform_fleet import EntryProcess, PlatformFleet, platform_fleet
 from .platform_load import Caller, Tried, keep_calling
 from .platform_run import STREAMED, doubled, usual_state
 from .plays import add_options, play_all
+from .upstream_links import MODES, UpstreamLinks
 
 _INSTANCES = 6
 _UPSTREAMS = 4
@@ -57,60 +50,6 @@
 _REFUSALS = frozenset((408, 421, 429, 503))
 
 
-class UpstreamLinks:
-    """The links of one instance to all upstreams."""
-
-    def __init__(self, links: Mapping[str, FaultyLink]) -> None:
-        """Disturb these links, by the address that an upstream registered."""
-        self._links = links
-        self._closed = False
-
-    @classmethod
-    async def open(
-        cls, targets: Iterable[Listening]
-    ) -> tuple[UpstreamLinks, Callable[[str, bytes], bytes]]:
-        """Open a link to each address; return a view that names the links."""
-        links = {}
-        places = {}
-        for target in targets:
-            link, place = await open_link(target)
-            links[str(target)] = link
-            places[str(target)] = str(place)
-        return cls(links), functools.partial(_name_links, places)
-
-    async def lose(self, how: str) -> None:
-        """Lose all upstreams in one of the ways of `MODES`."""
-        for link in self._links.values():
-            if how == 'silent':
-                link.fault = LinkFault.unanswered
-            elif how == 'refused':
-                link.fault = LinkFault.refused
-            elif how == 'reset':
-                link.fault = LinkFault.refused
-                link.reset_all()
-            else:
-                self._closed = True
-                link.close()
-
-    async def restore(self) -> None:
-        """Reach all upstreams again."""
-        for link in self._links.values():
-            swallowed = link.fault is LinkFault.unanswered
-            link.fault = LinkFault.none
-            if swallowed:
-                # What was swallowed is lost: nothing can follow on it.
-                link.reset_all()
-            if self._closed:
-                await link.reopen()
-        self._closed = False
-
-
-# silent: nothing is answered, on open connections or new ones. reset: all
-# connections are reset, also new ones. refused: only new ones are reset.
-# closed: all are reset and nothing listens.
-MODES = ('silent', 'reset', 'refused', 'closed')
-
-
 @dataclasses.dataclass(slots=True)
 class Play:
     """One play under way."""
@@ -347,15 +286,6 @@
     )
 
 
-def _name_links(places: Mapping[str, str], key: str, content: bytes) -> bytes:
-    """Return an upstream's entry with the address of the link to it."""
-    if not key.startswith('servers/'):
-        return content
-    fields = json.loads(content)
-    fields['address'] = places.get(fields['address'], fields['address'])
-    return json.dumps(fields).encode()
-
-
 def main() -> int:
     """Play and return 1 if callers of isolated instances were not served."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/packages/bench/src/tallyhall_bench/platform_fleet.py
+++ b/packages/bench/src/tallyhall_bench/platform_fleet.py
@@ -27,7 +27,7 @@
 from .ports import HOST, free_ports
 
 _ENTRY = pathlib.Path(__file__).resolve().parents[4] / 'deploy' / 'entry.py'
-_PORTS = 5
+_PORTS = 6
 _STARTING_S = 10
 _ENDING_S = 12
 _MILLI = 1000
@@ -43,6 +43,7 @@
     locate: Listening
     peer: Listening
     metrics: Listening
+    tunnel: Listening
     settings: pathlib.Path
     log: pathlib.Path
     process: asyncio.subprocess.Process | None = None
@@ -182,7 +183,7 @@
     def prepare_entry(self, store_at: Listening | None = None) -> EntryProcess:
         """Return an entry process with its settings; it is not started."""
         name = f'entry-{len(self.entries) + 1}'
-        # Two free ports that follow each other: peers and metrics.
+        # The last ones follow each other: peers, metrics and tunnels.
         places = _free_places()
         fields = {
             'node': name,
@@ -194,7 +195,7 @@
                 'ready': str(places[1]),
                 'directory': str(places[2]),
             },
-            'port-range': [places[3].port, places[4].port],
+            'port-range': [places[3].port, places[5].port],
             'limits': {'memory-mb': 150, 'max-fds': 1000},
             'bounds': {
                 'revoke-ms': 5000,
@@ -215,6 +216,7 @@
             places[2],
             places[3],
             places[4],
+            places[5],
             settings,
             self._folder / f'{name}.log',
         )
@@ -268,5 +270,5 @@
 def _free_places() -> tuple[Listening, ...]:
     while True:
         ports = free_ports(_PORTS)
-        if ports[-1] == ports[-2] + 1:
+        if ports[-1] == ports[-3] + 2:
             return tuple(Listening(HOST, port) for port in ports)
--- a/packages/bench/src/tallyhall_bench/platform_run.py
+++ b/packages/bench/src/tallyhall_bench/platform_run.py
@@ -14,6 +14,8 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
+from tallyhall_standins.platform_engine import HEALTH_PATH
+
 from .platform_fleet import PlatformFleet, platform_fleet
 from .platform_load import KEY, SITE, Caller, Tried
 
@@ -39,8 +41,8 @@
             _route('safe', 'safe', 'app'),
         ],
         'services': [
-            {'name': 'engines', 'max-conns': 100, 'engine': {'stride': 3}},
-            {'name': 'app', 'max-conns': 100},
+            service('engines', engine={'stride': 3}),
+            service('app'),
         ],
         'tenants': [{'name': 'shop', 'api-keys': [KEY], 'unit': 'tokens'}],
     }
@@ -65,6 +67,15 @@
     )
 
 
+def service(name: str, **changes: Any) -> dict[str, Any]:
+    """Return a service as the platform encodes it."""
+    return {
+        'name': name,
+        'health-path': HEALTH_PATH,
+        'max-conns': 100,
+    } | changes
+
+
 def stream_route(name: str, service: str) -> dict[str, Any]:
     """Return a route whose streams may go on elsewhere."""
     return _route(name, 'streaming', service, resumable=True)
--- a/packages/bench/src/tallyhall_bench/soak_site.py
+++ b/packages/bench/src/tallyhall_bench/soak_site.py
@@ -10,7 +10,7 @@
 from .faulty_link import FaultyLink
 from .platform_fleet import PlatformFleet
 from .platform_load import KEY, Tried
-from .platform_run import stream_route, usual_state
+from .platform_run import service, stream_route, usual_state
 
 INSTANCES = 3
 EVENTS = 8
@@ -69,9 +69,7 @@
     """Return a desired state, with or without the key that is revoked."""
     state = usual_state(version)
     state['routes'].append(stream_route(FRAIL, FRAIL))
-    state['services'].append(
-        {'name': FRAIL, 'max-conns': 100, 'engine': {'stride': 3}},
-    )
+    state['services'].append(service(FRAIL, engine={'stride': 3}))
     if with_old:
         state['tenants'][0]['api-keys'] = [KEY, OLD_KEY]
     return state
--- a/packages/core/src/tallyhall_core/events.py
+++ b/packages/core/src/tallyhall_core/events.py
@@ -63,6 +63,10 @@
     slowdowns_reported = 418
     deferral_changed = 421
     upstream_ejected = 422
+    isolated = 423
+    links_restored = 424
+    tunnel_asked = 425
+    tunnel_ended = 426
     logs_dropped = 501
     internal_error = 500
     order_sent = 600
--- a/packages/dispatch/src/tallyhall_dispatch/desired.py
+++ b/packages/dispatch/src/tallyhall_dispatch/desired.py
@@ -64,12 +64,14 @@
 
     max_conns: connections that one upstream accepts from all instances
     together, 0 if no limit is known. event_tokens: tokens per stream event,
-    0 for services that are not model engines.
+    0 for services that are not model engines. health_path: path at which an
+    upstream tells its health, empty if there is none.
     """
 
     name: str
     max_conns: int
     event_tokens: int
+    health_path: str = ''
 
 
 class Workspace(msgspec.Struct, frozen=True):
--- a/packages/dispatch/src/tallyhall_dispatch/jobs.py
+++ b/packages/dispatch/src/tallyhall_dispatch/jobs.py
@@ -66,9 +66,10 @@
     answered: complete response. failed: complete response with a server error.
     withheld: not sent, because the upstream asked for a backoff. rejected: the
     upstream reported that it did not run the request. misplaced: the address
-    belongs to another incarnation. unsent: nothing was written. unknown: no
-    response, the request may have run. broken: incomplete response. left: the
-    caller disconnected.
+    belongs to another incarnation. unsent: nothing was written. no_path: the
+    sending instance reaches no upstream at all; says nothing about this one.
+    unknown: no response, the request may have run. broken: incomplete response.
+    left: the caller disconnected.
     """
 
     answered = 'answered'
@@ -77,13 +78,16 @@
     rejected = 'rejected'
     misplaced = 'misplaced'
     unsent = 'unsent'
+    no_path = 'no_path'
     unknown = 'unknown'
     broken = 'broken'
     left = 'left'
 
 
 # Outcomes in which no part of the request reached the upstream.
-NOT_SENT = frozenset((AttemptOutcome.unsent, AttemptOutcome.withheld))
+NOT_SENT = frozenset(
+    (AttemptOutcome.unsent, AttemptOutcome.withheld, AttemptOutcome.no_path)
+)
 # Outcomes in which the connection was lost before the response was complete.
 INTERRUPTED = frozenset((AttemptOutcome.unknown, AttemptOutcome.broken))
 
--- a/packages/dispatch/src/tallyhall_dispatch/options.py
+++ b/packages/dispatch/src/tallyhall_dispatch/options.py
@@ -54,7 +54,10 @@
 
 
 class Options(msgspec.Struct, frozen=True):
-    """Options of one instance."""
+    """Options of one instance.
+
+    tunnel: address at which other instances ask for tunnels to upstreams.
+    """
 
     instance: str
     zone: str
@@ -64,6 +67,7 @@
     locate: Listening
     peer: Listening
     metrics: Listening
+    tunnel: Listening
     store: StoreOptions
     bounds: Bounds
     descriptors: int
--- a/packages/edge/src/tallyhall_edge/client.py
+++ b/packages/edge/src/tallyhall_edge/client.py
@@ -11,6 +11,7 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Callable
 from typing import Protocol
 
 import httptools
@@ -61,6 +62,16 @@
 
         monitor: counts what the connection holds; None for no limit.
         """
+        # The instance through which the connection leads, empty if it is
+        # direct, and the id of the tunnel.
+        self.via = ''
+        self.tunnel = ''
+        # Called whenever something was received.
+        self.on_received: Callable[[ClientConnection], None] | None = None
+        # Whether anything was ever received on it.
+        self.is_proven = False
+        # Whether the other side ended it.
+        self.was_lost = False
         self._monitor = monitor
         self._memory: ConnectionMemory | None = None
         self.reusable = False
@@ -158,27 +169,23 @@
             self._memory = ConnectionMemory(
                 self._monitor, transport, self._fail_stalled
             )
-        sock = transport.get_extra_info('socket')
-        if sock is None:
-            return
-        with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-            for option, limit in _KEEPALIVE_OPTIONS:
-                sock.setsockopt(socket.IPPROTO_TCP, option, limit)
+        set_keepalive(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the current response.
 
         A response without a stated length is complete when the peer closes
-        the connection; any other one is lost.
+        the connection; any other one is lost, and so is each one through
+        another instance, whose end closes the connection, too.
         """
         if self._memory is not None:
             self._memory.release()
             self._memory = None
         self._transport = None
         self.reusable = False
+        self.was_lost = not self._tainted
         closes_body = self._in_body and not self._framed and exc is None
-        if closes_body and not self._skipping:
+        if closes_body and not self._skipping and not self.via:
             self._end(None)
             return
         self._end(ConnectionLostError(f'closed by the peer: {exc!r}'))
@@ -199,6 +206,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close if no response is expected."""
+        if self.on_received is not None:
+            self.on_received(self)
+        self.is_proven = True
         if self._sink is None:
             self.close()
             return
@@ -304,6 +314,17 @@
                 self.keep_alive_s = int(text)
 
 
+def set_keepalive(transport: asyncio.Transport) -> None:
+    """Enable the detection of dead peers on a connection."""
+    sock = transport.get_extra_info('socket')
+    if sock is None:
+        return
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, limit in _KEEPALIVE_OPTIONS:
+            sock.setsockopt(socket.IPPROTO_TCP, option, limit)
+
+
 def _is_framed(head: ResponseHead) -> bool:
     if find_header(head.headers, b'content-length') is not None:
         return True
--- a/packages/edge/src/tallyhall_edge/connections.py
+++ b/packages/edge/src/tallyhall_edge/connections.py
@@ -11,11 +11,12 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
+from typing import Protocol
 
 from tallyhall_dispatch.desired import Upstream
 
 from .client import ClientConnection
-from .connection_memory import MemoryMonitor
 from .errors import ConnectionLostError
 
 # Upstreams that state no timeout keep idle connections for several seconds.
@@ -27,22 +28,36 @@
 _MAX_IDLE_CONNECTIONS = 16
 
 
-class ConnectionPool:
-    """Opens, keeps and reuses connections to upstreams."""
+class Connector(Protocol):
+    """Opens connections and learns from them which links work."""
 
-    def __init__(
-        self,
-        id_header: bytes,
-        connect_timeout_s: float,
-        memory: MemoryMonitor | None = None,
+    @property
+    def is_isolated(self) -> bool:
+        """Return whether this instance reaches no upstream itself."""
+
+    async def connect(self, upstream: Upstream) -> ClientConnection:
+        """Return a new connection; raise NotSentError."""
+
+    def may_reuse(self, conn: ClientConnection) -> bool:
+        """Return whether an idle connection may carry another request."""
+
+    def record_released(
+        self, upstream: Upstream, conn: ClientConnection
     ) -> None:
-        """Create an empty pool that connects within `connect_timeout_s`.
+        """Record how a connection fared when its request has ended."""
 
-        memory: counts what the connections hold; None for no limit.
-        """
-        self._memory = memory
-        self._id_header = id_header
-        self._connect_timeout_s = connect_timeout_s
+    def record_silence(
+        self, upstream: Upstream, conn: ClientConnection, asked_at: float
+    ) -> None:
+        """Record that a request that was sent at `asked_at` has no answer."""
+
+
+class ConnectionPool:
+    """Keeps and reuses connections to upstreams."""
+
+    def __init__(self, connector: Connector) -> None:
+        """Create an empty pool of connections that the connector opens."""
+        self.connector = connector
         self._idle: dict[str, collections.deque[ClientConnection]] = {}
         self._busy: dict[str, set[ClientConnection]] = {}
         self._loop = asyncio.get_running_loop()
@@ -57,19 +72,14 @@
         incarnation = upstream.incarnation
         conn = self._pop_idle(incarnation, max_idle_s)
         if conn is None:
-            conn = await ClientConnection.open(
-                upstream.host,
-                upstream.port,
-                self._connect_timeout_s,
-                self._id_header,
-                self._memory,
-            )
+            conn = await self.connector.connect(upstream)
         self._busy.setdefault(incarnation, set()).add(conn)
         return conn
 
     def release(self, upstream: Upstream, conn: ClientConnection) -> None:
         """Keep a connection if it is reusable, else close it."""
         incarnation = upstream.incarnation
+        self.connector.record_released(upstream, conn)
         busy = self._busy.get(incarnation, set())
         busy.discard(conn)
         if not busy:
@@ -91,6 +101,16 @@
         for conn in self._idle.pop(incarnation, ()):
             conn.close()
 
+    def close_idle_where(
+        self, is_stale: Callable[[ClientConnection], bool]
+    ) -> None:
+        """Close the idle connections that must not be used any more."""
+        for kept in self._idle.values():
+            for conn in tuple(kept):
+                if is_stale(conn):
+                    kept.remove(conn)
+                    conn.close()
+
     def fail_all(self, incarnation: str) -> None:
         """Fail the requests in flight to an incarnation that has ended."""
         self.close_idle(incarnation)
@@ -121,6 +141,8 @@
     def _is_usable(self, conn: ClientConnection, max_idle_s: float) -> bool:
         if not conn.reusable or not conn.is_open:
             return False
+        if not self.connector.may_reuse(conn):
+            return False
         keep_s = _DEFAULT_KEEP_S
         if conn.keep_alive_s is not None:
             keep_s = conn.keep_alive_s * _KEEP_FRACTION
--- a/packages/edge/src/tallyhall_edge/errors.py
+++ b/packages/edge/src/tallyhall_edge/errors.py
@@ -15,6 +15,14 @@
     """The upstream asked this instance to send nothing for some time."""
 
 
+class NoPathError(NotSentError):
+    """This instance reaches no upstream, directly or through another one."""
+
+
+class InvalidTunnelMessageError(EdgeError):
+    """Another instance sent a malformed message about a tunnel."""
+
+
 class ConnectionFailedError(EdgeError):
     """The connection failed after the request was written."""
 
--- a/packages/edge/src/tallyhall_edge/request_context.py
+++ b/packages/edge/src/tallyhall_edge/request_context.py
@@ -40,6 +40,10 @@
     sends: int = 0
     may_have_run: int = 0
     retry_charged: bool = False
+    # The instance through which the last send went, empty if it was direct, and
+    # the id of the tunnel.
+    via: str = ''
+    tunnel: str = ''
     # Why the last send did not take place, None if it did.
     not_sent: NotSentError | None = None
     # The permit of the current send.
--- a/packages/edge/src/tallyhall_edge/request_log.py
+++ b/packages/edge/src/tallyhall_edge/request_log.py
@@ -102,6 +102,7 @@
             pause_after=report.pause_after,
             total_ms=_millis(report.total_s),
             **failed,
+            **_path_fields(context),
             **_upstream_status_fields(context),
         )
 
@@ -207,6 +208,13 @@
     }
 
 
+def _path_fields(context: RequestContext) -> dict[str, object]:
+    """Return through which instance a request was sent, if through one."""
+    if not context.via:
+        return {}
+    return {'via': context.via, 'tunnel': context.tunnel}
+
+
 def _upstream_status_fields(context: RequestContext) -> dict[str, object]:
     """Return what the answer's head says about the upstream."""
     info = None if context.relay is None else context.relay.info
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -218,7 +218,8 @@
                 self._complete(context, relay)
                 return
             context.last_event = relay.last_event
-            context.excluded.add(grant.upstream.incarnation)
+            if ending is not AttemptOutcome.no_path:
+                context.excluded.add(grant.upstream.incarnation)
             if not self._sender.may_retry(context, ending):
                 self._fail(context, ending, relay)
                 return
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -14,12 +14,23 @@
 from tallyhall_dispatch.backoffs import Backoffs
 from tallyhall_dispatch.desired import RouteKind, Upstream
 from tallyhall_dispatch.gate import AdmissionGate
-from tallyhall_dispatch.jobs import NOT_SENT, AttemptOutcome, Job, RunReport
+from tallyhall_dispatch.jobs import (
+    INTERRUPTED,
+    NOT_SENT,
+    AttemptOutcome,
+    Job,
+    RunReport,
+)
 
 from .client import ClientConnection
 from .connections import ConnectionPool
 from .dialect import HeaderCodec, ResponseInfo, UpstreamRequestInfo
-from .errors import BackoffError, ConnectionLostError, NotSentError
+from .errors import (
+    BackoffError,
+    ConnectionLostError,
+    NoPathError,
+    NotSentError,
+)
 from .guard import Guard
 from .messages import encode_head
 from .relay import Relay
@@ -49,6 +60,7 @@
         AttemptOutcome.misplaced,
         AttemptOutcome.unsent,
         AttemptOutcome.withheld,
+        AttemptOutcome.no_path,
     ),
 )
 
@@ -88,6 +100,8 @@
             context.relay.discard()
         context.relay = relay
         context.not_sent = None
+        context.via = ''
+        context.tunnel = ''
         ending = AttemptOutcome.left
         try:
             ending = await self._send_once(context, upstream, relay)
@@ -96,13 +110,15 @@
             context.not_sent = exc
         except NotSentError as exc:
             ending = AttemptOutcome.unsent
+            if isinstance(exc, NoPathError):
+                ending = AttemptOutcome.no_path
             context.not_sent = exc
         finally:
             # Read before this instance writes an answer of its own.
             context.begun = context.exchange.started
             # An ending that was reached before the wait was cancelled counts.
             report = relay.report(relay.ending or ending)
-            self._scheduler.finish(job, upstream, report)
+            self._scheduler.finish(job, upstream, self._evidence(report))
             self._record_end(context, upstream, report)
         return report.ending, relay
 
@@ -136,6 +152,16 @@
         self._log.send_ended(context, upstream, report)
         self._update_guard(context, upstream)
 
+    def _evidence(self, report: RunReport) -> RunReport:
+        """Return what a report says about its upstream, for the scheduler.
+
+        If this instance reaches no upstream, what it loses is lost on its own
+        links.
+        """
+        if report.ending in INTERRUPTED and self._conns.connector.is_isolated:
+            return RunReport(AttemptOutcome.no_path, 0)
+        return report
+
     def _update_guard(
         self, context: RequestContext, upstream: Upstream
     ) -> None:
@@ -238,9 +264,11 @@
             _MAX_IDLE_REPEATABLE_S if repeatable else _MAX_IDLE_NON_REPEATABLE_S
         )
         conn = await self._conns.acquire(upstream, max_idle_s)
+        context.via = conn.via
+        context.tunnel = conn.tunnel
         try:
             await self._write_request(context, upstream, relay, conn)
-            ending = await self._await_answer(context, relay)
+            ending = await self._await_answer(context, upstream, conn, relay)
         finally:
             context.exchange.on_writable = None
             self._conns.release(upstream, conn)
@@ -281,7 +309,11 @@
         context.may_have_run += 1
 
     async def _await_answer(
-        self, context: RequestContext, relay: Relay
+        self,
+        context: RequestContext,
+        upstream: Upstream,
+        conn: ClientConnection,
+        relay: Relay,
     ) -> AttemptOutcome:
         """Wait for the end of an answer, or until it is overdue to begin.
 
@@ -293,14 +325,17 @@
         read an answer and find the timer expired. What counts is therefore
         whether the answer has begun, not whether the timer expired.
         """
-        if not self._may_abandon_silent(context):
-            return await relay.done
+        asked_at = self._loop.time()
         try:
             async with asyncio.timeout(self._silence_timeout_s(context)):
                 await relay.begun.wait()
         except TimeoutError:
-            silent = not relay.begun.is_set()
-            if silent and self._spend_retry_budget(context):
+            if relay.begun.is_set():
+                return await relay.done
+            self._conns.connector.record_silence(upstream, conn, asked_at)
+            if self._may_abandon_silent(context) and self._spend_retry_budget(
+                context
+            ):
                 context.retry_charged = True
                 return AttemptOutcome.unknown
         return await relay.done
--- a/packages/edge/src/tallyhall_edge/termination.py
+++ b/packages/edge/src/tallyhall_edge/termination.py
@@ -2,20 +2,17 @@
 
 Connections may be reset, cut or fall silent while their upstream keeps
 running. An upstream counts as terminated only if its address refuses
-connections right after a connection to it was lost.
+connections right after a connection to it was lost, also to other instances.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from tallyhall_core.suspects import InterruptedRun
 from tallyhall_dispatch.desired import Upstream
 
-from .client import ClientConnection
-from .errors import NotSentError
-
 # Delay before an upstream is probed, in seconds. The connections of a process
 # that terminates are lost within milliseconds of each other; the delay collects
 # all of them.
@@ -26,14 +23,18 @@
 _CONNECT_TIMEOUT_S = 0.2
 
 EndCallback = Callable[[Upstream, tuple[InterruptedRun, ...]], None]
+# Returns whether nothing listens at the address of an upstream, within about
+# the given number of seconds.
+RefusalCheck = Callable[[Upstream, float], Awaitable[bool]]
 
 
 class TerminationProbe:
     """Probes upstreams whose connections were lost during requests."""
 
-    def __init__(self, on_end: EndCallback) -> None:
+    def __init__(self, on_end: EndCallback, refuses: RefusalCheck) -> None:
         """Call `on_end` with a terminated upstream and the runs it had."""
         self._on_end = on_end
+        self._refuses = refuses
         # Interrupted runs of each upstream that is being probed.
         self._lost: dict[str, list[InterruptedRun]] = {}
         self._probes: dict[str, asyncio.Task[None]] = {}
@@ -61,23 +62,9 @@
 
     async def _probe(self, upstream: Upstream) -> None:
         await asyncio.sleep(_COLLECT_S)
-        has_ended = await _refuses(upstream)
+        has_ended = await self._refuses(upstream, _CONNECT_TIMEOUT_S)
         incarnation = upstream.incarnation
         runs = tuple(dict.fromkeys(self._lost.pop(incarnation)))
         self._probes.pop(incarnation)
         if has_ended:
             self._on_end(upstream, runs)
-
-
-async def _refuses(upstream: Upstream) -> bool:
-    """Return whether the address of an upstream refuses connections."""
-    try:
-        conn = await ClientConnection.open(
-            upstream.host,
-            upstream.port,
-            _CONNECT_TIMEOUT_S,
-        )
-    except NotSentError as exc:
-        return isinstance(exc.__cause__, ConnectionRefusedError)
-    conn.close()
-    return False
--- a/packages/entry/src/tallyhall_entry/cluster_state.py
+++ b/packages/entry/src/tallyhall_entry/cluster_state.py
@@ -10,7 +10,6 @@
 from tallyhall_dispatch.gate import AdmissionGate
 from tallyhall_dispatch.quota import StoredUse
 from tallyhall_edge.caller_connection import ServerLimits
-from tallyhall_edge.connections import ConnectionPool
 from tallyhall_edge.scheduling import Dispatcher
 from tallyhall_edge.server import HttpServer
 from tallyhall_platform.entries import InstanceEntry
@@ -19,6 +18,7 @@
 
 from .logs import EventLog
 from .metrics import Metrics
+from .paths import InstancePaths
 
 
 class ClusterState:
@@ -29,7 +29,7 @@
         membership: FleetMembership,
         gate: AdmissionGate,
         dispatcher: Dispatcher,
-        conns: ConnectionPool,
+        paths: InstancePaths,
         peer_streams: PeerStreams,
         front: HttpServer,
         log: EventLog,
@@ -44,7 +44,7 @@
         self._known: dict[str, InstanceEntry] = {}
         self._gate = gate
         self._dispatcher = dispatcher
-        self._conns = conns
+        self._paths = paths
         self._peer_streams = peer_streams
         self._front = front
         self._log = log
@@ -55,6 +55,7 @@
         """Apply a newer desired state."""
         self._gate.apply_state(state)
         self._dispatcher.apply_state(state)
+        self._paths.on_state(state)
         limits = state.limits
         self._front.limits = ServerLimits(
             max_header_bytes=limits.header_bytes,
@@ -76,6 +77,7 @@
         self._log_upstream_changes(frozenset(upstreams))
         self.upstreams = frozenset(upstreams)
         self._dispatcher.apply_upstreams(upstreams)
+        self._paths.on_upstreams(upstreams)
 
     def on_instances(self, entries: tuple[InstanceEntry, ...]) -> None:
         """Apply the complete list of registered instances."""
@@ -87,6 +89,7 @@
         )
         self.count = self._count_fleet()
         self._update_peers()
+        self._paths.on_instances(entries)
         self._log.event(Event.instances_changed, known=len(entries))
 
     @property
@@ -125,9 +128,9 @@
         starts = {one.name: one.started_ms for one in upstreams}
         for known in self.upstreams:
             if starts.get(known.name, 0) > known.started_ms:
-                self._conns.fail_all(known.incarnation)
+                self._paths.conns.fail_all(known.incarnation)
             elif known.incarnation not in usable:
-                self._conns.close_idle(known.incarnation)
+                self._paths.conns.close_idle(known.incarnation)
 
     def _count_fleet(self) -> FleetCount:
         heard = {
--- a/packages/entry/src/tallyhall_entry/explain.py
+++ b/packages/entry/src/tallyhall_entry/explain.py
@@ -20,6 +20,8 @@
 )
 _REQUIRED_FIELDS = ('time', 'level', 'event', 'instance')
 
+_TUNNEL_EVENTS = frozenset((Event.tunnel_asked.name, Event.tunnel_ended.name))
+
 # Explanations of outcomes for operators. Each text ends without a full stop
 # because the list of attempted upstreams may be appended.
 _CAUSES: Mapping[str, str] = types.MappingProxyType(
@@ -107,17 +109,29 @@
 
 
 def explain(request_id: str, texts: Iterable[str]) -> Explanation | None:
-    """Explain a request from log lines; return None if none mentions it."""
+    """Explain a request from log lines; return None if none mentions it.
+
+    If it went through another instance, the lines of that one are included.
+    """
     found = []
+    tunnel_lines = []
     for text in texts:
         # Skips parsing of most lines, which are about other requests.
-        if request_id not in text:
+        if request_id not in text and '"peer"' not in text:
             continue
         line = read_line(text)
-        if line is not None and line.fields.get('request') == request_id:
+        if line is None:
+            continue
+        if line.fields.get('request') == request_id:
             found.append(line)
+        elif line.event in _TUNNEL_EVENTS:
+            tunnel_lines.append(line)
     if not found:
         return None
+    tunnels = {line.fields['tunnel'] for line in found if 'via' in line.fields}
+    found.extend(
+        line for line in tunnel_lines if line.fields['tunnel'] in tunnels
+    )
     found.sort(key=lambda line: line.time)
     return Explanation(tuple(found), _cause(found))
 
@@ -161,14 +175,20 @@
     slowed = _slowed(lines)
     if not sends:
         return f'{text}.{slowed}'
-    tried = ', '.join(
-        f'{line.fields["upstream"]} ({line.fields["ending"]} after '
-        f'{line.fields["total_ms"]} ms)'
-        for line in sends
-    )
+    tried = ', '.join(map(_sent_to, sends))
     return f'{text}. Sent to {tried}.{slowed}'
 
 
+def _sent_to(line: Line) -> str:
+    """Return where a request was sent, by a line of `send_ended`."""
+    fields = line.fields
+    through = f'through {fields["via"]}, ' if 'via' in fields else ''
+    return (
+        f'{fields["upstream"]} ({through}{fields["ending"]} after '
+        f'{fields["total_ms"]} ms)'
+    )
+
+
 def _slowed(lines: list[Line]) -> str:
     """Return which upstreams were known to be slowed when they were granted."""
     known = ', '.join(
--- a/packages/entry/src/tallyhall_entry/exposition.py
+++ b/packages/entry/src/tallyhall_entry/exposition.py
@@ -82,6 +82,18 @@
                 'step',
                 self._metrics.load_reports,
             ),
+            (
+                'tallyhall_tunnels_asked',
+                'Requests to other instances for tunnels, by outcome.',
+                'outcome',
+                self._metrics.paths.asked,
+            ),
+            (
+                'tallyhall_tunnels_served',
+                'Requests of other instances for tunnels, by outcome.',
+                'outcome',
+                self._metrics.paths.served,
+            ),
         ):
             family = CounterMetricFamily(
                 name,
@@ -139,12 +151,12 @@
             (
                 'tallyhall_connections',
                 'Open connections of callers.',
-                self._metrics.connections,
+                self._metrics.connections.open,
             ),
             (
                 'tallyhall_connections_turned_away',
                 'Connections of callers closed for want of descriptors.',
-                self._metrics.turned_away,
+                self._metrics.connections.turned_away,
             ),
             (
                 'tallyhall_waiting_requests',
@@ -166,6 +178,16 @@
                 'Upstreams whose last load report states a slowdown.',
                 self._metrics.upstream_loads.slowed,
             ),
+            (
+                'tallyhall_isolated',
+                '1 while this instance reaches no upstream itself.',
+                self._metrics.paths.isolated,
+            ),
+            (
+                'tallyhall_open_tunnels',
+                'Tunnels of other instances through this one.',
+                self._metrics.paths.open,
+            ),
             (
                 'tallyhall_desired_state_version',
                 'Version of the desired state in force, -1 before the first.',
--- a/packages/entry/src/tallyhall_entry/from_options.py
+++ b/packages/entry/src/tallyhall_entry/from_options.py
@@ -33,6 +33,7 @@
         zone=options.zone,
         region=options.region,
         cores=round(options.cores, 2),
+        tunnel=str(options.tunnel),
     )
 
 
--- a/packages/entry/src/tallyhall_entry/guard.py
+++ b/packages/entry/src/tallyhall_entry/guard.py
@@ -25,7 +25,7 @@
 )
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_edge.guard import Permit, quarantined_error
-from tallyhall_edge.termination import TerminationProbe
+from tallyhall_edge.termination import RefusalCheck, TerminationProbe
 from tallyhall_platform.end_records import EndRecorder, EndRecords
 from tallyhall_platform.errors import StoreError
 from tallyhall_platform.store import StoreClient
@@ -59,10 +59,12 @@
         recorder: EndRecorder,
         log: EventLog,
         wall_clock: Callable[[], float],
+        refuses: RefusalCheck,
     ) -> None:
         """Share through `peer_streams` and `recorder`.
 
-        wall_clock: returns the current Unix timestamp.
+        wall_clock: returns the current Unix timestamp. refuses: returns whether
+        nothing listens at the address of an upstream.
         """
         self._peer_streams = peer_streams
         self._recorder = recorder
@@ -70,7 +72,7 @@
         self._wall_clock = wall_clock
         self._loop = asyncio.get_running_loop()
         self._suspects = Suspects()
-        self._probe = TerminationProbe(self._on_end)
+        self._probe = TerminationProbe(self._on_end, refuses)
         # Store leases of the trials that run on this instance, by content.
         self._trials: dict[str, int] = {}
         # Time until which no trial is claimed, as one may run elsewhere.
@@ -261,10 +263,11 @@
     incarnation: str,
     log: EventLog,
     rng: random.Random,
+    refuses: RefusalCheck,
 ) -> SharedGuard:
     """Return the guard of an instance, which needs its own store client."""
     recorder = EndRecorder(client, incarnation, log.event, rng)
-    return SharedGuard(peer_streams, recorder, log, time.time)
+    return SharedGuard(peer_streams, recorder, log, time.time, refuses)
 
 
 def _decode_runs(message: peers_pb2.Ended) -> tuple[InterruptedRun, ...]:
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -19,7 +19,6 @@
 from tallyhall_dispatch.options import Options
 from tallyhall_dispatch.quota_limits import FleetView
 from tallyhall_edge.caller_connection import ServerLimits
-from tallyhall_edge.connections import ConnectionPool
 from tallyhall_edge.runner import RequestPipeline
 from tallyhall_edge.scheduling import Dispatcher
 from tallyhall_edge.server import HttpServer
@@ -46,6 +45,7 @@
 from .logs import BoundedStream, EventLog
 from .metrics import Metrics
 from .orders import LazyRollouts
+from .paths import InstancePaths
 from .peer_reports import PeerReports
 from .reports import Reports
 from .shared import SharedScheduler
@@ -57,9 +57,6 @@
 if TYPE_CHECKING:
     from tallyhall_transport.generated import peers_pb2
 
-# Timeout for connecting to an upstream. A longer wait would make the request
-# miss its latency objective.
-_CONNECT_TIMEOUT_S = 0.3
 # Clients may use a cached locate response for up to this many times its
 # lifetime, and so still connect to this instance.
 _MAX_LOCATE_LIFETIMES = 3
@@ -121,9 +118,13 @@
             self.log.event,
         )
         self.memory = new_memory(options, self.log, self._metrics)
-        self._conns = ConnectionPool(
-            PlatformHeaderCodec.id_header,
-            _CONNECT_TIMEOUT_S,
+        self._paths = InstancePaths(
+            options,
+            self._dispatcher,
+            self._peer_streams,
+            self.log,
+            self._metrics,
+            rng,
             self.memory.monitor,
         )
         self._calls = CallCounts()
@@ -140,6 +141,7 @@
             self._entry.incarnation,
             self.log,
             rng,
+            self._paths.refuses,
         )
         self._runner = self._new_runner()
         self._front = HttpServer(
@@ -159,7 +161,7 @@
             self._membership,
             self._gate,
             self._dispatcher,
-            self._conns,
+            self._paths,
             self._peer_streams,
             self._front,
             self.log,
@@ -254,6 +256,7 @@
             options.metrics,
         )
         await asyncio.gather(
+            self._paths.listen(),
             *(
                 server.listen(place.host, place.port)
                 for server, place in zip(self._servers, places, strict=True)
@@ -263,6 +266,7 @@
         self._spawn('registration', self._registration.run())
         self._spawn('guard', self._guard.run())
         self._spawn('chores', self._run_maintenance())
+        self._spawn('paths', self._paths.run())
         self._spawn('tick', self._tick())
         self.log.event(
             Event.started,
@@ -290,15 +294,13 @@
             StopSchedule(left_at - _MAX_REQUEST_DELAY_S, ends_at)
         )
         while self._loop.time() < ends_at:
-            if (
-                self._loop.time() >= left_at
-                and not self._front.busy_connections
-            ):
+            if self._loop.time() >= left_at and not self._is_busy:
                 break
             await asyncio.sleep(_STOP_POLL_S)
         leaving.cancel()
         self._front.close()
         self._front.close_idle()
+        self._paths.close()
         await self._peer_streams.close()
         # Last, so that no peer counts this instance without hearing from it.
         await self._registration.unregister(_LEASE_REVOKE_TIMEOUT_S)
@@ -338,6 +340,7 @@
         for server in self._servers:
             server.close()
             server.abort_all()
+        self._paths.close()
         await self._peer_streams.close()
 
     def stop_following_store(self) -> None:
@@ -400,6 +403,7 @@
         self._store_changes.fill(peer, batch)
         self._usage_exchange.fill(peer, batch)
         self._scheduler.loads.fill(peer, batch)
+        batch.isolated = self._paths.is_isolated
 
     def _on_peer_lost(self, peer: Peer, exc: Exception) -> None:
         self.log.event(Event.peer_down, peer=peer.name, cause=repr(exc)[:100])
@@ -419,8 +423,13 @@
         while self._gate.version < 0 and self._loop.time() < ends_at:
             await asyncio.sleep(_STATE_POLL_S)
 
+    @property
+    def _is_busy(self) -> bool:
+        return bool(self._front.busy_connections or self._paths.open_tunnels)
+
     def _begin_leaving(self) -> None:
         self._stopping = True
+        self._paths.begin_leaving()
         self._scheduler.leaving = True
         self._peer_reports.leaving = True
         self._endpoints.leaving = True
@@ -432,7 +441,7 @@
         return RequestPipeline(
             self._gate,
             self._scheduler,
-            self._conns,
+            self._paths.conns,
             PlatformHeaderCodec(),
             RequestTelemetry(self.log, self._metrics),
             self.options.instance,
@@ -496,6 +505,7 @@
     async def _run_maintenance(self) -> None:
         while True:
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
-            self._conns.close_expired()
+            self._paths.conns.close_expired()
+            self._metrics.paths.open = self._paths.open_tunnels
             self._reports.update(self._gate, self._front, self._dispatcher)
             self._reports.update_loads(self._dispatcher, self._scheduler.loads)
--- a/packages/entry/src/tallyhall_entry/metrics.py
+++ b/packages/entry/src/tallyhall_entry/metrics.py
@@ -60,6 +60,31 @@
     slowed: int = 0
 
 
+class ConnectionCounts(msgspec.Struct, frozen=True):
+    """Open connections of callers, and those that were turned away."""
+
+    open: int = 0
+    turned_away: int = 0
+
+
+class PathCounts(msgspec.Struct):
+    """The links of this instance to upstreams, and tunnels through peers.
+
+    isolated: 1 while this instance reaches no upstream itself. open: tunnels
+    of other instances through this one. asked, served: requests for tunnels to
+    other instances and from them, by outcome.
+    """
+
+    isolated: int = 0
+    open: int = 0
+    asked: collections.Counter[str] = msgspec.field(
+        default_factory=collections.Counter
+    )
+    served: collections.Counter[str] = msgspec.field(
+        default_factory=collections.Counter
+    )
+
+
 class Metrics:
     """All metrics of one process, described in docs/METRICS.md."""
 
@@ -77,14 +102,14 @@
         # By kind, cause and outcome.
         self.store_calls: Mapping[tuple[str, str, str], int] = {}
         self.first_event_seconds = Histogram()
-        self.connections = 0
-        self.turned_away = 0
+        self.connections = ConnectionCounts()
         self.waiting = 0
         self.limited_upstreams = 0
         self.urgency_slots = UrgencySlots()
         self.upstream_loads = UpstreamLoadCounts()
         # Load reports, by what happened to them.
         self.load_reports: Mapping[str, int] = {}
+        self.paths = PathCounts()
         self.state_version = -1
         self.confirmation_age_seconds: float = 0
         self.store_up = 0
--- a/packages/entry/src/tallyhall_entry/reports.py
+++ b/packages/entry/src/tallyhall_entry/reports.py
@@ -15,7 +15,7 @@
 
 from .load_sharing import LoadSharing
 from .logs import EventLog
-from .metrics import Metrics, UpstreamLoadCounts
+from .metrics import ConnectionCounts, Metrics, UpstreamLoadCounts
 
 # Interval of the log lines about store calls, in seconds: a line of 300 bytes
 # every 2 s is a hundredth of an instance's log budget.
@@ -97,8 +97,9 @@
             self.log_calls()
         self._log.report_dropped()
         metrics = self._metrics
-        metrics.connections = front.open_connections
-        metrics.turned_away = front.rejected_connections
+        metrics.connections = ConnectionCounts(
+            front.open_connections, front.rejected_connections
+        )
         metrics.waiting = dispatcher.waiting
         metrics.limited_upstreams = sum(
             dispatcher.upstream(incarnation) is not None
--- a/packages/platform/src/tallyhall_platform/decode.py
+++ b/packages/platform/src/tallyhall_platform/decode.py
@@ -76,6 +76,7 @@
 class _Service(KebabStruct, frozen=True):
     name: str
     max_conns: int = 0
+    health_path: str = ''
     engine: _Engine | None = None
 
 
@@ -204,7 +205,7 @@
 
 def _service(raw: _Service) -> Service:
     stride = 0 if raw.engine is None else raw.engine.stride
-    return Service(raw.name, raw.max_conns, stride)
+    return Service(raw.name, raw.max_conns, stride, raw.health_path)
 
 
 def _workspace(raw: _Tenant) -> Workspace:
--- a/packages/platform/src/tallyhall_platform/entries.py
+++ b/packages/platform/src/tallyhall_platform/entries.py
@@ -34,6 +34,8 @@
     # Processor time that it has, in cores; 0 if not stated.
     cores: Annotated[float, msgspec.Meta(ge=0)] = 0
     leaving: bool = False
+    # Address for tunnels to upstreams, as IP:PORT; empty if it takes none.
+    tunnel: str = ''
 
 
 def decode_instance(instance: str, raw: bytes) -> InstanceEntry:
@@ -44,8 +46,10 @@
     try:
         parse_address(entry.front)
         parse_address(entry.peer)
+        if entry.tunnel:
+            parse_address(entry.tunnel)
     except ValueError as exc:
-        raise DecodeError(f'front or peer: {exc}') from exc
+        raise DecodeError(f'front, peer or tunnel: {exc}') from exc
     return entry
 
 
--- a/packages/platform/src/tallyhall_platform/settings.py
+++ b/packages/platform/src/tallyhall_platform/settings.py
@@ -27,6 +27,7 @@
 # Offsets into `port-range`, the ports reserved for traffic between instances.
 _PEER_PORT_OFFSET = 0
 _METRICS_PORT_OFFSET = 1
+_TUNNEL_PORT_OFFSET = 2
 _Positive = Annotated[float, msgspec.Meta(gt=0)]
 _Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
 _NonNegative = Annotated[float, msgspec.Meta(ge=0)]
@@ -174,6 +175,7 @@
         locate=_address('listen.directory', raw.listen.directory),
         peer=Listening(raw.ip, first_port + _PEER_PORT_OFFSET),
         metrics=Listening(raw.ip, first_port + _METRICS_PORT_OFFSET),
+        tunnel=Listening(raw.ip, first_port + _TUNNEL_PORT_OFFSET),
         store=StoreOptions(
             _address('platform.address', raw.platform.address),
             raw.platform.ttl_min_ms / _MILLI,
--- a/packages/standins/src/tallyhall_standins/platform_engine.py
+++ b/packages/standins/src/tallyhall_standins/platform_engine.py
@@ -49,6 +49,7 @@
 _BAD = frozenset((EngineFault.fails, EngineFault.slow))
 _SLOW_TIMES = 8
 _LATE_S = 0.05
+HEALTH_PATH = '/health'
 
 
 def _sound(target: str, running: int) -> EngineFault:
@@ -127,6 +128,8 @@
         self.most_running = 0
         self.left = 0
         self.connections = 0
+        # Questions for its health.
+        self.probes = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -247,6 +250,9 @@
             await answer
 
     async def _answer(self, method: str) -> None:
+        if method == 'GET' and self._target.decode() == HEALTH_PATH:
+            self._tell_health()
+            return
         engine = self._engine
         fault = engine.draw(self._target.decode(), engine.running)
         if engine.faults:
@@ -357,6 +363,11 @@
             await asyncio.sleep(self._engine.event_s * times)
         self._writer.write(b'0\r\n\r\n')
 
+    def _tell_health(self) -> None:
+        self._engine.probes += 1
+        line = f'X-Tallyhall-Instance-Id: {self._engine.incarnation}'
+        self._send(503 if self._engine.leaving else 200, b'', (line,))
+
     def _rejection(self) -> tuple[str, ...]:
         lines = ('X-Tallyhall-Not-Executed: 1',)
         if self._engine.rest_s is None:
--- a/packages/standins/src/tallyhall_standins/platform_store.py
+++ b/packages/standins/src/tallyhall_standins/platform_store.py
@@ -316,6 +316,8 @@
 
 def _as_seen(view: View, fields: Fields) -> Fields:
     """Return an answer of the store with the values that a view shows."""
+    if view is _unchanged:
+        return fields
     seen = dict(fields)
     for name in ('items', 'events'):
         if name in fields:
--- a/packages/transport/src/tallyhall_transport/peer.py
+++ b/packages/transport/src/tallyhall_transport/peer.py
@@ -18,6 +18,8 @@
     question_us: int = 0
     echoed_at: float = -1
     leaving: bool = False
+    # Whether it reaches no upstream itself.
+    isolated: bool = False
     # When the stream to it was opened, None without one.
     stream_opened_at: float | None = None
     # Number of instances that it reports to hear directly, with itself.
--- a/packages/transport/src/tallyhall_transport/peer_streams.py
+++ b/packages/transport/src/tallyhall_transport/peer_streams.py
@@ -180,6 +180,7 @@
         peer.last_heard_at = self._loop.time()
         peer.question_us = batch.question_us
         peer.leaving = batch.leaving
+        peer.isolated = batch.isolated
         peer.heard_count = batch.hears
         peer.knows_fleet_use = batch.knows_use
         if batch.sender not in self._outboxes:
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -16,6 +16,8 @@
 from typing import Any
 
 from tallyhall_bench.ports import free_ports
+from tallyhall_bench.upstream_links import UpstreamLinks
+from tallyhall_dispatch.link_monitor import LinkMonitor
 from tallyhall_dispatch.options import (
     Bounds,
     Listening,
@@ -23,7 +25,9 @@
     StoreOptions,
 )
 from tallyhall_dispatch.topology import is_full_mesh
+from tallyhall_dispatch.tunnel_peers import TunnelPeers
 from tallyhall_edge.client import ClientConnection
+from tallyhall_edge.connection_memory import MemoryMonitor
 from tallyhall_edge.errors import ConnectionFailedError
 from tallyhall_edge.messages import (
     Headers,
@@ -31,6 +35,8 @@
     encode_head,
     find_header,
 )
+from tallyhall_edge.tunnel_messages import TunnelOutcome
+from tallyhall_edge.upstream_paths import UpstreamPaths
 from tallyhall_entry.instance import Instance
 from tallyhall_entry.logs import BoundedStream, setup_logging
 from tallyhall_standins.platform_engine import EngineStandIn, entry_fields
@@ -264,6 +270,17 @@
         await instance.start()
         return instance
 
+    async def add_linked_instance(self, **bounds: float) -> UpstreamLinks:
+        """Start an instance with links of its own to the known upstreams."""
+        places = set(self.addresses.values())
+        links, view = await UpstreamLinks.open(
+            Listening(HOST, int(place.rpartition(':')[2])) for place in places
+        )
+        self._address = Listening(HOST, free_ports(1)[0])
+        await self.store.listen(HOST, self._address.port, view)
+        await self.add_instance(**bounds)
+        return links
+
     async def add_instances(self, count: int, **bounds: float) -> None:
         """Start several instances concurrently."""
         started = [self._new_instance(bounds) for _ in range(count)]
@@ -321,7 +338,7 @@
         return instance
 
     def _options(self, bounds: dict[str, float]) -> Options:
-        ports = free_ports(5)
+        ports = free_ports(6)
         listeners = [Listening(HOST, port) for port in ports]
         defaults: dict[str, float] = {
             'revoke_s': 5,
@@ -348,6 +365,7 @@
             listeners[2],
             listeners[3],
             listeners[4],
+            listeners[5],
             StoreOptions(self._address, least_lease_s, heartbeat_s),
             Bounds(**settings),
             1000,
@@ -389,6 +407,32 @@
     os.close(writer)
 
 
+class _NoListener:
+    """Ignores what an instance learns of its links."""
+
+    def on_isolated(self, failed: frozenset[str], *, silent: bool) -> None:
+        """Ignore it."""
+
+    def on_recovered(self) -> None:
+        """Ignore it."""
+
+    def on_tunnel_asked(self, outcome: TunnelOutcome) -> None:
+        """Ignore it."""
+
+
+def direct_paths(memory: MemoryMonitor | None = None) -> UpstreamPaths:
+    """Return the paths of an instance without peers."""
+    return UpstreamPaths(
+        'entry-1',
+        LinkMonitor(),
+        TunnelPeers('a', random.Random(1), lambda _: False),
+        _NoListener(),
+        b'',
+        1,
+        memory,
+    )
+
+
 def log_stream() -> BoundedStream:
     """Return a log stream that writes to the null device."""
     return setup_logging(
--- a/tests/platform/test_class_priority.py
+++ b/tests/platform/test_class_priority.py
@@ -156,6 +156,7 @@
         ran = ending not in {
             AttemptOutcome.unsent,
             AttemptOutcome.withheld,
+            AttemptOutcome.no_path,
             AttemptOutcome.rejected,
             AttemptOutcome.misplaced,
         }
--- a/tests/platform/test_guard.py
+++ b/tests/platform/test_guard.py
@@ -30,7 +30,7 @@
 from tallyhall_transport.peer import Peer
 from tallyhall_transport.peer_streams import PeerStreams
 
-from tests.platform.harness import HOST, log_stream, until
+from tests.platform.harness import HOST, direct_paths, log_stream, until
 
 _NOW_S = 1_700_000_000.0
 _LARGE = 195
@@ -89,6 +89,7 @@
         recorder,
         EventLog(log_stream()),
         lambda: _NOW_S,
+        direct_paths().refuses,
     )
 
 
--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -112,17 +112,21 @@
 ) -> None:
     path = tmp_path / 'log'
     async with logged_deployment(path) as made:
-        made.register('plain-0', f'{HOST}:{free_ports(1)[0]}', PLAIN)
+        for number, port in enumerate(free_ports(2)):
+            made.register(f'plain-{number}', f'{HOST}:{port}', PLAIN)
         await made.ready()
         answer = await made.caller().ask('/safe/x', 'r-unsent')
         assert answer.status == 503
         await until(lambda: 'upstream_ejected' in path.read_text())
     lines = [read_line(text) for text in path.read_text().splitlines()]
-    by_event = {line.event: line.fields for line in lines if line is not None}
-    assert by_event['send_ended']['ending'] == 'unsent'
-    assert 'ConnectionRefused' in by_event['send_ended']['cause']
-    ejected = by_event['upstream_ejected']
-    assert ejected['upstream'] == 'plain-0'
+    unsent, ejected = (
+        line.fields
+        for line in lines
+        if line is not None and line.fields.get('ending') == 'unsent'
+    )
+    assert 'ConnectionRefused' in unsent['cause']
+    assert ejected['event'] == 'upstream_ejected'
+    assert ejected['upstream'] == unsent['upstream']
     assert ejected['by'] == 'entry-1'
     assert ejected['ejected_ms'] == 500
 
--- a/tests/platform/test_memory_limits.py
+++ b/tests/platform/test_memory_limits.py
@@ -38,6 +38,7 @@
     Deployment,
     deployment,
     desired,
+    direct_paths,
     logged_deployment,
     patient,
     route,
@@ -559,7 +560,7 @@
     upstream = _Upstream('plain-0', 1000)
     await upstream.server.listen(HOST, upstream.port)
     budget = MemoryBudget(_MB)
-    pool = ConnectionPool(b'', 1, MemoryMonitor(budget))
+    pool = ConnectionPool(direct_paths(MemoryMonitor(budget)))
     known = Upstream(
         'plain-0', PLAIN, HOST, upstream.port, 'a', 4, leaving=False
     )
