Soak: instances lose all upstreams, one, most, again and again

Each instance of the fault run has links of its own to the upstreams, which are silent, reset, refuse new connections or have nothing that listens, for a while, beside restarts and all other faults; the owner is among those that are drawn.

--- a/packages/bench/src/tallyhall_bench/platform_soak.py
+++ b/packages/bench/src/tallyhall_bench/platform_soak.py
@@ -14,6 +14,8 @@
 import sys
 from collections.abc import Coroutine, Iterable
 
+from tallyhall_dispatch.options import Listening
+
 from .platform_fleet import open_link, platform_fleet
 from .platform_load import KEY, Caller
 from .platform_run import STREAMED
@@ -29,6 +31,7 @@
     Site,
     soak_state,
 )
+from .upstream_links import UpstreamLinks
 
 _OK = 200
 _CALLERS = 12
@@ -48,15 +51,17 @@
     all_links: bool,
     fatal: bool = False,
     loads: bool = False,
+    isolates: bool = False,
 ) -> Site:
     """Run with this seed for this long, then wait for calm and check.
 
     fatal: whether one request ends upstreams of a service of its own. loads:
-    whether upstreams report their load, at times wrongly.
+    whether upstreams report their load, at times wrongly. isolates: whether
+    instances lose all upstreams at times.
     """
     rng = random.Random(seed)
     async with platform_fleet(0, soak_state(1, with_old=True)) as fleet:
-        site = Site(fleet, rng, all_links=all_links)
+        site = Site(fleet, rng, all_links=all_links, isolates=isolates)
         await _build(site)
         work = [_load(site)]
         if loads:
@@ -118,7 +123,7 @@
 
 
 async def _add_entry(site: Site) -> None:
-    store_link, store_at = await open_link(site.fleet.store_at)
+    store_link, store_at = await open_link(await _seen_store(site))
     site.store_links.append(store_link)
     entry = await site.fleet.add_entry(store_at)
     front_link, front = await open_link(entry.front)
@@ -130,6 +135,16 @@
         site.peer_places[str(entry.peer)] = str(place)
 
 
+async def _seen_store(site: Site) -> Listening:
+    """Return the store as an instance sees it that has links of its own."""
+    fleet = site.fleet
+    if not site.isolates:
+        return fleet.store_at
+    links, view = await UpstreamLinks.open(fleet.addresses.values())
+    site.upstream_links.append(links)
+    return await fleet.open_view(view)
+
+
 async def _load(site: Site) -> None:
     callers = [Caller(site.rng) for _ in range(_CALLERS)]
     async with asyncio.TaskGroup() as group:
@@ -184,6 +199,11 @@
         action='store_true',
         help='upstreams report no load, as in runs before they could',
     )
+    parser.add_argument(
+        '--no-isolation',
+        action='store_true',
+        help='no instance loses all upstreams, as in runs before they could',
+    )
     args = parser.parse_args()
     broken = 0
     for seed in range(args.seed, args.seed + args.seeds):
@@ -194,6 +214,7 @@
                 all_links=not args.old,
                 fatal=args.fatal,
                 loads=not args.old and not args.no_loads,
+                isolates=not args.old and not args.no_isolation,
             ),
         )
         served = sum(tried.status == _OK for tried in site.tries)
--- a/packages/bench/src/tallyhall_bench/soak_faults.py
+++ b/packages/bench/src/tallyhall_bench/soak_faults.py
@@ -13,10 +13,13 @@
 from .faulty_link import FaultyLink, LinkFault
 from .platform_fleet import EntryProcess
 from .soak_site import Site, Violation, soak_state
+from .upstream_links import MODES
 
 # Revoked keys must not work for longer than this, as the settings say.
 _REVOKE_S = 5.0
 _EVEN = 0.5
+# How often instances are isolated in a row.
+_TIMES_AGAIN = 3
 
 Fault = Callable[[Site, float], Awaitable[None]]
 
@@ -28,6 +31,8 @@
         names = sorted(_FAULTS)
         if site.all_links:
             names.extend(sorted(_LINK_FAULTS))
+        if site.isolates:
+            names.extend(sorted(_ISOLATIONS))
         name = site.rng.choice(names)
         for_s = site.rng.uniform(0.2, 3)
         if name in site.busy:
@@ -35,7 +40,7 @@
             continue
         site.busy.add(name)
         site.faults.append(f'{loop.time():.2f} {name} {for_s:.2f}')
-        fault = _FAULTS.get(name) or _LINK_FAULTS[name]
+        fault = _ALL_FAULTS[name]
         await fault(site, for_s)
         site.busy.discard(name)
         await asyncio.sleep(site.rng.uniform(0, 1))
@@ -92,6 +97,31 @@
     await _disturb(site, site.rng.choice(site.peer_links), for_s)
 
 
+async def _isolate_one(site: Site, for_s: float) -> None:
+    await _isolate(site, 1, for_s)
+
+
+async def _isolate_most(site: Site, for_s: float) -> None:
+    await _isolate(site, len(site.upstream_links) - 1, for_s)
+
+
+async def _isolate_again(site: Site, for_s: float) -> None:
+    for _ in range(_TIMES_AGAIN):
+        await _isolate(site, 1, for_s / 2)
+        await asyncio.sleep(for_s / _TIMES_AGAIN)
+
+
+async def _isolate(site: Site, count: int, for_s: float) -> None:
+    """Take all upstreams from some instances."""
+    mode = site.rng.choice(MODES)
+    chosen = site.rng.sample(site.upstream_links, count)
+    for links in chosen:
+        await links.lose(mode)
+    await asyncio.sleep(for_s)
+    for links in chosen:
+        await links.restore()
+
+
 async def _disturb(site: Site, link: FaultyLink, for_s: float) -> None:
     kind = site.rng.randrange(3)
     if kind == 0:
@@ -152,6 +182,13 @@
                 )
 
 
+_ISOLATIONS: Mapping[str, Fault] = types.MappingProxyType(
+    {
+        'isolate_again': _isolate_again,
+        'isolate_most': _isolate_most,
+        'isolate_one': _isolate_one,
+    },
+)
 _LINK_FAULTS: Mapping[str, Fault] = types.MappingProxyType(
     {'engine_link': _engine_link, 'peer_link': _peer_link},
 )
@@ -170,3 +207,6 @@
         'store_link': _store_link,
     }
 )
+_ALL_FAULTS: Mapping[str, Fault] = types.MappingProxyType(
+    {**_FAULTS, **_LINK_FAULTS, **_ISOLATIONS},
+)
--- a/packages/bench/src/tallyhall_bench/soak_site.py
+++ b/packages/bench/src/tallyhall_bench/soak_site.py
@@ -11,6 +11,7 @@
 from .platform_fleet import PlatformFleet
 from .platform_load import KEY, Tried
 from .platform_run import service, stream_route, usual_state
+from .upstream_links import UpstreamLinks
 
 INSTANCES = 3
 EVENTS = 8
@@ -38,10 +39,16 @@
     all_links: bool = False
     # Whether upstreams report their load.
     reports_loads: bool = False
+    # Whether instances lose all upstreams at times.
+    isolates: bool = False
     store_links: list[FaultyLink] = dataclasses.field(default_factory=list)
     front_links: list[FaultyLink] = dataclasses.field(default_factory=list)
     engine_links: list[FaultyLink] = dataclasses.field(default_factory=list)
     peer_links: list[FaultyLink] = dataclasses.field(default_factory=list)
+    # The links of each instance to all upstreams; empty if none are lost.
+    upstream_links: list[UpstreamLinks] = dataclasses.field(
+        default_factory=list,
+    )
     # Addresses of the links to peers, by those of the peers themselves.
     peer_places: dict[str, str] = dataclasses.field(default_factory=dict)
     fronts: list[Listening] = dataclasses.field(default_factory=list)
--- a/tests/processes/test_platform_soak.py
+++ b/tests/processes/test_platform_soak.py
@@ -30,6 +30,14 @@
     assert site.ended > 0
 
 
+def test_no_violations_while_instances_lose_all_upstreams() -> None:
+    """One or most of them, in a series, beside restarts and other faults."""
+    site = asyncio.run(soak(1201, _SECONDS, all_links=True, isolates=True))
+    assert not site.violations, (site.violations, site.faults)
+    assert any('isolate' in fault for fault in site.faults)
+    assert sum(tried.status == 200 for tried in site.tries) > 100
+
+
 def test_no_violations_under_wrong_load_reports() -> None:
     """Reports are missing, frozen, garbled, out of range or misleading."""
     site = asyncio.run(soak(1101, _SECONDS, all_links=True, loads=True))
