Tunnels: peers without a stream count as alive; unknown upstreams are no fault of a peer

In a fleet with hubs an instance has streams to the hubs only. A peer that it heard long ago, as it was a hub then, counted as lost for tunnels; one that did not know a new upstream yet was left out for 0.3 s. Both narrowed the choice of peers where most instances of a zone are isolated.

tests/platform/test_isolated_instances.py: an instance far from the hubs of 18 is served in all of 12 requests.

--- a/packages/edge/src/tallyhall_edge/tunnel_messages.py
+++ b/packages/edge/src/tallyhall_edge/tunnel_messages.py
@@ -46,6 +46,10 @@
         TunnelOutcome.unreachable,
     )
 )
+# Outcomes after which the peer is not asked again for a while.
+PEER_FAILURES = frozenset(
+    (TunnelOutcome.isolated, TunnelOutcome.busy, TunnelOutcome.lost)
+)
 
 
 class TunnelRequest(msgspec.Struct, frozen=True):
--- a/packages/edge/src/tallyhall_edge/upstream_paths.py
+++ b/packages/edge/src/tallyhall_edge/upstream_paths.py
@@ -22,6 +22,7 @@
 from .errors import NoPathError, NotSentError
 from .tunnel_client import open_tunnel
 from .tunnel_messages import (
+    PEER_FAILURES,
     VERDICTS,
     TunnelOutcome,
     TunnelRefusedError,
@@ -269,7 +270,7 @@
             await open_tunnel(peer, request, conn, _TUNNEL_TIMEOUT_S)
         except TunnelRefusedError as exc:
             self._listener.on_tunnel_asked(exc.outcome)
-            if exc.outcome not in VERDICTS:
+            if exc.outcome in PEER_FAILURES:
                 self._peers.record_failed(peer.name, self._loop.time())
             raise
         now = self._loop.time()
--- a/packages/entry/src/tallyhall_entry/paths.py
+++ b/packages/entry/src/tallyhall_entry/paths.py
@@ -225,7 +225,7 @@
         A peer that this instance has no stream to may be both.
         """
         peer = self._peer_streams.peers.get(name)
-        if peer is None or peer.last_heard_at < 0:
+        if peer is None or peer.stream_opened_at is None:
             return True
         if peer.leaving or peer.isolated:
             return False
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -276,9 +276,11 @@
         links, view = await UpstreamLinks.open(
             Listening(HOST, int(place.rpartition(':')[2])) for place in places
         )
+        shared = self._address
         self._address = Listening(HOST, free_ports(1)[0])
         await self.store.listen(HOST, self._address.port, view)
         await self.add_instance(**bounds)
+        self._address = shared
         return links
 
     async def add_instances(self, count: int, **bounds: float) -> None:
--- a/tests/platform/test_isolated_instances.py
+++ b/tests/platform/test_isolated_instances.py
@@ -30,6 +30,8 @@
 
 _UPSTREAMS = 3
 _SLOW_S = 0.6
+# From 17 instances on, only the hubs have streams to all others.
+_LARGE = 18
 
 
 class _Fleet:
@@ -207,6 +209,31 @@
         assert [count['connected'] for count in served] == before
 
 
+async def test_an_instance_far_from_the_hubs_is_served_through_others() -> None:
+    """In a large fleet, most instances have no stream to each other."""
+    async with deployment(_LARGE - 1) as made:
+        engines = [
+            await made.add_engine(f'{service}-{number}', service)
+            for service in (MODEL, PLAIN)
+            for number in range(_UPSTREAMS)
+        ]
+        links = await made.add_linked_instance()
+        await made.ready()
+        instance = made.instances[-1]
+        assert instance.options.instance not in instance._scheduler.hubs
+        fleet = _Fleet(made, [*(links for _ in range(_LARGE))])
+        fleet.engines = engines
+        await fleet.isolate('silent', _LARGE - 1)
+        answers = [
+            await fleet.ask(route, _LARGE - 1)
+            for route in ('safe', 'once', 'stream', 'brittle')
+            for _ in range(3)
+        ]
+        assert [answer.status for answer in answers] == [200] * 12
+        served = [one._metrics.paths.served for one in made.instances]
+        assert sum(count['connected'] for count in served) > 0
+
+
 async def test_request_is_counted_once_where_it_came_in() -> None:
     async with _fleet() as fleet:
         await fleet.isolate()
