The dispatcher of jobs has a module of its own

scheduling.py held both the interfaces between requests and their scheduling and the pools of all services, 417 lines.

--- a/packages/entry/src/tallyhall_entry/cluster_state.py
+++ b/packages/entry/src/tallyhall_entry/cluster_state.py
@@ -10,7 +10,7 @@
 from tallyhall_dispatch.gate import AdmissionGate
 from tallyhall_dispatch.quota import StoredUse
 from tallyhall_edge.caller_connection import ServerLimits
-from tallyhall_edge.scheduling import Dispatcher
+from tallyhall_edge.dispatcher import Dispatcher
 from tallyhall_edge.server import HttpServer
 from tallyhall_platform.entries import InstanceEntry
 from tallyhall_transport.peer import PeerEndpoint
--- a/packages/entry/src/tallyhall_entry/guard.py
+++ b/packages/entry/src/tallyhall_entry/guard.py
@@ -18,8 +18,8 @@
 from tallyhall_core.suspects import (
     Cleared,
     InterruptedRun,
-    SuspectStatus,
     Suspects,
+    SuspectStatus,
     UpstreamTermination,
     Verdict,
 )
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -19,8 +19,8 @@
 from tallyhall_dispatch.options import Options
 from tallyhall_dispatch.quota_limits import FleetView
 from tallyhall_edge.caller_connection import ServerLimits
+from tallyhall_edge.dispatcher import Dispatcher
 from tallyhall_edge.runner import RequestPipeline
-from tallyhall_edge.scheduling import Dispatcher
 from tallyhall_edge.server import HttpServer
 from tallyhall_edge.stopping import StopSchedule
 from tallyhall_platform.call_counts import CallCounts
--- a/packages/entry/src/tallyhall_entry/load_sharing.py
+++ b/packages/entry/src/tallyhall_entry/load_sharing.py
@@ -17,7 +17,7 @@
 from tallyhall_core.events import Event
 from tallyhall_dispatch.load_reports import LoadReport
 from tallyhall_dispatch.unsent_loads import UnsentLoad, UnsentLoads
-from tallyhall_edge.scheduling import Dispatcher
+from tallyhall_edge.dispatcher import Dispatcher
 from tallyhall_transport.peer import Peer
 from tallyhall_transport.peer_codec import decode_load, encode_load
 from tallyhall_transport.peer_streams import PeerStreams
--- a/packages/entry/src/tallyhall_entry/orders.py
+++ b/packages/entry/src/tallyhall_entry/orders.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from tallyhall_dispatch.options import Options
-from tallyhall_edge.scheduling import Dispatcher
+from tallyhall_edge.dispatcher import Dispatcher
 from tallyhall_platform.call_counts import CallCounts
 from tallyhall_platform.store import Change
 
--- a/packages/entry/src/tallyhall_entry/owners.py
+++ b/packages/entry/src/tallyhall_entry/owners.py
@@ -10,7 +10,7 @@
 
 import msgspec
 from tallyhall_dispatch.ownership import Ownership
-from tallyhall_edge.scheduling import Dispatcher
+from tallyhall_edge.dispatcher import Dispatcher
 from tallyhall_transport.peer_streams import PeerStreams
 
 # Minimum time for which an unresponsive owner is skipped. It is also skipped
--- a/packages/entry/src/tallyhall_entry/paths.py
+++ b/packages/entry/src/tallyhall_entry/paths.py
@@ -17,8 +17,8 @@
 from tallyhall_dispatch.tunnel_peers import TunnelPeer, TunnelPeers
 from tallyhall_edge.connection_memory import MemoryMonitor
 from tallyhall_edge.connections import ConnectionPool
+from tallyhall_edge.dispatcher import Dispatcher
 from tallyhall_edge.link_probe import LinkProbe, ProbeTarget
-from tallyhall_edge.scheduling import Dispatcher
 from tallyhall_edge.tunnel_messages import TunnelOutcome, TunnelRequest
 from tallyhall_edge.tunnel_server import TunnelEnd, TunnelServer
 from tallyhall_edge.upstream_paths import UpstreamPaths
--- a/packages/entry/src/tallyhall_entry/reports.py
+++ b/packages/entry/src/tallyhall_entry/reports.py
@@ -9,7 +9,7 @@
 from tallyhall_dispatch.fleet import FleetCount
 from tallyhall_dispatch.gate import AdmissionGate
 from tallyhall_dispatch.pool import ServicePool
-from tallyhall_edge.scheduling import Dispatcher
+from tallyhall_edge.dispatcher import Dispatcher
 from tallyhall_edge.server import HttpServer
 from tallyhall_platform.call_counts import CallCounts
 
--- a/packages/entry/src/tallyhall_entry/rollouts.py
+++ b/packages/entry/src/tallyhall_entry/rollouts.py
@@ -29,7 +29,7 @@
     RolloutStatus,
     order_in_progress,
 )
-from tallyhall_edge.scheduling import Dispatcher
+from tallyhall_edge.dispatcher import Dispatcher
 from tallyhall_platform.call_counts import CallCounts
 from tallyhall_platform.errors import ConditionFailedError, StoreError
 from tallyhall_platform.rollouts import (
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -24,7 +24,8 @@
 from tallyhall_dispatch.jobs import AttemptOutcome, Job, RunReport, SlotGrant
 from tallyhall_dispatch.pool import GrantDecision
 from tallyhall_dispatch.rejection import RejectDecision
-from tallyhall_edge.scheduling import Dispatcher, JobRejectedError
+from tallyhall_edge.dispatcher import Dispatcher
+from tallyhall_edge.scheduling import JobRejectedError
 from tallyhall_transport.peer import Peer
 from tallyhall_transport.peer_codec import (
     decode_done,
--- a/packages/entry/src/tallyhall_entry/upstream_announcements.py
+++ b/packages/entry/src/tallyhall_entry/upstream_announcements.py
@@ -15,7 +15,7 @@
 from tallyhall_core.events import Event
 from tallyhall_dispatch.announced_limits import AnnouncedLimit
 from tallyhall_dispatch.load_reports import LoadReport
-from tallyhall_edge.scheduling import Dispatcher
+from tallyhall_edge.dispatcher import Dispatcher
 from tallyhall_transport.peer import Peer
 from tallyhall_transport.peer_streams import PeerStreams
 
--- a/tests/platform/limit_fleet.py
+++ b/tests/platform/limit_fleet.py
@@ -22,7 +22,8 @@
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.jobs import AttemptOutcome, Job, RunReport
 from tallyhall_dispatch.load_reports import LoadReport
-from tallyhall_edge.scheduling import Dispatcher, JobRejectedError
+from tallyhall_edge.dispatcher import Dispatcher
+from tallyhall_edge.scheduling import JobRejectedError
 from tallyhall_entry.shared import SharedScheduler
 from tallyhall_platform.decode import decode_state
 from tallyhall_transport.generated import peers_pb2
--- a/tests/platform/test_asks.py
+++ b/tests/platform/test_asks.py
@@ -27,7 +27,7 @@
 import pytest
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.jobs import AttemptOutcome, Job, RunReport
-from tallyhall_edge.scheduling import Dispatcher
+from tallyhall_edge.dispatcher import Dispatcher
 from tallyhall_entry import shared
 from tallyhall_entry.knowledge import PeerKnowledge
 from tallyhall_entry.peer_tracker import Seen
--- a/tests/platform/test_class_priority.py
+++ b/tests/platform/test_class_priority.py
@@ -22,7 +22,7 @@
 from tallyhall_dispatch.rejection import RejectDecision
 from tallyhall_dispatch.switches import ALL_ENABLED
 from tallyhall_dispatch.urgency_stats import ServedFractions
-from tallyhall_edge.scheduling import Dispatcher
+from tallyhall_edge.dispatcher import Dispatcher
 from tallyhall_entry.exposition import exposed
 from tallyhall_entry.logs import EventLog, setup_logging
 from tallyhall_entry.metrics import Metrics
--- a/tests/platform/test_isolated_instances.py
+++ b/tests/platform/test_isolated_instances.py
@@ -221,7 +221,7 @@
         await made.ready()
         instance = made.instances[-1]
         assert instance.options.instance not in instance._scheduler.hubs
-        fleet = _Fleet(made, [*(links for _ in range(_LARGE))])
+        fleet = _Fleet(made, [links] * _LARGE)
         fleet.engines = engines
         await fleet.isolate('silent', _LARGE - 1)
         answers = [
--- a/tests/platform/test_leavers.py
+++ b/tests/platform/test_leavers.py
@@ -4,7 +4,7 @@
 
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.leaving_upstreams import LeavingUpstreams
-from tallyhall_edge.scheduling import Dispatcher
+from tallyhall_edge.dispatcher import Dispatcher
 
 _MANY = 5000
 
--- a/tests/platform/test_peer_tracker.py
+++ b/tests/platform/test_peer_tracker.py
@@ -14,7 +14,7 @@
 import random
 from typing import cast
 
-from tallyhall_edge.scheduling import Dispatcher
+from tallyhall_edge.dispatcher import Dispatcher
 from tallyhall_entry.knowledge import peer_knowledge
 from tallyhall_entry.shared import SharedScheduler
 from tallyhall_transport.generated import peers_pb2
--- a/tests/platform/test_rejection.py
+++ b/tests/platform/test_rejection.py
@@ -41,7 +41,6 @@
 
 from tests.platform.harness import PLAIN, deployment, log_stream, until
 
-
 _DEADLINE_S = 0.5
 _REJECT_S = 1.4
 _TIMEOUT_S = 5.0
--- a/tests/platform/test_shared.py
+++ b/tests/platform/test_shared.py
@@ -9,7 +9,7 @@
 from tallyhall_dispatch.jobs import Job
 from tallyhall_dispatch.pool import GrantDecision
 from tallyhall_dispatch.rejection import RejectDecision
-from tallyhall_edge.scheduling import Dispatcher
+from tallyhall_edge.dispatcher import Dispatcher
 from tallyhall_entry import shared
 from tallyhall_platform.decode import decode_state
 
--- a/tests/platform/test_suspects.py
+++ b/tests/platform/test_suspects.py
@@ -8,8 +8,8 @@
     KEPT_S,
     Cleared,
     InterruptedRun,
-    SuspectStatus,
     Suspects,
+    SuspectStatus,
     UpstreamTermination,
     Verdict,
 )
