Overdue answers only put the links in doubt; upstreams are asked before it counts

Cause: answers of two upstreams that were overdue, with nothing heard from any upstream since, made an instance isolated at once. On a starved machine, or while all upstreams are busy, that would be a false alarm, which closes kept connections and sends requests the longer way until a question is answered.

Change: only connections that fail make an instance isolated by themselves. Overdue answers start a round of questions for health, and no answer to that does.

--- a/packages/dispatch/src/tallyhall_dispatch/link_monitor.py
+++ b/packages/dispatch/src/tallyhall_dispatch/link_monitor.py
@@ -4,10 +4,14 @@
 it is. One instance cannot tell these apart by a single upstream. If several
 upstreams fail one after the other while none answers, the link of the instance
 is the likelier cause: it counts as isolated until an upstream answers again.
+Answers that are overdue are weaker evidence than connections that fail, as busy
+upstreams are slow, too: they only make the instance check its links.
 """
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 # Upstreams that must fail, without an answer of any between, for the instance
@@ -20,6 +24,19 @@
 _MAX_AVOID_S = 8.0
 
 
+@enum.unique
+class LinkFailure(enum.Enum):
+    """How an upstream failed before anything came from it.
+
+    refused: a new connection was refused or reset. timed_out: it was given up.
+    overdue: a request has no answer.
+    """
+
+    refused = 'refused'
+    timed_out = 'timed_out'
+    overdue = 'overdue'
+
+
 class _Avoided(msgspec.Struct):
     """An upstream to which no direct connection is opened for now."""
 
@@ -38,9 +55,8 @@
         """Start with all links sound."""
         # When the instance became isolated, None if it is not.
         self.isolated_since: float | None = None
-        # Upstreams that failed since the last answer on a new connection, and
-        # whether each was silent.
-        self._failed: dict[str, bool] = {}
+        # Upstreams that failed since the last answer on a new connection.
+        self._failed: dict[str, LinkFailure] = {}
         self._avoided: dict[str, _Avoided] = {}
         # When any upstream last sent anything on a direct connection.
         self._heard_at: float = float('-inf')
@@ -92,34 +108,41 @@
 
         Open connections may then be dead without a sign of it.
         """
-        return any(self._failed.values())
+        return any(
+            failure is not LinkFailure.refused
+            for failure in self._failed.values()
+        )
 
     def record_failure(
-        self, incarnation: str, now: float, *, silent: bool
+        self, incarnation: str, failure: LinkFailure, now: float
     ) -> bool:
         """Record that a new direct connection failed before any answer.
 
-        silent: whether it was neither refused nor reset. Returns whether the
-        instance counts as isolated from now on.
+        Returns whether the instance counts as isolated from now on.
         """
-        self._failed[incarnation] = silent
-        if self.is_isolated or len(self._failed) < _MIN_FAILED_UPSTREAMS:
+        self._failed[incarnation] = failure
+        failed = sum(
+            known is not LinkFailure.overdue for known in self._failed.values()
+        )
+        return failed >= _MIN_FAILED_UPSTREAMS and self.confirm_isolated(now)
+
+    def confirm_isolated(self, now: float) -> bool:
+        """Record that no upstream answers; return whether this is new."""
+        if self.is_isolated:
             return False
         self.isolated_since = now
         return True
 
-    def record_silence(
-        self, incarnation: str, asked_at: float, now: float
-    ) -> bool:
+    def record_silence(self, incarnation: str, asked_at: float) -> bool:
         """Record that a request that was sent at `asked_at` has no answer yet.
 
-        It counts as a failure only if nothing came from any upstream since: a
-        busy upstream is silent for a while, too. Returns whether the instance
-        counts as isolated from now on.
+        It counts only if nothing came from any upstream since. Returns whether
+        the links must be checked.
         """
-        if self._heard_at >= asked_at:
+        if self.is_isolated or self._heard_at >= asked_at:
             return False
-        return self.record_failure(incarnation, now, silent=True)
+        self._failed.setdefault(incarnation, LinkFailure.overdue)
+        return len(self._failed) >= _MIN_FAILED_UPSTREAMS
 
     def avoid(self, incarnation: str, now: float) -> None:
         """Open no direct connection to an upstream for a while."""
--- a/packages/edge/src/tallyhall_edge/link_probe.py
+++ b/packages/edge/src/tallyhall_edge/link_probe.py
@@ -1,8 +1,8 @@
-"""Finds out when an isolated instance reaches its upstreams again.
+"""Finds out whether an instance reaches its upstreams.
 
 Requests of an isolated instance go through others, so that none of them shows
-that a link works again. Only while the instance is isolated, upstreams are
-asked for their health; any answer will do.
+that a link works again. Upstreams are asked for their health only while the
+instance is isolated or its links are in doubt; any answer will do.
 """
 
 from __future__ import annotations
@@ -43,42 +43,48 @@
 
 
 class LinkProbe:
-    """Asks upstreams while this instance is isolated."""
+    """Asks upstreams whether the links of this instance work."""
 
     def __init__(
         self,
         links: LinkMonitor,
         read_targets: Callable[[], Sequence[ProbeTarget]],
         on_answer: Callable[[Upstream], None],
+        on_no_answer: Callable[[], None],
         rng: random.Random,
     ) -> None:
-        """Call `on_answer` with an upstream that answered."""
+        """Call `on_answer` with each upstream that answered.
+
+        on_no_answer: called after a round without any.
+        """
         self._links = links
         self._read_targets = read_targets
         self._on_answer = on_answer
+        self._on_no_answer = on_no_answer
         self._rng = rng
         self._wanted = asyncio.Event()
 
     def start(self) -> None:
-        """Ask from now on, as the instance became isolated."""
+        """Ask from now on, until an upstream answers."""
         self._wanted.set()
 
     async def run(self) -> None:
-        """Ask whenever the instance is isolated, until cancelled."""
+        """Ask whenever it is wanted, until cancelled."""
         while True:
             await self._wanted.wait()
-            self._wanted.clear()
             await self._ask_until_answered()
+            self._wanted.clear()
 
     async def _ask_until_answered(self) -> None:
         pause_s = _PAUSE_S
         while not await self._ask_some():
+            self._on_no_answer()
             jitter = self._rng.uniform(1, _MAX_JITTER)
             await asyncio.sleep(pause_s * jitter)
             pause_s = min(_MAX_PAUSE_S, 2 * pause_s)
 
     async def _ask_some(self) -> bool:
-        """Ask a few upstreams; return whether the links work."""
+        """Ask a few upstreams; return whether any answered."""
         targets = list(self._read_targets())
         self._rng.shuffle(targets)
         failed = self._links.failed
@@ -89,7 +95,7 @@
         for target, answers_now in zip(chosen, answers, strict=True):
             if answers_now:
                 self._on_answer(target.upstream)
-        return not self._links.is_isolated
+        return any(answers)
 
 
 async def _answers(target: ProbeTarget) -> bool:
--- a/packages/edge/src/tallyhall_edge/tunnel_server.py
+++ b/packages/edge/src/tallyhall_edge/tunnel_server.py
@@ -12,6 +12,7 @@
 
 import msgspec
 from tallyhall_dispatch.desired import Upstream
+from tallyhall_dispatch.link_monitor import LinkFailure
 
 from .client import set_keepalive
 from .connection_memory import ConnectionMemory, MemoryMonitor
@@ -71,11 +72,10 @@
     def is_peer(self, host: str) -> bool:
         """Return whether an instance is registered at this IP address."""
 
-    def record_not_connected(self, upstream: Upstream, *, silent: bool) -> None:
-        """Record that an upstream was not connected for another instance.
-
-        silent: whether it did not even refuse the connection.
-        """
+    def record_not_connected(
+        self, upstream: Upstream, failure: LinkFailure
+    ) -> None:
+        """Record that an upstream was not connected for another instance."""
 
 
 class TunnelServer:
@@ -147,8 +147,10 @@
             return TunnelOutcome.isolated
         outcome = await _connect(upstream, side, self.memory)
         if outcome is not TunnelOutcome.connected:
-            silent = outcome is TunnelOutcome.unreachable
-            self.access.record_not_connected(upstream, silent=silent)
+            failure = LinkFailure.timed_out
+            if outcome is TunnelOutcome.refused:
+                failure = LinkFailure.refused
+            self.access.record_not_connected(upstream, failure)
         return outcome
 
 
--- a/packages/edge/src/tallyhall_edge/upstream_paths.py
+++ b/packages/edge/src/tallyhall_edge/upstream_paths.py
@@ -14,7 +14,7 @@
 from typing import Protocol
 
 from tallyhall_dispatch.desired import Upstream
-from tallyhall_dispatch.link_monitor import LinkMonitor
+from tallyhall_dispatch.link_monitor import LinkFailure, LinkMonitor
 from tallyhall_dispatch.tunnel_peers import TunnelPeer, TunnelPeers
 
 from .client import ClientConnection
@@ -51,6 +51,9 @@
         refused nor reset a connection.
         """
 
+    def on_suspected(self) -> None:
+        """Handle that the links must be checked."""
+
     def on_recovered(self) -> None:
         """Handle that an upstream answers directly again."""
 
@@ -156,19 +159,22 @@
         """Record that a request that was sent at `asked_at` has no answer."""
         if conn.via:
             return
-        now = self._loop.time()
-        if self._links.record_silence(upstream.incarnation, asked_at, now):
-            self._report_isolated()
+        if self._links.record_silence(upstream.incarnation, asked_at):
+            self._listener.on_suspected()
 
     def record_failure(
-        self, upstream: Upstream, *, silent: bool = False
+        self,
+        upstream: Upstream,
+        failure: LinkFailure = LinkFailure.refused,
     ) -> None:
-        """Record that a new direct connection failed before any answer.
-
-        silent: whether it was neither refused nor reset.
-        """
+        """Record that a new direct connection failed before any answer."""
         now = self._loop.time()
-        if self._links.record_failure(upstream.incarnation, now, silent=silent):
+        if self._links.record_failure(upstream.incarnation, failure, now):
+            self._report_isolated()
+
+    def confirm_isolated(self) -> None:
+        """Record that none of the upstreams that were asked answers."""
+        if self._links.confirm_isolated(self._loop.time()):
             self._report_isolated()
 
     # -- direct connections
@@ -183,10 +189,11 @@
                 self._memory,
             )
         except NotSentError as exc:
-            silent = _is_timeout(exc)
-            self.record_failure(upstream, silent=silent)
-            if silent:
+            failure = LinkFailure.refused
+            if _is_timeout(exc):
+                failure = LinkFailure.timed_out
                 self._links.avoid(upstream.incarnation, self._loop.time())
+            self.record_failure(upstream, failure)
             if self.is_isolated:
                 raise NoPathError(str(exc)) from exc.__cause__
             raise
--- a/packages/entry/src/tallyhall_entry/paths.py
+++ b/packages/entry/src/tallyhall_entry/paths.py
@@ -12,7 +12,7 @@
 
 from tallyhall_core.events import Event
 from tallyhall_dispatch.desired import DesiredState, Upstream
-from tallyhall_dispatch.link_monitor import LinkMonitor
+from tallyhall_dispatch.link_monitor import LinkFailure, LinkMonitor
 from tallyhall_dispatch.options import Options
 from tallyhall_dispatch.tunnel_peers import TunnelPeer, TunnelPeers
 from tallyhall_edge.connection_memory import MemoryMonitor
@@ -89,6 +89,7 @@
             self._links,
             self._probe_targets,
             self._connector.record_answer,
+            self._connector.confirm_isolated,
             rng,
         )
 
@@ -160,9 +161,11 @@
         """Return whether an instance is registered at this IP address."""
         return host in self._hosts
 
-    def record_not_connected(self, upstream: Upstream, *, silent: bool) -> None:
+    def record_not_connected(
+        self, upstream: Upstream, failure: LinkFailure
+    ) -> None:
         """Record that an upstream was not connected for another instance."""
-        self._connector.record_failure(upstream, silent=silent)
+        self._connector.record_failure(upstream, failure)
 
     # -- `PathListener`
 
@@ -175,6 +178,10 @@
             self.conns.close_idle_where(lambda conn: not conn.via)
         self._probe.start()
 
+    def on_suspected(self) -> None:
+        """Ask upstreams whether the links work."""
+        self._probe.start()
+
     def on_recovered(self) -> None:
         """Use direct connections only."""
         self._counts.isolated = 0
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -415,6 +415,9 @@
     def on_isolated(self, failed: frozenset[str], *, silent: bool) -> None:
         """Ignore it."""
 
+    def on_suspected(self) -> None:
+        """Ignore it."""
+
     def on_recovered(self) -> None:
         """Ignore it."""
 
