A round of questions without an answer counts only while links are in doubt

Cause: two upstreams that had ended could be asked in one round; if others answered requests meanwhile, the round still made the instance isolated, for the 0.2 s to the next one.

Change: the instance becomes isolated only if several upstreams still count as failed, and asking stops where a request was answered.

--- a/packages/dispatch/src/tallyhall_dispatch/link_monitor.py
+++ b/packages/dispatch/src/tallyhall_dispatch/link_monitor.py
@@ -127,8 +127,12 @@
         return failed >= _MIN_FAILED_UPSTREAMS and self.confirm_isolated(now)
 
     def confirm_isolated(self, now: float) -> bool:
-        """Record that no upstream answers; return whether this is new."""
-        if self.is_isolated:
+        """Record that upstreams that were asked did not answer.
+
+        Returns whether the instance counts as isolated from now on; it does
+        not if others have answered meanwhile.
+        """
+        if self.is_isolated or len(self._failed) < _MIN_FAILED_UPSTREAMS:
             return False
         self.isolated_since = now
         return True
--- a/packages/edge/src/tallyhall_edge/link_probe.py
+++ b/packages/edge/src/tallyhall_edge/link_probe.py
@@ -65,7 +65,7 @@
         self._wanted = asyncio.Event()
 
     def start(self) -> None:
-        """Ask from now on, until an upstream answers."""
+        """Ask from now on, until an upstream answers, whoever asked it."""
         self._wanted.set()
 
     async def run(self) -> None:
@@ -79,6 +79,8 @@
         pause_s = _PAUSE_S
         while not await self._ask_some():
             self._on_no_answer()
+            if not self._links.is_isolated:
+                return
             jitter = self._rng.uniform(1, _MAX_JITTER)
             await asyncio.sleep(pause_s * jitter)
             pause_s = min(_MAX_PAUSE_S, 2 * pause_s)
--- a/tests/platform/test_isolated_instances.py
+++ b/tests/platform/test_isolated_instances.py
@@ -14,6 +14,7 @@
 
 import pytest
 from tallyhall_bench.upstream_links import MODES, UpstreamLinks
+from tallyhall_dispatch.link_monitor import LinkFailure, LinkMonitor
 from tallyhall_entry.explain import explain
 from tallyhall_entry.logs import setup_logging
 from tallyhall_standins.platform_engine import EngineFault, EngineStandIn
@@ -92,6 +93,34 @@
         yield fleet
 
 
+def test_an_answer_between_failures_means_that_links_work() -> None:
+    for failure in (LinkFailure.refused, LinkFailure.timed_out):
+        links = LinkMonitor()
+        assert not links.record_failure('u1', failure, 1)
+        assert not links.record_failure('u1', failure, 2)
+        links.record_answer('u2')
+        assert not links.record_failure('u3', failure, 3)
+        assert links.record_failure('u1', failure, 4)
+        assert links.is_isolated
+        assert not links.is_direct('u2', 4)
+        assert links.record_answer('u2')
+        assert links.is_direct('u1', 4)
+
+
+def test_overdue_answers_need_a_check_that_nobody_answers() -> None:
+    links = LinkMonitor()
+    links.record_data(1)
+    assert not links.record_silence('u1', 0.9)
+    assert not links.record_silence('u1', 1.1)
+    assert links.record_silence('u2', 1.1)
+    links.record_answer('u3')
+    assert not links.confirm_isolated(2)
+    links.record_silence('u1', 1.1)
+    links.record_silence('u2', 1.1)
+    assert links.confirm_isolated(3)
+    assert links.is_silent
+
+
 @pytest.mark.parametrize('mode', MODES)
 @pytest.mark.parametrize('route', ['safe', 'once', 'stream', 'brittle'])
 async def test_requests_are_served_through_another_instance(
