--- a/tests/platform/test_isolated_instances.py
+++ b/tests/platform/test_isolated_instances.py
@@ -74,8 +74,11 @@
         """Reset all tunnels through the second instance."""
         self.made.instances[1]._paths._server.abort_all()
 
-    async def until_runs(self) -> None:
-        await until(lambda: any(engine.running for engine in self.engines))
+    async def until_runs(self, count: int = 1) -> None:
+        """Wait until this many requests run at the same time."""
+        await until(
+            lambda: sum(engine.running for engine in self.engines) >= count
+        )
 
 
 @contextlib.asynccontextmanager
@@ -282,7 +285,7 @@
             await fleet.made.caller().start('/once/x', f'r-lost-{number}')
             for number in range(3)
         ]
-        await fleet.until_runs()
+        await fleet.until_runs(3)
         await fleet.links[0].lose('closed')
         assert {(await answer).status for answer in answers} == {502}
         await asyncio.sleep(0.3)
