Read-through: one check for a served request, no unread field

isolation_run.py tested for a whole answer as platform_run.py does, and listed the instances besides the owner a second time; both call the one piece now. _PeerSide had a count that nothing read. Behaviour is as before.

--- a/packages/bench/src/tallyhall_bench/isolation_run.py
+++ b/packages/bench/src/tallyhall_bench/isolation_run.py
@@ -22,7 +22,7 @@
 
 from .platform_fleet import EntryProcess, PlatformFleet, platform_fleet
 from .platform_load import Caller, Tried, keep_calling
-from .platform_run import STREAMED, doubled, usual_state
+from .platform_run import STREAMED, doubled, is_served, usual_state
 from .plays import add_options, play_all
 from .upstream_links import MODES, UpstreamLinks
 
@@ -46,7 +46,6 @@
 _TIMES = 3
 _AGAIN_S = 5.0
 _PAUSE_S = 2.0
-_OK = 200
 _REFUSALS = frozenset((408, 421, 429, 503))
 
 
@@ -80,7 +79,7 @@
     @classmethod
     def of(cls, tries: Iterable[Tried]) -> Count:
         """Count tries."""
-        served = [tried.status == _OK and tried.whole for tried in tries]
+        served = [is_served(tried) for tried in tries]
         return cls(len(served), sum(served))
 
     @property
@@ -215,8 +214,7 @@
 
 def _two(play: Play, owner: str) -> Iterable[str]:
     """Choose two instances that own no service."""
-    names = [entry.name for entry in play.fleet.entries if entry.name != owner]
-    return play.rng.sample(names, 2)
+    return play.rng.sample(sorted(_others(play, owner)), 2)
 
 
 def _owner_too(play: Play, owner: str) -> Iterable[str]:
--- a/packages/bench/src/tallyhall_bench/platform_run.py
+++ b/packages/bench/src/tallyhall_bench/platform_run.py
@@ -166,7 +166,7 @@
     for one in tries:
         grouped[one.route].append(one)
     for route, group in sorted(grouped.items()):
-        served = [tried for tried in group if _is_served(tried)]
+        served = [tried for tried in group if is_served(tried)]
         refused = sum(tried.status in {429, 503} for tried in group)
         times = sorted(tried.total_s * 1000 for tried in served) or [0]
         failed = len(group) - len(served) - refused
@@ -178,7 +178,8 @@
     return lines
 
 
-def _is_served(tried: Tried) -> bool:
+def is_served(tried: Tried) -> bool:
+    """Return whether a caller got a whole answer."""
     return tried.status == _OK and tried.whole
 
 
--- a/packages/edge/src/tallyhall_edge/tunnel_server.py
+++ b/packages/edge/src/tallyhall_edge/tunnel_server.py
@@ -274,7 +274,6 @@
         self._opened_at: float | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._is_accepted = False
-        self._sent = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
