Logs tell the versions that serve, that of each send and which stream is resumed

The hypotheses on ORDER could not be told apart by our logs: neither 213 nor 401 named a version, and Resumes was not read. 213 counts the versions of a service that take requests, 401 names that of the upstream, 400 the stream that a caller resumes. Nothing else changes.

--- a/packages/edge/src/tallyhall_edge/dialect.py
+++ b/packages/edge/src/tallyhall_edge/dialect.py
@@ -25,7 +25,8 @@
     deadline_s: how long the caller waits, counted from the first byte of its
     request; None if not stated. output_tokens: maximum tokens of the answer, 0
     for requests that state no tokens. last_event: number of the event after
-    which a resumed stream continues.
+    which a resumed stream continues. resumes: id of the attempt that brought
+    the first event of that stream, empty if not stated.
     """
 
     request_id: bytes
@@ -35,6 +36,7 @@
     prompt_tokens: int
     output_tokens: int
     last_event: int | None
+    resumes: str = ''
 
     @property
     def id_text(self) -> str:
--- a/packages/edge/src/tallyhall_edge/request_log.py
+++ b/packages/edge/src/tallyhall_edge/request_log.py
@@ -21,6 +21,8 @@
 # Maximum length of a logged cause, in characters; it may contain bytes that an
 # upstream sent.
 _MAX_CAUSE_CHARS = 100
+# Maximum length of a logged request id that a caller states.
+_MAX_ID_CHARS = 64
 # Maximum number of unknown header names that are logged; an upstream could send
 # any number of them.
 _MAX_UNREAD_HEADERS = 20
@@ -53,6 +55,7 @@
             confirmed_ms_ago=_millis(confirmed_s_ago),
             tokens=call.prompt_tokens + call.output_tokens,
             over_quota_s=admitted.over_quota_s,
+            **_resume_fields(call),
             **_charge_fields(admitted),
         )
 
@@ -69,6 +72,7 @@
             served=True,
             request=context.request_id,
             upstream=grant.upstream.incarnation,
+            upstream_version=grant.upstream.version,
             by=grant.by,
             waited_ms=_millis(grant.waited_s),
             send=context.sends,
@@ -260,6 +264,16 @@
     return {'retry': is_retry, 'cause': cause.cause.value}
 
 
+def _resume_fields(call: RequestInfo) -> dict[str, object]:
+    """Return which stream a request resumes, and after which event."""
+    if call.last_event is None and not call.resumes:
+        return {}
+    return {
+        'resumes': call.resumes[:_MAX_ID_CHARS],
+        'after_event': call.last_event,
+    }
+
+
 def _charge_fields(admitted: Admitted) -> dict[str, object]:
     if admitted.quota_state is None:
         return {}
--- a/packages/entry/src/tallyhall_entry/cluster_state.py
+++ b/packages/entry/src/tallyhall_entry/cluster_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 
 from tallyhall_core.events import Event
 from tallyhall_dispatch.desired import DesiredState, Upstream
@@ -176,4 +177,16 @@
                 for upstream in added
             ),
             gone=sorted(removed),
+            versions=_count_versions(upstreams),
         )
+
+
+def _count_versions(upstreams: Iterable[Upstream]) -> dict[str, dict[str, int]]:
+    """Return how many upstreams of each version accept requests, by service."""
+    counts: dict[str, dict[str, int]] = {}
+    for upstream in upstreams:
+        if upstream.leaving:
+            continue
+        versions = counts.setdefault(upstream.service, {})
+        versions[upstream.version] = versions.get(upstream.version, 0) + 1
+    return counts
--- a/packages/platform/src/tallyhall_platform/headers.py
+++ b/packages/platform/src/tallyhall_platform/headers.py
@@ -34,6 +34,8 @@
 # Prompt tokens and the maximum of output tokens, separated by a comma.
 _TOKENS = b'x-tallyhall-token-counts'
 _LAST_EVENT = b'last-event-id'
+# The request id of the attempt that began a stream that is resumed.
+_RESUMES = b'resumes'
 _AUTHORIZATION = b'authorization'
 _EXPECTED = b'x-tallyhall-expect-instance'
 _EXPECTED_VERSION = b'x-tallyhall-expect-version'
@@ -119,6 +121,7 @@
             prompt_tokens=tokens[0] if tokens else 0,
             output_tokens=tokens[1] if tokens else 0,
             last_event=last_event[0] if last_event else None,
+            resumes=(find_header(headers, _RESUMES) or b'').decode('latin-1'),
         )
 
     def upstream_headers(
