Failing test: streams go on at their version, and all versions serve; make versions

Each instance keeps to one version by its own memory, and a stream that is taken up goes where any request goes.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 # Tests wait as well as compute.
 TEST_WORKERS ?= 4
 
-.PHONY: run run-platform proto days soak rollouts limits isolation test check fmt faults bench slopes overhead start-cost return-run
+.PHONY: run run-platform proto days soak rollouts limits isolation versions test check fmt faults bench slopes overhead start-cost return-run
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -59,6 +59,11 @@
 	$(BIN)/python -m tallyhall_bench.isolation_run --seed $(SEED) \
 		--seeds $(SEEDS)
 
+# Upstreams of several versions side by side, while instances are killed.
+versions: $(STAMP)
+	$(BIN)/python -m tallyhall_bench.versions_run --seed $(SEED) \
+		--seeds $(SEEDS)
+
 # The users' bench plays each day of our own: BENCH and SITE are its program
 # and a site file.
 days:
--- a/packages/bench/src/tallyhall_bench/platform_fleet.py
+++ b/packages/bench/src/tallyhall_bench/platform_fleet.py
@@ -145,6 +145,20 @@
                 named.engine.end()
                 self.store.remove(f'servers/{name}')
 
+    def end_engine(self, name: str) -> None:
+        """End an upstream as a lost process does, and remove its entry."""
+        named = self._named.pop(name)
+        named.engine.end()
+        self.store.remove(f'servers/{name}')
+
+    async def drain_engine(self, name: str, drain_s: float) -> None:
+        """Let an upstream leave: it drains for so many seconds, then ends."""
+        named = self._named[name]
+        named.fields['state'] = 'draining'
+        self.store.put(f'servers/{name}', named.fields)
+        await asyncio.sleep(drain_s)
+        self.end_engine(name)
+
     def lose_engines(self) -> None:
         """End all upstreams at once; their entries stay for now."""
         for named in self._named.values():
@@ -174,20 +188,25 @@
     async def add_entry(
         self,
         store_at: Listening | None = None,
+        zone: str = 'a',
     ) -> EntryProcess:
         """Start an entry process, maybe with a store address of its own."""
-        entry = self.prepare_entry(store_at)
+        entry = self.prepare_entry(store_at, zone)
         await entry.start()
         return entry
 
-    def prepare_entry(self, store_at: Listening | None = None) -> EntryProcess:
+    def prepare_entry(
+        self,
+        store_at: Listening | None = None,
+        zone: str = 'a',
+    ) -> EntryProcess:
         """Return an entry process with its settings; it is not started."""
         name = f'entry-{len(self.entries) + 1}'
         # The last ones follow each other: peers, metrics and tunnels.
         places = _free_places()
         fields = {
             'node': name,
-            'zone': 'a',
+            'zone': zone,
             'region': 'r',
             'ip': HOST,
             'listen': {
--- a/packages/bench/src/tallyhall_bench/platform_load.py
+++ b/packages/bench/src/tallyhall_bench/platform_load.py
@@ -1,7 +1,8 @@
 """Callers of the users' platform, and what they saw.
 
 Each request is tried once, on an open connection where there is one: what a
-caller must never see is decided from single tries.
+caller must never see is decided from single tries. `Resume` is for callers that
+take a stream up with another try.
 """
 
 from __future__ import annotations
@@ -15,12 +16,18 @@
 from tallyhall_dispatch.options import Listening
 from tallyhall_edge.client import ClientConnection
 from tallyhall_edge.errors import ConnectionFailedError, EdgeError
-from tallyhall_edge.messages import ResponseHead, encode_head, find_header
+from tallyhall_edge.messages import (
+    Headers,
+    ResponseHead,
+    encode_head,
+    find_header,
+)
 
 KEY = 'key-1'
 SITE = 'shop.example'
 _CONNECT_S = 1.0
 _WAIT_S = 20
+_TOKENS = ((b'X-Tallyhall-Token-Counts', b'400,30'),)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,6 +42,27 @@
     signed: bool
     whole: bool
     total_s: float
+    # The stated Retry-After, None without one.
+    retry_after_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resume:
+    """The stream that a try takes up.
+
+    first_id: the request id of the try that brought its first event.
+    """
+
+    first_id: str
+    last_event: int
+
+    @property
+    def headers(self) -> Headers:
+        """Return the headers that tell an instance of it."""
+        return (
+            (b'Resumes', self.first_id.encode()),
+            (b'Last-Event-Id', b'%d' % self.last_event),
+        )
 
 
 class _Sink:
@@ -75,6 +103,7 @@
         streams: bool,
         key: str = KEY,
         body: bytes = b'hello',
+        headers: Headers = (),
     ) -> Tried:
         """Send one request and return what came."""
         loop = asyncio.get_running_loop()
@@ -84,7 +113,8 @@
         try:
             async with asyncio.timeout(_WAIT_S):
                 conn = await self._connected(place)
-                raw = _request(route, request_id, key, body, streams=streams)
+                more = (*headers, *(_TOKENS if streams else ()))
+                raw = _request(route, request_id, key, body, more)
                 conn.send(raw, sink, b'')
                 error = await sink.done
         except EdgeError as exc:
@@ -105,6 +135,7 @@
             signature is not None,
             error is None,
             loop.time() - began_at,
+            _retry_after_s(head),
         )
 
     async def _connected(self, place: Listening) -> ClientConnection:
@@ -136,17 +167,20 @@
     request_id: str,
     key: str,
     body: bytes,
-    *,
-    streams: bool,
+    more: Headers,
 ) -> bytes:
-    headers = [
+    headers = (
         (b'Host', SITE.encode()),
         (b'X-Tallyhall-Request-Id', request_id.encode()),
         (b'X-Tallyhall-Deadline-Ms', b'8000'),
         (b'Authorization', f'Bearer {key}'.encode()),
         (b'Content-Length', b'%d' % len(body)),
-    ]
-    if streams:
-        headers.append((b'X-Tallyhall-Token-Counts', b'400,30'))
+        *more,
+    )
     line = f'POST /{route}/x HTTP/1.1'.encode()
-    return b''.join((encode_head(line, tuple(headers)), body))
+    return b''.join((encode_head(line, headers), body))
+
+
+def _retry_after_s(head: ResponseHead) -> float | None:
+    text = find_header(head.headers, b'retry-after')
+    return None if text is None else float(text)
--- a/packages/standins/src/tallyhall_standins/platform_engine.py
+++ b/packages/standins/src/tallyhall_standins/platform_engine.py
@@ -106,6 +106,8 @@
         self.fatal = fatal
         # Draws the fault of a request by its path and by what runs beside it.
         self.draw: Callable[[str, int], EngineFault] = _sound
+        # Put into the text of each event.
+        self.tag = ''
         # Says in all its answers that it leaves.
         self.leaving = False
         # Turns all requests away and asks for so many seconds of rest.
@@ -356,7 +358,8 @@
                 return
             if number == _BROKEN_AT and fault is EngineFault.skips_event:
                 continue
-            self._chunk(f'id: {number}\ndata: t{number}\n\n'.encode())
+            text = f't{number}{self._engine.tag}'
+            self._chunk(f'id: {number}\ndata: {text}\n\n'.encode())
             await self._writer.drain()
             times: float = _SLOW_TIMES if fault is EngineFault.slow else 1
             times *= self._engine.load.slowdown
