Streams go on at the version that began them; all sound versions serve

Cause: one instance's own view was taken for the state of the service. At which version a stream began was known to the instance that began it alone, and no job named it; which version serves was what each instance had seen since its start.

Change: a stream that goes on is a job bound to its version, also within one answer. Its version is proven by a record, of which three other instances in different zones get a copy before the first event, or by a service that had a single version for as long as any caller may come back; else the answer is 503 and nothing runs. All versions serve.

Ruled out: the version by a hash of the request id (splits the upstreams), copies at the hubs (lost together), a write to the store for each stream.

--- a/packages/bench/src/tallyhall_bench/stream_callers.py
+++ b/packages/bench/src/tallyhall_bench/stream_callers.py
@@ -47,9 +47,9 @@
     makers: list[str] = dataclasses.field(default_factory=list)
     # The try that brought the first event.
     first_id: str = ''
-    # The status of the first try.
-    status: int = 0
     whole: bool = False
+    # Whether the first try has ended.
+    tried: bool = False
     taken_up: list[TakeUp] = dataclasses.field(default_factory=list)
 
     @property
@@ -101,7 +101,7 @@
         stream = Stream(self._next_id(), self._loop.time())
         self.streams.append(stream)
         last = await self._try(stream.request_id, '', ())
-        stream.status = last.status
+        stream.tried = True
         stream.add(last)
         ends_at = self._loop.time() + _PATIENCE_S
         for _ in range(_MAX_TRIES - 1):
--- a/packages/bench/src/tallyhall_bench/versions_run.py
+++ b/packages/bench/src/tallyhall_bench/versions_run.py
@@ -276,7 +276,7 @@
 
 
 def _result(play: Play, case: str, seed: int) -> Result:
-    streams = play.callers.streams
+    streams = [one for one in play.callers.streams if one.tried]
     takes = [take for stream in streams for take in stream.taken_up]
     possible = [take.went_on for take in takes if take.possible]
     by_version = collections.Counter(
--- a/packages/core/src/tallyhall_core/events.py
+++ b/packages/core/src/tallyhall_core/events.py
@@ -67,6 +67,7 @@
     links_restored = 424
     tunnel_asked = 425
     tunnel_ended = 426
+    stream_origin_asked = 427
     logs_dropped = 501
     internal_error = 500
     order_sent = 600
--- a/packages/core/src/tallyhall_core/refusals.py
+++ b/packages/core/src/tallyhall_core/refusals.py
@@ -64,6 +64,8 @@
     upstream_full = 'upstream_full'
     timed_out = 'timed_out'
     quarantined = 'quarantined'
+    stream_unknown = 'stream_unknown'
+    stream_version_gone = 'stream_version_gone'
 
 
 _NO = Executed.no
@@ -91,6 +93,12 @@
     Reason.quarantined: Entry(
         1209, 503, _NO, 'Upstreams ended while they ran this request.'
     ),
+    Reason.stream_unknown: Entry(
+        1210, 503, _NO, 'Where the stream began cannot be proven.'
+    ),
+    Reason.stream_version_gone: Entry(
+        1211, 503, _NO, 'No upstream of the version of the stream is left.'
+    ),
     Reason.timed_out: Entry(
         1305, 504, _UNKNOWN, 'The time was over before the answer came.'
     ),
--- a/packages/dispatch/src/tallyhall_dispatch/desired.py
+++ b/packages/dispatch/src/tallyhall_dispatch/desired.py
@@ -121,8 +121,10 @@
     name: its id, which may stay the same across restarts. slots: number of
     requests it runs concurrently. leaving: it accepts no new requests.
     started_ms: Unix time of its start in milliseconds, 0 if its id changes at
-    each start. version: version of its software. canary: only the leader of
-    the version's rollout sends it requests.
+    each start. version: version of its software. created: revision of the store
+    at which it was registered, 0 if unknown. canary: only the leader of the
+    version's rollout sends it requests. is_new: its version has been known for
+    so short a time that no stream that may be resumed begins there.
     """
 
     name: str
@@ -134,7 +136,9 @@
     leaving: bool
     started_ms: int = 0
     version: str = ''
+    created: int = 0
     canary: bool = False
+    is_new: bool = False
 
     @property
     def incarnation(self) -> str:
--- a/packages/dispatch/src/tallyhall_dispatch/group.py
+++ b/packages/dispatch/src/tallyhall_dispatch/group.py
@@ -187,14 +187,23 @@
         """Return the number of free slots of the usable upstreams."""
         return self._count_free(self.usable(now), now)
 
+    def serves_version(self, version: str) -> bool:
+        """Return whether an upstream of a version takes requests."""
+        return any(
+            view.upstream.version == version and not view.upstream.leaving
+            for view in self._views.values()
+        )
+
     def may_serve(self, job: Job) -> bool:
         """Return whether there is an upstream that this job may be sent to.
 
-        Ejected upstreams count, because an ejection is short.
+        Ejected upstreams count, because an ejection is short. Canaries count
+        for a stream of their version, which can go on nowhere else.
         """
-        return any(
-            view.incarnation not in job.excluded for view in self._active()
-        )
+        views = self._active()
+        if job.version is not None:
+            views += self._canaries()
+        return any(view.may_run(job) for view in views)
 
     def backoff_ends_in_s(
         self, backoffs: Mapping[str, float], now: float
@@ -217,14 +226,14 @@
         return self._cached_forecast
 
     def forecast_for(self, job: Job, forecast: Forecast) -> Forecast:
-        """Return a forecast without the upstreams that back off for a job."""
-        if not job.backoffs:
+        """Return a forecast with only the upstreams that may run a job now."""
+        if not job.backoffs and job.version is None:
             return forecast
         now = forecast.now
         usable = [
             view
             for view in self.usable(now)
-            if view.incarnation not in job.backoffs
+            if view.may_run(job) and view.incarnation not in job.backoffs
         ]
         return self._compute_forecast(usable, now)
 
--- a/packages/dispatch/src/tallyhall_dispatch/jobs.py
+++ b/packages/dispatch/src/tallyhall_dispatch/jobs.py
@@ -25,7 +25,9 @@
     if an upstream terminated while running it, else empty. backoffs: upstreams
     to which the sending instance must not send anything, and until when. route:
     the route of the request if its service has canary upstreams, else empty.
-    non_idempotent: whether the request may run only once.
+    non_idempotent: whether the request may run only once. resumable: whether
+    its response is a stream that may be resumed. version: the only version that
+    may run it, as it goes on with a stream of that version; None for any.
     """
 
     key: str
@@ -44,6 +46,8 @@
     backoffs: Mapping[str, float] = types.MappingProxyType({})
     route: str = ''
     non_idempotent: bool = False
+    resumable: bool = False
+    version: str | None = None
 
 
 class SlotGrant(msgspec.Struct, frozen=True):
--- a/packages/dispatch/src/tallyhall_dispatch/options.py
+++ b/packages/dispatch/src/tallyhall_dispatch/options.py
@@ -56,7 +56,9 @@
 class Options(msgspec.Struct, frozen=True):
     """Options of one instance.
 
-    tunnel: address at which other instances ask for tunnels to upstreams.
+    peer: address at which other instances connect, and send datagrams. tunnel:
+    address at which other instances ask for tunnels to upstreams. has_rollouts:
+    whether operators order rollouts of versions.
     """
 
     instance: str
@@ -75,3 +77,4 @@
     cores: float
     # Memory limit of the process; 0 if there is none.
     memory_bytes: int = 0
+    has_rollouts: bool = False
--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -29,7 +29,7 @@
 from .rejection import RejectDecision, RejectionPolicy
 from .suspect_trials import SuspectTrials
 from .switches import ALL_ENABLED, Switches
-from .upstream_selection import UpstreamSelector
+from .upstream_selection import UpstreamSelector, may_start
 from .upstream_state import Ejection, UpstreamState
 from .urgency_stats import GrantRates, ServedFractions
 from .wait_forecast import WaitForecast
@@ -295,8 +295,7 @@
         now = forecast.now
         if self.rollout.may_place_on_target(job, now):
             for canary in free:
-                backing_off = now < job.backoffs.get(canary.incarnation, now)
-                if canary.upstream.canary and not backing_off:
+                if canary.upstream.canary and may_start(canary, job, now):
                     return canary
         in_use = [view for view in free if not view.upstream.canary]
         return self._selector.best(job, in_use, forecast)
--- a/packages/dispatch/src/tallyhall_dispatch/rejection.py
+++ b/packages/dispatch/src/tallyhall_dispatch/rejection.py
@@ -102,7 +102,11 @@
         if backoff_s:
             # No upstream would accept an earlier retry.
             return self._reject_unsendable(job, backoff_s)
+        all_rate = forecast.rate
         forecast = self._group.forecast_for(job, forecast)
+        if job.version is not None and all_rate:
+            # Most of the jobs ahead start on upstreams of other versions.
+            ahead = round(ahead * min(1, forecast.rate / all_rate))
         wait_s = self._wait_forecast.wait_s(job, ahead, forecast)
         cause = self._cause(job, wait_s, forecast)
         if cause is None:
--- a/packages/dispatch/src/tallyhall_dispatch/rollout.py
+++ b/packages/dispatch/src/tallyhall_dispatch/rollout.py
@@ -188,15 +188,20 @@
 
         Jobs that failed elsewhere, are suspected of crashing upstreams or
         exceed a quota are not exposed to a version that may fail. The limit is
-        divided among the routes, so that each of them is evaluated.
+        divided among the routes, so that each of them is evaluated. A stream
+        that the target began can go on nowhere else.
         """
-        if job.excluded or job.over_quota or job.suspect_digest:
+        goes_on = job.version == self.order.target
+        if job.excluded and not goes_on:
+            return False
+        if job.over_quota or job.suspect_digest:
             return False
         if now >= self._valid_until or self.exposed >= self._written:
             return False
         if self.analysis.rejection_reason is not None:
             return False
-        if job.non_idempotent and self.stage(now) is not Stage.judging:
+        is_judging = self.stage(now) is Stage.judging
+        if goes_on or (job.non_idempotent and not is_judging):
             return self.exposed + 1 <= self.allowed(now, non_idempotent=True)
         if not self._is_batch_open(now):
             return False
--- a/packages/dispatch/src/tallyhall_dispatch/upstream_selection.py
+++ b/packages/dispatch/src/tallyhall_dispatch/upstream_selection.py
@@ -62,6 +62,8 @@
 
         Returns None if the job should wait for another upstream.
         """
+        if job.version is not None:
+            forecast = self._group.forecast_for(job, forecast)
         best: UpstreamState | None = None
         lowest: float = 0
         events = self._expected_events(job)
@@ -115,7 +117,7 @@
             and self._waits_for_fast_upstream(job, forecast.now)
         )
         for view in free:
-            if _is_excluded(view, job, forecast.now):
+            if not may_start(view, job, forecast.now):
                 continue
             if can_meet_deadline and self._would_start_late(
                 view, job, forecast.now
@@ -150,17 +152,18 @@
         return any(
             view.meets_pause_limit(job, self._event_tokens)
             for view in self._group.usable(now)
+            if view.may_run(job)
         )
 
 
-def _is_excluded(view: UpstreamState, job: Job, now: float) -> bool:
-    """Return whether a job must not start at an upstream.
+def may_start(view: UpstreamState, job: Job, now: float) -> bool:
+    """Return whether a job may start at an upstream now.
 
     A suspect does not start while another one is in prefill there: if the
     upstream terminated, it would be unknown which of them was the cause.
     """
-    if view.incarnation in job.excluded:
-        return True
+    if not view.may_run(job):
+        return False
     if now < job.backoffs.get(view.incarnation, now):
-        return True
-    return bool(job.suspect_digest) and view.has_suspect_in_prefill
+        return False
+    return not (job.suspect_digest and view.has_suspect_in_prefill)
--- a/packages/dispatch/src/tallyhall_dispatch/upstream_state.py
+++ b/packages/dispatch/src/tallyhall_dispatch/upstream_state.py
@@ -182,6 +182,17 @@
             for run in self.runs.values()
         )
 
+    def may_run(self, job: Job) -> bool:
+        """Return whether a job may be sent here at all.
+
+        A stream goes on only at the version that began it, which is not new.
+        """
+        if self.incarnation in job.excluded:
+            return False
+        if job.version is not None:
+            return job.version == self.upstream.version
+        return not (job.resumable and self.upstream.is_new)
+
     def first_s(self, job: Job, now: float) -> float:
         """Return the expected time to the first event of a job."""
         return self._first_s(job, self._load.slowdown(now))
--- a/packages/dispatch/src/tallyhall_dispatch/versions.py
+++ b/packages/dispatch/src/tallyhall_dispatch/versions.py
@@ -1,24 +1,34 @@
 """Selects the versions of a service's upstreams that receive requests.
 
-Several versions run side by side only around a rollout. A version that no order
-allows gets no requests, since its upstreams may start before the order is
-given. During a rollout, the target version gets only the requests that the
-rollout leader places there. After a completed rollout only the target gets
-requests; after a rollback the target gets none until a newer order names it.
+All versions may serve side by side. Where operators order rollouts, a version
+that appears beside others may be the target of the next order, whose upstreams
+may start before the order is given: it gets no requests until it has been there
+for longer than that takes. During a rollout, the target gets only the requests
+that the rollout leader places there. A completed rollout ends the versions that
+were there before; after a rollback the target gets none until a newer order
+names it.
 """
 
 from __future__ import annotations
 
 import collections
 import enum
+import math
 from collections.abc import Iterable
 
 import msgspec
 
 from .desired import Upstream
 
-# If the accepted version has had no upstreams for this long, in seconds,
-# another version that has some is accepted without an order.
+# Time for which a new version gets no streams that may be resumed, in seconds.
+# Every instance that can prove the version of a stream knows it by then (see
+# `version_history`).
+NEW_VERSION_S = 3.6
+# Time within which an order may follow the first upstreams of its target, in
+# seconds. Versions that a completed rollout ends are gone by then as well.
+_ORDER_WAIT_S = 10.0
+# If no version that may serve has had upstreams for this long, in seconds,
+# those that wait for an order serve.
 _ACCEPT_OTHER_S = 5.0
 
 
@@ -71,26 +81,34 @@
 class ServiceVersions:
     """The versions of one service according to the latest order and status."""
 
-    def __init__(self) -> None:
-        """Start without an order."""
+    def __init__(self, *, has_rollouts: bool = True) -> None:
+        """Start without an order.
+
+        has_rollouts: whether operators order rollouts in this deployment.
+        """
         self.order: RolloutOrder | None = None
         self.status: RolloutStatus | None = None
-        # Version that receives requests if no order says otherwise.
-        self._accepted = ''
-        self._seen_at: float = 0
-        self._has_lost_accepted = False
-
-    def lost_accepted_version(self, now: float) -> bool:
-        """Return whether the accepted version has lost all upstreams."""
-        return (
-            self._has_lost_accepted and now - self._seen_at >= _ACCEPT_OTHER_S
-        )
+        self._has_rollouts = has_rollouts
+        # Since when each registered version has been known.
+        self._known_since: dict[str, float] = {}
+        # Until when each version waits for an order that names it.
+        self._waits_until: dict[str, float] = {}
+        # Revision of the last completion that was taken into account.
+        self._completed = 0
+        # When a version that does not wait was last registered.
+        self._served_at = -math.inf
+        # When the selection changes next, without a change of upstreams.
+        self._changes_at = math.inf
 
     @property
     def order_in_progress(self) -> RolloutOrder | None:
         """Return the order that is in progress, if any."""
         return order_in_progress(self.order, self.status)
 
+    def is_outdated(self, now: float) -> bool:
+        """Return whether upstreams are to be classified again."""
+        return now >= self._changes_at
+
     def classify(
         self,
         upstreams: Iterable[Upstream],
@@ -98,54 +116,126 @@
     ) -> tuple[Upstream, ...]:
         """Return the upstreams with canaries and excluded versions marked."""
         known = tuple(upstreams)
-        self._update_accepted(known, now)
-        return tuple(map(self._mark, known))
+        ready = [one for one in known if not one.leaving]
+        versions = frozenset(one.version for one in ready)
+        self._update_known(ready, versions, now)
+        self._apply_completion(ready, now)
+        used = self._used(versions, now)
+        new = self._new_versions(versions, used, now)
+        self._changes_at = self._next_change(versions, now)
+        return tuple(self._mark(one, used, new) for one in known)
 
     # -- internal
 
-    def _mark(self, upstream: Upstream) -> Upstream:
+    def _mark(
+        self, upstream: Upstream, used: frozenset[str], new: frozenset[str]
+    ) -> Upstream:
         version = upstream.version
         order = self.order_in_progress
-        if order is not None and version == order.target:
-            return msgspec.structs.replace(upstream, canary=True)
-        if self._is_excluded(version):
-            return msgspec.structs.replace(upstream, leaving=True)
-        return upstream
-
-    def _is_excluded(self, version: str) -> bool:
-        if self.order_in_progress is not None:
-            return version == self._target_if(RolloutState.rolled_back)
-        return version != self._accepted
-
-    def _target_if(self, state: RolloutState) -> str | None:
-        """Return the target of the latest rollout if it ended in this state."""
-        status = self.status
-        if status is None or status.state is not state:
-            return None
-        return status.target
+        is_target = order is not None and version == order.target
+        return msgspec.structs.replace(
+            upstream,
+            canary=is_target,
+            leaving=upstream.leaving or not (is_target or version in used),
+            is_new=version in new,
+        )
 
-    def _update_accepted(
-        self,
-        upstreams: tuple[Upstream, ...],
-        now: float,
+    def _update_known(
+        self, ready: list[Upstream], versions: frozenset[str], now: float
     ) -> None:
-        """Update the accepted version."""
+        """Record which versions came and went.
+
+        Of those that an instance sees first, the one registered first serves;
+        it alone is certain not to wait for an order.
+        """
+        is_first_look = not self._waits_until
+        known_since = -math.inf if is_first_look else now
+        self._known_since = {
+            version: self._known_since.get(version, known_since)
+            for version in versions
+        }
+        oldest = self._oldest(ready) if is_first_look else None
+        for version in versions - self._waits_until.keys():
+            waits = self._has_rollouts and version != oldest
+            self._waits_until[version] = now + _ORDER_WAIT_S if waits else now
+
+    def _oldest(self, ready: list[Upstream]) -> str | None:
+        """Return the version that was registered first, but no target.
+
+        Without revisions it is the one with the most upstreams.
+        """
+        never_used = self._never_used()
         counts = collections.Counter(
-            upstream.version for upstream in upstreams if not upstream.leaving
+            one.version for one in ready if one.version not in never_used
         )
-        completed = self._target_if(RolloutState.completed)
-        if completed is not None and completed in counts:
-            self._accepted = completed
-        self._has_lost_accepted = bool(counts) and self._accepted not in counts
-        if not self._has_lost_accepted:
-            self._seen_at = now
+        created = _first_created(ready)
+        return min(
+            counts,
+            key=lambda version: (created[version], -counts[version], version),
+            default=None,
+        )
+
+    def _apply_completion(self, ready: list[Upstream], now: float) -> None:
+        """Exclude the versions that a completed rollout ends.
+
+        Those that came after it serve beside its target.
+        """
+        status = self.status
+        if status is None or status.state is not RolloutState.completed:
             return
-        if self._accepted and now - self._seen_at < _ACCEPT_OTHER_S:
+        self._waits_until[status.target] = -math.inf
+        if status.revision <= self._completed:
             return
-        excluded = {self._target_if(RolloutState.rolled_back)}
-        if self.order_in_progress is not None:
-            excluded.add(self.order_in_progress.target)
-        others = sorted(counts.keys() - excluded)
-        if others:
-            self._accepted = max(others, key=counts.__getitem__)
-            self._has_lost_accepted = False
+        self._completed = status.revision
+        for version, created in _first_created(ready).items():
+            if version != status.target and created < status.revision:
+                self._waits_until[version] = now + _ORDER_WAIT_S
+
+    def _used(self, versions: frozenset[str], now: float) -> frozenset[str]:
+        """Return the versions that get requests without being a target."""
+        allowed = versions - self._never_used()
+        used = {one for one in allowed if self._waits_until[one] <= now}
+        if used or not allowed:
+            self._served_at = now
+            return frozenset(used)
+        if now - self._served_at < _ACCEPT_OTHER_S:
+            return frozenset()
+        return allowed
+
+    def _never_used(self) -> frozenset[str]:
+        """Return the targets of the order in progress and of a rollback."""
+        targets = set()
+        status = self.status
+        if status is not None and status.state is RolloutState.rolled_back:
+            targets.add(status.target)
+        order = self.order_in_progress
+        if order is not None:
+            targets.add(order.target)
+        return frozenset(targets)
+
+    def _new_versions(
+        self, versions: frozenset[str], used: frozenset[str], now: float
+    ) -> frozenset[str]:
+        """Return the new versions, unless there are no others to use."""
+        new = frozenset(
+            version
+            for version in versions
+            if now < self._known_since[version] + NEW_VERSION_S
+        )
+        return new if used - new else frozenset()
+
+    def _next_change(self, versions: frozenset[str], now: float) -> float:
+        times = [self._served_at + _ACCEPT_OTHER_S]
+        for version in versions:
+            times.append(self._waits_until[version])
+            times.append(self._known_since[version] + NEW_VERSION_S)
+        return min((at for at in times if at > now), default=math.inf)
+
+
+def _first_created(upstreams: Iterable[Upstream]) -> dict[str, int]:
+    """Return the revision at which each version was first registered."""
+    created: dict[str, int] = {}
+    for upstream in upstreams:
+        first = created.setdefault(upstream.version, upstream.created)
+        created[upstream.version] = min(first, upstream.created)
+    return created
--- a/packages/dispatch/src/tallyhall_dispatch/waiting.py
+++ b/packages/dispatch/src/tallyhall_dispatch/waiting.py
@@ -3,8 +3,10 @@
 In a large fleet, a saturated owner has some hundred queued jobs and a thousand
 slots that become free per second, so the next jobs must be found without a scan
 of the queue. There are two heaps per urgency: one for jobs that can be in time,
-and one for jobs that are late or exceed their quota. Removed jobs are skipped
-when they reach the top of a heap.
+and one for jobs that are late or exceed their quota. Jobs that only one version
+may run have heaps of their own, so that neither they nor the others wait behind
+jobs whose upstreams are busy. Removed jobs are skipped when they reach the top
+of a heap.
 """
 
 from __future__ import annotations
@@ -17,6 +19,8 @@
 
 # Deadline of a job, serial number as a tie breaker, and key of the job.
 _Entry = tuple[float, int, str]
+# Urgency, and the only version that may run the jobs, None for any.
+_Lane = tuple[int, str | None]
 
 
 class WaitingJobs:
@@ -25,8 +29,8 @@
     def __init__(self) -> None:
         """Create an empty queue."""
         self._jobs: dict[str, Job] = {}
-        self._in_time: dict[int, list[_Entry]] = {}
-        self._deferred: dict[int, list[_Entry]] = {}
+        self._in_time: dict[_Lane, list[_Entry]] = {}
+        self._deferred: dict[_Lane, list[_Entry]] = {}
         self._serial = itertools.count()
 
     def __len__(self) -> int:
@@ -71,7 +75,7 @@
     def urgencies(self, *, late: bool) -> list[int]:
         """Return the urgencies with non-empty heaps."""
         heaps = self._deferred if late else self._in_time
-        return [urgency for urgency, heap in heaps.items() if heap]
+        return sorted({urgency for (urgency, _), heap in heaps.items() if heap})
 
     def first(
         self,
@@ -81,12 +85,27 @@
         late: bool,
         count_removed: bool = True,
     ) -> Iterator[Job]:
-        """Yield up to `limit` jobs with the earliest deadlines.
+        """Yield the jobs with the earliest deadlines.
+
+        limit: for each version that jobs are bound to, and for those of any.
 
         Jobs may be removed during the iteration. count_removed: whether those
         count towards the limit.
         """
-        heap = (self._deferred if late else self._in_time)[urgency]
+        heaps = self._deferred if late else self._in_time
+        lanes = [
+            self._first_of(heap, limit, count_removed=count_removed)
+            for (other, _), heap in heaps.items()
+            if other == urgency and heap
+        ]
+        if len(lanes) == 1:
+            yield from lanes[0]
+            return
+        yield from heapq.merge(*lanes, key=_due_at)
+
+    def _first_of(
+        self, heap: list[_Entry], limit: int, *, count_removed: bool
+    ) -> Iterator[Job]:
         popped: list[_Entry] = []
         try:
             while heap and len(popped) < limit:
@@ -103,6 +122,11 @@
                 if entry[-1] in self._jobs:
                     heapq.heappush(heap, entry)
 
-    def _push(self, heaps: dict[int, list[_Entry]], job: Job) -> None:
+    def _push(self, heaps: dict[_Lane, list[_Entry]], job: Job) -> None:
         entry = (job.due_at, next(self._serial), job.key)
-        heapq.heappush(heaps.setdefault(job.urgency, []), entry)
+        lane = (job.urgency, job.version)
+        heapq.heappush(heaps.setdefault(lane, []), entry)
+
+
+def _due_at(job: Job) -> float:
+    return job.due_at
--- a/packages/edge/src/tallyhall_edge/dispatcher.py
+++ b/packages/edge/src/tallyhall_edge/dispatcher.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+import functools
 import random
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
@@ -49,8 +50,13 @@
 class Dispatcher:
     """Holds the pools of all services on this instance."""
 
-    def __init__(self, rng: random.Random) -> None:
-        """Start without services."""
+    def __init__(
+        self, rng: random.Random, *, has_rollouts: bool = True
+    ) -> None:
+        """Start without services.
+
+        has_rollouts: whether operators order rollouts in this deployment.
+        """
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._pools: dict[str, ServicePool] = {}
@@ -66,7 +72,7 @@
         # The share of the limits of each service that this instance may use.
         self._limit_shares: dict[str, float] = {}
         self._versions: dict[str, ServiceVersions] = collections.defaultdict(
-            ServiceVersions,
+            functools.partial(ServiceVersions, has_rollouts=has_rollouts),
         )
         # For each service the end of validity of the last draw, and its value.
         self._draws: dict[str, tuple[float, float]] = {}
@@ -153,11 +159,10 @@
         self.apply_upstreams(self._upstreams)
 
     def check_versions(self) -> None:
-        """Switch services to another version if the one in use is absent."""
+        """Select the versions of services again if time changes them."""
         now = self._loop.time()
         if any(
-            versions.lost_accepted_version(now)
-            for versions in self._versions.values()
+            versions.is_outdated(now) for versions in self._versions.values()
         ):
             self.apply_upstreams(self._upstreams)
 
--- a/packages/edge/src/tallyhall_edge/request_context.py
+++ b/packages/edge/src/tallyhall_edge/request_context.py
@@ -21,7 +21,9 @@
     end_at: deadline of the request. last_event: number of the newest event
     that the caller has. content: digest of the requested content.
     since_first_s: time between the caller's first attempt and this one.
-    may_have_run: sends that an upstream may have executed. retry_charged:
+    version: software version that began the stream, None before its first
+    event; first_id: request id of the attempt that brought it. may_have_run:
+    sends that an upstream may have executed. retry_charged:
     whether the retry budget has already been spent for the next send.
     waited_s: wait for the slot of the last send; total_wait_s: sum over all
     sends; retry_wait_s: sum over all but the first. pause_s: longest pause
@@ -36,6 +38,8 @@
     last_event: int | None
     content: str
     since_first_s: float = 0
+    version: str | None = None
+    first_id: str = ''
     excluded: set[str] = msgspec.field(default_factory=set)
     sends: int = 0
     may_have_run: int = 0
@@ -73,6 +77,12 @@
         """Return the caller's request id as text."""
         return self.call.id_text
 
+    @property
+    def workspace(self) -> str:
+        """Return the name of the workspace, empty without one."""
+        workspace = self.admitted.workspace
+        return '' if workspace is None else workspace.name
+
 
 def record_send(context: RequestContext, grant: SlotGrant, now: float) -> None:
     """Record that a request is sent now, after waiting for its slot."""
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -25,9 +25,10 @@
 from .relay import Relay
 from .request_context import ANSWERED, RequestContext, record_send
 from .request_log import RequestLog
-from .scheduling import Scheduler
+from .scheduling import JobSource, Scheduler
 from .sending import Sender
 from .stopping import StopSchedule, stopping_error
+from .stream_versions import StreamOrigins, StreamVersions
 from .telemetry import Telemetry
 
 # Minimum Retry-After in seconds for requests that upstreams rejected.
@@ -49,9 +50,9 @@
         conns: ConnectionPool,
         codec: HeaderCodec,
         telemetry: Telemetry,
-        instance: str,
-        zone: str,
+        source: JobSource,
         guard: Guard,
+        origins: StreamOrigins,
     ) -> None:
         """Create the handler from the components of the instance."""
         # Refreshes the quota use from other instances; returns whether this
@@ -62,6 +63,7 @@
         self._scheduler = scheduler
         self._codec = codec
         self._log = RequestLog(telemetry)
+        self._versions = StreamVersions(origins, scheduler)
         self._sender = Sender(
             gate,
             scheduler,
@@ -69,11 +71,10 @@
             codec,
             self._log,
             guard,
+            self._versions,
         )
         self._guard = guard
-        # Prefix of job keys, which makes them unique among all instances.
-        self._instance = instance
-        self._zone = zone
+        self._source = source
         self._job_numbers = itertools.count()
         self._first_tries = FirstAttempts()
         # Set once the instance is told to stop.
@@ -200,7 +201,9 @@
 
     async def _serve(self, context: RequestContext) -> None:
         self._check_stop(context)
+        await self._versions.find(context)
         while True:
+            self._versions.check(context)
             self.shedding.check(context)
             ends = self._guard.check(context.content)
             job = self._job(context, suspect=context.content if ends else '')
@@ -265,18 +268,15 @@
         if context.sends:
             received_at = self._loop.time()
         return Job(
-            key=f'{self._instance}/{next(self._job_numbers)}',
+            # The instance makes keys unique among all instances.
+            key=f'{self._source.instance}/{next(self._job_numbers)}',
             service=context.admitted.service,
-            zone=self._zone,
+            zone=self._source.zone,
             urgency=route.priority,
             prompt_tokens=call.prompt_tokens,
             output_tokens=call.output_tokens,
             asked_at=self._loop.time(),
-            due_at=(
-                context.exchange.received_at
-                - context.since_first_s
-                + route.objective_s
-            ),
+            due_at=self._due_at(context),
             reject_at=min(context.end_at, received_at + wait_s),
             excluded=frozenset(context.excluded),
             over_quota=context.admitted.over_quota_s > 0,
@@ -285,8 +285,22 @@
             backoffs=self._sender.backoffs.current(self._loop.time()),
             route=route.name,
             non_idempotent=not route.repeatable,
+            resumable=route.resumable,
+            version=context.version,
         )
 
+    def _due_at(self, context: RequestContext) -> float:
+        """Return when the caller should get the next event.
+
+        A stream that goes on must not pause for too long; most of its work is
+        done, so it is not late because it began long ago.
+        """
+        route = context.admitted.route
+        if context.version is not None and route.gap_s:
+            return self._loop.time() + route.gap_s
+        first_at = context.exchange.received_at - context.since_first_s
+        return first_at + route.objective_s
+
     # -- outcomes
 
     def _complete(self, context: RequestContext, relay: Relay) -> None:
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from typing import Protocol
 
+import msgspec
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.jobs import Job, RunReport, SlotGrant
@@ -13,6 +14,13 @@
 from tallyhall_dispatch.rejection import RejectDecision
 
 
+class JobSource(msgspec.Struct, frozen=True):
+    """The instance that sends the requests of jobs, and its zone."""
+
+    instance: str
+    zone: str
+
+
 class UpstreamListener(Protocol):
     """Receives the signals that upstreams send in their answers."""
 
@@ -48,6 +56,9 @@
     def is_usable(self, upstream: Upstream) -> bool:
         """Return whether an upstream still takes new requests."""
 
+    def serves_version(self, service: str, version: str) -> bool:
+        """Return whether an upstream of a software version takes requests."""
+
     def record_first_byte(self, job: Job) -> None:
         """Record that the answer of a job has begun."""
 
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -37,6 +37,7 @@
 from .request_context import RequestContext
 from .request_log import RequestLog
 from .scheduling import Scheduler
+from .stream_versions import StreamVersions
 
 # A kept connection may have died unnoticed. Repeatable requests use any kept
 # connection; others use only one that was in use a moment ago. In seconds.
@@ -76,8 +77,10 @@
         codec: HeaderCodec,
         log: RequestLog,
         guard: Guard,
+        versions: StreamVersions,
     ) -> None:
         """Send requests over connections of this pool."""
+        self._versions = versions
         self._guard = guard
         self._gate = gate
         self._scheduler = scheduler
@@ -237,6 +240,7 @@
             self._on_first_event,
             context,
             job,
+            upstream,
             context.relay,
         )
         return relay
@@ -245,9 +249,11 @@
         self,
         context: RequestContext,
         job: Job,
+        upstream: Upstream,
         earlier: Relay | None,
     ) -> None:
         """Record the first event; measure the pause if it resumes a stream."""
+        self._versions.begun(context, upstream, self._loop.time())
         self._scheduler.record_first_byte(job)
         if earlier is not None and earlier.last_event_at:
             pause_s = self._loop.time() - earlier.last_event_at
--- a/packages/entry/src/tallyhall_entry/cluster_state.py
+++ b/packages/entry/src/tallyhall_entry/cluster_state.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from typing import Protocol
 
 from tallyhall_core.events import Event
 from tallyhall_dispatch.desired import DesiredState, Upstream
@@ -22,6 +23,19 @@
 from .paths import InstancePaths
 
 
+class RegistryListener(Protocol):
+    """Follows which upstreams and instances are registered."""
+
+    def on_upstreams(self, upstreams: Iterable[Upstream]) -> None:
+        """Handle the complete list of upstreams."""
+
+    def on_instances(self, entries: Iterable[InstanceEntry]) -> None:
+        """Handle the complete list of registered instances."""
+
+    def on_confirmed(self, asked_at: float) -> None:
+        """Handle that the store held nothing else at this time."""
+
+
 class ClusterState:
     """Forwards store updates to the components that depend on them."""
 
@@ -41,6 +55,7 @@
         self.complete_as_of = float('-inf')
         self.count = FleetCount()
         self.upstreams: frozenset[Upstream] = frozenset()
+        self.listener: RegistryListener = _NoListener()
         self._membership = membership
         self._known: dict[str, InstanceEntry] = {}
         self._gate = gate
@@ -79,6 +94,7 @@
         self.upstreams = frozenset(upstreams)
         self._dispatcher.apply_upstreams(upstreams)
         self._paths.on_upstreams(upstreams)
+        self.listener.on_upstreams(upstreams)
 
     def on_instances(self, entries: tuple[InstanceEntry, ...]) -> None:
         """Apply the complete list of registered instances."""
@@ -91,6 +107,7 @@
         self.count = self._count_fleet()
         self._update_peers()
         self._paths.on_instances(entries)
+        self.listener.on_instances(entries)
         self._log.event(Event.instances_changed, known=len(entries))
 
     @property
@@ -117,6 +134,7 @@
         """Record that the desired state was current at this time."""
         self.complete_as_of = asked_at
         self._gate.freshness.record_confirmation(asked_at)
+        self.listener.on_confirmed(asked_at)
 
     def on_store_reachable(self, *, reachable: bool) -> None:
         """Record that the store became unreachable or reachable again."""
@@ -190,3 +208,16 @@
         versions = counts.setdefault(upstream.service, {})
         versions[upstream.version] = versions.get(upstream.version, 0) + 1
     return counts
+
+
+class _NoListener:
+    """Follows nothing; a `RegistryListener`."""
+
+    def on_upstreams(self, upstreams: Iterable[Upstream]) -> None:
+        """Ignore it."""
+
+    def on_instances(self, entries: Iterable[InstanceEntry]) -> None:
+        """Ignore it."""
+
+    def on_confirmed(self, asked_at: float) -> None:
+        """Ignore it."""
--- a/packages/entry/src/tallyhall_entry/from_options.py
+++ b/packages/entry/src/tallyhall_entry/from_options.py
@@ -9,11 +9,19 @@
 from tallyhall_dispatch.options import Options
 from tallyhall_dispatch.quota_limits import QuotaBounds
 from tallyhall_dispatch.retries import RetryLimits
+from tallyhall_edge.connections import ConnectionPool
+from tallyhall_edge.guard import Guard
+from tallyhall_edge.runner import RequestPipeline
+from tallyhall_edge.scheduling import JobSource, Scheduler
+from tallyhall_edge.stream_versions import StreamOrigins
+from tallyhall_edge.telemetry import Telemetry
 from tallyhall_platform.entries import InstanceEntry
+from tallyhall_platform.headers import PlatformHeaderCodec
 
 from .logs import EventLog
 from .memory import InstanceMemory
 from .metrics import Metrics
+from .stream_origins import StreamOriginStore
 
 # Subtracted from the bound on the use of revoked keys: covers what a watch may
 # miss while the store compacts its history, and the time that a request takes
@@ -59,6 +67,35 @@
     return InstanceMemory(options.memory_bytes, log, metrics)
 
 
+def new_origins(
+    options: Options, rng: random.Random, log: EventLog
+) -> StreamOriginStore:
+    """Return a store of stream origins; it does not listen yet."""
+    return StreamOriginStore(options.instance, rng, log.event)
+
+
+def new_pipeline(
+    options: Options,
+    gate: AdmissionGate,
+    scheduler: Scheduler,
+    conns: ConnectionPool,
+    telemetry: Telemetry,
+    guard: Guard,
+    origins: StreamOrigins,
+) -> RequestPipeline:
+    """Return the handler of the requests of callers."""
+    return RequestPipeline(
+        gate,
+        scheduler,
+        conns,
+        PlatformHeaderCodec(),
+        telemetry,
+        JobSource(options.instance, options.zone),
+        guard,
+        origins,
+    )
+
+
 def new_gate(options: Options, rng: random.Random, now: float) -> AdmissionGate:
     """Return a gate that has no desired state yet."""
     bounds = options.bounds
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -20,12 +20,10 @@
 from tallyhall_dispatch.quota_limits import FleetView
 from tallyhall_edge.caller_connection import ServerLimits
 from tallyhall_edge.dispatcher import Dispatcher
-from tallyhall_edge.runner import RequestPipeline
 from tallyhall_edge.server import HttpServer
 from tallyhall_edge.stopping import StopSchedule
 from tallyhall_platform.call_counts import CallCounts
 from tallyhall_platform.follower import Follower
-from tallyhall_platform.headers import PlatformHeaderCodec
 from tallyhall_platform.outage import OutageTracker
 from tallyhall_platform.registration import MIN_UNREACHABLE_S, Registration
 from tallyhall_platform.store import StoreClient
@@ -39,6 +37,8 @@
     freshness_s,
     new_gate,
     new_memory,
+    new_origins,
+    new_pipeline,
     own_entry,
 )
 from .guard import shared_guard
@@ -110,7 +110,8 @@
             self._on_peer_opened,
         )
         self._peer_streams.own_cores = self._entry.cores
-        self._dispatcher = Dispatcher(rng)
+        self._dispatcher = Dispatcher(rng, has_rollouts=options.has_rollouts)
+        self._origins = new_origins(options, rng, self.log)
         self._scheduler = SharedScheduler(
             options.instance,
             self._dispatcher,
@@ -143,7 +144,15 @@
             rng,
             self._paths.refuses,
         )
-        self._runner = self._new_runner()
+        self._runner = new_pipeline(
+            options,
+            self._gate,
+            self._scheduler,
+            self._paths.conns,
+            RequestTelemetry(self.log, self._metrics),
+            self._guard,
+            self._origins,
+        )
         self._front = HttpServer(
             self._runner.handle,
             self._log_request_failure,
@@ -167,6 +176,7 @@
             self.log,
             self._metrics,
         )
+        self._cluster_state.listener = self._origins
         self._endpoints = Endpoints(
             str(options.front),
             self._gate,
@@ -257,6 +267,7 @@
         )
         await asyncio.gather(
             self._paths.listen(),
+            self._origins.listen(options.peer),
             *(
                 server.listen(place.host, place.port)
                 for server, place in zip(self._servers, places, strict=True)
@@ -301,6 +312,7 @@
         self._front.close()
         self._front.close_idle()
         self._paths.close()
+        self._origins.close()
         await self._peer_streams.close()
         # Last, so that no peer counts this instance without hearing from it.
         await self._registration.unregister(_LEASE_REVOKE_TIMEOUT_S)
@@ -341,6 +353,7 @@
             server.close()
             server.abort_all()
         self._paths.close()
+        self._origins.close()
         await self._peer_streams.close()
 
     def stop_following_store(self) -> None:
@@ -437,18 +450,6 @@
         self._front.disable_keep_alive()
         self._tasks['registration'].cancel()
 
-    def _new_runner(self) -> RequestPipeline:
-        return RequestPipeline(
-            self._gate,
-            self._scheduler,
-            self._paths.conns,
-            PlatformHeaderCodec(),
-            RequestTelemetry(self.log, self._metrics),
-            self.options.instance,
-            self.options.zone,
-            self._guard,
-        )
-
     def _spawn(self, name: str, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work, name=name)
         task.add_done_callback(self._task_ended)
@@ -474,6 +475,8 @@
             for hub in self._usage_exchange.poll(hubs):
                 self._peer_streams.next_batch(hub, urgent=True)
             self._cluster_state.look()
+            self._dispatcher.check_versions()
+            self._origins.poll()
             self._update_fleet()
             self._reports.log_fleet(
                 self._cluster_state.count, self._peer_streams.heard_count
--- a/packages/entry/src/tallyhall_entry/rollouts.py
+++ b/packages/entry/src/tallyhall_entry/rollouts.py
@@ -130,7 +130,6 @@
 
     def poll(self) -> None:
         """Start leading rollouts of services that this instance owns."""
-        self._dispatcher.check_versions()
         for service, known in self._known.items():
             if known.running is None or service in self._leading:
                 continue
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -139,6 +139,11 @@
             ticket.forecast_s,
         )
 
+    def serves_version(self, service: str, version: str) -> bool:
+        """Return whether an upstream of a version takes requests."""
+        pool = self._dispatcher.pools.get(service)
+        return pool is not None and pool.upstreams.serves_version(version)
+
     def is_usable(self, upstream: Upstream) -> bool:
         """Return whether an upstream still accepts new requests."""
         return self._dispatcher.is_usable(upstream.incarnation)
@@ -328,7 +333,7 @@
         if ticket is None or not waits or ticket.fut.done():
             self._refuse_grant(peer, key, incarnation)
             return
-        if upstream is None or not self.is_usable(upstream):
+        if upstream is None or not self._accepts(ticket.job, upstream):
             self._refuse_grant(peer, key, incarnation)
             self._decide_locally(ticket)
             return
@@ -340,6 +345,12 @@
         # The owner decided with its own reports; replaces the local value.
         ticket.slowdown = decode_slowdown(grant.slowdown_percent)
 
+    def _accepts(self, job: Job, upstream: Upstream) -> bool:
+        """Return whether a job may be sent to an upstream, as known here."""
+        if job.version not in {None, upstream.version}:
+            return False
+        return self.is_usable(upstream)
+
     def _refuse_grant(self, peer: str, key: str, incarnation: str) -> None:
         service = self._dispatcher.service_of(incarnation)
         report = RunReport(AttemptOutcome.left, 0)
--- a/packages/entry/src/tallyhall_entry/store_changes.py
+++ b/packages/entry/src/tallyhall_entry/store_changes.py
@@ -191,6 +191,7 @@
             change.key,
             None if change.gone else change.content,
             change.revision,
+            change.created,
         )
         for change in message.changes
     )
@@ -206,4 +207,5 @@
             revision=change.revision,
             gone=change.content is None,
             content=change.content or b'',
+            created=change.created,
         )
--- a/packages/platform/src/tallyhall_platform/decode.py
+++ b/packages/platform/src/tallyhall_platform/decode.py
@@ -157,8 +157,11 @@
     serial: int
 
 
-def decode_upstream(name: str, raw: bytes) -> UpstreamEntry:
-    """Decode an upstream's entry; raise DecodeError."""
+def decode_upstream(name: str, raw: bytes, created: int = 0) -> UpstreamEntry:
+    """Decode an upstream's entry; raise DecodeError.
+
+    created: revision of the store at which it was registered, 0 if unknown.
+    """
     entry = parse_json(raw, _Server)
     try:
         address = parse_address(entry.address)
@@ -174,6 +177,7 @@
         leaving=entry.state != 'ready',
         started_ms=entry.born,
         version=entry.version,
+        created=created,
     )
     return UpstreamEntry(upstream, entry.seq)
 
--- a/packages/platform/src/tallyhall_platform/headers.py
+++ b/packages/platform/src/tallyhall_platform/headers.py
@@ -69,6 +69,9 @@
         b'x-tallyhall-instance-id',
     ),
 )
+# Maximum length of a request id, in characters, and what none contains.
+_MAX_ID_CHARS = 200
+_SEPARATORS = frozenset(' ,;\t')
 _SCHEME = 'bearer '
 _MILLI = 1000
 _HUNDREDTHS = 100
@@ -121,7 +124,7 @@
             prompt_tokens=tokens[0] if tokens else 0,
             output_tokens=tokens[1] if tokens else 0,
             last_event=last_event[0] if last_event else None,
-            resumes=(find_header(headers, _RESUMES) or b'').decode('latin-1'),
+            resumes=_resumes(headers),
         )
 
     def upstream_headers(
@@ -204,6 +207,21 @@
     return ''
 
 
+def _resumes(headers: Headers) -> str:
+    """Return the id of the attempt that began a stream, empty without one."""
+    if not count_headers(headers, _RESUMES):
+        return ''
+    request_id = (find_header(headers, _RESUMES) or b'').decode('latin-1')
+    if count_headers(headers, _RESUMES) > 1 or not _is_id(request_id):
+        raise InvalidHeaderError('Resumes takes one request id')
+    return request_id
+
+
+def _is_id(text: str) -> bool:
+    """Return whether a text can be one request id."""
+    return 0 < len(text) <= _MAX_ID_CHARS and not set(text) & _SEPARATORS
+
+
 def _is_set(headers: Headers, name: bytes) -> bool:
     return find_header(headers, name) == b'1'
 
--- a/packages/platform/src/tallyhall_platform/settings.py
+++ b/packages/platform/src/tallyhall_platform/settings.py
@@ -24,6 +24,8 @@
 _BYTES_PER_MB = 1_000_000
 # Contract of deployments whose callers and upstreams may read slowly.
 _SLOW_PEERS_CONTRACT = 'pressure'
+# The contract under which operators order rollouts of versions.
+_ROLLOUT_CONTRACT = 'rollout'
 # Offsets into `port-range`, the ports reserved for traffic between instances.
 _PEER_PORT_OFFSET = 0
 _METRICS_PORT_OFFSET = 1
@@ -198,4 +200,5 @@
         descriptors=raw.limits.max_fds,
         cores=raw.limits.cpu_share * raw.limits.cores,
         memory_bytes=_memory_bytes(raw),
+        has_rollouts=_ROLLOUT_CONTRACT in raw.contracts,
     )
--- a/packages/platform/src/tallyhall_platform/store.py
+++ b/packages/platform/src/tallyhall_platform/store.py
@@ -62,6 +62,7 @@
     revision: int
     value: str = ''
     deleted: bool = False
+    create_revision: int = 0
 
 
 class _Page(KebabStruct, frozen=True):
@@ -84,19 +85,24 @@
 
 
 class Item(msgspec.Struct, frozen=True):
-    """A key with its value and the revision of its last change."""
+    """A key with its value, the revisions of its last change and creation."""
 
     key: str
     content: bytes
     revision: int
+    created: int = 0
 
 
 class Change(msgspec.Struct, frozen=True):
-    """A change of one key; `content` is None if it was deleted."""
+    """A change of one key; `content` is None if it was deleted.
+
+    created: revision at which the key was created, 0 if unknown.
+    """
 
     key: str
     content: bytes | None
     revision: int
+    created: int = 0
 
 
 class ConditionalWrite(msgspec.Struct, frozen=True):
@@ -169,7 +175,12 @@
                 _Page,
             )
             found.extend(
-                Item(row.key, _decode_value(row.value), row.revision)
+                Item(
+                    row.key,
+                    _decode_value(row.value),
+                    row.revision,
+                    row.create_revision,
+                )
                 for row in page.items
             )
             # Pages are read one after another, so only changes up to the
@@ -395,7 +406,7 @@
 
 def _to_change(row: _Row) -> Change:
     content = None if row.deleted else _decode_value(row.value)
-    return Change(row.key, content, row.revision)
+    return Change(row.key, content, row.revision, row.create_revision)
 
 
 def _decode_value(text: str) -> bytes:
--- a/packages/platform/src/tallyhall_platform/upstreams.py
+++ b/packages/platform/src/tallyhall_platform/upstreams.py
@@ -35,10 +35,14 @@
         """Return all registered upstreams."""
         return tuple(entry.upstream for entry in self._entries.values())
 
-    def update(self, key: str, raw: bytes) -> None:
-        """Store the entry of a key; remove it and raise DecodeError if bad."""
+    def update(self, key: str, raw: bytes, created: int = 0) -> None:
+        """Store the entry of a key; remove it and raise DecodeError if bad.
+
+        created: revision of the store at which the key was created.
+        """
+        name = key.removeprefix(UPSTREAM_PREFIX)
         try:
-            entry = decode_upstream(key.removeprefix(UPSTREAM_PREFIX), raw)
+            entry = decode_upstream(name, raw, created)
         except DecodeError:
             self.remove(key)
             raise
--- a/packages/platform/src/tallyhall_platform/view.py
+++ b/packages/platform/src/tallyhall_platform/view.py
@@ -137,7 +137,6 @@
         self._raw_state = b''
         self._handlers = (
             (_STATE_KEY, self._handle_state),
-            (UPSTREAM_PREFIX, self._handle_upstream),
             (INSTANCE_PREFIX, self._handle_instance),
             (QUOTA_USE_KEY, self._handle_use),
             (END_RECORDS_PREFIX, self._handle_end_records),
@@ -149,7 +148,9 @@
         """Apply a full read of the store."""
         present = {entry.key for entry in snapshot.entries}
         for entry in snapshot.entries:
-            self._apply(Change(entry.key, entry.content, entry.revision))
+            self._apply(
+                Change(entry.key, entry.content, entry.revision, entry.created),
+            )
         for key in self._revisions.keys() - present:
             self._apply(Change(key, None, snapshot.revision))
         self._history.reset(snapshot.revision)
@@ -231,7 +232,7 @@
             self._handle_removal(change, is_relayed=is_relayed)
             return
         try:
-            self._dispatch(change.key, change.content)
+            self._dispatch(change, change.content)
         except DecodeError as exc:
             self._reject(change.key, exc)
         else:
@@ -249,7 +250,10 @@
             cause=str(exc)[:_MAX_LOGGED_CAUSE],
         )
 
-    def _dispatch(self, key: str, content: bytes) -> None:
+    def _dispatch(self, change: Change, content: bytes) -> None:
+        key = change.key
+        if key.startswith(UPSTREAM_PREFIX):
+            self._handle_upstream(key, content, change.created)
         for prefix, handle in self._handlers:
             if key.startswith(prefix):
                 handle(key, content)
@@ -315,10 +319,10 @@
     def _handle_end_records(self, key: str, content: bytes) -> None:
         self.on_end_records(decode_end_records(content))
 
-    def _handle_upstream(self, key: str, content: bytes) -> None:
+    def _handle_upstream(self, key: str, content: bytes, created: int) -> None:
         self._held.pop(key, None)
         self._pending.upstreams = True
-        self._upstreams.update(key, content)
+        self._upstreams.update(key, content, created)
 
     def _notify_listener(self) -> None:
         """Notify the listener once of all changes in the last answer."""
--- a/packages/transport/src/tallyhall_transport/peer_codec.py
+++ b/packages/transport/src/tallyhall_transport/peer_codec.py
@@ -51,6 +51,9 @@
     ask.suspect = job.suspect_digest
     ask.route = job.route
     ask.once = job.non_idempotent
+    ask.resumable = job.resumable
+    if job.version is not None:
+        ask.version = job.version
     for upstream, until in job.backoffs.items():
         left_ms = math.ceil((until - now) * _MILLI)
         ask.resting.add(upstream=upstream, left_ms=max(0, left_ms))
@@ -77,6 +80,8 @@
         },
         route=ask.route,
         non_idempotent=ask.once,
+        resumable=ask.resumable,
+        version=ask.version if ask.HasField('version') else None,
     )
 
 
--- a/tests/unit/test_rollouts.py
+++ b/tests/unit/test_rollouts.py
@@ -121,7 +121,7 @@
     new = _both()[3:]
     assert all(one.leaving for one in versions.classify(new, 1))
     assert all(one.leaving for one in versions.classify(new, 4))
-    assert versions.lost_accepted_version(6)
+    assert versions.is_outdated(6)
     assert not any(one.leaving for one in versions.classify(new, 6))
 
 
@@ -133,6 +133,61 @@
         assert all(one.leaving for one in versions.classify(_both()[3:], now))
 
 
+@pytest.mark.parametrize('wait_s', [1, 9])
+def test_version_that_appears_waits_for_an_order(wait_s: float) -> None:
+    versions = _known()
+    for now in (1, 1 + wait_s):
+        assert _versions_by_use(versions, now)['used'] == {'v1'}
+    versions.order = _ORDER
+    assert _versions_by_use(versions, 1 + wait_s)['canary'] == {'v2'}
+
+
+def test_versions_that_no_order_names_serve_side_by_side() -> None:
+    versions = _known()
+    _versions_by_use(versions, 1)
+    assert versions.is_outdated(11)
+    assert _versions_by_use(versions, 11)['used'] == {'v1', 'v2'}
+
+
+def test_instance_that_starts_last_does_not_take_the_newer_version() -> None:
+    created = {'v1': 7, 'v2': 9}
+    upstreams = [
+        msgspec.structs.replace(one, created=created[one.version])
+        for one in (*_both(), _upstream('v2-3', 'v2'))
+    ]
+    marked = ServiceVersions().classify(upstreams, 1)
+    assert {one.version for one in marked if not one.leaving} == {'v1'}
+
+
+def test_version_that_comes_after_a_completed_rollout_serves_beside_it() -> (
+    None
+):
+    versions = ServiceVersions()
+    versions.order = _ORDER
+    versions.status = _status(RolloutState.completed)
+    later = msgspec.structs.replace(_upstream('v3-0', 'v3'), created=12)
+    for now in (1, 20):
+        marked = versions.classify((*_both()[3:], later), now)
+    assert not any(one.leaving for one in marked)
+
+
+def test_new_version_begins_no_streams_that_may_resume_at_once() -> None:
+    versions = ServiceVersions(has_rollouts=False)
+    versions.classify(_both()[:3], 0)
+    for now, is_new in ((10, True), (13, True), (14, False)):
+        marked = versions.classify(_both(), now)
+        assert not any(one.leaving for one in marked)
+        assert {one.is_new for one in marked if one.version == 'v2'} == {is_new}
+        assert not any(one.is_new for one in marked if one.version == 'v1')
+
+
+def test_new_version_serves_at_once_if_no_other_is_left() -> None:
+    versions = ServiceVersions(has_rollouts=False)
+    versions.classify(_both()[:3], 0)
+    marked = versions.classify(_both()[3:], 10)
+    assert not any(one.leaving or one.is_new for one in marked)
+
+
 # -- evidence
 
 
