Soak: upstreams of several versions come and leave, callers resume elsewhere

Upstreams of three versions come, drain and end; some of their streams break and go on within their answer; callers take the others up at any instance, and some name streams that never were. No stream may hold two versions. Datagrams between instances go through links as well.

--- a/packages/bench/src/tallyhall_bench/platform_soak.py
+++ b/packages/bench/src/tallyhall_bench/platform_soak.py
@@ -10,12 +10,14 @@
 
 import argparse
 import asyncio
+import contextlib
 import random
 import sys
 from collections.abc import Coroutine, Iterable
 
 from tallyhall_dispatch.options import Listening
 
+from .datagram_link import DatagramLink
 from .platform_fleet import open_link, platform_fleet
 from .platform_load import KEY, Caller
 from .platform_run import STREAMED
@@ -31,6 +33,7 @@
     Site,
     soak_state,
 )
+from .soak_versions import versioned_upstreams
 from .upstream_links import UpstreamLinks
 
 _OK = 200
@@ -52,12 +55,14 @@
     fatal: bool = False,
     loads: bool = False,
     isolates: bool = False,
+    versions: bool = False,
 ) -> Site:
     """Run with this seed for this long, then wait for calm and check.
 
     fatal: whether one request ends upstreams of a service of its own. loads:
     whether upstreams report their load, at times wrongly. isolates: whether
-    instances lose all upstreams at times.
+    instances lose all upstreams at times. versions: whether upstreams of
+    several versions serve streams that callers take up.
     """
     rng = random.Random(seed)
     async with platform_fleet(0, soak_state(1, with_old=True)) as fleet:
@@ -68,11 +73,15 @@
             site.reports_loads = True
             share_machines(site, seed)
             work.append(report_wrongly(site, seed))
-        if not fatal:
+        async with contextlib.AsyncExitStack() as stack:
+            if versions:
+                await stack.enter_async_context(versioned_upstreams(site, seed))
+            if fatal:
+                await stack.enter_async_context(frail_upstreams(site))
+                work.append(ask_fatal(site, seed))
             await _disturb(site, seconds, work)
-            return site
-        async with frail_upstreams(site):
-            await _disturb(site, seconds, [*work, ask_fatal(site, seed)])
+        for link in site.datagram_links:
+            link.close()
     return site
 
 
@@ -130,9 +139,17 @@
     site.front_links.append(front_link)
     site.fronts.append(front)
     if site.all_links:
-        peer_link, place = await open_link(entry.peer)
-        site.peer_links.append(peer_link)
-        site.peer_places[str(entry.peer)] = str(place)
+        await _link_peer(site, entry.peer)
+
+
+async def _link_peer(site: Site, peer: Listening) -> None:
+    """Put links between an instance's address for peers and the others."""
+    link, place = await open_link(peer)
+    site.peer_links.append(link)
+    site.peer_places[str(peer)] = str(place)
+    datagrams = DatagramLink(link, peer)
+    await datagrams.listen(place)
+    site.datagram_links.append(datagrams)
 
 
 async def _seen_store(site: Site) -> Listening:
@@ -204,6 +221,11 @@
         action='store_true',
         help='no instance loses all upstreams, as in runs before they could',
     )
+    parser.add_argument(
+        '--no-versions',
+        action='store_true',
+        help='no upstreams of several versions, as in runs before there were',
+    )
     args = parser.parse_args()
     broken = 0
     for seed in range(args.seed, args.seed + args.seeds):
@@ -215,12 +237,14 @@
                 fatal=args.fatal,
                 loads=not args.old and not args.no_loads,
                 isolates=not args.old and not args.no_isolation,
+                versions=not args.old and not args.no_versions,
             ),
         )
         served = sum(tried.status == _OK for tried in site.tries)
         sys.stdout.write(
             f'seed {seed} requests {len(site.tries)} served {served} '
             f'faults {len(site.faults)} ended {site.ended} '
+            f'streams {site.streams} taken up {site.taken_up} '
             f'violations {len(site.violations)}\n',
         )
         for violation in site.violations:
--- a/packages/bench/src/tallyhall_bench/soak_site.py
+++ b/packages/bench/src/tallyhall_bench/soak_site.py
@@ -7,6 +7,7 @@
 
 from tallyhall_dispatch.options import Listening
 
+from .datagram_link import DatagramLink
 from .faulty_link import FaultyLink
 from .platform_fleet import PlatformFleet
 from .platform_load import KEY, Tried
@@ -19,6 +20,10 @@
 OLD_KEY = 'key-old'
 # A route and its service, whose upstreams end under one request.
 FRAIL = 'frail'
+# The same, with upstreams of several versions. The short timeout makes the time
+# pass often within which a stream can come back.
+VERSIONED = 'versioned'
+_TIMEOUT_MS = 2000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +50,9 @@
     front_links: list[FaultyLink] = dataclasses.field(default_factory=list)
     engine_links: list[FaultyLink] = dataclasses.field(default_factory=list)
     peer_links: list[FaultyLink] = dataclasses.field(default_factory=list)
+    datagram_links: list[DatagramLink] = dataclasses.field(
+        default_factory=list,
+    )
     # The links of each instance to all upstreams; empty if none are lost.
     upstream_links: list[UpstreamLinks] = dataclasses.field(
         default_factory=list,
@@ -62,6 +70,9 @@
     serial: int = 0
     # Upstreams that ended under one request.
     ended: int = 0
+    # Streams that began at one of several versions, and those taken up.
+    streams: int = 0
+    taken_up: int = 0
 
     def put_link_between(self, key: str, content: bytes) -> bytes:
         """Have an instance's entry name the link to it."""
@@ -76,7 +87,11 @@
     """Return a desired state, with or without the key that is revoked."""
     state = usual_state(version)
     state['routes'].append(stream_route(FRAIL, FRAIL))
-    state['services'].append(service(FRAIL, engine={'stride': 3}))
+    state['routes'].append(
+        stream_route(VERSIONED, VERSIONED) | {'timeout-ms': _TIMEOUT_MS},
+    )
+    for name in (FRAIL, VERSIONED):
+        state['services'].append(service(name, engine={'stride': 3}))
     if with_old:
         state['tenants'][0]['api-keys'] = [KEY, OLD_KEY]
     return state
--- a/tests/processes/test_platform_soak.py
+++ b/tests/processes/test_platform_soak.py
@@ -43,3 +43,11 @@
     site = asyncio.run(soak(1101, _SECONDS, all_links=True, loads=True))
     assert not site.violations, (site.violations, site.faults)
     assert sum(tried.status == 200 for tried in site.tries) > 100
+
+
+@pytest.mark.parametrize('all_links', [False, True])
+def test_no_stream_mixes_versions_under_faults(*, all_links: bool) -> None:
+    """Versions come and leave; without links between instances, none copies."""
+    site = asyncio.run(soak(1301, 12, all_links=all_links, versions=True))
+    assert not site.violations, (site.violations, site.faults)
+    assert site.streams > 20
