--- a/packages/edge/src/tallyhall_edge/relay.py
+++ b/packages/edge/src/tallyhall_edge/relay.py
@@ -178,6 +178,9 @@
         if info.not_executed:
             return AttemptOutcome.rejected
         if self._splitter is not None or self._passthrough:
+            if not self._exchange.started and self.last_event is not None:
+                # The caller had all events of the stream and lacked its end.
+                self._start_stream()
             if not self._exchange.started:
                 return AttemptOutcome.unknown
             self._exchange.finish()
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -172,3 +172,14 @@
         answer = await _resume(cluster, 1, '')
         assert answer.status == 200
         assert answer.body.startswith(b'id: 3\n')
+
+
+async def test_caller_that_lacks_only_the_end_of_a_stream_gets_it() -> None:
+    async with deployment(2) as cluster:
+        engines = await _add_versions(cluster)
+        await _broken_stream(cluster, engines, 'r1')
+        whole = str(engines[0].events)
+        answer = await _resume(cluster, 1, 'r1', Last_Event_Id=whole)
+        assert answer.status == 200
+        assert answer.whole
+        assert not answer.body
