--- a/packages/bench/src/tallyhall_bench/stream_callers.py
+++ b/packages/bench/src/tallyhall_bench/stream_callers.py
@@ -13,6 +13,8 @@
 import re
 from collections.abc import Callable, Collection, Sequence
 
+from tallyhall_edge.messages import Headers
+
 from .platform_fleet import EntryProcess
 from .platform_load import Caller, Resume, Tried
 
@@ -100,7 +102,7 @@
         """Ask for one stream, and take it up while it breaks."""
         stream = Stream(self._next_id(), self._loop.time())
         self.streams.append(stream)
-        last = await self._try(stream.request_id, '', ())
+        last = await self._try(stream, stream.request_id, None, ())
         stream.tried = True
         stream.add(last)
         ends_at = self._loop.time() + _PATIENCE_S
@@ -118,19 +120,24 @@
         if last.status == _CANNOT_GO_ON and last.retry_after_s is not None:
             pause_s = last.retry_after_s
         await asyncio.sleep(pause_s)
-        tried = await self._try(self._next_id(), last.instance, resume.headers)
+        tried = await self._try(stream, self._next_id(), last, resume.headers)
         possible = len(before & self._peers(stream)) > 1
-        stream.taken_up.append(TakeUp(stream.add(tried), possible))
+        went_on = stream.add(tried) or stream.whole
+        stream.taken_up.append(TakeUp(went_on, possible))
         return tried
 
     async def _try(
         self,
+        stream: Stream,
         request_id: str,
-        avoided: str,
-        headers: tuple[tuple[bytes, bytes], ...],
+        last: Tried | None,
+        headers: Headers,
     ) -> Tried:
+        """Ask an instance that is up, another one than the last time."""
         up = [one for one in self._entries if one.name not in self.down]
-        others = [one for one in up if one.name != avoided]
+        others = [
+            one for one in up if last is None or one.name != last.instance
+        ]
         entry = self._rng.choice(others or up)
         return await Caller(self._rng).ask(
             entry.name,
@@ -138,6 +145,7 @@
             self._route,
             request_id,
             streams=True,
+            body=stream.request_id.encode(),
             headers=headers,
         )
 
