Targets of a rollout get resumable streams from their order on; rollouts are played with their contract

A new version begins no streams that may resume for 3.6 s; applied to a target too, that took a quarter of the time of a short order from its judgement. What may be placed on a target is bounded anyway, and its streams are recorded as all others. make rollouts states the contract under which versions wait for an order: without it the new version got 2 requests before its order, which the test saw.

--- a/packages/bench/src/tallyhall_bench/platform_fleet.py
+++ b/packages/bench/src/tallyhall_bench/platform_fleet.py
@@ -104,8 +104,14 @@
 class PlatformFleet:
     """A store, upstreams and entry processes."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        """Keep settings and logs in this folder."""
+    def __init__(
+        self, folder: pathlib.Path, contracts: Sequence[str] = ()
+    ) -> None:
+        """Keep settings and logs in this folder.
+
+        contracts: the parts of the rules that are in force.
+        """
+        self._contracts = contracts
         self.store = StoreStandIn()
         self.store_at = Listening(HOST, free_ports(1)[0])
         self.entries: list[EntryProcess] = []
@@ -215,6 +221,7 @@
                 'directory': str(places[2]),
             },
             'port-range': [places[3].port, places[5].port],
+            'contracts': list(self._contracts),
             'limits': {'memory-mb': 150, 'max-fds': 1000},
             'bounds': {
                 'revoke-ms': 5000,
@@ -264,10 +271,11 @@
 async def platform_fleet(
     instances: int,
     state: Mapping[str, Any],
+    contracts: Sequence[str] = (),
 ) -> AsyncIterator[PlatformFleet]:
     """Start a store with a desired state, and entry processes."""
     with tempfile.TemporaryDirectory() as folder:
-        fleet = PlatformFleet(pathlib.Path(folder))
+        fleet = PlatformFleet(pathlib.Path(folder), contracts)
         await fleet.store.listen(HOST, fleet.store_at.port)
         fleet.store.put('op/config', dict(state))
         try:
--- a/packages/bench/src/tallyhall_bench/rollout_run.py
+++ b/packages/bench/src/tallyhall_bench/rollout_run.py
@@ -34,6 +34,8 @@
 _UPSTREAMS = 6
 _SLOTS = 4
 _EVENTS = 8
+# The contract under which operators order rollouts.
+_CONTRACTS = ('rollout',)
 _SERVICE = 'engines'
 _ROUTES = ('summary', 'note')
 _OLD, _NEW = 'v1', 'v2'
@@ -141,7 +143,8 @@
     limit_s: float = _LIMIT_S,
 ) -> Result:
     """Play one order and return what came of it."""
-    async with platform_fleet(_INSTANCES, usual_state()) as fleet:
+    state = usual_state()
+    async with platform_fleet(_INSTANCES, state, _CONTRACTS) as fleet:
         play = Play(fleet, random.Random(seed), limit_s)
         fleet.store.on_write = play.on_write
         old = [await _upstream(play, _OLD, one) for one in range(_UPSTREAMS)]
--- a/packages/dispatch/src/tallyhall_dispatch/versions.py
+++ b/packages/dispatch/src/tallyhall_dispatch/versions.py
@@ -216,10 +216,13 @@
     def _new_versions(
         self, versions: frozenset[str], used: frozenset[str], now: float
     ) -> frozenset[str]:
-        """Return the new versions, unless there are no others to use."""
+        """Return the new versions, unless there are no others to use.
+
+        The target of an order is judged from its first requests on.
+        """
         new = frozenset(
             version
-            for version in versions
+            for version in versions & used
             if now < self._known_since[version] + NEW_VERSION_S
         )
         return new if used - new else frozenset()
