--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -183,3 +183,14 @@
         assert answer.status == 200
         assert answer.whole
         assert not answer.body
+
+
+async def test_refusal_states_a_time_if_an_instance_did_not_answer() -> None:
+    async with deployment(2) as cluster:
+        engines = await _add_versions(cluster)
+        await cluster.instances[0].close()
+        answer = await _resume(cluster, 1, 'begun-elsewhere')
+        assert answer.status == 503
+        assert b'stream_unknown' in answer.body
+        assert float(answer.header('retry-after')) > 0
+        assert not any(engine.seen for engine in engines)
