--- a/packages/bench/src/tallyhall_bench/isolation_run.py
+++ b/packages/bench/src/tallyhall_bench/isolation_run.py
@@ -23,7 +23,7 @@
 from .platform_fleet import EntryProcess, PlatformFleet, platform_fleet
 from .platform_load import Caller, Tried, keep_calling
 from .platform_run import STREAMED, doubled, is_served, usual_state
-from .plays import add_options, play_all
+from .plays import Share, add_options, play_all
 from .upstream_links import MODES, UpstreamLinks
 
 _INSTANCES = 6
@@ -69,29 +69,6 @@
         return asyncio.get_running_loop().time()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Count:
-    """Requests and how many of them were served."""
-
-    asked: int
-    served: int
-
-    @classmethod
-    def of(cls, tries: Iterable[Tried]) -> Count:
-        """Count tries."""
-        served = [is_served(tried) for tried in tries]
-        return cls(len(served), sum(served))
-
-    @property
-    def share(self) -> float:
-        """Return the share that was served, 1 of none."""
-        return self.served / self.asked if self.asked else 1
-
-    def __str__(self) -> str:
-        """Return SERVED/ASKED."""
-        return f'{self.served}/{self.asked}'
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Result:
     """What callers got at the isolated instances and at the others.
@@ -103,10 +80,10 @@
     case: str
     mode: str
     seed: int
-    isolated: Count
-    others: Count
-    at_first: Count
-    after: Count
+    isolated: Share
+    others: Share
+    at_first: Share
+    after: Share
     twice: int
     untrue: int
 
@@ -118,11 +95,11 @@
     @property
     def starved(self) -> bool:
         """Return whether callers of isolated instances were served less."""
-        failed = self.isolated.asked - self.isolated.served
-        asked = self.isolated.asked + self.others.asked
+        failed = self.isolated.total - self.isolated.count
+        asked = self.isolated.total + self.others.total
         if failed <= _FAILED_ALLOWANCE + _FAILED_SHARE * asked:
             return False
-        return self.isolated.share < _SERVED_RATIO * self.others.share
+        return self.isolated.fraction < _SERVED_RATIO * self.others.fraction
 
     def __str__(self) -> str:
         """Return a row of the table."""
@@ -270,10 +247,10 @@
         case,
         mode,
         seed,
-        Count.of(one for one in late if one.instance in play.isolated),
-        Count.of(one for one in late if one.instance not in play.isolated),
-        Count.of(one for one in early if one.instance in play.isolated),
-        Count.of(tried for at, tried in play.tries if at >= ended),
+        _served(one for one in late if one.instance in play.isolated),
+        _served(one for one in late if one.instance not in play.isolated),
+        _served(one for one in early if one.instance in play.isolated),
+        _served(tried for at, tried in play.tries if at >= ended),
         len(doubled(play.fleet, _ONCE)),
         sum(
             tried.route == _ONCE
@@ -284,6 +261,12 @@
     )
 
 
+def _served(tries: Iterable[Tried]) -> Share:
+    """Return how many tries were served."""
+    served = [is_served(tried) for tried in tries]
+    return Share(sum(served), len(served))
+
+
 def main() -> int:
     """Play and return 1 if callers of isolated instances were not served."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/packages/bench/src/tallyhall_bench/plays.py
+++ b/packages/bench/src/tallyhall_bench/plays.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import dataclasses
 import sys
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol
@@ -17,6 +18,23 @@
         """Return whether a rule was broken."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """How many of a number."""
+
+    count: int
+    total: int
+
+    @property
+    def fraction(self) -> float:
+        """Return the fraction, 1 of none."""
+        return self.count / self.total if self.total else 1
+
+    def __str__(self) -> str:
+        """Return COUNT/TOTAL."""
+        return f'{self.count}/{self.total}'
+
+
 Start = Callable[[], Awaitable[Played]]
 
 
--- a/packages/bench/src/tallyhall_bench/versions_run.py
+++ b/packages/bench/src/tallyhall_bench/versions_run.py
@@ -28,7 +28,7 @@
 from .platform_fleet import EntryProcess, PlatformFleet, platform_fleet
 from .platform_load import keep_calling
 from .platform_run import usual_state
-from .plays import add_options, play_all
+from .plays import Share, add_options, play_all
 from .stream_callers import Stream, StreamCallers
 
 _ZONES = ('a', 'a', 'b', 'b', 'c', 'c')
@@ -118,23 +118,6 @@
         self.callers.down -= {entry.name for entry in chosen}
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Share:
-    """How many of a number."""
-
-    count: int
-    total: int
-
-    @property
-    def fraction(self) -> float:
-        """Return the fraction, 1 of none."""
-        return self.count / self.total if self.total else 1
-
-    def __str__(self) -> str:
-        """Return COUNT/TOTAL."""
-        return f'{self.count}/{self.total}'
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Result:
     """What became of the streams.
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 from collections.abc import Awaitable, Callable
 
 from tallyhall_core.content import content_digest
@@ -15,17 +14,17 @@
 from tallyhall_dispatch.first_attempts import FirstAttempts
 from tallyhall_dispatch.gate import AdmissionGate, Admitted, OverQuotaError
 from tallyhall_dispatch.jobs import AttemptOutcome, Job, SlotGrant
-from tallyhall_dispatch.queue_timeout import max_queue_time_s
 
 from .connections import ConnectionPool
 from .dialect import HeaderCodec, InvalidHeaderError, RequestInfo
 from .exchange import Exchange
 from .guard import Guard
+from .job_factory import JobFactory, JobSource
 from .memory_shedding import MemoryShedding, wait_error
 from .relay import Relay
 from .request_context import ANSWERED, RequestContext, record_send
 from .request_log import RequestLog
-from .scheduling import JobSource, Scheduler
+from .scheduling import Scheduler
 from .sending import Sender
 from .stopping import StopSchedule, stopping_error
 from .stream_versions import StreamOrigins, StreamVersions
@@ -74,8 +73,7 @@
             self._versions,
         )
         self._guard = guard
-        self._source = source
-        self._job_numbers = itertools.count()
+        self._jobs = JobFactory(source)
         self._first_tries = FirstAttempts()
         # Set once the instance is told to stop.
         self._stop: StopSchedule | None = None
@@ -206,7 +204,11 @@
             self._versions.check(context)
             self.shedding.check(context)
             ends = self._guard.check(context.content)
-            job = self._job(context, suspect=context.content if ends else '')
+            job = self._jobs.create(
+                context,
+                suspect=context.content if ends else '',
+                backoffs=self._sender.backoffs.current(self._loop.time()),
+            )
             grant = await self._acquire(context, job)
             record_send(context, grant, self._loop.time())
             self._log.permitted(
@@ -260,47 +262,6 @@
             return stop.retry_deadline
         return stop.first_send_deadline
 
-    def _job(self, context: RequestContext, suspect: str) -> Job:
-        route = context.admitted.route
-        call = context.call
-        received_at = context.exchange.received_at
-        wait_s = max_queue_time_s(route, context.end_at - received_at)
-        if context.sends:
-            received_at = self._loop.time()
-        return Job(
-            # The instance makes keys unique among all instances.
-            key=f'{self._source.instance}/{next(self._job_numbers)}',
-            service=context.admitted.service,
-            zone=self._source.zone,
-            urgency=route.priority,
-            prompt_tokens=call.prompt_tokens,
-            output_tokens=call.output_tokens,
-            asked_at=self._loop.time(),
-            due_at=self._due_at(context),
-            reject_at=min(context.end_at, received_at + wait_s),
-            excluded=frozenset(context.excluded),
-            over_quota=context.admitted.over_quota_s > 0,
-            pause_s=route.gap_s,
-            suspect_digest=suspect,
-            backoffs=self._sender.backoffs.current(self._loop.time()),
-            route=route.name,
-            non_idempotent=not route.repeatable,
-            resumable=route.resumable,
-            version=context.version,
-        )
-
-    def _due_at(self, context: RequestContext) -> float:
-        """Return when the caller should get the next event.
-
-        A stream that goes on must not pause for too long; most of its work is
-        done, so it is not late because it began long ago.
-        """
-        route = context.admitted.route
-        if context.version is not None and route.gap_s:
-            return self._loop.time() + route.gap_s
-        first_at = context.exchange.received_at - context.since_first_s
-        return first_at + route.objective_s
-
     # -- outcomes
 
     def _complete(self, context: RequestContext, relay: Relay) -> None:
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -5,7 +5,6 @@
 from collections.abc import Mapping
 from typing import Protocol
 
-import msgspec
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.jobs import Job, RunReport, SlotGrant
@@ -14,13 +13,6 @@
 from tallyhall_dispatch.rejection import RejectDecision
 
 
-class JobSource(msgspec.Struct, frozen=True):
-    """The instance that sends the requests of jobs, and its zone."""
-
-    instance: str
-    zone: str
-
-
 class UpstreamListener(Protocol):
     """Receives the signals that upstreams send in their answers."""
 
--- a/packages/entry/src/tallyhall_entry/from_options.py
+++ b/packages/entry/src/tallyhall_entry/from_options.py
@@ -11,8 +11,9 @@
 from tallyhall_dispatch.retries import RetryLimits
 from tallyhall_edge.connections import ConnectionPool
 from tallyhall_edge.guard import Guard
+from tallyhall_edge.job_factory import JobSource
 from tallyhall_edge.runner import RequestPipeline
-from tallyhall_edge.scheduling import JobSource, Scheduler
+from tallyhall_edge.scheduling import Scheduler
 from tallyhall_edge.stream_versions import StreamOrigins
 from tallyhall_edge.telemetry import Telemetry
 from tallyhall_platform.entries import InstanceEntry
