The target of a withdrawn or replaced order gets nothing until the order's limit

Read in review: with all versions serving, a target whose order is withdrawn or garbled would have served 10 s after it appeared, unjudged, while its exposure is still bounded. test_target_of_a_withdrawn_order_gets_nothing_until_its_limit.

--- a/packages/dispatch/src/tallyhall_dispatch/versions.py
+++ b/packages/dispatch/src/tallyhall_dispatch/versions.py
@@ -93,6 +93,8 @@
         self._known_since: dict[str, float] = {}
         # Until when each version waits for an order that names it.
         self._waits_until: dict[str, float] = {}
+        # The order that was in progress at the last look.
+        self._named: RolloutOrder | None = None
         # Revision of the last completion that was taken into account.
         self._completed = 0
         # When a version that does not wait was last registered.
@@ -119,6 +121,7 @@
         ready = [one for one in known if not one.leaving]
         versions = frozenset(one.version for one in ready)
         self._update_known(ready, versions, now)
+        self._update_named(now)
         self._apply_completion(ready, now)
         used = self._used(versions, now)
         new = self._new_versions(versions, used, now)
@@ -175,6 +178,20 @@
             default=None,
         )
 
+    def _update_named(self, now: float) -> None:
+        """Exclude the target of an order that is withdrawn or replaced.
+
+        Nobody judges it any more; what it may get is bounded until the limit of
+        its order.
+        """
+        named = self._named
+        self._named = self.order_in_progress
+        if named is None or self._named == named:
+            return
+        if self.status is not None and self.status.concludes(named):
+            return
+        self._waits_until[named.target] = now + named.limit_s
+
     def _apply_completion(self, ready: list[Upstream], now: float) -> None:
         """Exclude the versions that a completed rollout ends.
 
--- a/tests/unit/test_rollouts.py
+++ b/tests/unit/test_rollouts.py
@@ -159,6 +159,16 @@
     assert {one.version for one in marked if not one.leaving} == {'v1'}
 
 
+def test_target_of_a_withdrawn_order_gets_nothing_until_its_limit() -> None:
+    versions = _known()
+    versions.order = _ORDER
+    assert _versions_by_use(versions, 1)['canary'] == {'v2'}
+    versions.order = None
+    for now in (5, 20):
+        assert _versions_by_use(versions, now)['used'] == {'v1'}
+    assert _versions_by_use(versions, 22)['used'] == {'v1', 'v2'}
+
+
 def test_version_that_comes_after_a_completed_rollout_serves_beside_it() -> (
     None
 ):
