--- a/packages/dispatch/src/tallyhall_dispatch/stream_records.py
+++ b/packages/dispatch/src/tallyhall_dispatch/stream_records.py
@@ -81,15 +81,6 @@
             return None
         return record
 
-    def live(self, now: float) -> dict[bytes, StreamRecord]:
-        """Return all records that have not expired."""
-        self._drop_expired(now)
-        return {
-            key: record
-            for key, record in self._records.items()
-            if now < record.expires_at
-        }
-
     def _drop_expired(self, now: float) -> None:
         """Drop expired records from the oldest on."""
         while self._records:
--- a/packages/dispatch/src/tallyhall_dispatch/versions.py
+++ b/packages/dispatch/src/tallyhall_dispatch/versions.py
@@ -125,7 +125,7 @@
         self._apply_completion(ready, now)
         used = self._used(versions, now)
         new = self._new_versions(versions, used, now)
-        self._changes_at = self._next_change(versions, now)
+        self._changes_at = self._next_change(versions, used, now)
         return tuple(self._mark(one, used, new) for one in known)
 
     # -- internal
@@ -244,8 +244,10 @@
         )
         return new if used - new else frozenset()
 
-    def _next_change(self, versions: frozenset[str], now: float) -> float:
-        times = [self._served_at + _ACCEPT_OTHER_S]
+    def _next_change(
+        self, versions: frozenset[str], used: frozenset[str], now: float
+    ) -> float:
+        times = [] if used else [self._served_at + _ACCEPT_OTHER_S]
         for version in versions:
             times.append(self._waits_until[version])
             times.append(self._known_since[version] + NEW_VERSION_S)
--- a/packages/entry/src/tallyhall_entry/stream_origins.py
+++ b/packages/entry/src/tallyhall_entry/stream_origins.py
@@ -109,10 +109,6 @@
         self._polled_at: float = 0
         self._port.on_datagram = self._on_datagram
 
-    def __len__(self) -> int:
-        """Return the number of records that are kept here."""
-        return len(self._records)
-
     async def listen(self, place: Listening) -> None:
         """Exchange records; raise OSError if the address is in use."""
         await self._port.listen(place)
