--- a/packages/dispatch/src/tallyhall_dispatch/waiting.py
+++ b/packages/dispatch/src/tallyhall_dispatch/waiting.py
@@ -87,10 +87,9 @@
     ) -> Iterator[Job]:
         """Yield the jobs with the earliest deadlines.
 
-        limit: for each version that jobs are bound to, and for those of any.
-
-        Jobs may be removed during the iteration. count_removed: whether those
-        count towards the limit.
+        limit: for each version that jobs are bound to, and for the unbound
+        ones. Jobs may be removed during the iteration. count_removed: whether
+        those count towards the limit.
         """
         heaps = self._deferred if late else self._in_time
         lanes = [
--- a/packages/entry/src/tallyhall_entry/stream_origins.py
+++ b/packages/entry/src/tallyhall_entry/stream_origins.py
@@ -63,8 +63,9 @@
 
 
 class _Copied(msgspec.Struct):
-    """The record of a stream that began here.
+    """The record of a stream that began here, or goes on here.
 
+    within_s: the longest time for which a caller of its route comes back.
     holders: incarnations of the instances that a copy was sent to.
     """
 
