--- a/packages/bench/src/tallyhall_bench/upstream_links.py
+++ b/packages/bench/src/tallyhall_bench/upstream_links.py
@@ -53,16 +53,17 @@
                 link.close()
 
     async def restore(self) -> None:
-        """Reach all upstreams again."""
+        """Reach all upstreams again, also if another loss ends meanwhile."""
+        was_closed = self._closed
+        self._closed = False
         for link in self._links.values():
             swallowed = link.fault is LinkFault.unanswered
             link.fault = LinkFault.none
             if swallowed:
                 # What was swallowed is lost: nothing can follow on it.
                 link.reset_all()
-            if self._closed:
+            if was_closed:
                 await link.reopen()
-        self._closed = False
 
 
 def _name_links(places: Mapping[str, str], key: str, content: bytes) -> bytes:
