Reproduce the incident: parts of prompts crash upstreams, on real processes

Callers saw: requests of one kind ended 502 and, as upstreams were missing, sound ones 503. Five upstreams had ended under one part of prompts when requests with it reached upstreams 19 times more. Cause: charged to whole requests alone, and no two of these are alike.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 # Tests wait as well as compute.
 TEST_WORKERS ?= 4
 
-.PHONY: run run-platform proto days soak rollouts limits isolation versions test check fmt faults bench slopes overhead start-cost return-run
+.PHONY: run run-platform proto days soak rollouts limits isolation versions parts test check fmt faults bench slopes overhead start-cost return-run
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -71,6 +71,11 @@
 		$(BENCH) run $(SITE) $$day --why "a day of each kind of trouble" \
 		| grep -E '^[a-z-]+ +[0-9]+/|^rules broken'; done
 
+# Parts of prompts that crash upstreams, on real processes.
+parts: $(STAMP)
+	$(BIN)/python -m tallyhall_bench.part_run --seed $(SEED) \
+		--seeds $(SEEDS)
+
 test: $(STAMP)
 	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist worksteal
 
--- a/packages/bench/src/tallyhall_bench/mortal.py
+++ b/packages/bench/src/tallyhall_bench/mortal.py
@@ -1,10 +1,14 @@
-"""Upstreams that end under one request and come back as another start."""
+"""Upstreams that end under some requests and come back as another start."""
 
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import itertools
+import random
+from collections.abc import Collection
 
+from tallyhall_standins.fatal_requests import FatalRequests
 from tallyhall_standins.platform_engine import EngineStandIn, entry_fields
 from tallyhall_standins.platform_store import StoreStandIn
 
@@ -18,27 +22,62 @@
 _SLOTS = 4
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mortality:
+    """Under which requests upstreams end, and how they come back.
+
+    parts: parts of prompts under which they end; may change meanwhile. events:
+    how many events leave before that, None if not even a head does. back_s:
+    shortest and longest time until they are back. moves: whether they come
+    back at another address.
+    """
+
+    parts: Collection[str] = ()
+    events: int | None = None
+    back_s: tuple[float, float] = (BACK_S, BACK_S)
+    moves: bool = False
+
+
 class MortalUpstreams:
     """Upstreams of one service, each of which ends under `FATAL`."""
 
-    def __init__(self, store: StoreStandIn, service: str) -> None:
+    def __init__(
+        self,
+        store: StoreStandIn,
+        service: str,
+        mortality: Mortality = Mortality(),  # noqa: B008, WPS404  (frozen)
+        seed: int = 0,
+    ) -> None:
         """Register with this store."""
-        self.ended = 0
+        # When each of those that have ended did, by the loop's clock.
+        self.ended_at: list[float] = []
         self.engines: dict[str, EngineStandIn] = {}
+        # All of them, also those that have ended.
+        self.all_engines: list[EngineStandIn] = []
         self._store = store
         self._service = service
+        self._mortality = mortality
+        self._fatal = FatalRequests(FATAL, mortality.parts, mortality.events)
+        self._rng = random.Random(seed)
         self._serial = itertools.count()
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def ended(self) -> int:
+        """Return how many have ended."""
+        return len(self.ended_at)
+
     async def start(
         self,
         count: int,
+        slots: int = _SLOTS,
         events: int = 6,
         first_s: float = 0.005,
+        event_s: float = 0.002,
     ) -> None:
         """Start so many."""
         for port in free_ports(count):
-            await self._add(port, events, first_s)
+            await self._add(port, slots, events, first_s, event_s)
 
     async def end_all(self) -> None:
         """End all at once, for no request's sake, and wait until all are back.
@@ -47,7 +86,7 @@
         """
         for engine in tuple(self.engines.values()):
             engine.end()
-        await asyncio.sleep(BACK_S * 2)
+        await asyncio.sleep(self._mortality.back_s[1] + BACK_S)
 
     def close(self) -> None:
         """End all; none comes back any more."""
@@ -56,25 +95,52 @@
         for engine in self.engines.values():
             engine.close()
 
-    async def _add(self, port: int, events: int, first_s: float) -> None:
+    async def _add(
+        self,
+        port: int,
+        slots: int,
+        events: int,
+        first_s: float,
+        event_s: float,
+    ) -> None:
         name = f'{self._service}-{next(self._serial)}'
         engine = EngineStandIn(
-            name, events=events, first_s=first_s, fatal=FATAL
+            name,
+            events=events,
+            first_s=first_s,
+            event_s=event_s,
+            fatal=self._fatal,
         )
         await engine.listen(HOST, port)
-        fields = entry_fields(self._service, f'{HOST}:{port}', _SLOTS)
+        fields = entry_fields(self._service, f'{HOST}:{port}', slots)
         self._store.put(f'servers/{name}', fields)
         self.engines[name] = engine
-        task = asyncio.create_task(self._replace(engine, port))
+        self.all_engines.append(engine)
+        task = asyncio.create_task(self._replace(engine, port, slots))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _replace(self, engine: EngineStandIn, port: int) -> None:
+    async def _replace(
+        self, engine: EngineStandIn, port: int, slots: int
+    ) -> None:
         await engine.ended.wait()
-        self.ended += 1
-        name = engine.incarnation
-        self.engines.pop(name)
-        await asyncio.sleep(BACK_S)
-        await self._add(port, engine.events, engine.first_s)
-        await asyncio.sleep(_LAPSES_S - BACK_S)
+        self.ended_at.append(asyncio.get_running_loop().time())
+        self.engines.pop(engine.incarnation)
+        await asyncio.gather(
+            self._lapse(engine.incarnation),
+            self._come_back(engine, port, slots),
+        )
+
+    async def _lapse(self, name: str) -> None:
+        await asyncio.sleep(_LAPSES_S)
         self._store.remove(f'servers/{name}')
+
+    async def _come_back(
+        self, engine: EngineStandIn, port: int, slots: int
+    ) -> None:
+        await asyncio.sleep(self._rng.uniform(*self._mortality.back_s))
+        if self._mortality.moves:
+            port = free_ports(1)[0]
+        await self._add(
+            port, slots, engine.events, engine.first_s, engine.event_s
+        )
--- a/packages/standins/src/tallyhall_standins/platform_engine.py
+++ b/packages/standins/src/tallyhall_standins/platform_engine.py
@@ -18,6 +18,7 @@
 import httptools
 
 from .engine_load import EngineLoad
+from .fatal_requests import FatalRequests
 
 _SLOTS = 10
 
@@ -39,6 +40,7 @@
     answers_twice = 'answers_twice'
     late_second = 'late_second'
     no_length = 'no_length'
+    no_length_in_event = 'no_length_in_event'
     short_body = 'short_body'
     unsigned = 'unsigned'
     not_http = 'not_http'
@@ -47,8 +49,18 @@
 
 _BROKEN_AT = 3
 _BAD = frozenset((EngineFault.fails, EngineFault.slow))
+# Streams with neither a length nor chunks.
+_BREAKING = frozenset(
+    (
+        EngineFault.breaks_in_event,
+        EngineFault.breaks_between,
+        EngineFault.no_length_in_event,
+    ),
+)
+_UNFRAMED = frozenset((EngineFault.no_length, EngineFault.no_length_in_event))
 _SLOW_TIMES = 8
 _LATE_S = 0.05
+_NONE_FATAL = FatalRequests()
 HEALTH_PATH = '/health'
 
 
@@ -97,11 +109,11 @@
         events: int = 6,
         first_s: float = 0.005,
         event_s: float = 0.002,
-        fatal: bytes | None = None,
+        fatal: FatalRequests = _NONE_FATAL,
     ) -> None:
         """Answer streams with this many events at this pace.
 
-        fatal: a body under which it ends once it begins to run it.
+        fatal: the requests under which it ends.
         """
         self.fatal = fatal
         # Draws the fault of a request by its path and by what runs beside it.
@@ -189,6 +201,8 @@
         self._body = b''
         self._whole = asyncio.Event()
         self._closed = False
+        # Whether streams are sent in chunks; else they end with the connection.
+        self._framed = True
 
     async def run(self, reader: asyncio.StreamReader) -> None:
         while not self._closed:
@@ -303,7 +317,7 @@
         times: float = _SLOW_TIMES if fault is EngineFault.slow else 1
         times *= self._engine.load.slowdown
         await asyncio.sleep(self._engine.first_s * times)
-        if self._engine.fatal is not None and self._body == self._engine.fatal:
+        if self._engine.fatal.ends_before_head(self._headers, self._body):
             self._engine.end()
             return
         if fault is EngineFault.not_http:
@@ -341,20 +355,21 @@
             self._send(200, b'a second answer', signed)
 
     async def _stream(self, fault: EngineFault, request_id: str) -> None:
-        signed = self._signed(request_id)
-        framing = ('Content-Type: text/event-stream',)
-        self._head(
-            200,
-            (*signed, *framing, 'Transfer-Encoding: chunked'),
-        )
+        framing = 'Transfer-Encoding: chunked'
+        if fault in _UNFRAMED:
+            framing = 'Connection: close'
+            self._framed = False
+        media = 'Content-Type: text/event-stream'
+        self._head(200, (*self._signed(request_id), media, framing))
         first = int(self._headers.get('last-event-id', '0')) + 1
+        last = self._engine.fatal.last_event(self._headers)
         for number in range(first, self._engine.events + 1):
-            if number == _BROKEN_AT and fault is EngineFault.breaks_in_event:
-                self._chunk(f'id: {number}\nda'.encode())
-                self._reset()
+            if last is not None and number >= first + last:
+                await self._writer.drain()
+                self._engine.end()
                 return
-            if number == _BROKEN_AT and fault is EngineFault.breaks_between:
-                self._reset()
+            if number == _BROKEN_AT and fault in _BREAKING:
+                self._break_off(fault, number)
                 return
             if number == _BROKEN_AT and fault is EngineFault.skips_event:
                 continue
@@ -364,7 +379,22 @@
             times: float = _SLOW_TIMES if fault is EngineFault.slow else 1
             times *= self._engine.load.slowdown
             await asyncio.sleep(self._engine.event_s * times)
-        self._writer.write(b'0\r\n\r\n')
+        self._end_stream()
+
+    def _end_stream(self) -> None:
+        if self._framed:
+            self._writer.write(b'0\r\n\r\n')
+        else:
+            self._closed = True
+
+    def _break_off(self, fault: EngineFault, number: int) -> None:
+        """End a stream before this event is whole."""
+        if fault is not EngineFault.breaks_between:
+            self._chunk(f'id: {number}\nda'.encode())
+        if fault is EngineFault.no_length_in_event:
+            self._closed = True
+        else:
+            self._reset()
 
     def _tell_health(self) -> None:
         self._engine.probes += 1
@@ -398,6 +428,9 @@
         self._writer.write(head.encode('latin-1'))
 
     def _chunk(self, payload: bytes) -> None:
+        if not self._framed:
+            self._writer.write(payload)
+            return
         self._writer.write(b'%x\r\n%b\r\n' % (len(payload), payload))
 
     def _reset(self) -> None:
