Logs and metrics tell the parts of prompts and who was held as a suspect

Cause: nothing told the parts of a request that an upstream took along, nor whether a sound one was refused as a suspect or for want of upstreams, so the hypotheses on the incident could not be told apart.

--- a/packages/edge/src/tallyhall_edge/dialect.py
+++ b/packages/edge/src/tallyhall_edge/dialect.py
@@ -26,7 +26,8 @@
     request; None if not stated. output_tokens: maximum tokens of the answer, 0
     for requests that state no tokens. last_event: number of the event after
     which a resumed stream continues. resumes: id of the attempt that brought
-    the first event of that stream, empty if not stated.
+    the first event of that stream, empty if not stated. parts: ids of the parts
+    of its prompt that other requests may share, in order.
     """
 
     request_id: bytes
@@ -37,6 +38,7 @@
     output_tokens: int
     last_event: int | None
     resumes: str = ''
+    parts: tuple[str, ...] = ()
 
     @property
     def id_text(self) -> str:
--- a/packages/edge/src/tallyhall_edge/guard.py
+++ b/packages/edge/src/tallyhall_edge/guard.py
@@ -9,6 +9,17 @@
 from tallyhall_dispatch.desired import Upstream
 
 
+class Fingerprint(msgspec.Struct, frozen=True):
+    """What a request has in common with others that may crash upstreams.
+
+    content: digest of the whole request. parts: the parts of its prompt that
+    other requests may share, each with its service.
+    """
+
+    content: str
+    parts: tuple[str, ...] = ()
+
+
 class Permit(msgspec.Struct, frozen=True):
     """Permission to send a request once.
 
--- a/packages/edge/src/tallyhall_edge/job_factory.py
+++ b/packages/edge/src/tallyhall_edge/job_factory.py
@@ -32,14 +32,12 @@
     def create(
         self,
         context: RequestContext,
-        suspect: str,
         backoffs: Mapping[str, float],
     ) -> Job:
         """Return the job of the next send of a request.
 
-        suspect: digest of its content if upstreams ended while running it, else
-        empty. backoffs: the upstreams that take nothing from this instance, and
-        until when.
+        backoffs: the upstreams that take nothing from this instance, and until
+        when.
         """
         route = context.admitted.route
         call = context.call
@@ -61,7 +59,7 @@
             excluded=frozenset(context.excluded),
             over_quota=context.admitted.over_quota_s > 0,
             pause_s=route.gap_s,
-            suspect_digest=suspect,
+            suspect_digest=context.suspect,
             backoffs=backoffs,
             route=route.name,
             non_idempotent=not route.repeatable,
--- a/packages/edge/src/tallyhall_edge/request_context.py
+++ b/packages/edge/src/tallyhall_edge/request_context.py
@@ -9,7 +9,7 @@
 from .dialect import RequestInfo
 from .errors import NotSentError
 from .exchange import Exchange
-from .guard import Permit
+from .guard import Fingerprint, Permit
 from .relay import Relay
 
 ANSWERED = 'answered'
@@ -19,7 +19,7 @@
     """The state of an admitted request; times of the event loop, in seconds.
 
     end_at: deadline of the request. last_event: number of the newest event
-    that the caller has. content: digest of the requested content.
+    that the caller has. fingerprint: what other requests may share with it.
     since_first_s: time between the caller's first attempt and this one.
     version: software version that began the stream, None before its first
     event; first_id: request id of the attempt that brought it. may_have_run:
@@ -36,7 +36,7 @@
     admitted: Admitted
     end_at: float
     last_event: int | None
-    content: str
+    fingerprint: Fingerprint
     since_first_s: float = 0
     version: str | None = None
     first_id: str = ''
@@ -52,6 +52,9 @@
     not_sent: NotSentError | None = None
     # The permit of the current send.
     permit: Permit | None = None
+    # The content or part for which its last send was restricted, as it may
+    # crash upstreams; empty if none was.
+    suspect: str = ''
     waited_s: float = 0
     total_wait_s: float = 0
     retry_wait_s: float = 0
@@ -77,6 +80,11 @@
         """Return the caller's request id as text."""
         return self.call.id_text
 
+    @property
+    def content(self) -> str:
+        """Return the digest of what it asks for."""
+        return self.fingerprint.content
+
     @property
     def workspace(self) -> str:
         """Return the name of the workspace, empty without one."""
--- a/packages/edge/src/tallyhall_edge/request_log.py
+++ b/packages/edge/src/tallyhall_edge/request_log.py
@@ -165,6 +165,7 @@
             total_s,
             context.admitted.route.kind.value,
             is_retry=context.is_retry,
+            is_suspect=bool(context.suspect),
         )
         served = context.outcome == ANSWERED
         # This line has all values that matter, even if earlier ones are lost.
@@ -193,6 +194,8 @@
         'service': admitted.service,
         'version': admitted.version,
         'content': context.content,
+        'parts': context.fingerprint.parts,
+        'suspect': context.suspect,
         'tried': sorted(context.excluded),
         'may_have_run': context.may_have_run,
         'begun': context.begun,
@@ -208,6 +211,7 @@
         error = context.relay.error
     return {
         'content': context.content,
+        'parts': context.fingerprint.parts,
         'cause': None if error is None else str(error)[:_MAX_CAUSE_CHARS],
     }
 
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -18,7 +18,7 @@
 from .connections import ConnectionPool
 from .dialect import HeaderCodec, InvalidHeaderError, RequestInfo
 from .exchange import Exchange
-from .guard import Guard
+from .guard import Fingerprint, Guard
 from .job_factory import JobFactory, JobSource
 from .memory_shedding import MemoryShedding, wait_error
 from .relay import Relay
@@ -162,26 +162,29 @@
             admitted,
             exchange.received_at + limit_s,
             call.last_event,
-            self._digest_content(exchange, call, admitted),
+            self._fingerprint(exchange, call, admitted),
             self._since_first_s(exchange, call, admitted),
         )
 
-    def _digest_content(
+    def _fingerprint(
         self,
         exchange: Exchange,
         call: RequestInfo,
         admitted: Admitted,
-    ) -> str:
+    ) -> Fingerprint:
         workspace = admitted.workspace
         caller = call.key if workspace is None else workspace.name
         head = exchange.head
-        return content_digest(
+        content = content_digest(
             call.host.encode(),
             head.method,
             head.target,
             caller.encode(),
             exchange.body,
         )
+        service = admitted.service
+        parts = tuple(f'{service}/{part}' for part in call.parts)
+        return Fingerprint(content, parts)
 
     def _since_first_s(
         self,
@@ -204,9 +207,9 @@
             self._versions.check(context)
             self.shedding.check(context)
             ends = self._guard.check(context.content)
+            context.suspect = context.content if ends else ''
             job = self._jobs.create(
                 context,
-                suspect=context.content if ends else '',
                 backoffs=self._sender.backoffs.current(self._loop.time()),
             )
             grant = await self._acquire(context, job)
--- a/packages/edge/src/tallyhall_edge/telemetry.py
+++ b/packages/edge/src/tallyhall_edge/telemetry.py
@@ -20,5 +20,9 @@
         route_kind: str,
         *,
         is_retry: bool,
+        is_suspect: bool = False,
     ) -> None:
-        """Record the outcome and duration of a request."""
+        """Record the outcome and duration of a request.
+
+        is_suspect: its last send was restricted, as it may crash upstreams.
+        """
--- a/packages/entry/src/tallyhall_entry/cluster_state.py
+++ b/packages/entry/src/tallyhall_entry/cluster_state.py
@@ -79,7 +79,7 @@
             header_timeout_s=limits.header_s,
             idle_timeout_s=limits.idle_s,
         )
-        self._metrics.state_version = state.version
+        self._metrics.desired_state.version = state.version
         self._log.event(
             Event.state_taken,
             version=state.version,
@@ -138,7 +138,7 @@
 
     def on_store_reachable(self, *, reachable: bool) -> None:
         """Record that the store became unreachable or reachable again."""
-        self._metrics.store_up = int(reachable)
+        self._metrics.desired_state.store_up = int(reachable)
         event = Event.kv_up if reachable else Event.kv_down
         self._log.event(event, age=self._gate.freshness.age(self._loop.time()))
 
--- a/packages/entry/src/tallyhall_entry/exposition.py
+++ b/packages/entry/src/tallyhall_entry/exposition.py
@@ -70,6 +70,12 @@
                 'outcome',
                 self._metrics.retries,
             ),
+            (
+                'tallyhall_suspects',
+                'Ended requests that may crash upstreams, by outcome.',
+                'outcome',
+                self._metrics.suspects,
+            ),
             (
                 'tallyhall_sends',
                 'Sends to upstreams, by how they ended.',
@@ -191,17 +197,17 @@
             (
                 'tallyhall_desired_state_version',
                 'Version of the desired state in force, -1 before the first.',
-                self._metrics.state_version,
+                self._metrics.desired_state.version,
             ),
             (
                 'tallyhall_confirmation_age_seconds',
                 'Time since the desired state was last confirmed.',
-                self._metrics.confirmation_age_seconds,
+                self._metrics.desired_state.confirmation_age_s,
             ),
             (
                 'tallyhall_store_reachable',
                 '1 while the store answers.',
-                self._metrics.store_up,
+                self._metrics.desired_state.store_up,
             ),
         ):
             yield GaugeMetricFamily(name, text, gauge)
--- a/packages/entry/src/tallyhall_entry/metrics.py
+++ b/packages/entry/src/tallyhall_entry/metrics.py
@@ -67,6 +67,18 @@
     turned_away: int = 0
 
 
+class DesiredStateStatus(msgspec.Struct):
+    """The desired state in force.
+
+    version: -1 before the first. confirmation_age_s: seconds since the store
+    confirmed it. store_up: 1 while the store answers.
+    """
+
+    version: int = -1
+    confirmation_age_s: float = 0
+    store_up: int = 0
+
+
 class PathCounts(msgspec.Struct):
     """The links of this instance to upstreams, and tunnels through peers.
 
@@ -98,6 +110,8 @@
         self.rejections: collections.Counter[str] = collections.Counter()
         # Requests of callers that were refused before, by outcome.
         self.retries: collections.Counter[str] = collections.Counter()
+        # Requests that were restricted as they may crash upstreams, by outcome.
+        self.suspects: collections.Counter[str] = collections.Counter()
         self.sends: collections.Counter[str] = collections.Counter()
         # By kind, cause and outcome.
         self.store_calls: Mapping[tuple[str, str, str], int] = {}
@@ -110,9 +124,7 @@
         # Load reports, by what happened to them.
         self.load_reports: Mapping[str, int] = {}
         self.paths = PathCounts()
-        self.state_version = -1
-        self.confirmation_age_seconds: float = 0
-        self.store_up = 0
+        self.desired_state = DesiredStateStatus()
         # None if the settings state no memory limit.
         self.memory: MemoryBudget | None = None
 
--- a/packages/entry/src/tallyhall_entry/reports.py
+++ b/packages/entry/src/tallyhall_entry/reports.py
@@ -109,7 +109,7 @@
         self._log_ejections(dispatcher, now)
         age = gate.freshness.age(now)
         if age is not None:
-            metrics.confirmation_age_seconds = age
+            metrics.desired_state.confirmation_age_s = age
 
     def update_loads(self, dispatcher: Dispatcher, loads: LoadSharing) -> None:
         """Update the metrics of load reports."""
--- a/packages/entry/src/tallyhall_entry/telemetry.py
+++ b/packages/entry/src/tallyhall_entry/telemetry.py
@@ -36,11 +36,14 @@
         route_kind: str,
         *,
         is_retry: bool,
+        is_suspect: bool = False,
     ) -> None:
         """Count a request that has ended."""
         self._metrics.ended(route_kind, outcome, total_s)
         if is_retry:
             self._metrics.retries[outcome] += 1
+        if is_suspect:
+            self._metrics.suspects[outcome] += 1
 
     def _count_send(self, fields: dict[str, object]) -> None:
         self._metrics.sends[str(fields['ending'])] += 1
--- a/packages/platform/src/tallyhall_platform/headers.py
+++ b/packages/platform/src/tallyhall_platform/headers.py
@@ -33,6 +33,9 @@
 _DEADLINE = b'x-tallyhall-deadline-ms'
 # Prompt tokens and the maximum of output tokens, separated by a comma.
 _TOKENS = b'x-tallyhall-token-counts'
+# The parts of the prompt in order, as ID:TOKENS separated by commas. The last
+# one belongs to the request itself or to its session.
+_PROMPT_PARTS = b'x-tallyhall-prompt-prefix'
 _LAST_EVENT = b'last-event-id'
 # The request id of the attempt that began a stream that is resumed.
 _RESUMES = b'resumes'
@@ -72,6 +75,10 @@
 # Maximum length of a request id, in characters, and what none contains.
 _MAX_ID_CHARS = 200
 _SEPARATORS = frozenset(' ,;\t')
+# Maximum number of parts of a prompt that are read, and the maximum length of
+# the id of one, in characters.
+_MAX_PARTS = 16
+_MAX_PART_CHARS = 40
 _SCHEME = 'bearer '
 _MILLI = 1000
 _HUNDREDTHS = 100
@@ -125,6 +132,7 @@
             output_tokens=tokens[1] if tokens else 0,
             last_event=last_event[0] if last_event else None,
             resumes=_resumes(headers),
+            parts=_shared_parts(headers),
         )
 
     def upstream_headers(
@@ -217,6 +225,24 @@
     return request_id
 
 
+def _shared_parts(headers: Headers) -> tuple[str, ...]:
+    """Return the ids of all parts of a prompt but the last.
+
+    Upstreams decide whether the list is valid, so entries in another form are
+    skipped.
+    """
+    listed = (find_header(headers, _PROMPT_PARTS) or b'').decode('latin-1')
+    entries = listed.split(',')[:-1]
+    parts = (entry.partition(':')[0].strip() for entry in entries[:_MAX_PARTS])
+    return tuple(
+        dict.fromkeys(
+            part
+            for part in parts
+            if part.isalnum() and len(part) <= _MAX_PART_CHARS
+        ),
+    )
+
+
 def _is_id(text: str) -> bool:
     """Return whether a text can be one request id."""
     return 0 < len(text) <= _MAX_ID_CHARS and not set(text) & _SEPARATORS
--- a/tests/platform/test_content.py
+++ b/tests/platform/test_content.py
@@ -46,6 +46,22 @@
     assert all('closed' in line['cause'] for line in broken)
 
 
+async def test_log_lines_of_failed_requests_have_the_parts_of_the_prompt(
+    tmp_path: Path,
+) -> None:
+    path = tmp_path / 'log'
+    async with logged_deployment(path) as made:
+        engine = await made.add_engine('plain-0', PLAIN)
+        await made.ready()
+        engine.faults.append(EngineFault.resets_first)
+        prefix = {'X_Tallyhall_Prompt_Prefix': 'first:10,middle:10,own:10'}
+        await made.caller().ask('/once/x', 'r1', **prefix)
+    lines = [json.loads(line) for line in path.read_text().splitlines()]
+    for event in ('send_ended', 'finished'):
+        (parts,) = [line['parts'] for line in lines if line['event'] == event]
+        assert parts == [f'{PLAIN}/first', f'{PLAIN}/middle']
+
+
 def _content_digests(lines: list[dict[str, Any]], event: str) -> list[str]:
     return [
         line['content']
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from tallyhall_edge.dialect import UpstreamRequestInfo
@@ -116,3 +117,36 @@
 def _upstream_headers(sent: Headers) -> Headers:
     head = RequestHead(b'POST', b'/stream/x', sent)
     return PlatformHeaderCodec().upstream_headers(head, 5, _INFO)
+
+
+@pytest.mark.parametrize(
+    ('listed', 'parts'),
+    [
+        ('5c1e07a2:800,91bd3f06:410,e4402b7d:250', ('5c1e07a2', '91bd3f06')),
+        ('a:1,b:2', ('a',)),
+        ('a:1', ()),
+        ('', ()),
+        ('a:1,a:1,b:1', ('a',)),
+        (',:3,no id,a:1,own', ('a',)),
+        (f'{"f" * 99}:1,a:1,b:1', ('a',)),
+    ],
+)
+def test_the_last_part_of_a_prompt_is_not_shared(
+    listed: str, parts: tuple[str, ...]
+) -> None:
+    assert _parse_parts(listed) == parts
+
+
+def test_the_number_of_parts_of_a_prompt_is_bounded() -> None:
+    listed = ','.join(f'{number}:1' for number in range(5000))
+    assert len(_parse_parts(listed)) < 100
+
+
+def _parse_parts(listed: str) -> tuple[str, ...]:
+    headers = (
+        (b'Host', b'shop.example'),
+        (b'X-Tallyhall-Request-Id', b'r1'),
+        (b'X-Tallyhall-Prompt-Prefix', listed.encode()),
+    )
+    head = RequestHead(b'POST', b'/x/', headers)
+    return PlatformHeaderCodec().parse_request(head).parts
--- a/tests/platform/test_lateness.py
+++ b/tests/platform/test_lateness.py
@@ -11,6 +11,7 @@
 from tallyhall_dispatch.desired import Route, RouteKind
 from tallyhall_dispatch.jobs import SlotGrant
 from tallyhall_dispatch.rejection import RejectDecision, RejectionForecast
+from tallyhall_edge.guard import Fingerprint
 from tallyhall_edge.lateness import lateness
 from tallyhall_edge.request_context import RequestContext, record_send
 from tallyhall_transport.generated import peers_pb2
@@ -38,7 +39,9 @@
     exchange: Any = types.SimpleNamespace(started_at=begun_at, received_at=10)
     admitted: Any = types.SimpleNamespace(route=_ROUTE)
     call = cast('Any', None)
-    return RequestContext(exchange, call, admitted, 20, None, '', **fields)
+    return RequestContext(
+        exchange, call, admitted, 20, None, Fingerprint(''), **fields
+    )
 
 
 def _sent(
