Quarantine the part of a prompt that crashes upstreams

Cause: an end of an upstream was charged to requests as a whole, and no two of these were alike, so no count ever passed one. Change: an end charges the parts of all runs that it took whose answers had not gone on for half a second; an answer to a request that was sent after a charge was known clears it. At two charges a part is held (one request runs as a trial, the others wait for its outcome), at three it is quarantined unless a rarer part explains its ends. Instances tell each other; verdicts are stored for those that start later. Trials follow after 30 s, ten minutes, an hour.

--- a/packages/core/src/tallyhall_core/events.py
+++ b/packages/core/src/tallyhall_core/events.py
@@ -68,6 +68,8 @@
     tunnel_asked = 425
     tunnel_ended = 426
     stream_origin_asked = 427
+    part_suspected = 428
+    part_quarantined = 429
     logs_dropped = 501
     internal_error = 500
     order_sent = 600
--- /dev/null
+++ b/packages/core/src/tallyhall_core/part_suspects.py
@@ -0,0 +1,408 @@
+"""Quarantine of parts of prompts that crash upstreams.
+
+A part may crash each upstream that begins to answer a prompt with it, whatever
+else the prompt holds, so requests with it need not be alike. An upstream that
+terminates charges the parts of all its requests that had no answer yet. A part
+is cleared by an answer to a request that was sent after the charge was known.
+
+A charge counts one more than the terminations that were known for the part when
+the request was sent. So upstreams that terminate together, for example in a
+power failure, count as one. A part with two terminations is held: one request
+with it runs as a trial, all others wait for its outcome. From three on it is
+quarantined, unless its terminations are explained by a part that fewer answers
+hold.
+
+Times are wall clock seconds since 1970. Nothing in this module does I/O.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Collection, Iterator
+from typing import Annotated
+
+import msgspec
+
+from .part_usage import PartUsage
+
+# Number of terminations from which on a part is held, and from which on it is
+# quarantined.
+HELD_ENDS = 2
+_QUARANTINE_ENDS = 3
+# Shortest time in seconds from the first termination of a part to its
+# quarantine. Within it, answers clear the parts that other requests share.
+_MIN_OBSERVATION_S = 1.0
+# The observation lasts this many times as long as answers usually take to clear
+# a part.
+_OBSERVATION_FACTOR = 2.0
+# Weight of the newest answer in the mean time that answers take.
+_MEAN_WEIGHT = 0.05
+# Time in seconds for which a held part that is in use has no trial, as requests
+# that run already may clear it.
+_IN_FLIGHT_S = 0.3
+# Seconds from a quarantine to the next trial, by the number of trials that
+# failed since the first; each costs an upstream.
+_TRIAL_DELAYS_S = (30.0, 600.0, 3600.0)
+# A part is as likely as another to be the cause if answers hold it less than
+# this many times as often.
+_RARER_FACTOR = 1.5
+# Seconds after which a charge is forgotten.
+_CHARGE_KEPT_S = 600.0
+# Maximum number of parts to remember, and the fraction that is evicted.
+_MAX_RECORDS = 1000
+_EVICTION_DIVISOR = 4
+# Maximum number of explained terminations to remember; late reports of one
+# arrive within a second.
+_MAX_EXPLAINED = 200
+# Counts above this are rejected as invalid.
+_MAX_ENDS = 1_000_000
+
+_Ends = Annotated[int, msgspec.Meta(ge=0, le=_MAX_ENDS)]
+
+
+class PartEnds(msgspec.Struct, frozen=True, array_like=True):
+    """A part, and the number of terminations of upstreams counted for it."""
+
+    part: str
+    ends: _Ends
+
+
+class QuarantinedPart(msgspec.Struct, frozen=True, array_like=True):
+    """A part that crashes upstreams.
+
+    ends: the terminations counted for it. failed_trials: trials since the first
+    quarantine during which upstreams terminated, too.
+    """
+
+    part: str
+    ends: _Ends
+    failed_trials: Annotated[int, msgspec.Meta(ge=0, le=_MAX_ENDS)]
+    at_s: float
+
+    @property
+    def trial_at(self) -> float:
+        """Return when one request may run as a trial."""
+        last = len(_TRIAL_DELAYS_S) - 1
+        return self.at_s + _TRIAL_DELAYS_S[min(self.failed_trials, last)]
+
+
+@enum.unique
+class PartVerdict(enum.Enum):
+    """Whether a request with a part may run.
+
+    held: not before the outcome of a trial, or of requests that run already, is
+    known. trial: only while no other request with the part runs anywhere.
+    quarantined: not now.
+    """
+
+    free = 'free'
+    held = 'held'
+    trial = 'trial'
+    quarantined = 'quarantined'
+
+
+class PartStatus(msgspec.Struct, frozen=True):
+    """The verdict on a part; wait_s: seconds until it may change."""
+
+    verdict: PartVerdict
+    wait_s: float = 0
+
+
+_FREE = PartStatus(PartVerdict.free)
+
+
+class _Charge(msgspec.Struct, frozen=True):
+    ends: int
+    at_s: float
+
+
+class _Record(msgspec.Struct):
+    """What is known of one part.
+
+    charges: its terminations, by upstream. known: the highest count of them.
+    cleared: the count up to which an answer has cleared it.
+    """
+
+    charges: dict[str, _Charge] = msgspec.field(default_factory=dict)
+    known: int = 0
+    cleared: int = 0
+    quarantine: QuarantinedPart | None = None
+
+    @property
+    def active(self) -> dict[str, _Charge]:
+        """Return the charges that no answer has cleared."""
+        return {
+            upstream: charge
+            for upstream, charge in self.charges.items()
+            if charge.ends > self.cleared
+        }
+
+    @property
+    def newest_at(self) -> float:
+        """Return the time of the latest charge that is not cleared."""
+        times = (charge.at_s for charge in self.active.values())
+        return max(times, default=float('-inf'))
+
+    @property
+    def oldest_at(self) -> float:
+        """Return the time of the first charge that is not cleared."""
+        times = (charge.at_s for charge in self.active.values())
+        return min(times, default=float('inf'))
+
+    @property
+    def is_quarantined(self) -> bool:
+        """Return whether the part is in quarantine."""
+        quarantine = self.quarantine
+        return quarantine is not None and quarantine.ends > self.cleared
+
+    def count(self, without: Collection[str] = ()) -> int:
+        """Return the terminations that count, except at these upstreams."""
+        return len(
+            {
+                charge.ends
+                for upstream, charge in self.active.items()
+                if upstream not in without
+            },
+        )
+
+    def forget(self, before: float) -> None:
+        """Remove the charges up to this time."""
+        for upstream, charge in tuple(self.charges.items()):
+            if charge.at_s <= before:
+                self.charges.pop(upstream)
+
+
+class PartSuspects:
+    """The parts that requests held when upstreams terminated recently."""
+
+    def __init__(self) -> None:
+        """Create an empty collection."""
+        self._records: dict[str, _Record] = {}
+        self._usage = PartUsage()
+        # Terminations that a quarantined part explains.
+        self._explained: dict[str, None] = {}
+        # Mean time from sending a request to the answer that clears its parts,
+        # in seconds.
+        self._mean_answer_s: float = 0
+
+    @property
+    def observation_s(self) -> float:
+        """Return for how long a part is observed before its quarantine."""
+        return max(
+            _MIN_OBSERVATION_S, _OBSERVATION_FACTOR * self._mean_answer_s
+        )
+
+    def known_ends(self, part: str) -> int:
+        """Return how many terminations were ever counted for a part."""
+        record = self._records.get(part)
+        return 0 if record is None else record.known
+
+    def count(self, part: str) -> int:
+        """Return how many terminations count for a part, as none cleared it."""
+        record = self._records.get(part)
+        return 0 if record is None else record.count()
+
+    def terminated(self, part: str) -> frozenset[str]:
+        """Return the upstreams of the terminations that count for a part."""
+        record = self._records.get(part)
+        return frozenset() if record is None else frozenset(record.active)
+
+    def record_termination(
+        self, upstream: str, charged: Collection[PartEnds], now: float
+    ) -> tuple[str, ...]:
+        """Charge parts with a termination; return those with a new charge.
+
+        The same termination may be reported several times.
+        """
+        if any(self._is_quarantined(one.part) for one in charged):
+            self._explain(upstream)
+        changed = tuple(
+            one.part for one in charged if self._charge(upstream, one, now)
+        )
+        return tuple(dict.fromkeys(changed))
+
+    def record_answered(
+        self, sent: PartEnds, answer_s: float, now: float
+    ) -> PartEnds | None:
+        """Record an answer to a request; return what to broadcast.
+
+        sent: the part with the terminations that were known when the request
+        was sent. answer_s: time since then, in seconds.
+        """
+        self._usage.record(sent.part, now)
+        self._mean_answer_s += _MEAN_WEIGHT * (answer_s - self._mean_answer_s)
+        record = self._records.get(sent.part)
+        if record is None or not (record.active or record.is_quarantined):
+            return None
+        return sent if self.record_cleared(sent) else None
+
+    def record_cleared(self, sent: PartEnds) -> bool:
+        """Clear a part up to a count; return whether this changed anything."""
+        record = self._records.get(sent.part)
+        if record is None or sent.ends <= record.cleared:
+            return False
+        record.cleared = sent.ends
+        return True
+
+    def record_quarantine(self, quarantine: QuarantinedPart) -> bool:
+        """Record a verdict of any instance; return whether it is news."""
+        record = self._record(quarantine.part)
+        record.known = max(record.known, quarantine.ends)
+        known = record.quarantine
+        if known is not None and _rank(known) >= _rank(quarantine):
+            return False
+        record.quarantine = quarantine
+        for upstream in record.active:
+            self._explain(upstream)
+        return True
+
+    def quarantined(self) -> tuple[QuarantinedPart, ...]:
+        """Return all quarantines in force."""
+        return tuple(
+            record.quarantine
+            for record in self._records.values()
+            if record.quarantine is not None and record.is_quarantined
+        )
+
+    def status(self, part: str, now: float) -> PartStatus:
+        """Return whether a request with a part may run."""
+        record = self._records.get(part)
+        if record is None:
+            return _FREE
+        if record.quarantine is not None and record.is_quarantined:
+            return _quarantine_status(record.quarantine, now)
+        if not self._is_suspected(part, HELD_ENDS, now):
+            return _FREE
+        if record.count() >= _QUARANTINE_ENDS:
+            return PartStatus(PartVerdict.held, self.observation_s)
+        wait_s = record.newest_at + _IN_FLIGHT_S - now
+        if wait_s > 0 and self._usage.count(part, now):
+            return PartStatus(PartVerdict.held, wait_s)
+        return PartStatus(PartVerdict.trial)
+
+    def judge(self, now: float) -> tuple[QuarantinedPart, ...]:
+        """Quarantine the parts that must be the cause; return them."""
+        found = []
+        # Parts with more terminations explain those of the others.
+        ranked = sorted(
+            self._records,
+            key=lambda part: len(self._records[part].active),
+            reverse=True,
+        )
+        convicted = [part for part in ranked if self._is_convicted(part, now)]
+        for part in convicted:
+            record = self._records[part]
+            failed = record.quarantine if record.is_quarantined else None
+            trials = 0 if failed is None else failed.failed_trials + 1
+            quarantine = QuarantinedPart(part, record.known, trials, now)
+            self.record_quarantine(quarantine)
+            found.append(quarantine)
+        return tuple(found)
+
+    # -- implementation
+
+    def _charge(self, upstream: str, charged: PartEnds, now: float) -> bool:
+        record = self._record(charged.part)
+        record.known = max(record.known, charged.ends)
+        if upstream in self._explained and not record.is_quarantined:
+            return False
+        known = record.charges.get(upstream)
+        if known is not None and known.ends >= charged.ends:
+            return False
+        at_s = now if known is None else known.at_s
+        record.charges[upstream] = _Charge(charged.ends, at_s)
+        return True
+
+    def _explain(self, upstream: str) -> None:
+        """Remove the charges of a termination whose cause is known."""
+        self._explained[upstream] = None
+        while len(self._explained) > _MAX_EXPLAINED:
+            self._explained.pop(next(iter(self._explained)))
+        for record in self._records.values():
+            if not record.is_quarantined:
+                record.charges.pop(upstream, None)
+
+    def _is_quarantined(self, part: str) -> bool:
+        record = self._records.get(part)
+        return record is not None and record.is_quarantined
+
+    def _is_convicted(self, part: str, now: float) -> bool:
+        """Return whether a part must be the cause of its terminations."""
+        record = self._records[part]
+        if record.quarantine is not None and record.is_quarantined:
+            # Requests that were sent before the quarantine may still crash
+            # upstreams; those sent since were trials.
+            return record.known > record.quarantine.ends
+        if now - record.oldest_at < self.observation_s:
+            return False
+        return self._is_suspected(part, _QUARANTINE_ENDS, now)
+
+    def _is_suspected(self, part: str, ends: int, now: float) -> bool:
+        """Return whether so many terminations of a part have no other cause."""
+        record = self._records[part]
+        record.forget(now - _CHARGE_KEPT_S)
+        if record.count() < ends:
+            return False
+        return record.count(self._explained_otherwise(part, now)) >= ends
+
+    def _explained_otherwise(self, part: str, now: float) -> set[str]:
+        """Return the upstreams that likelier parts than this one crashed."""
+        explained: set[str] = set()
+        for other in self._held():
+            if other != part and self._is_likelier(other, part, now):
+                explained.update(self._records[other].active)
+        return explained
+
+    def _held(self) -> Iterator[str]:
+        for part, record in self._records.items():
+            if not record.is_quarantined and record.count() >= HELD_ENDS:
+                yield part
+
+    def _is_likelier(self, part: str, other: str, now: float) -> bool:
+        """Return whether a part is a likelier cause than another one.
+
+        The rarer part is, or of parts that are about as rare the one with more
+        terminations.
+        """
+        count = self._usage.count(part, now)
+        other_count = self._usage.count(other, now)
+        if count * _RARER_FACTOR < other_count:
+            return True
+        if other_count * _RARER_FACTOR < count:
+            return False
+        return len(self._records[part].active) > len(
+            self._records[other].active
+        )
+
+    def _record(self, part: str) -> _Record:
+        record = self._records.get(part)
+        if record is None:
+            if len(self._records) >= _MAX_RECORDS:
+                self._evict()
+            record = _Record()
+            self._records[part] = record
+        return record
+
+    def _evict(self) -> None:
+        """Evict a quarter of the records: fewest terminations, then oldest."""
+        ranked = sorted(
+            self._records,
+            key=lambda part: _eviction_order(self._records[part]),
+        )
+        for part in ranked[: len(ranked) // _EVICTION_DIVISOR]:
+            self._records.pop(part)
+
+
+def _quarantine_status(quarantine: QuarantinedPart, now: float) -> PartStatus:
+    wait_s = quarantine.trial_at - now
+    if wait_s > 0:
+        return PartStatus(PartVerdict.quarantined, wait_s)
+    return PartStatus(PartVerdict.trial)
+
+
+def _rank(quarantine: QuarantinedPart) -> tuple[int, int, float]:
+    return quarantine.ends, quarantine.failed_trials, quarantine.at_s
+
+
+def _eviction_order(record: _Record) -> tuple[bool, int, float]:
+    return record.is_quarantined, record.count(), record.newest_at
--- a/packages/core/src/tallyhall_core/suspects.py
+++ b/packages/core/src/tallyhall_core/suspects.py
@@ -26,6 +26,8 @@
 
 import msgspec
 
+from .part_suspects import PartEnds
+
 # Seconds after which a termination is forgotten, so that the request is tried
 # again in case the upstreams were repaired meanwhile.
 KEPT_S = 600.0
@@ -51,11 +53,14 @@
 class InterruptedRun(msgspec.Struct, frozen=True, array_like=True):
     """A request that was running when its upstream terminated.
 
-    ends: the number of terminations counted for it, including this one.
+    ends: the number of terminations counted for it, including this one. parts:
+    the same for the parts of its prompt, empty if its answer had gone on for
+    too long for these to be the cause.
     """
 
     content: str
     ends: Annotated[int, msgspec.Meta(ge=1, le=_MAX_ENDS)]
+    parts: tuple[PartEnds, ...] = ()
 
 
 class UpstreamTermination(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/edge/src/tallyhall_edge/client.py
+++ b/packages/edge/src/tallyhall_edge/client.py
@@ -246,7 +246,7 @@
             return
         head = ResponseHead(status, self._reason, tuple(self._headers))
         self._in_body = True
-        self._framed = _is_framed(head)
+        self._framed = is_framed(head)
         self._read_keep_alive(head.headers)
         self._skipping = self._answers_other_request(head.headers)
         if self._skipping:
@@ -325,7 +325,8 @@
             sock.setsockopt(socket.IPPROTO_TCP, option, limit)
 
 
-def _is_framed(head: ResponseHead) -> bool:
+def is_framed(head: ResponseHead) -> bool:
+    """Return whether an answer states its length or comes in chunks."""
     if find_header(head.headers, b'content-length') is not None:
         return True
     coding = find_header(head.headers, b'transfer-encoding')
--- a/packages/edge/src/tallyhall_edge/guard.py
+++ b/packages/edge/src/tallyhall_edge/guard.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 import msgspec
+from tallyhall_core.part_suspects import PartEnds
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
 from tallyhall_dispatch.desired import Upstream
 
@@ -23,43 +24,58 @@
 class Permit(msgspec.Struct, frozen=True):
     """Permission to send a request once.
 
-    ends: number of upstream ends attributed to the content. is_trial: no other
-    request with this content runs anywhere until the permit is released.
+    fingerprint: of the request. sent_at: time of the event loop, in seconds.
+    ends: number of upstream ends attributed to the content. parts: the same for
+    each part of its prompt. trials: the content or parts for which it is a
+    trial: no other request with them runs anywhere until it is released.
     """
 
+    fingerprint: Fingerprint
+    sent_at: float
     ends: int
-    is_trial: bool = False
+    parts: tuple[PartEnds, ...] = ()
+    trials: tuple[str, ...] = ()
 
 
 class Guard(Protocol):
-    """Tracks by content which requests may crash upstreams."""
+    """Tracks which requests may crash upstreams, by content and by parts."""
 
-    def check(self, content: str) -> int:
-        """Return the number of upstream ends attributed to a content.
+    async def admit(self, fingerprint: Fingerprint) -> str:
+        """Return the content or part for which a request may crash upstreams.
 
-        Raises RefusedError if it is quarantined for now.
+        Returns an empty string if it is free. Waits while a trial of one of its
+        parts runs. Raises RefusedError if it is quarantined for now.
         """
 
-    async def request_permit(self, content: str) -> Permit:
+    async def request_permit(self, fingerprint: Fingerprint) -> Permit:
         """Return a permit for one send; raise RefusedError."""
 
-    def answered(self, content: str) -> None:
-        """Record that a request was answered successfully."""
+    def answered(self, permit: Permit) -> None:
+        """Record that a request was answered completely and successfully."""
+
+    def established(self, permit: Permit) -> None:
+        """Record that an answer has gone on for long enough.
+
+        An upstream that crashes by a part of the prompt does so earlier.
+        """
 
     def record_connection_lost(
-        self, content: str, permit: Permit, upstream: Upstream
+        self, permit: Permit, upstream: Upstream, *, is_established: bool
     ) -> None:
         """Record that the connection of a running request was lost."""
 
-    def release(self, content: str) -> None:
-        """Release the permit of a trial."""
+    def release(self, permit: Permit) -> None:
+        """Release the trials of a permit."""
 
 
-def quarantined_error(content: str, wait_s: float) -> RefusedError:
-    """Return the refusal of a request that may crash another upstream."""
+def quarantined_error(suspect: str, wait_s: float) -> RefusedError:
+    """Return the refusal of a request that may crash another upstream.
+
+    suspect: the content or part that may do so.
+    """
     refusal = Refusal.of(
         Reason.quarantined,
         retry_after=wait_s,
-        detail=f'content {content}',
+        detail=f'suspect {suspect}',
     )
     return RefusedError(refusal)
--- a/packages/edge/src/tallyhall_edge/relay.py
+++ b/packages/edge/src/tallyhall_edge/relay.py
@@ -11,11 +11,11 @@
 import asyncio
 from collections.abc import Callable
 
-from tallyhall_dispatch.jobs import AttemptOutcome, RunReport
+from tallyhall_dispatch.jobs import INTERRUPTED, AttemptOutcome, RunReport
 
-from .client import ClientConnection
+from .client import ClientConnection, is_framed
 from .dialect import HeaderCodec, ResponseInfo
-from .errors import ConnectionFailedError
+from .errors import ConnectionFailedError, ConnectionLostError
 from .events import BadEventError, EventSplitter, StreamEvent
 from .exchange import Exchange
 from .memory_budget import Holder
@@ -24,6 +24,10 @@
 # Answers up to this size in bytes are buffered until they are complete.
 _MAX_BUFFERED_BYTES = 65_536
 _FIRST_SERVER_ERROR = 500
+# A stream is established once so many events have come and so much time has
+# passed since the first, in seconds.
+_ESTABLISHED_EVENTS = 3
+_ESTABLISHED_S = 0.5
 # Statuses that state that the request was not executed.
 _NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -52,6 +56,9 @@
         # answer that is not a stream, or when it ends.
         self.begun = asyncio.Event()
         self.on_first_event: Callable[[], None] | None = None
+        # Called once the stream is established.
+        self.on_established: Callable[[], None] | None = None
+        self.is_established = False
         # Called with the parsed head before the answer is forwarded.
         self.on_answer_info: Callable[[ResponseInfo], None] | None = None
         self.head: ResponseHead | None = None
@@ -82,6 +89,20 @@
             return False
         return head.is_success
 
+    @property
+    def lost_connection(self) -> bool:
+        """Return whether the answer is incomplete as its connection ended.
+
+        The end of the connection of an answer without a stated length is no
+        error of the connection.
+        """
+        if isinstance(self.error, ConnectionLostError):
+            return True
+        head = self.head
+        if self.ending not in INTERRUPTED or self.error is not None:
+            return False
+        return head is not None and not is_framed(head)
+
     def bind(self, conn: ClientConnection) -> None:
         """Pause this connection while the caller does not read."""
         self._conn = conn
@@ -224,10 +245,20 @@
             self._pause_after = self._events
         self.last_event_at = now
         self._events += 1
+        self._check_established(now)
         if event.number is not None:
             self.last_event = event.number
         self._exchange.write(event.raw)
 
+    def _check_established(self, now: float) -> None:
+        if self.is_established or self._events < _ESTABLISHED_EVENTS:
+            return
+        if self._first_at is None or now - self._first_at < _ESTABLISHED_S:
+            return
+        self.is_established = True
+        if self.on_established is not None:
+            self.on_established()
+
     def _end_incomplete(self) -> None:
         begun = self._exchange.started
         self._finish(AttemptOutcome.broken if begun else AttemptOutcome.unknown)
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -206,8 +206,7 @@
         while True:
             self._versions.check(context)
             self.shedding.check(context)
-            ends = self._guard.check(context.content)
-            context.suspect = context.content if ends else ''
+            context.suspect = await self._guard.admit(context.fingerprint)
             job = self._jobs.create(
                 context,
                 backoffs=self._sender.backoffs.current(self._loop.time()),
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -27,7 +27,6 @@
 from .dialect import HeaderCodec, ResponseInfo, UpstreamRequestInfo
 from .errors import (
     BackoffError,
-    ConnectionLostError,
     NoPathError,
     NotSentError,
 )
@@ -173,14 +172,14 @@
         if permit is None or relay is None:
             return
         context.permit = None
-        if isinstance(relay.error, ConnectionLostError):
+        if relay.lost_connection:
             self._guard.record_connection_lost(
-                context.content, permit, upstream
+                permit, upstream, is_established=relay.is_established
             )
         elif relay.succeeded:
-            self._guard.answered(context.content)
-        if permit.is_trial:
-            self._guard.release(context.content)
+            self._guard.answered(permit)
+        if permit.trials:
+            self._guard.release(permit)
 
     def _apply_answer_info(
         self,
@@ -296,7 +295,7 @@
         started to leave or asked for a backoff, and the API key may have been
         revoked.
         """
-        context.permit = await self._guard.request_permit(context.content)
+        context.permit = await self._guard.request_permit(context.fingerprint)
         now = self._loop.time()
         if not self._scheduler.is_usable(upstream):
             conn.close()
@@ -307,6 +306,9 @@
             refusal = Refusal.of(Reason.state_not_confirmed, retry_after=1)
             raise RefusedError(refusal)
         relay.bind(conn)
+        relay.on_established = functools.partial(
+            self._guard.established, context.permit
+        )
         conn.send(
             self._encode_request(context, upstream),
             relay,
--- a/packages/platform/src/tallyhall_platform/end_records.py
+++ b/packages/platform/src/tallyhall_platform/end_records.py
@@ -10,11 +10,14 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Any
 
 import msgspec
 from tallyhall_core.events import Event
+from tallyhall_core.part_suspects import PartEnds, QuarantinedPart
 from tallyhall_core.suspects import KEPT_S, Cleared, UpstreamTermination
 
 from .call_counts import CallCause
@@ -35,10 +38,21 @@
 
 
 class EndRecords(msgspec.Struct, frozen=True):
-    """Upstreams that ended, and suspect requests answered since then."""
+    """Upstreams that ended, and suspect requests answered since then.
 
-    ended: tuple[UpstreamTermination, ...]
-    cleared: tuple[Cleared, ...]
+    cleared_parts: parts of prompts that were answered since. quarantined_parts:
+    those that crash upstreams.
+    """
+
+    ended: tuple[UpstreamTermination, ...] = ()
+    cleared: tuple[Cleared, ...] = ()
+    cleared_parts: tuple[PartEnds, ...] = ()
+    quarantined_parts: tuple[QuarantinedPart, ...] = ()
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether there are no records."""
+        return not any(msgspec.structs.astuple(self))
 
 
 def decode_end_records(raw: bytes) -> EndRecords:
@@ -51,6 +65,12 @@
     return msgspec.json.encode(records)
 
 
+def merge_end_records(records: Iterable[EndRecords]) -> EndRecords:
+    """Return all records in one."""
+    by_field = zip(*map(msgspec.structs.astuple, records), strict=True)
+    return EndRecords(*map(_concatenate, by_field))
+
+
 class EndRecorder:
     """Writes records that must survive all instances, and claims trials."""
 
@@ -68,21 +88,15 @@
         self._log = log
         self._rng = rng
         self._loop = asyncio.get_running_loop()
-        self._ended: list[UpstreamTermination] = []
-        self._cleared: list[Cleared] = []
+        self._queued: list[EndRecords] = []
         self._has_records = asyncio.Event()
         self._write_count = 0
         self._lease: int | None = None
         self._lease_reused_until: float = 0
 
-    def record_termination(self, end: UpstreamTermination) -> None:
-        """Queue the end of an upstream for writing."""
-        self._ended.append(end)
-        self._has_records.set()
-
-    def record_cleared(self, cleared: Cleared) -> None:
-        """Queue the record that a suspect request was answered."""
-        self._cleared.append(cleared)
+    def record(self, records: EndRecords) -> None:
+        """Queue records for writing."""
+        self._queued.append(records)
         self._has_records.set()
 
     async def run(self) -> None:
@@ -120,14 +134,14 @@
 
     async def _write(self) -> None:
         lease = await self._current_lease()
-        records = EndRecords(tuple(self._ended), tuple(self._cleared))
+        queued = tuple(self._queued)
         key = f'{END_RECORDS_PREFIX}{self._incarnation}-{self._write_count}'
-        await self._client.put(key, encode_end_records(records), lease)
+        merged = merge_end_records(queued)
+        await self._client.put(key, encode_end_records(merged), lease)
         self._write_count += 1
         # Records queued during the write are kept for the next one.
-        self._ended = self._ended[len(records.ended) :]
-        self._cleared = self._cleared[len(records.cleared) :]
-        if not self._ended and not self._cleared:
+        self._queued = self._queued[len(queued) :]
+        if not self._queued:
             self._has_records.clear()
 
     async def _current_lease(self) -> int:
@@ -136,3 +150,7 @@
             self._lease = await self._client.grant_lease(KEPT_S)
             self._lease_reused_until = now + KEPT_S * _LEASE_REUSE_SHARE
         return self._lease
+
+
+def _concatenate(fields: Iterable[tuple[Any, ...]]) -> tuple[Any, ...]:
+    return tuple(itertools.chain.from_iterable(fields))
--- a/tests/platform/test_content.py
+++ b/tests/platform/test_content.py
@@ -58,8 +58,8 @@
         await made.caller().ask('/once/x', 'r1', **prefix)
     lines = [json.loads(line) for line in path.read_text().splitlines()]
     for event in ('send_ended', 'finished'):
-        (parts,) = [line['parts'] for line in lines if line['event'] == event]
-        assert parts == [f'{PLAIN}/first', f'{PLAIN}/middle']
+        parts = [line['parts'] for line in lines if line['event'] == event]
+        assert parts == [[f'{PLAIN}/first', f'{PLAIN}/middle']]
 
 
 def _content_digests(lines: list[dict[str, Any]], event: str) -> list[str]:
--- a/tests/platform/test_guard.py
+++ b/tests/platform/test_guard.py
@@ -14,6 +14,7 @@
 from tallyhall_core.suspects import InterruptedRun, UpstreamTermination
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.options import Listening
+from tallyhall_edge.guard import Fingerprint, Permit
 from tallyhall_entry.guard import SharedGuard
 from tallyhall_entry.logs import EventLog
 from tallyhall_platform.end_records import (
@@ -32,6 +33,7 @@
 
 from tests.platform.harness import HOST, direct_paths, log_stream, until
 
+_SUSPECT = Fingerprint('x')
 _NOW_S = 1_700_000_000.0
 _LARGE = 195
 _HUBS = 4
@@ -99,15 +101,15 @@
         guards = [_guard(_recorder(address, name)) for name in 'ab']
         for guard in guards:
             guard.take_stored(_records(2))
-        first = await guards[0].request_permit('x')
-        assert first.is_trial
+        first = await guards[0].request_permit(_SUSPECT)
+        assert first.trials
         for guard in guards:
             with pytest.raises(RefusedError) as refused:
-                await guard.request_permit('x')
+                await guard.request_permit(_SUSPECT)
             assert refused.value.refusal.reason is Reason.quarantined
-        guards[0].release('x')
+        guards[0].release(first)
         await asyncio.sleep(0.05)
-        assert (await guards[0].request_permit('x')).is_trial
+        assert (await guards[0].request_permit(_SUSPECT)).trials
 
 
 async def test_no_trial_runs_without_the_store() -> None:
@@ -116,7 +118,7 @@
         guard.take_stored(_records(2))
         store.fault = StoreFault.silent
         with pytest.raises(RefusedError):
-            await guard.request_permit('x')
+            await guard.request_permit(_SUSPECT)
 
 
 async def test_a_request_with_one_crash_needs_no_store() -> None:
@@ -124,9 +126,9 @@
         store.fault = StoreFault.silent
         guard = _guard(_recorder(address))
         guard.take_stored(_records(1))
-        permit = await guard.request_permit('x')
+        permit = await guard.request_permit(_SUSPECT)
         assert permit.ends == 1
-        assert not permit.is_trial
+        assert not permit.trials
 
 
 async def test_a_stored_success_clears_a_request() -> None:
@@ -135,17 +137,17 @@
         writing = asyncio.create_task(recorder.run())
         guard = _guard(recorder)
         guard.take_stored(_records(2))
-        guard.answered('x')
+        guard.answered(Permit(_SUSPECT, 0, 2))
         await until(lambda: bool(store.keys(END_RECORDS_PREFIX)))
         writing.cancel()
         other = _guard(recorder)
         other.take_stored(_records(3))
         with pytest.raises(RefusedError):
-            other.check('x')
+            await other.admit(_SUSPECT)
         snapshot = await StoreClient(address).snapshot(END_RECORDS_PREFIX)
         for entry in snapshot.entries:
             other.take_stored(decode_end_records(entry.content))
-        other.check('x')
+        assert not await other.admit(_SUSPECT)
 
 
 async def test_records_survive_store_failures() -> None:
@@ -155,10 +157,10 @@
         writing = asyncio.create_task(recorder.run())
         for fault in (StoreFault.refuses, StoreFault.resets):
             store.fault = fault
-            recorder.record_termination(_records(1).ended[0])
+            recorder.record(_records(1))
             await asyncio.sleep(0.05)
         store.fault = StoreFault.none
-        recorder.record_termination(_records(2).ended[0])
+        recorder.record(_records(2))
         await until(lambda: len(_stored(store)) == 3)
         writing.cancel()
 
@@ -215,7 +217,7 @@
         for guard in fleet.guards:
             for serial in range(10):
                 with pytest.raises(RefusedError):
-                    guard.check(f'run {serial}')
+                    await guard.admit(Fingerprint(f'run {serial}'))
         # One from each hub to each other instance, none of them forwarded.
         assert batches <= _HUBS * size
         await asyncio.sleep(_FORWARDED_S)
