--- a/packages/core/src/tallyhall_core/part_suspects.py
+++ b/packages/core/src/tallyhall_core/part_suspects.py
@@ -9,8 +9,9 @@
 the request was sent. So upstreams that terminate together, for example in a
 power failure, count as one. A part with two terminations is held: one request
 with it runs as a trial, all others wait for its outcome. From three on it is
-quarantined, unless its terminations are explained by a part that fewer answers
-hold.
+quarantined, unless a part that fewer answers hold explains its terminations, or
+the service has answered nothing since: then its upstreams crash by themselves,
+and trials follow at growing intervals.
 
 Times are wall clock seconds since 1970. Nothing in this module does I/O.
 """
@@ -43,6 +44,9 @@
 # Seconds from a quarantine to the next trial, by the number of trials that
 # failed since the first; each costs an upstream.
 _TRIAL_DELAYS_S = (30.0, 600.0, 3600.0)
+# Seconds from the last termination of a part to its next trial, by their
+# number, while the service answers nothing.
+_UNANSWERED_DELAYS_S = (0, 1.0, 6.0, 36.0, 216.0, 600.0)
 # A part is as likely as another to be the cause if answers hold it less than
 # this many times as often.
 _RARER_FACTOR = 1.5
@@ -184,6 +188,8 @@
         # Mean time from sending a request to the answer that clears its parts,
         # in seconds.
         self._mean_answer_s: float = 0
+        # When the newest request was sent that was answered, by service.
+        self._answered_sent_at: dict[str, float] = {}
 
     @property
     def observation_s(self) -> float:
@@ -222,19 +228,19 @@
         return tuple(dict.fromkeys(changed))
 
     def record_answered(
-        self, sent: PartEnds, answer_s: float, now: float
-    ) -> PartEnds | None:
+        self, sent: Collection[PartEnds], answer_s: float, now: float
+    ) -> tuple[PartEnds, ...]:
         """Record an answer to a request; return what to broadcast.
 
-        sent: the part with the terminations that were known when the request
-        was sent. answer_s: time since then, in seconds.
+        sent: its parts with the terminations that were known when it was sent.
+        answer_s: time since then, in seconds.
         """
-        self._usage.record(sent.part, now)
         self._mean_answer_s += _MEAN_WEIGHT * (answer_s - self._mean_answer_s)
-        record = self._records.get(sent.part)
-        if record is None or not (record.active or record.is_quarantined):
-            return None
-        return sent if self.record_cleared(sent) else None
+        for one in sent:
+            self._usage.record(one.part, now)
+            self._answered_sent_at[_service(one.part)] = now - answer_s
+        suspects = [each for each in sent if self._is_suspect(each.part)]
+        return tuple(filter(self.record_cleared, suspects))
 
     def record_cleared(self, sent: PartEnds) -> bool:
         """Clear a part up to a count; return whether this changed anything."""
@@ -273,6 +279,8 @@
             return _quarantine_status(record.quarantine, now)
         if not self._is_suspected(part, HELD_ENDS, now):
             return _FREE
+        if not self._is_service_sound(part):
+            return _unanswered_status(record, now)
         if record.count() >= _QUARANTINE_ENDS:
             return PartStatus(PartVerdict.held, self.observation_s)
         wait_s = record.newest_at + _IN_FLIGHT_S - now
@@ -326,6 +334,21 @@
         record = self._records.get(part)
         return record is not None and record.is_quarantined
 
+    def _is_suspect(self, part: str) -> bool:
+        record = self._records.get(part)
+        if record is None:
+            return False
+        return bool(record.active) or record.is_quarantined
+
+    def _is_service_sound(self, part: str) -> bool:
+        """Return whether other requests were answered since a part's first end.
+
+        Those with the part were not, or it would be cleared.
+        """
+        oldest_at = self._records[part].oldest_at
+        sent_at = self._answered_sent_at.get(_service(part))
+        return sent_at is not None and sent_at >= oldest_at
+
     def _is_convicted(self, part: str, now: float) -> bool:
         """Return whether a part must be the cause of its terminations."""
         record = self._records[part]
@@ -335,6 +358,8 @@
             return record.known > record.quarantine.ends
         if now - record.oldest_at < self.observation_s:
             return False
+        if not self._is_service_sound(part):
+            return False
         return self._is_suspected(part, _QUARANTINE_ENDS, now)
 
     def _is_suspected(self, part: str, ends: int, now: float) -> bool:
@@ -400,6 +425,19 @@
     return PartStatus(PartVerdict.trial)
 
 
+def _unanswered_status(record: _Record, now: float) -> PartStatus:
+    last = len(_UNANSWERED_DELAYS_S) - 1
+    delay_s = _UNANSWERED_DELAYS_S[min(record.count() - HELD_ENDS, last)]
+    wait_s = record.newest_at + delay_s - now
+    if wait_s > 0:
+        return PartStatus(PartVerdict.quarantined, wait_s)
+    return PartStatus(PartVerdict.trial)
+
+
+def _service(part: str) -> str:
+    return part.rpartition('/')[0]
+
+
 def _rank(quarantine: QuarantinedPart) -> tuple[int, int, float]:
     return quarantine.ends, quarantine.failed_trials, quarantine.at_s
 
--- a/packages/entry/src/tallyhall_entry/guard.py
+++ b/packages/entry/src/tallyhall_entry/guard.py
@@ -127,7 +127,7 @@
         cleared = self._suspects.record_served(content, now)
         if cleared is None:
             return
-        records = EndRecords(cleared=(cleared,))
+        records = EndRecords((), (cleared,))
         self._broadcast(records)
         if ends >= _MIN_RECORDED_ENDS:
             self._recorder.record(records)
@@ -283,10 +283,10 @@
             contents=[run.content for run in runs],
             parts=sorted({part.part for run in runs for part in run.parts}),
         )
-        records = EndRecords((end,))
+        records = EndRecords((end,), ())
         self._add_records(records, 'own')
         self._broadcast(records)
-        self._recorder.record(EndRecords((_without_parts(end),)))
+        self._recorder.record(EndRecords((_without_parts(end),), ()))
 
     def _add_records(self, records: EndRecords, by: str) -> EndRecords:
         """Add records; return those that were not known yet."""
--- a/packages/entry/src/tallyhall_entry/part_quarantine.py
+++ b/packages/entry/src/tallyhall_entry/part_quarantine.py
@@ -80,25 +80,22 @@
         return self._suspects.status(part, self._wall_clock())
 
     def record_answered(
-        self, parts: Iterable[PartEnds], answer_s: float
+        self, parts: Collection[PartEnds], answer_s: float
     ) -> EndRecords:
         """Record an answer of this instance; return what to broadcast.
 
         parts: with the terminations known when the request was sent. answer_s:
         the time since then.
         """
-        now = self._wall_clock()
-        cleared = []
-        for part in parts:
-            was_stored = part.part in self._store_at
-            told = self._suspects.record_answered(part, answer_s, now)
-            if told is None:
-                continue
-            cleared.append(told)
-            self._log_cleared(told, 'own')
-            if was_stored:
-                self._recorder.record(EndRecords(cleared_parts=(told,)))
-        return EndRecords(cleared_parts=tuple(cleared))
+        cleared = self._suspects.record_answered(
+            parts, answer_s, self._wall_clock()
+        )
+        for part in cleared:
+            self._log_cleared(part, 'own')
+        records = EndRecords((), (), cleared_parts=cleared)
+        if any(told.part in self._store_at for told in cleared):
+            self._recorder.record(records)
+        return records
 
     def record_termination(
         self, end: UpstreamTermination, by: str
@@ -139,7 +136,9 @@
         if by == 'store':
             for verdict in records.quarantined_parts:
                 self._schedule_store(verdict.part, _STORE_AGAIN_RANGE_S)
-        return EndRecords(cleared_parts=cleared, quarantined_parts=quarantined)
+        return EndRecords(
+            (), (), cleared_parts=cleared, quarantined_parts=quarantined
+        )
 
     def judge(self) -> None:
         """Quarantine the parts that must be the cause of terminations."""
@@ -150,7 +149,7 @@
         own = tuple(one for one in verdicts if self._has_own_evidence(one.part))
         if not own:
             return
-        records = EndRecords(quarantined_parts=own)
+        records = EndRecords((), (), quarantined_parts=own)
         self._broadcast(records)
         self._recorder.record(records)
         for told in own:
@@ -179,7 +178,9 @@
                 continue
             if at <= now:
                 verdict = in_force[part]
-                self._recorder.record(EndRecords(quarantined_parts=(verdict,)))
+                self._recorder.record(
+                    EndRecords((), (), quarantined_parts=(verdict,))
+                )
                 self._schedule_store(part, _STORE_AGAIN_RANGE_S)
 
     def _log_suspected(self, parts: Collection[str], by: str) -> None:
--- a/packages/platform/src/tallyhall_platform/end_records.py
+++ b/packages/platform/src/tallyhall_platform/end_records.py
@@ -44,8 +44,8 @@
     those that crash upstreams.
     """
 
-    ended: tuple[UpstreamTermination, ...] = ()
-    cleared: tuple[Cleared, ...] = ()
+    ended: tuple[UpstreamTermination, ...]
+    cleared: tuple[Cleared, ...]
     cleared_parts: tuple[PartEnds, ...] = ()
     quarantined_parts: tuple[QuarantinedPart, ...] = ()
 
