Verdicts on parts: a clock ahead prolongs none, those out of use lapse

Cause: the time of a verdict was taken as told, so an instance whose clock is ahead would prolong a quarantine in the whole fleet, and verdicts on parts that nobody asks for any more were written again for ever. Change: a told time is never later than the receiver's; a verdict is kept in the store for ten minutes after its trial is due. Measured: two tests that fail before.

--- a/packages/core/src/tallyhall_core/part_suspects.py
+++ b/packages/core/src/tallyhall_core/part_suspects.py
@@ -52,6 +52,9 @@
 _RARER_FACTOR = 1.5
 # Seconds after which a charge is forgotten.
 _CHARGE_KEPT_S = 600.0
+# Seconds after which a quarantine is not kept in the store any more, if nobody
+# asked for the part since its trial was due.
+_UNUSED_KEPT_S = 600.0
 # Maximum number of parts to remember, and the fraction that is evicted.
 _MAX_RECORDS = 1000
 _EVICTION_DIVISOR = 4
@@ -250,8 +253,13 @@
         record.cleared = sent.ends
         return True
 
-    def record_quarantine(self, quarantine: QuarantinedPart) -> bool:
+    def record_quarantine(
+        self, quarantine: QuarantinedPart, now: float
+    ) -> bool:
         """Record a verdict of any instance; return whether it is news."""
+        # A sender whose clock is ahead must not extend the quarantine.
+        at_s = min(quarantine.at_s, now)
+        quarantine = msgspec.structs.replace(quarantine, at_s=at_s)
         record = self._record(quarantine.part)
         record.known = max(record.known, quarantine.ends)
         known = record.quarantine
@@ -262,12 +270,20 @@
             self._explain(upstream)
         return True
 
-    def quarantined(self) -> tuple[QuarantinedPart, ...]:
-        """Return all quarantines in force."""
-        return tuple(
+    def quarantined(self, now: float) -> tuple[QuarantinedPart, ...]:
+        """Return the quarantines in force, but for parts that fell out of use.
+
+        No request asked for a trial of these.
+        """
+        verdicts = (
             record.quarantine
             for record in self._records.values()
-            if record.quarantine is not None and record.is_quarantined
+            if record.is_quarantined
+        )
+        return tuple(
+            verdict
+            for verdict in verdicts
+            if verdict is not None and now < verdict.trial_at + _UNUSED_KEPT_S
         )
 
     def status(self, part: str, now: float) -> PartStatus:
@@ -303,7 +319,7 @@
             failed = record.quarantine if record.is_quarantined else None
             trials = 0 if failed is None else failed.failed_trials + 1
             quarantine = QuarantinedPart(part, record.known, trials, now)
-            self.record_quarantine(quarantine)
+            self.record_quarantine(quarantine, now)
             found.append(quarantine)
         return tuple(found)
 
@@ -438,8 +454,8 @@
     return part.rpartition('/')[0]
 
 
-def _rank(quarantine: QuarantinedPart) -> tuple[int, int, float]:
-    return quarantine.ends, quarantine.failed_trials, quarantine.at_s
+def _rank(quarantine: QuarantinedPart) -> tuple[int, int]:
+    return quarantine.ends, quarantine.failed_trials
 
 
 def _eviction_order(record: _Record) -> tuple[bool, int, float]:
--- a/packages/entry/src/tallyhall_entry/explain.py
+++ b/packages/entry/src/tallyhall_entry/explain.py
@@ -47,8 +47,9 @@
         'no_upstream': 'No upstream of its service could be reached',
         'upstream_full': 'Every upstream that it was sent to rejected it',
         'quarantined': (
-            'Upstreams had crashed while they ran the same request, so it is '
-            'held back for now; look for events 411 and 412 with its content'
+            'Upstreams had crashed while they ran the same request, or others '
+            'with the same part in their prompts, so it is held back for now; '
+            'look for events 411, 412, 428 and 429 with its content or part'
         ),
         'upstream_broken': (
             'Its upstream broke off before the answer was complete; it may '
--- a/packages/entry/src/tallyhall_entry/part_quarantine.py
+++ b/packages/entry/src/tallyhall_entry/part_quarantine.py
@@ -128,7 +128,7 @@
         quarantined = tuple(
             verdict
             for verdict in records.quarantined_parts
-            if self._suspects.record_quarantine(verdict)
+            if self._suspects.record_quarantine(verdict, self._wall_clock())
         )
         for verdict in quarantined:
             self._log_quarantined(verdict, by)
@@ -170,7 +170,8 @@
     def _store_due(self) -> None:
         now = self._loop.time()
         in_force = {
-            verdict.part: verdict for verdict in self._suspects.quarantined()
+            verdict.part: verdict
+            for verdict in self._suspects.quarantined(self._wall_clock())
         }
         for part, at in tuple(self._store_at.items()):
             if part not in in_force:
--- a/tests/platform/test_part_suspects.py
+++ b/tests/platform/test_part_suspects.py
@@ -250,13 +250,26 @@
 def test_a_told_quarantine_applies_without_evidence() -> None:
     suspects = PartSuspects()
     told = QuarantinedPart('p', 3, 0, _NOW)
-    assert suspects.record_quarantine(told)
-    assert not suspects.record_quarantine(told)
+    assert suspects.record_quarantine(told, _NOW)
+    assert not suspects.record_quarantine(told, _NOW)
     expected = PartStatus(PartVerdict.quarantined, 29)
     assert suspects.status('p', _NOW + 1) == expected
     assert suspects.known_ends('p') == 3
 
 
+def test_a_fast_clock_does_not_extend_a_quarantine() -> None:
+    suspects = PartSuspects()
+    told = QuarantinedPart('p', 3, 0, _NOW + 9999)
+    suspects.record_quarantine(told, _NOW)
+    assert suspects.status('p', _NOW + 30).verdict is PartVerdict.trial
+
+
+def test_a_part_that_fell_out_of_use_is_not_kept_in_the_store() -> None:
+    upstreams = _quarantined()
+    assert upstreams.suspects.quarantined(upstreams.now + 600)
+    assert not upstreams.suspects.quarantined(upstreams.now + 700)
+
+
 def test_charges_are_forgotten_after_a_while() -> None:
     upstreams = _Upstreams()
     upstreams.end('p')
@@ -306,7 +319,7 @@
     suspects = PartSuspects()
     for report in reports:
         if isinstance(report, QuarantinedPart):
-            suspects.record_quarantine(report)
+            suspects.record_quarantine(report, _NOW)
             continue
         upstream, ends = report
         charged = [PartEnds('p', ends)]
@@ -314,6 +327,6 @@
     suspects.record_cleared(cleared)
     return (
         suspects.known_ends('p'),
-        suspects.quarantined(),
+        suspects.quarantined(_NOW),
         suspects.status('p', _NOW + 2),
     )
