Hubs broadcast their verdicts on parts

Cause: hubs come to the same verdict as the instances that had requests at the upstreams, so a told one was no news to them and not forwarded; instances without an answer of their own went on with the part. Change: hubs broadcast verdicts of their own.

--- a/packages/entry/src/tallyhall_entry/guard.py
+++ b/packages/entry/src/tallyhall_entry/guard.py
@@ -80,7 +80,13 @@
         self._wall_clock = wall_clock
         self._loop = asyncio.get_running_loop()
         self._suspects = Suspects()
-        self._parts = PartQuarantine(recorder, log, wall_clock, self._broadcast)
+        self._parts = PartQuarantine(
+            recorder,
+            log,
+            wall_clock,
+            self._broadcast,
+            lambda: self._peer_streams.is_relay,
+        )
         self._claims = TrialClaims(recorder, log)
         self._probe = TerminationProbe(self._on_end, refuses)
         self._releases: set[asyncio.Task[None]] = set()
--- a/packages/entry/src/tallyhall_entry/part_quarantine.py
+++ b/packages/entry/src/tallyhall_entry/part_quarantine.py
@@ -1,9 +1,10 @@
 """Quarantine of parts of prompts, as known to this instance.
 
-All instances hear of the same terminations and answers, so each comes to the
-same verdicts. Those that had requests at the upstreams also broadcast them. The
-store keeps them for instances that start later; whoever finds one not stored
-lately writes it again.
+All instances hear of the same terminations and answers, so most come to the
+same verdicts. Those that had requests at the upstreams also broadcast them, and
+so do hubs, which do not forward what they know already. The store keeps them
+for instances that start later; whoever finds one not stored lately writes it
+again.
 """
 
 from __future__ import annotations
@@ -47,8 +48,13 @@
         log: EventLog,
         wall_clock: Callable[[], float],
         broadcast: Callable[[EndRecords], None],
+        is_relay: Callable[[], bool],
     ) -> None:
-        """Write to `recorder`, and broadcast verdicts of this instance."""
+        """Write to `recorder`, and broadcast verdicts of this instance.
+
+        is_relay: returns whether this instance is a hub.
+        """
+        self._is_relay = is_relay
         self._recorder = recorder
         self._log = log
         self._wall_clock = wall_clock
@@ -146,7 +152,7 @@
         for verdict in verdicts:
             self._log_quarantined(verdict, 'own')
             self._schedule_store(verdict.part, _STORE_DELAY_RANGE_S)
-        own = tuple(one for one in verdicts if self._has_own_evidence(one.part))
+        own = tuple(one for one in verdicts if self._tells(one.part))
         if not own:
             return
         records = EndRecords((), (), quarantined_parts=own)
@@ -157,7 +163,10 @@
 
     # -- implementation
 
-    def _has_own_evidence(self, part: str) -> bool:
+    def _tells(self, part: str) -> bool:
+        """Return whether this instance broadcasts its verdict on a part."""
+        if self._is_relay():
+            return True
         terminated = self._suspects.terminated(part)
         return not terminated.isdisjoint(self._own_upstreams)
 
