Emulator: parts of prompts that crash upstreams, under six policies

Cause: what a design costs in upstreams could only be guessed; the emulator knew no parts. Change: a play of sound and fatal requests, herds included, that drives PartSuspects and five policies to compare it with; make parts prints it.

--- a/Makefile
+++ b/Makefile
@@ -73,6 +73,7 @@
 
 # Parts of prompts that crash upstreams, on real processes.
 parts: $(STAMP)
+	$(BIN)/python -m tallyhall_emulator.part_play --seeds $(SEEDS)
 	$(BIN)/python -m tallyhall_bench.part_run --seed $(SEED) \
 		--seeds $(SEEDS)
 
