Soak: parts of prompts that crash upstreams, beside all other faults

Cause: the soak knew requests that crash upstreams as a whole only. Change: a service with one or two fatal parts, first or in the middle, new or sound before, with ends of all its upstreams; what reaches upstreams late is checked against the faults that hide ends, and that sound requests are served 4 s after the last end of all.

--- a/packages/bench/src/tallyhall_bench/platform_soak.py
+++ b/packages/bench/src/tallyhall_bench/platform_soak.py
@@ -24,6 +24,7 @@
 from .soak_checks import check_answers, check_processes, check_recovery
 from .soak_fatal import ask_fatal, frail_upstreams
 from .soak_faults import trouble
+from .soak_parts import fatal_parts
 from .soak_loads import check_sharing, report_wrongly, share_machines
 from .soak_site import (
     EVENTS,
@@ -56,13 +57,15 @@
     loads: bool = False,
     isolates: bool = False,
     versions: bool = False,
+    parts: bool = False,
 ) -> Site:
     """Run with this seed for this long, then wait for calm and check.
 
     fatal: whether one request ends upstreams of a service of its own. loads:
     whether upstreams report their load, at times wrongly. isolates: whether
     instances lose all upstreams at times. versions: whether upstreams of
-    several versions serve streams that callers take up.
+    several versions serve streams that callers take up. parts: whether parts of
+    prompts end upstreams of a service of their own.
     """
     rng = random.Random(seed)
     async with platform_fleet(0, soak_state(1, with_old=True)) as fleet:
@@ -76,6 +79,8 @@
         async with contextlib.AsyncExitStack() as stack:
             if versions:
                 await stack.enter_async_context(versioned_upstreams(site, seed))
+            if parts:
+                await stack.enter_async_context(fatal_parts(site, seed))
             if fatal:
                 await stack.enter_async_context(frail_upstreams(site))
                 work.append(ask_fatal(site, seed))
@@ -226,6 +231,11 @@
         action='store_true',
         help='no upstreams of several versions, as in runs before there were',
     )
+    parser.add_argument(
+        '--no-parts',
+        action='store_true',
+        help='no parts of prompts end upstreams, as in runs before they could',
+    )
     args = parser.parse_args()
     broken = 0
     for seed in range(args.seed, args.seed + args.seeds):
@@ -238,12 +248,14 @@
                 loads=not args.old and not args.no_loads,
                 isolates=not args.old and not args.no_isolation,
                 versions=not args.old and not args.no_versions,
+                parts=not args.old and not args.no_parts,
             ),
         )
         served = sum(tried.status == _OK for tried in site.tries)
         sys.stdout.write(
             f'seed {seed} requests {len(site.tries)} served {served} '
             f'faults {len(site.faults)} ended {site.ended} '
+            f'by parts {site.ended_by_parts} '
             f'streams {site.streams} taken up {site.taken_up} '
             f'violations {len(site.violations)}\n',
         )
--- a/packages/bench/src/tallyhall_bench/soak_fatal.py
+++ b/packages/bench/src/tallyhall_bench/soak_fatal.py
@@ -18,7 +18,7 @@
 _BORNE = 3
 _RETRIED = 3
 # Faults in which an instance may lose, or not hear, what one saw last.
-_HIDING = frozenset(
+HIDING = frozenset(
     (
         'kill',
         'kill_all',
@@ -61,7 +61,7 @@
 
 async def _check_frail(site: Site) -> None:
     """Check how many ended, and that usual requests are served."""
-    hidden = sum(fault.split()[1] in _HIDING for fault in site.faults)
+    hidden = sum(fault.split()[1] in HIDING for fault in site.faults)
     if site.ended > _BORNE + _RETRIED + hidden:
         detail = f'{site.ended} upstreams, {hidden} faults that hide ends'
         site.violations.append(Violation('ended under one request', detail))
--- a/packages/bench/src/tallyhall_bench/soak_site.py
+++ b/packages/bench/src/tallyhall_bench/soak_site.py
@@ -20,6 +20,8 @@
 OLD_KEY = 'key-old'
 # A route and its service, whose upstreams end under one request.
 FRAIL = 'frail'
+# The same, with upstreams that end under parts of prompts.
+PARTS = 'parts'
 # The same, with upstreams of several versions. The short timeout makes the time
 # pass often within which a stream can come back.
 VERSIONED = 'versioned'
@@ -70,6 +72,8 @@
     serial: int = 0
     # Upstreams that ended under one request.
     ended: int = 0
+    # Upstreams that ended under parts of prompts, or together.
+    ended_by_parts: int = 0
     # Streams that began at one of several versions, and those taken up.
     streams: int = 0
     taken_up: int = 0
@@ -86,11 +90,12 @@
 def soak_state(version: int, *, with_old: bool) -> dict[str, object]:
     """Return a desired state, with or without the key that is revoked."""
     state = usual_state(version)
-    state['routes'].append(stream_route(FRAIL, FRAIL))
+    for route in (FRAIL, PARTS):
+        state['routes'].append(stream_route(route, route))
     state['routes'].append(
         stream_route(VERSIONED, VERSIONED) | {'timeout-ms': _TIMEOUT_MS},
     )
-    for name in (FRAIL, VERSIONED):
+    for name in (FRAIL, PARTS, VERSIONED):
         state['services'].append(service(name, engine={'stride': 3}))
     if with_old:
         state['tenants'][0]['api-keys'] = [KEY, OLD_KEY]
--- a/tests/processes/test_platform_soak.py
+++ b/tests/processes/test_platform_soak.py
@@ -30,6 +30,13 @@
     assert site.ended > 0
 
 
+def test_fatal_parts_reach_few_upstreams_under_faults() -> None:
+    """Beside ends of all upstreams, kills, cuts and an unreachable store."""
+    site = asyncio.run(soak(1401, 12, all_links=True, parts=True))
+    assert not site.violations, (site.violations, site.faults)
+    assert site.ended_by_parts > 0
+
+
 def test_no_violations_while_instances_lose_all_upstreams() -> None:
     """One or most of them, in a series, beside restarts and other faults."""
     site = asyncio.run(soak(1201, _SECONDS, all_links=True, isolates=True))
