A part is quarantined only if the service answered something between its ends

Change: it counts only if a request that was sent after the first of the part's charges was answered before the last one.

--- a/packages/core/src/tallyhall_core/part_suspects.py
+++ b/packages/core/src/tallyhall_core/part_suspects.py
@@ -10,8 +10,8 @@
 power failure, count as one. A part with two terminations is held: one request
 with it runs as a trial, all others wait for its outcome. From three on it is
 quarantined, unless a part that fewer answers hold explains its terminations, or
-the service has answered nothing since: then its upstreams crash by themselves,
-and trials follow at growing intervals.
+the service answered nothing between them: then its upstreams crash by
+themselves, and trials follow at growing intervals.
 
 Times are wall clock seconds since 1970. Nothing in this module does I/O.
 """
@@ -45,7 +45,7 @@
 # failed since the first; each costs an upstream.
 _TRIAL_DELAYS_S = (30.0, 600.0, 3600.0)
 # Seconds from the last termination of a part to its next trial, by their
-# number, while the service answers nothing.
+# number, if the service answered nothing between them.
 _UNANSWERED_DELAYS_S = (0, 1.0, 6.0, 36.0, 216.0, 600.0)
 # A part is as likely as another to be the cause if answers hold it less than
 # this many times as often.
@@ -119,8 +119,13 @@
 
 
 class _Charge(msgspec.Struct, frozen=True):
+    """A termination; follows_answer: whether the service answered a request
+    that was sent after an earlier one of the same part.
+    """
+
     ends: int
     at_s: float
+    follows_answer: bool
 
 
 class _Record(msgspec.Struct):
@@ -156,6 +161,11 @@
         times = (charge.at_s for charge in self.active.values())
         return min(times, default=float('inf'))
 
+    @property
+    def follows_answer(self) -> bool:
+        """Return whether the service answered anything between the charges."""
+        return any(charge.follows_answer for charge in self.active.values())
+
     @property
     def is_quarantined(self) -> bool:
         """Return whether the part is in quarantine."""
@@ -295,7 +305,7 @@
             return _quarantine_status(record.quarantine, now)
         if not self._is_suspected(part, HELD_ENDS, now):
             return _FREE
-        if not self._is_service_sound(part):
+        if not record.follows_answer:
             return _unanswered_status(record, now)
         if record.count() >= _QUARANTINE_ENDS:
             return PartStatus(PartVerdict.held, self.observation_s)
@@ -334,7 +344,12 @@
         if known is not None and known.ends >= charged.ends:
             return False
         at_s = now if known is None else known.at_s
-        record.charges[upstream] = _Charge(charged.ends, at_s)
+        answered_at = self._answered_sent_at.get(
+            _service(charged.part), float('-inf')
+        )
+        record.charges[upstream] = _Charge(
+            charged.ends, at_s, answered_at >= record.oldest_at
+        )
         return True
 
     def _explain(self, upstream: str) -> None:
@@ -356,15 +371,6 @@
             return False
         return bool(record.active) or record.is_quarantined
 
-    def _is_service_sound(self, part: str) -> bool:
-        """Return whether other requests were answered since a part's first end.
-
-        Those with the part were not, or it would be cleared.
-        """
-        oldest_at = self._records[part].oldest_at
-        sent_at = self._answered_sent_at.get(_service(part))
-        return sent_at is not None and sent_at >= oldest_at
-
     def _is_convicted(self, part: str, now: float) -> bool:
         """Return whether a part must be the cause of its terminations."""
         record = self._records[part]
@@ -374,7 +380,7 @@
             return record.known > record.quarantine.ends
         if now - record.oldest_at < self.observation_s:
             return False
-        if not self._is_service_sound(part):
+        if not record.follows_answer:
             return False
         return self._is_suspected(part, _QUARANTINE_ENDS, now)
 
--- a/tests/platform/test_part_suspects.py
+++ b/tests/platform/test_part_suspects.py
@@ -25,6 +25,8 @@
     def __init__(self) -> None:
         self.suspects = PartSuspects()
         self.now = _NOW
+        # Whether other requests are answered between the ends.
+        self.answers = True
         self._numbers = itertools.count()
 
     def end(
@@ -36,6 +38,8 @@
         all that are known now.
         """
         self.now += after_s
+        if self.answers:
+            self.answer('sound', answer_s=0.01)
         charged = [
             PartEnds(
                 part,
@@ -56,7 +60,6 @@
 
     def judge(self) -> list[str]:
         """Return the parts that are quarantined now."""
-        self.answer('sound', answer_s=0.01)
         verdicts = self.suspects.judge(self.now)
         return sorted(verdict.part for verdict in verdicts)
 
@@ -95,7 +98,6 @@
     upstreams.answer('p')
     upstreams.end('p')
     upstreams.end('p')
-    upstreams.answer('sound')
     assert upstreams.verdict('p') is PartVerdict.held
     upstreams.now += 0.4
     assert upstreams.verdict('p') is PartVerdict.trial
@@ -206,7 +208,7 @@
 def test_no_part_is_blamed_while_all_upstreams_crash_under_anything() -> None:
     """Nothing was answered between, so nothing tells the parts apart."""
     upstreams = _Upstreams()
-    upstreams.answer('sound')
+    upstreams.answers = False
     for wait_s in (0, 1, 6, 36):
         upstreams.end('p', 'q')
         if wait_s == 0:
@@ -214,6 +216,9 @@
         assert not upstreams.suspects.judge(upstreams.now + _OBSERVED_S)
         upstreams.now += wait_s
         assert upstreams.verdict('p') is PartVerdict.trial
+    upstreams.answer('q')
+    assert not upstreams.judge()
+    assert upstreams.verdict('p') is PartVerdict.trial
     upstreams.answer('p')
     assert upstreams.verdict('p') is PartVerdict.free
 
