--- a/packages/core/src/tallyhall_core/part_suspects.py
+++ b/packages/core/src/tallyhall_core/part_suspects.py
@@ -18,13 +18,18 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Collection, Iterator
-from typing import Annotated
 
 import msgspec
 
+from .part_records import Charge, PartRecord
 from .part_usage import PartUsage
+from .part_verdicts import (
+    PartEnds,
+    PartStatus,
+    PartVerdict,
+    QuarantinedPart,
+)
 
 # Number of terminations from which on a part is held, and from which on it is
 # quarantined.
@@ -41,9 +46,6 @@
 # Time in seconds for which a held part that is in use has no trial, as requests
 # that run already may clear it.
 _IN_FLIGHT_S = 0.3
-# Seconds from a quarantine to the next trial, by the number of trials that
-# failed since the first; each costs an upstream.
-_TRIAL_DELAYS_S = (30.0, 600.0, 3600.0)
 # Seconds from the last termination of a part to its next trial, by their
 # number, if the service answered nothing between them.
 _UNANSWERED_DELAYS_S = (0, 1.0, 6.0, 36.0, 216.0, 600.0)
@@ -61,140 +63,15 @@
 # Maximum number of explained terminations to remember; late reports of one
 # arrive within a second.
 _MAX_EXPLAINED = 200
-# Counts above this are rejected as invalid.
-_MAX_ENDS = 1_000_000
-
-_Ends = Annotated[int, msgspec.Meta(ge=0, le=_MAX_ENDS)]
-
-
-class PartEnds(msgspec.Struct, frozen=True, array_like=True):
-    """A part, and the number of terminations of upstreams counted for it."""
-
-    part: str
-    ends: _Ends
-
-
-class QuarantinedPart(msgspec.Struct, frozen=True, array_like=True):
-    """A part that crashes upstreams.
-
-    ends: the terminations counted for it. failed_trials: trials since the first
-    quarantine during which upstreams terminated, too.
-    """
-
-    part: str
-    ends: _Ends
-    failed_trials: Annotated[int, msgspec.Meta(ge=0, le=_MAX_ENDS)]
-    at_s: float
-
-    @property
-    def trial_at(self) -> float:
-        """Return when one request may run as a trial."""
-        last = len(_TRIAL_DELAYS_S) - 1
-        return self.at_s + _TRIAL_DELAYS_S[min(self.failed_trials, last)]
-
-
-@enum.unique
-class PartVerdict(enum.Enum):
-    """Whether a request with a part may run.
-
-    held: not before the outcome of a trial, or of requests that run already, is
-    known. trial: only while no other request with the part runs anywhere.
-    quarantined: not now.
-    """
-
-    free = 'free'
-    held = 'held'
-    trial = 'trial'
-    quarantined = 'quarantined'
-
-
-class PartStatus(msgspec.Struct, frozen=True):
-    """The verdict on a part; wait_s: seconds until it may change."""
-
-    verdict: PartVerdict
-    wait_s: float = 0
-
-
 _FREE = PartStatus(PartVerdict.free)
 
 
-class _Charge(msgspec.Struct, frozen=True):
-    """A termination; follows_answer: whether the service answered a request
-    that was sent after an earlier one of the same part.
-    """
-
-    ends: int
-    at_s: float
-    follows_answer: bool
-
-
-class _Record(msgspec.Struct):
-    """What is known of one part.
-
-    charges: its terminations, by upstream. known: the highest count of them.
-    cleared: the count up to which an answer has cleared it.
-    """
-
-    charges: dict[str, _Charge] = msgspec.field(default_factory=dict)
-    known: int = 0
-    cleared: int = 0
-    quarantine: QuarantinedPart | None = None
-
-    @property
-    def active(self) -> dict[str, _Charge]:
-        """Return the charges that no answer has cleared."""
-        return {
-            upstream: charge
-            for upstream, charge in self.charges.items()
-            if charge.ends > self.cleared
-        }
-
-    @property
-    def newest_at(self) -> float:
-        """Return the time of the latest charge that is not cleared."""
-        times = (charge.at_s for charge in self.active.values())
-        return max(times, default=float('-inf'))
-
-    @property
-    def oldest_at(self) -> float:
-        """Return the time of the first charge that is not cleared."""
-        times = (charge.at_s for charge in self.active.values())
-        return min(times, default=float('inf'))
-
-    @property
-    def follows_answer(self) -> bool:
-        """Return whether the service answered anything between the charges."""
-        return any(charge.follows_answer for charge in self.active.values())
-
-    @property
-    def is_quarantined(self) -> bool:
-        """Return whether the part is in quarantine."""
-        quarantine = self.quarantine
-        return quarantine is not None and quarantine.ends > self.cleared
-
-    def count(self, without: Collection[str] = ()) -> int:
-        """Return the terminations that count, except at these upstreams."""
-        return len(
-            {
-                charge.ends
-                for upstream, charge in self.active.items()
-                if upstream not in without
-            },
-        )
-
-    def forget(self, before: float) -> None:
-        """Remove the charges up to this time."""
-        for upstream, charge in tuple(self.charges.items()):
-            if charge.at_s <= before:
-                self.charges.pop(upstream)
-
-
 class PartSuspects:
     """The parts that requests held when upstreams terminated recently."""
 
     def __init__(self) -> None:
         """Create an empty collection."""
-        self._records: dict[str, _Record] = {}
+        self._records: dict[str, PartRecord] = {}
         self._usage = PartUsage()
         # Terminations that a quarantined part explains.
         self._explained: dict[str, None] = {}
@@ -347,7 +224,7 @@
         answered_at = self._answered_sent_at.get(
             _service(charged.part), float('-inf')
         )
-        record.charges[upstream] = _Charge(
+        record.charges[upstream] = Charge(
             charged.ends, at_s, answered_at >= record.oldest_at
         )
         return True
@@ -421,12 +298,12 @@
             self._records[other].active
         )
 
-    def _record(self, part: str) -> _Record:
+    def _record(self, part: str) -> PartRecord:
         record = self._records.get(part)
         if record is None:
             if len(self._records) >= _MAX_RECORDS:
                 self._evict()
-            record = _Record()
+            record = PartRecord()
             self._records[part] = record
         return record
 
@@ -447,7 +324,7 @@
     return PartStatus(PartVerdict.trial)
 
 
-def _unanswered_status(record: _Record, now: float) -> PartStatus:
+def _unanswered_status(record: PartRecord, now: float) -> PartStatus:
     last = len(_UNANSWERED_DELAYS_S) - 1
     delay_s = _UNANSWERED_DELAYS_S[min(record.count() - HELD_ENDS, last)]
     wait_s = record.newest_at + delay_s - now
@@ -464,5 +341,5 @@
     return quarantine.ends, quarantine.failed_trials
 
 
-def _eviction_order(record: _Record) -> tuple[bool, int, float]:
+def _eviction_order(record: PartRecord) -> tuple[bool, int, float]:
     return record.is_quarantined, record.count(), record.newest_at
--- a/packages/core/src/tallyhall_core/suspects.py
+++ b/packages/core/src/tallyhall_core/suspects.py
@@ -26,7 +26,7 @@
 
 import msgspec
 
-from .part_suspects import PartEnds
+from .part_verdicts import PartEnds
 
 # Seconds after which a termination is forgotten, so that the request is tried
 # again in case the upstreams were repaired meanwhile.
--- a/packages/edge/src/tallyhall_edge/guard.py
+++ b/packages/edge/src/tallyhall_edge/guard.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 import msgspec
-from tallyhall_core.part_suspects import PartEnds
+from tallyhall_core.part_verdicts import PartEnds
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
 from tallyhall_dispatch.desired import Upstream
 
--- a/packages/emulator/src/tallyhall_emulator/part_play.py
+++ b/packages/emulator/src/tallyhall_emulator/part_play.py
@@ -16,7 +16,7 @@
 
 import msgspec
 import simpy
-from tallyhall_core.part_suspects import PartEnds, PartVerdict
+from tallyhall_core.part_verdicts import PartEnds, PartVerdict
 
 from .clock import Waiting
 from .part_policies import POLICIES, PartPolicy
--- a/packages/emulator/src/tallyhall_emulator/part_policies.py
+++ b/packages/emulator/src/tallyhall_emulator/part_policies.py
@@ -12,10 +12,10 @@
 from collections.abc import Callable, Collection, Mapping
 from typing import Protocol
 
-from tallyhall_core.part_suspects import (
+from tallyhall_core.part_suspects import PartSuspects
+from tallyhall_core.part_verdicts import (
     PartEnds,
     PartStatus,
-    PartSuspects,
     PartVerdict,
     QuarantinedPart,
 )
--- a/packages/entry/src/tallyhall_entry/end_messages.py
+++ b/packages/entry/src/tallyhall_entry/end_messages.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from tallyhall_core.part_suspects import PartEnds, QuarantinedPart
+from tallyhall_core.part_verdicts import PartEnds, QuarantinedPart
 from tallyhall_core.suspects import (
     Cleared,
     InterruptedRun,
--- a/packages/entry/src/tallyhall_entry/guard.py
+++ b/packages/entry/src/tallyhall_entry/guard.py
@@ -16,7 +16,7 @@
 
 import msgspec
 from tallyhall_core.events import Event
-from tallyhall_core.part_suspects import PartEnds, PartVerdict
+from tallyhall_core.part_verdicts import PartEnds, PartVerdict
 from tallyhall_core.suspects import (
     Cleared,
     InterruptedRun,
--- a/packages/entry/src/tallyhall_entry/part_quarantine.py
+++ b/packages/entry/src/tallyhall_entry/part_quarantine.py
@@ -15,13 +15,8 @@
 from collections.abc import Callable, Collection, Iterable
 
 from tallyhall_core.events import Event
-from tallyhall_core.part_suspects import (
-    HELD_ENDS,
-    PartEnds,
-    PartStatus,
-    PartSuspects,
-    QuarantinedPart,
-)
+from tallyhall_core.part_suspects import HELD_ENDS, PartSuspects
+from tallyhall_core.part_verdicts import PartEnds, PartStatus, QuarantinedPart
 from tallyhall_core.suspects import UpstreamTermination
 from tallyhall_platform.end_records import EndRecorder, EndRecords
 
--- a/packages/platform/src/tallyhall_platform/end_records.py
+++ b/packages/platform/src/tallyhall_platform/end_records.py
@@ -17,7 +17,7 @@
 
 import msgspec
 from tallyhall_core.events import Event
-from tallyhall_core.part_suspects import PartEnds, QuarantinedPart
+from tallyhall_core.part_verdicts import PartEnds, QuarantinedPart
 from tallyhall_core.suspects import KEPT_S, Cleared, UpstreamTermination
 
 from .call_counts import CallCause
--- a/tests/platform/test_part_fleet.py
+++ b/tests/platform/test_part_fleet.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from tallyhall_core.part_suspects import PartEnds
+from tallyhall_core.part_verdicts import PartEnds
 from tallyhall_core.refusals import RefusedError
 from tallyhall_core.suspects import InterruptedRun
 from tallyhall_edge.guard import Fingerprint, Permit
--- a/tests/platform/test_part_suspects.py
+++ b/tests/platform/test_part_suspects.py
@@ -5,10 +5,10 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from tallyhall_core.part_suspects import (
+from tallyhall_core.part_suspects import PartSuspects
+from tallyhall_core.part_verdicts import (
     PartEnds,
     PartStatus,
-    PartSuspects,
     PartVerdict,
     QuarantinedPart,
 )
