Parts that always come together are judged at the same moment

Cause: the first of two parts that were at the same ends explained those of the second before its verdict, so its instance did not tell the second. Change: all verdicts are taken before any end is explained.

--- a/packages/core/src/tallyhall_core/part_suspects.py
+++ b/packages/core/src/tallyhall_core/part_suspects.py
@@ -153,8 +153,7 @@
         if known is not None and _rank(known) >= _rank(quarantine):
             return False
         record.quarantine = quarantine
-        for upstream in record.active:
-            self._explain(upstream)
+        self._explain_ends_of(quarantine.part)
         return True
 
     def quarantined(self, now: float) -> tuple[QuarantinedPart, ...]:
@@ -193,22 +192,16 @@
 
     def judge(self, now: float) -> tuple[QuarantinedPart, ...]:
         """Quarantine the parts that must be the cause; return them."""
-        found = []
-        # Parts with more terminations explain those of the others.
-        ranked = sorted(
-            self._records,
-            key=lambda part: len(self._records[part].active),
-            reverse=True,
+        verdicts = tuple(
+            self._next_verdict(part, now)
+            for part in self._records
+            if self._is_convicted(part, now)
         )
-        convicted = [part for part in ranked if self._is_convicted(part, now)]
-        for part in convicted:
-            record = self._records[part]
-            failed = record.quarantine if record.is_quarantined else None
-            trials = 0 if failed is None else failed.failed_trials + 1
-            quarantine = QuarantinedPart(part, record.known, trials, now)
-            self.record_quarantine(quarantine, now)
-            found.append(quarantine)
-        return tuple(found)
+        for verdict in verdicts:
+            self._records[verdict.part].quarantine = verdict
+        for cause in verdicts:
+            self._explain_ends_of(cause.part)
+        return verdicts
 
     # -- implementation
 
@@ -229,6 +222,18 @@
         )
         return True
 
+    def _next_verdict(self, part: str, now: float) -> QuarantinedPart:
+        """Return the verdict on a part, after a failed trial if it had one."""
+        record = self._records[part]
+        trials = 0
+        if record.quarantine is not None and record.is_quarantined:
+            trials = record.quarantine.failed_trials + 1
+        return QuarantinedPart(part, record.known, trials, now)
+
+    def _explain_ends_of(self, part: str) -> None:
+        for upstream in self._records[part].active:
+            self._explain(upstream)
+
     def _explain(self, upstream: str) -> None:
         """Remove the charges of a termination whose cause is known."""
         self._explained[upstream] = None
--- a/tests/platform/test_part_suspects.py
+++ b/tests/platform/test_part_suspects.py
@@ -223,6 +223,15 @@
     assert upstreams.verdict('p') is PartVerdict.free
 
 
+def test_parts_that_always_come_together_are_both_quarantined() -> None:
+    upstreams = _Upstreams()
+    for _ in range(3):
+        upstreams.end('p', 'q')
+    assert upstreams.judge() == ['p', 'q']
+    for part in ('p', 'q'):
+        assert len(upstreams.suspects.terminated(part)) == 3
+
+
 def test_a_known_cause_explains_later_ends() -> None:
     """Requests that were under way when the part was quarantined."""
     upstreams = _quarantined()
