One function tells when a part may be tried

Cause: two functions ended in the same lines, refusal until a time and a trial from then on. Change: both give the time, one makes the status of it; behaviour as it was.

--- a/packages/core/src/tallyhall_core/part_suspects.py
+++ b/packages/core/src/tallyhall_core/part_suspects.py
@@ -178,11 +178,11 @@
         if record is None:
             return _FREE
         if record.quarantine is not None and record.is_quarantined:
-            return _quarantine_status(record.quarantine, now)
+            return _trial_status(record.quarantine.trial_at, now)
         if not self._is_suspected(part, HELD_ENDS, now):
             return _FREE
         if not record.follows_answer:
-            return _unanswered_status(record, now)
+            return _trial_status(_unanswered_trial_at(record), now)
         if record.count() >= _QUARANTINE_ENDS:
             return PartStatus(PartVerdict.held, self.observation_s)
         wait_s = record.newest_at + _IN_FLIGHT_S - now
@@ -322,17 +322,15 @@
             self._records.pop(part)
 
 
-def _quarantine_status(quarantine: QuarantinedPart, now: float) -> PartStatus:
-    wait_s = quarantine.trial_at - now
-    if wait_s > 0:
-        return PartStatus(PartVerdict.quarantined, wait_s)
-    return PartStatus(PartVerdict.trial)
-
-
-def _unanswered_status(record: PartRecord, now: float) -> PartStatus:
+def _unanswered_trial_at(record: PartRecord) -> float:
+    """Return when a trial may run if the service answered nothing between."""
     last = len(_UNANSWERED_DELAYS_S) - 1
     delay_s = _UNANSWERED_DELAYS_S[min(record.count() - HELD_ENDS, last)]
-    wait_s = record.newest_at + delay_s - now
+    return record.newest_at + delay_s
+
+
+def _trial_status(trial_at: float, now: float) -> PartStatus:
+    wait_s = trial_at - now
     if wait_s > 0:
         return PartStatus(PartVerdict.quarantined, wait_s)
     return PartStatus(PartVerdict.trial)
