The store stand-in no longer spins after a compaction

Cause: `compact` set the event on which watches wait and left it set, so each watch that began before the next write polled without a pause until its time was over, and took the processor from the tests beside it.

Change: a compaction wakes the watches as a write does, with a new event.

--- a/packages/standins/src/tallyhall_standins/platform_store.py
+++ b/packages/standins/src/tallyhall_standins/platform_store.py
@@ -140,7 +140,7 @@
         """Forget the history and cut the watches."""
         self._history.clear()
         self.oldest = self.revision
-        self._changed.set()
+        self._wake_watches()
 
     def keys(self, prefix: str) -> list[str]:
         """Return all keys below a prefix."""
@@ -162,6 +162,9 @@
 
     def _note(self, event: dict[str, Any]) -> None:
         self._history.append((self.revision, event))
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         changed = self._changed
         self._changed = asyncio.Event()
         changed.set()
