Tests in one process run on a paused clock, without threads of gRPC

Change: coroutine tests that start no processes run on a loop with its own clock. It jumps to the next timer once no callback is ready and nothing arrives on loopback; where threads or full socket buffers work meanwhile it follows the real clock, but for stalls. The wall clock goes with it. Streams between instances of one test are delivered in the loop, through the same outbox and servicer; gRPC itself is tested in test_peer_streams.py and with processes. limit_fleet.py had a clock of its own, which is gone. Two tests that block the loop on purpose keep real time by a marker.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,12 +3,17 @@
 import asyncio
 import inspect
 import os
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import pytest
 from hypothesis import HealthCheck, settings
 
+from tests import paused_clock
 from tests.known_red import LIST, read_known_red
 
+_Runner = Callable[[Coroutine[Any, Any, Any]], None]
+
 settings.register_profile(
     'fixed',
     derandomize=True,
@@ -24,15 +29,26 @@
 
 
 def pytest_pyfunc_call(pyfuncitem: pytest.Function) -> bool | None:
-    """Run tests that are coroutines, each in a loop of its own."""
+    """Run tests that are coroutines, each in a loop of its own.
+
+    Time passes as on the real clock in tests that start processes or are
+    marked `real_time`, and is paused in all others.
+    """
     if not inspect.iscoroutinefunction(pyfuncitem.obj):
         return None
     names = inspect.signature(pyfuncitem.obj).parameters
     given = {name: pyfuncitem.funcargs[name] for name in names}
-    asyncio.run(pyfuncitem.obj(**given))
+    _runner(pyfuncitem)(pyfuncitem.obj(**given))
     return True
 
 
+def _runner(test: pytest.Function) -> _Runner:
+    for marker in ('processes', 'real_time'):
+        if test.get_closest_marker(marker):
+            return asyncio.run
+    return paused_clock.run
+
+
 def pytest_collection_modifyitems(
     config: pytest.Config,
     items: list[pytest.Item],  # noqa: WPS110
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -42,6 +42,8 @@
 from tallyhall_standins.platform_engine import EngineStandIn, entry_fields
 from tallyhall_standins.platform_store import StoreStandIn
 
+from tests.platform.local_streams import local_streams
+
 HOST = '127.0.0.1'
 SITE = 'shop.example'
 KEY = 'key-1'
@@ -55,9 +57,10 @@
 
 async def until(condition: Callable[[], bool], within_s: float = 5) -> None:
     """Wait until a condition holds; fail after a timeout."""
-    deadline = time.monotonic() + within_s
+    clock = asyncio.get_running_loop().time
+    deadline = clock() + within_s
     while not condition():
-        assert time.monotonic() < deadline, 'condition not met in time'
+        assert clock() < deadline, 'condition not met in time'
         await asyncio.sleep(0.01)
 
 
@@ -388,8 +391,9 @@
     store.put('op/config', desired(1))
     cluster = Deployment(store, address)
     try:
-        await cluster.add_instances(instances, **bounds)
-        yield cluster
+        with local_streams():
+            await cluster.add_instances(instances, **bounds)
+            yield cluster
     finally:
         await asyncio.gather(
             *(instance.close() for instance in cluster.instances)
--- a/tests/platform/limit_fleet.py
+++ b/tests/platform/limit_fleet.py
@@ -40,28 +40,6 @@
 _CONNECT_S = 5.0
 
 
-class _Clock:
-    def __init__(self, select: Callable[[float], Any]) -> None:
-        self.now: float = 1000
-        self._select = select
-
-    def read(self) -> float:
-        return self.now
-
-    def jump(self, timeout: float | None) -> Any:
-        """Poll the sockets and advance the clock by the timeout."""
-        self.now += max(0, timeout or 0)
-        return self._select(0)
-
-
-def simulate_time() -> None:
-    """Make the clock of the running event loop jump to the next timer."""
-    loop: Any = asyncio.get_running_loop()
-    clock = _Clock(loop._selector.select)
-    loop.time = clock.read
-    loop._selector.select = clock.jump
-
-
 class _Outbox:
     """Buffers batches for one peer and sends them from a task."""
 
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -28,6 +28,7 @@
 from tallyhall_platform.store import StoreClient
 from tallyhall_standins.platform_engine import EngineFault, EngineStandIn
 
+from tests.paused_clock import Outside, wait_for
 from tests.platform.harness import (
     HOST,
     PLAIN,
@@ -100,6 +101,7 @@
     cluster: Deployment, indexes: range, for_s: float
 ) -> list[Answer]:
     """Send requests to instances repeatedly, on two connections each."""
+    wait_for(Outside.threads)
     responses = await asyncio.gather(
         *(
             _send_repeatedly(cluster.caller(index), f'{index}-{number}', for_s)
--- a/tests/platform/test_isolated_instances.py
+++ b/tests/platform/test_isolated_instances.py
@@ -233,11 +233,12 @@
         await fleet.isolate(instance=1)
         served = [one._metrics.paths.served for one in fleet.made.instances]
         before = [count['connected'] for count in served]
-        began_at = time.monotonic()
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
         answer = await fleet.ask('once')
         assert answer.status == 503
         assert float(answer.header('retry-after')) > 0
-        assert time.monotonic() - began_at < 0.5
+        assert loop.time() - began_at < 0.5
         assert [count['connected'] for count in served] == before
 
 
--- a/tests/platform/test_leaving_told.py
+++ b/tests/platform/test_leaving_told.py
@@ -7,8 +7,9 @@
 
 import pytest
 
+from tests.paused_clock import Outside, wait_for
 from tests.platform.harness import MODEL, PLAIN
-from tests.platform.limit_fleet import LimitFleet, simulate_time
+from tests.platform.limit_fleet import LimitFleet
 
 _PROPAGATION_S = 0.5
 
@@ -19,7 +20,7 @@
     size: int,
     service: str,
 ) -> None:
-    simulate_time()
+    wait_for(Outside.nothing)
     fleet = LimitFleet(size, 3, service)
     await fleet.settle()
     leaving_engine = fleet.engines['e0']
@@ -34,7 +35,7 @@
 
 @pytest.mark.parametrize('size', [6, 87])
 async def test_restarted_instance_sends_nothing(size: int) -> None:
-    simulate_time()
+    wait_for(Outside.nothing)
     fleet = LimitFleet(size, 3, PLAIN)
     await fleet.settle()
     leaving_engine = fleet.engines['e0']
--- a/tests/platform/test_load_sharing.py
+++ b/tests/platform/test_load_sharing.py
@@ -17,8 +17,9 @@
 from tallyhall_transport.generated import peers_pb2
 from tallyhall_transport.peer_codec import decode_load, encode_load
 
+from tests.paused_clock import Outside, wait_for
 from tests.platform.harness import MODEL
-from tests.platform.limit_fleet import LimitFleet, simulate_time
+from tests.platform.limit_fleet import LimitFleet
 from tests.platform.windows import most_in_window
 
 _USUAL = LoadReport(2, 0, 10, 1)
@@ -129,7 +130,7 @@
 @contextlib.asynccontextmanager
 async def _fleet(size: int) -> AsyncIterator[LimitFleet]:
     """Start a fleet with an upstream that is slowed and three that are not."""
-    simulate_time()
+    wait_for(Outside.nothing)
     fleet = LimitFleet(size, 4, MODEL)
     await fleet.settle()
     for engine in fleet.engines.values():
--- a/tests/platform/test_memory_limits.py
+++ b/tests/platform/test_memory_limits.py
@@ -27,6 +27,7 @@
 from tallyhall_edge.server import HttpServer
 from tallyhall_entry.instance import Instance
 
+from tests.paused_clock import Outside, wait_for
 from tests.platform.harness import (
     HOST,
     KEY,
@@ -172,6 +173,7 @@
     size: int = 100_000, budget: int = 100_000_000
 ) -> AsyncIterator[tuple[Deployment, _Upstream, MemoryBudget]]:
     """Start an instance with this budget and one upstream."""
+    wait_for(Outside.threads)
     async with deployment(memory_bytes=1) as made:
         state = desired(2)
         state['tenants'].append(
--- a/tests/platform/test_shared_limits.py
+++ b/tests/platform/test_shared_limits.py
@@ -9,11 +9,11 @@
 
 import pytest
 
+from tests.paused_clock import Outside, wait_for
 from tests.platform.harness import MODEL, PLAIN
 from tests.platform.limit_fleet import (
     LimitFleet,
     RateLimitedEngine,
-    simulate_time,
 )
 from tests.platform.windows import limit_allows
 
@@ -28,7 +28,7 @@
     service: str = MODEL,
 ) -> AsyncIterator[LimitFleet]:
     """Start a fleet and upstreams that have announced these limits."""
-    simulate_time()
+    wait_for(Outside.nothing)
     fleet = LimitFleet(size, len(limits), service)
     await fleet.settle()
     for engine, limit in zip(fleet.engines.values(), limits, strict=True):
--- a/tests/platform/test_stood_still.py
+++ b/tests/platform/test_stood_still.py
@@ -24,11 +24,14 @@
 import time
 from collections.abc import Iterator
 
+import pytest
 from tallyhall_bench.ports import free_ports
 from tallyhall_standins.platform_engine import EngineStandIn
 
 from tests.platform.harness import HOST, KEY, SITE, deployment
 
+pytestmark = pytest.mark.real_time
+
 # Longer than the 0.33 s of silence that count as a loss, and than _DEADLINE.
 _BLOCKED_S = 1.5
 _DEADLINE = b'X-Tallyhall-Deadline-Ms: 900'
