Tests of gRPC let its threads run

Cause: the paused clock jumps unless a test says that threads work outside the loop, and test_peer_streams.py did not, so 5 s of waiting could be half a second for gRPC.

Change: these tests follow the real clock, but for stalls.

--- a/tests/platform/test_peer_streams.py
+++ b/tests/platform/test_peer_streams.py
@@ -16,6 +16,7 @@
 from tallyhall_transport.peer import PeerEndpoint
 from tallyhall_transport.peer_streams import PeerStreams
 
+from tests.paused_clock import Outside, wait_for
 from tests.platform.harness import HOST, until
 
 
@@ -28,6 +29,7 @@
 
 
 def _peer_streams(name: str, incarnation: str) -> PeerStreams:
+    wait_for(Outside.threads)
     return PeerStreams(name, incarnation, _ignore, _ignore, _ignore, _ignore)
 
 
