--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -39,7 +39,11 @@
 from tallyhall_edge.upstream_paths import UpstreamPaths
 from tallyhall_entry.instance import Instance
 from tallyhall_entry.logs import BoundedStream, setup_logging
-from tallyhall_standins.platform_engine import EngineStandIn, entry_fields
+from tallyhall_standins.platform_engine import (
+    EngineFault,
+    EngineStandIn,
+    entry_fields,
+)
 from tallyhall_standins.platform_store import StoreStandIn
 
 from tests.platform.local_streams import local_streams
@@ -255,6 +259,12 @@
         self.register(name, f'{HOST}:{port}', service)
         return engine
 
+    async def add_failing_engine(self, failures: int) -> None:
+        """Start the only upstream; it drops its first connections."""
+        engine = await self.add_engine('plain-0', PLAIN)
+        await self.ready()
+        engine.faults.extend([EngineFault.resets_first] * failures)
+
     def register(
         self,
         name: str,
--- a/tests/platform/local_streams.py
+++ b/tests/platform/local_streams.py
@@ -49,7 +49,9 @@
         servicer = _servicers.get(self.address)
         if servicer is None:
             return None
-        return servicer._read_state()  # noqa: SLF001
+        context: Any = None
+        reply = await servicer.FetchState(peers_pb2.StateRequest(), context)
+        return bytes(reply.state)
 
     async def _run_stream(self) -> None:
         servicer = _servicers.get(self.address)
--- a/tests/platform/test_content.py
+++ b/tests/platform/test_content.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 from tallyhall_core.content import content_digest
-from tallyhall_standins.platform_engine import EngineFault
 
 from tests.platform.harness import PLAIN, logged_deployment
 
@@ -31,9 +30,7 @@
 ) -> None:
     path = tmp_path / 'log'
     async with logged_deployment(path) as made:
-        engine = await made.add_engine('plain-0', PLAIN)
-        await made.ready()
-        engine.faults.extend([EngineFault.resets_first] * 3)
+        await made.add_failing_engine(3)
         for serial, body in enumerate((b'one', b'other', b'one')):
             await made.caller().ask('/once/x', f'r{serial}', body=body)
         await made.caller().ask('/once/x', 'served', body=b'one')
@@ -51,9 +48,7 @@
 ) -> None:
     path = tmp_path / 'log'
     async with logged_deployment(path) as made:
-        engine = await made.add_engine('plain-0', PLAIN)
-        await made.ready()
-        engine.faults.append(EngineFault.resets_first)
+        await made.add_failing_engine(1)
         prefix = {'X_Tallyhall_Prompt_Prefix': 'first:10,middle:10,own:10'}
         await made.caller().ask('/once/x', 'r1', **prefix)
     lines = [json.loads(line) for line in path.read_text().splitlines()]
--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -15,7 +15,6 @@
 from tallyhall_entry.exposition import exposed
 from tallyhall_entry.logs import EventLog, setup_logging
 from tallyhall_entry.metrics import Metrics
-from tallyhall_standins.platform_engine import EngineFault
 
 from tests.platform.harness import (
     HOST,
@@ -78,9 +77,7 @@
 ) -> None:
     path = tmp_path / 'log'
     async with logged_deployment(path) as made:
-        engine = await made.add_engine('plain-0', PLAIN)
-        await made.ready()
-        engine.faults.append(EngineFault.resets_first)
+        await made.add_failing_engine(1)
         answer = await made.caller().ask('/once/x', 'r-broken')
         assert answer.status == 502
         refused = await made.caller().ask('/safe/x', 'r-key', key='no')
