Observability: bodies of running requests and resident memory, everywhere

Hypotheses: (a) the bodies of running requests alone exceed it; (b) something that has ended keeps bodies alive; (c) the allocator does not return freed memory. Where the settings list no `pressure`, nothing was counted, so no metric told them apart.

The budget now counts bodies on every deployment, and its metrics are always exposed, with the resident memory of the process beside them. The limit of the settings is kept apart from the contract of slow peers, which alone decides whether the steps of the budget apply; decisions are unchanged. The test of the settings that asked for a limit of 0 without the contract now asks for the limit and for no slow peers.

--- a/packages/dispatch/src/tallyhall_dispatch/options.py
+++ b/packages/dispatch/src/tallyhall_dispatch/options.py
@@ -75,6 +75,8 @@
     descriptors: int
     # Available CPU time in seconds per second, on a typical core.
     cores: float
-    # Memory limit of the process; 0 if there is none.
+    # Memory limit of the process; 0 if it is unknown.
     memory_bytes: int = 0
     has_rollouts: bool = False
+    # Whether callers and upstreams may read slowly for long.
+    has_slow_peers: bool = True
--- a/packages/edge/src/tallyhall_edge/caller_connection.py
+++ b/packages/edge/src/tallyhall_edge/caller_connection.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import collections
+import functools
 import socket
 from collections.abc import Callable
 from typing import Protocol
@@ -20,6 +21,7 @@
 
 from .connection_memory import CallerMemory, MemoryMonitor
 from .exchange import Exchange, RequestHandler
+from .memory_budget import Holder, MemoryBudget
 from .messages import RequestHead, find_header
 
 # Pipelined requests that may be queued before reading is paused.
@@ -73,6 +75,10 @@
     def memory(self) -> MemoryMonitor | None:
         """Return what counts the memory of connections, if anything does."""
 
+    @property
+    def budget(self) -> MemoryBudget | None:
+        """Return what counts the bodies of requests, if anything does."""
+
     def add(self, conn: ServerConnection) -> bool:
         """Register a connection; return False if there are too many."""
 
@@ -99,6 +105,8 @@
         self._keep_alive = True
         self._rejection: tuple[int, bytes] | None = None
         self._began_at: float = 0
+        # Bytes of the bodies of requests that have not ended.
+        self._held_bytes = 0
         self._reset_message()
 
     # -- transport
@@ -132,6 +140,7 @@
         self._server.discard(self)
         if self.memory is not None:
             self.memory.release()
+        self._hold(-self._held_bytes)
         self._transport = None
         self._pipelined.clear()
         if self._task is not None:
@@ -179,7 +188,8 @@
             self._began_at = self.memory.begin_message(self._began_at)
         if self._current is None:
             self._start_timer(
-                self._server.limits.header_timeout_s, self._on_read_timeout
+                self._server.limits.header_timeout_s,
+                functools.partial(self._reject, *_TIMED_OUT),
             )
 
     def on_url(self, url: bytes) -> None:
@@ -196,7 +206,8 @@
         """Start the timeout of the body; handle `Expect: 100-continue`."""
         if self._current is None:
             self._start_timer(
-                self._server.limits.body_timeout_s, self._on_read_timeout
+                self._server.limits.body_timeout_s,
+                functools.partial(self._reject, *_TIMED_OUT),
             )
         headers = tuple(self._headers)
         expectation = find_header(headers, b'expect')
@@ -211,8 +222,7 @@
             self._reject(*_TOO_LARGE)
             return
         self._body.append(body)
-        if self.memory is not None:
-            self.memory.add_body(len(body))
+        self._hold(len(body))
 
     def on_message_complete(self) -> None:
         """Queue a completely received request."""
@@ -256,8 +266,10 @@
 
     def finished(self, *, keep: bool) -> None:
         """Handle the next request, or close the connection."""
-        if self.memory is not None and self._current is not None:
-            self.memory.end_message(len(self._current.body))
+        if self._current is not None:
+            self._hold(-len(self._current.body))
+        if self.memory is not None:
+            self.memory.end_message()
         self._current = None
         self._task = None
         if not keep:
@@ -309,6 +321,12 @@
 
     # -- internals
 
+    def _hold(self, size: int) -> None:
+        """Count bytes of request bodies; negative if they are released."""
+        self._held_bytes += size
+        if size and self._server.budget is not None:
+            self._server.budget.add(Holder.request_bodies, size)
+
     def _start_next(self) -> None:
         if self._current is not None or not self._pipelined:
             return
@@ -360,9 +378,6 @@
         exchange.keep_alive = False
         exchange.answer(status, reason, (), b'')
 
-    def _on_read_timeout(self) -> None:
-        self._reject(*_TIMED_OUT)
-
     def _start_idle_timer(self) -> None:
         # A stopping server still handles requests that callers have sent or are
         # sending on open connections; `Connection: close` in the answer then
--- a/packages/edge/src/tallyhall_edge/connection_memory.py
+++ b/packages/edge/src/tallyhall_edge/connection_memory.py
@@ -176,14 +176,8 @@
         self.refuses_next = False
         self.workspace = ''
         self._notify_writable = notify_writable
-        self._body_bytes = 0
         super().__init__(monitor, transport, close)
 
-    def release(self) -> None:
-        """Release all counted bytes, as the connection is closed."""
-        self.add_body(-self._body_bytes)
-        super().release()
-
     @property
     def may_pipeline(self) -> bool:
         """Return whether requests are read while another one is handled."""
@@ -205,16 +199,9 @@
             self.pause_step = Step.stop_buffering
         return now if received_at is None else received_at
 
-    def end_message(self, body_bytes: int) -> None:
-        """Release the body of a request that has ended."""
+    def end_message(self) -> None:
+        """Note that a request has ended."""
         self.refuses_next = False
-        self.add_body(-body_bytes)
-
-    def add_body(self, size: int) -> None:
-        """Count bytes of request bodies; negative if they are released."""
-        if size:
-            self._body_bytes += size
-            self.budget.add(Holder.request_bodies, size)
 
     def use_workspace(self, name: str) -> None:
         """Count unread bytes for this workspace from now on."""
--- a/packages/edge/src/tallyhall_edge/memory_budget.py
+++ b/packages/edge/src/tallyhall_edge/memory_budget.py
@@ -16,6 +16,8 @@
 # Fraction of the memory limit that the process and its buffers may use. The
 # rest covers kernel buffers, fragmentation and what is not counted.
 _USABLE_FRACTION = 0.6
+# Assumed limit in bytes of a process whose limit is unknown.
+_UNKNOWN_LIMIT_BYTES = 128_000_000
 # Assumed memory of the idle process in bytes if it cannot be measured.
 _UNKNOWN_IDLE_BYTES = 45_000_000
 # Minimum budget in bytes: enough for about fifty connections with a buffered
@@ -71,10 +73,14 @@
 
 
 def budget_bytes(limit: int, idle: int | None) -> int:
-    """Return the budget of a process with this limit and idle size."""
+    """Return the budget of a process with this limit and idle size.
+
+    limit: in bytes, 0 if it is unknown. idle: in bytes, None if it is unknown.
+    """
     if idle is None:
         idle = _UNKNOWN_IDLE_BYTES
-    return max(_MIN_BUDGET_BYTES, int(limit * _USABLE_FRACTION) - idle)
+    usable = int((limit or _UNKNOWN_LIMIT_BYTES) * _USABLE_FRACTION)
+    return max(_MIN_BUDGET_BYTES, usable - idle)
 
 
 class UnreadPeer:
--- a/packages/edge/src/tallyhall_edge/server.py
+++ b/packages/edge/src/tallyhall_edge/server.py
@@ -8,6 +8,7 @@
 from .caller_connection import ServerConnection, ServerLimits
 from .connection_memory import MemoryMonitor
 from .exchange import RequestHandler
+from .memory_budget import MemoryBudget
 
 # Length of the listen queue. If it is full, a caller's SYN is dropped and sent
 # again, which delays the caller by seconds.
@@ -26,12 +27,15 @@
         limits: ServerLimits,
         max_connections: int = _MAX_CONNECTIONS,
         memory: MemoryMonitor | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
         """Pass requests to `handle_request`, its exceptions to `on_error`.
 
-        memory: counts what the connections hold; None for no limit.
+        memory: counts what the connections of slow peers hold; None for no
+        limit. budget: counts the bodies of requests that have not ended.
         """
         self.memory = memory
+        self.budget = budget
         self.max_connections = max_connections
         self.rejected_connections = 0
         self.handle_request = handle_request
--- a/packages/entry/src/tallyhall_entry/exposition.py
+++ b/packages/entry/src/tallyhall_entry/exposition.py
@@ -14,6 +14,7 @@
 from tallyhall_edge.memory_budget import Step
 
 from .metrics import Metrics
+from .process_memory import resident_bytes
 
 
 def exposed(metrics: Metrics) -> bytes:
@@ -124,7 +125,12 @@
         return family
 
     def _memory(self) -> Iterator[Metric]:
-        """Yield the metrics of the memory budget, without samples if none."""
+        """Yield the metrics of the memory budget and of the process."""
+        yield GaugeMetricFamily(
+            'tallyhall_resident_bytes',
+            'Resident memory of the process.',
+            resident_bytes() or 0,
+        )
         size = GaugeMetricFamily(
             'tallyhall_memory_budget_bytes',
             'Bytes that connections and requests may hold.',
--- a/packages/entry/src/tallyhall_entry/from_options.py
+++ b/packages/entry/src/tallyhall_entry/from_options.py
@@ -64,8 +64,13 @@
 def new_memory(
     options: Options, log: EventLog, metrics: Metrics
 ) -> InstanceMemory:
-    """Return the memory budget; it has no effect without a limit."""
-    return InstanceMemory(options.memory_bytes, log, metrics)
+    """Return the memory budget of the instance."""
+    return InstanceMemory(
+        options.memory_bytes,
+        log,
+        metrics,
+        has_slow_peers=options.has_slow_peers,
+    )
 
 
 def new_origins(
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -159,6 +159,7 @@
             ServerLimits(),
             int(options.descriptors * _CLIENT_DESCRIPTOR_SHARE),
             self.memory.monitor,
+            self.memory.budget,
         )
         self.memory.limit_components(self._front, self._runner)
         self._membership = FleetMembership(
--- a/packages/entry/src/tallyhall_entry/memory.py
+++ b/packages/entry/src/tallyhall_entry/memory.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import pathlib
-import resource
-
 from tallyhall_core.events import Event
 from tallyhall_edge.connection_memory import MemoryMonitor
 from tallyhall_edge.memory_budget import MemoryBudget, Step, budget_bytes
@@ -13,29 +10,43 @@
 
 from .logs import EventLog
 from .metrics import Metrics
+from .process_memory import resident_bytes
 
-_STATM = pathlib.Path('/proc/self/statm')
 # Interval in seconds at which slow peers are polled: an eighth of the time
 # after which a caller that reads nothing may be closed.
 _POLL_S = 0.25
 
 
 class InstanceMemory:
-    """The memory budget of one instance, if its settings state a limit."""
+    """The memory budget of one instance.
+
+    monitor: counts what slow peers hold, None where there are none; only then
+    do the steps of the budget have an effect.
+    """
+
+    def __init__(
+        self,
+        limit: int,
+        log: EventLog,
+        metrics: Metrics,
+        *,
+        has_slow_peers: bool,
+    ) -> None:
+        """Create the budget of a process with this limit in bytes.
 
-    def __init__(self, limit: int, log: EventLog, metrics: Metrics) -> None:
-        """Create the budget of a process with this limit; 0 for none."""
+        limit: 0 if it is unknown.
+        """
+        self.budget = MemoryBudget(budget_bytes(limit, None))
         self.monitor: MemoryMonitor | None = None
         self._limit = limit
         self._log = log
         self._front: HttpServer | None = None
         self._runner: RequestPipeline | None = None
         self._polled_at: float = 0
-        if limit:
-            budget = MemoryBudget(budget_bytes(limit, None))
-            budget.on_step = self._on_step
-            metrics.memory = budget
-            self.monitor = MemoryMonitor(budget)
+        metrics.memory = self.budget
+        if limit and has_slow_peers:
+            self.budget.on_step = self._on_step
+            self.monitor = MemoryMonitor(self.budget)
 
     def limit_components(
         self, front: HttpServer, runner: RequestPipeline
@@ -44,13 +55,11 @@
         self._front = front
         self._runner = runner
         if self.monitor is not None:
-            runner.shedding.budget = self.monitor.budget
+            runner.shedding.budget = self.budget
 
     def measure_idle(self) -> None:
         """Set the budget to what the process leaves of its limit now."""
-        if self.monitor is not None:
-            size = budget_bytes(self._limit, resident_bytes())
-            self.monitor.budget.resize(size)
+        self.budget.resize(budget_bytes(self._limit, resident_bytes()))
 
     def poll(self, now: float) -> None:
         """Update the counts of slow peers, and refuse waiting requests."""
@@ -62,9 +71,9 @@
             self._runner.shed_waiting()
 
     def _on_step(self, before: Step, after: Step) -> None:
-        if self.monitor is None or self._front is None:
+        if self._front is None:
             return
-        budget = self.monitor.budget
+        budget = self.budget
         self._log.event(
             Event.memory_step,
             before=before.name,
@@ -74,12 +83,3 @@
             held={holder.value: size for holder, size in budget.held.items()},
         )
         self._front.apply_memory_step()
-
-
-def resident_bytes() -> int | None:
-    """Return the resident memory of this process, None if unknown."""
-    try:
-        pages = int(_STATM.read_text().split()[1])
-    except (OSError, ValueError, IndexError):
-        return None
-    return pages * resource.getpagesize()
--- a/packages/entry/src/tallyhall_entry/metrics.py
+++ b/packages/entry/src/tallyhall_entry/metrics.py
@@ -128,7 +128,6 @@
         self.retry_use: Mapping[str, RetryUse] = {}
         self.paths = PathCounts()
         self.desired_state = DesiredStateStatus()
-        # None if the settings state no memory limit.
         self.memory: MemoryBudget | None = None
 
     def ended(self, kind: str, outcome: str, total_s: float) -> None:
--- a/packages/platform/src/tallyhall_platform/settings.py
+++ b/packages/platform/src/tallyhall_platform/settings.py
@@ -158,13 +158,6 @@
         raise _InvalidValueError(key, str(exc)) from exc
 
 
-def _memory_bytes(raw: _SettingsFile) -> int:
-    """Return the memory limit; 0 without the contract of slow peers."""
-    if _SLOW_PEERS_CONTRACT not in raw.contracts:
-        return 0
-    return int(raw.limits.memory_mb * _BYTES_PER_MB)
-
-
 def _options(raw: _SettingsFile) -> Options:
     bounds = raw.bounds
     first_port = raw.port_range[0]
@@ -199,6 +192,7 @@
         ),
         descriptors=raw.limits.max_fds,
         cores=raw.limits.cpu_share * raw.limits.cores,
-        memory_bytes=_memory_bytes(raw),
+        memory_bytes=int(raw.limits.memory_mb * _BYTES_PER_MB),
         has_rollouts=_ROLLOUT_CONTRACT in raw.contracts,
+        has_slow_peers=_SLOW_PEERS_CONTRACT in raw.contracts,
     )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -56,12 +56,22 @@
     assert options.memory_bytes == 150_000_000
 
 
-@pytest.mark.parametrize('missing', ['memory-mb: 150, ', ', "pressure"'])
-def test_no_memory_limit_is_assumed(tmp_path: Path, missing: str) -> None:
-    """Deployments that do not call for a budget must be served as before."""
+@pytest.mark.parametrize(
+    ('missing', 'memory_bytes', 'has_slow_peers'),
+    [('memory-mb: 150, ', 0, True), (', "pressure"', 150_000_000, False)],
+)
+def test_a_memory_limit_holds_without_slow_peers(
+    tmp_path: Path,
+    missing: str,
+    memory_bytes: int,
+    has_slow_peers: bool,  # noqa: FBT001
+) -> None:
+    """A process is killed above its limit on every deployment."""
     path = tmp_path / 'settings.yaml'
     path.write_text(_VALID.replace(missing, ''))
-    assert load_options(path).memory_bytes == 0
+    options = load_options(path)
+    assert options.memory_bytes == memory_bytes
+    assert options.has_slow_peers == has_slow_peers
 
 
 _INVALID = [
