A request that has ended is freed at once

Cause: the callbacks of a relay refer to the request, and the request refers to its relay. Such a cycle waits for the cycle collector, which counts objects and not bytes, so bodies of requests that had long ended filled the process. Referrers of what was left after a request: the partial of `on_first_event` holds the context, the context the relay, both the exchange with its body. A request that was sent again held all its relays; one whose caller had left was held by its connection, too. Requests that were refused before a send were freed.

A relay now drops its callbacks and its connection when its send has ended, an exchange its body when it has ended, a connection its request when the handler has returned.

--- a/packages/edge/src/tallyhall_edge/caller_connection.py
+++ b/packages/edge/src/tallyhall_edge/caller_connection.py
@@ -343,6 +343,11 @@
             self.on_error(exc)
             if not exchange.ended:
                 exchange.abort()
+        finally:
+            exchange.release_body()
+            if self._current is exchange:
+                self._current = None
+                self._task = None
         if not exchange.ended:
             exchange.abort()
 
--- a/packages/edge/src/tallyhall_edge/exchange.py
+++ b/packages/edge/src/tallyhall_edge/exchange.py
@@ -121,6 +121,7 @@
             self._conn.write(LAST_CHUNK)
         self.ended = True
         self._conn.finished(keep=self.keep_alive)
+        self.release_body()
 
     def answer(
         self,
@@ -142,6 +143,11 @@
             return
         self.ended = True
         self._conn.abort()
+        self.release_body()
+
+    def release_body(self) -> None:
+        """Free the body of the request, which is not sent any more."""
+        self.body = b''
 
     def _report_if_ended(self, operation: str) -> bool:
         if self.ended:
--- a/packages/edge/src/tallyhall_edge/relay.py
+++ b/packages/edge/src/tallyhall_edge/relay.py
@@ -138,6 +138,16 @@
             b''.join(self._buffered),
         )
 
+    def detach(self) -> None:
+        """Drop the callbacks and the connection, as the send has ended.
+
+        The callbacks refer to the request, which refers to this relay.
+        """
+        self.on_answer_info = None
+        self.on_first_event = None
+        self.on_established = None
+        self._conn = None
+
     def discard(self) -> None:
         """Free the buffered answer; it is not delivered any more."""
         self._buffered.clear()
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -121,7 +121,7 @@
             # An ending that was reached before the wait was cancelled counts.
             report = relay.report(relay.ending or ending)
             self._scheduler.finish(job, upstream, self._evidence(report))
-            self._record_end(context, upstream, report)
+            self._record_end(context, upstream, relay, report)
         return report.ending, relay
 
     def may_retry(
@@ -148,11 +148,13 @@
         self,
         context: RequestContext,
         upstream: Upstream,
+        relay: Relay,
         report: RunReport,
     ) -> None:
         context.pause_s = max(context.pause_s, report.pause_s)
         self._log.send_ended(context, upstream, report)
         self._update_guard(context, upstream)
+        relay.detach()
 
     def _evidence(self, report: RunReport) -> RunReport:
         """Return what a report says about its upstream, for the scheduler.
