Bodies are bounded before they are read, on every deployment

Causes: bodies were read to their end whatever was held, and without the contract `pressure` nothing was counted against the limit. A body existed up to four times: its parts, joined, with its head, and in the transport's buffer. A caller's chunks of a few bytes, each an object, took many times their length. A connection that was closed kept what it had read until the cycle collector ran, as it and its parser refer to each other.

Now memory for a body is reserved before it is read, by its stated length, or for the largest once 128 KB have come in chunks. Large bodies may take 0.75 of the budget (0.4 where its steps apply), small ones all of it. What does not fit waits unread for up to 0.5 s, the workspace that holds least first and one workspace with at most twice what it leaves free; then it is refused with 503 and Retry-After, and the rest of the body is received and dropped, so that the answer is not lost with a reset. Nothing ever copies a whole body: blocks of up to 64 KB are written as the upstream reads them. Calls to the instance itself take no bodies of more than 1 KB.

The test of an upstream that does not read wanted over 1 MB in the write buffer, which was the copy; it now wants unread bytes, and less than 1 MB of them. That such an upstream is stalled counts what is still to be written to it.

--- a/packages/core/src/tallyhall_core/content.py
+++ b/packages/core/src/tallyhall_core/content.py
@@ -8,17 +8,28 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Sequence
 
 # With 8 bytes, the probability that any two of a million requests have the same
 # digest is one in 30 million.
 _DIGEST_BYTES = 8
 
 
-def content_digest(*parts: bytes) -> str:
-    """Return a hex digest that is equal for requests with equal parts."""
+def content_digest(
+    *parts: bytes, body: Sequence[bytes | bytearray] | None = None
+) -> str:
+    """Return a hex digest that is equal for requests with equal parts.
+
+    body: blocks of a further part, None if there is none. Their boundaries do
+    not matter.
+    """
     digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
     for part in parts:
         # The length prefix keeps the boundaries between parts unambiguous.
         digest.update(b'%d:' % len(part))
         digest.update(part)
+    if body is not None:
+        digest.update(b'%d:' % sum(map(len, body)))
+        for block in body:
+            digest.update(block)
     return digest.hexdigest()
--- a/packages/dispatch/src/tallyhall_dispatch/gate.py
+++ b/packages/dispatch/src/tallyhall_dispatch/gate.py
@@ -135,6 +135,13 @@
             now,
         )
 
+    def workspace_name(self, key: str) -> str:
+        """Return the name of a key's workspace, empty for an unknown key."""
+        workspace = (
+            None if self._router is None else self._router.workspace(key)
+        )
+        return '' if workspace is None else workspace.name
+
     def is_still_valid(self, admitted: Admitted, now: float) -> bool:
         """Return whether a request may still be sent after it was queued."""
         if admitted.workspace is None or self._router is None:
--- a/packages/edge/src/tallyhall_edge/connection_memory.py
+++ b/packages/edge/src/tallyhall_edge/connection_memory.py
@@ -68,15 +68,20 @@
         self.end_unread()
         self.reading_resumed()
         self.budget.add(Holder.connections, -_CONNECTION_BYTES)
+        # It refers to the connection, which refers to this object.
+        self.close = _do_nothing
 
     # -- unread bytes
 
-    def begin_unread(self, now: float) -> None:
-        """Start counting unread bytes, as the peer reads too slowly."""
+    def begin_unread(self, now: float, unwritten: int = 0) -> None:
+        """Start counting unread bytes, as the peer reads too slowly.
+
+        unwritten: bytes that are only written once it has read those.
+        """
         if self.progress is not None:
             return
         held = self._unsent_bytes()
-        self.progress = UnreadPeer(held, now)
+        self.progress = UnreadPeer(held, now, unwritten)
         self.monitor.unread[self.progress] = self
         self._count(held)
 
@@ -178,6 +183,11 @@
         self._notify_writable = notify_writable
         super().__init__(monitor, transport, close)
 
+    def release(self) -> None:
+        """Release all counted bytes, as the connection is closed."""
+        super().release()
+        self._notify_writable = _ignore_writable
+
     @property
     def may_pipeline(self) -> bool:
         """Return whether requests are read while another one is handled."""
@@ -213,9 +223,9 @@
             self.budget.add_unread(name, held)
         self.workspace = name
 
-    def begin_unread(self, now: float) -> None:
+    def begin_unread(self, now: float, unwritten: int = 0) -> None:
         """Start counting; pause the upstream if the limit is exceeded."""
-        super().begin_unread(now)
+        super().begin_unread(now, unwritten)
         self._apply_buffer_limit()
 
     def end_unread(self) -> None:
@@ -288,3 +298,11 @@
                 memory.close()
         for stalled in self.budget.callers_to_close(callers, now):
             self.unread[stalled].close()
+
+
+def _do_nothing() -> None:
+    """Stand in for the end of a connection that is closed."""
+
+
+def _ignore_writable(writable: bool) -> None:  # noqa: FBT001
+    """Stand in for the upstream of a caller who has left."""
--- a/packages/edge/src/tallyhall_edge/exchange.py
+++ b/packages/edge/src/tallyhall_edge/exchange.py
@@ -15,6 +15,7 @@
     encode_chunk,
     encode_head,
 )
+from .request_body import RequestBody
 
 
 class ExchangeConnection(Protocol):
@@ -51,7 +52,7 @@
         self,
         conn: ExchangeConnection,
         head: RequestHead,
-        body: bytes,
+        body: RequestBody,
         received_at: float,
     ) -> None:
         """Create the exchange of a request.
@@ -59,8 +60,10 @@
         received_at: when the first byte of the request was received.
         """
         self.head = head
-        self.body = body
+        self.request_body = body
         self.received_at = received_at
+        # Whether there was no memory for its body, which is empty here.
+        self.is_refused = False
         # When the head of the response was written, None before.
         self.started_at: float | None = None
         self.ended = False
@@ -69,6 +72,11 @@
         self._conn = conn
         self._chunked = False
 
+    @property
+    def body(self) -> bytes:
+        """Return a copy of the body of the request."""
+        return b''.join(self.request_body.blocks)
+
     @property
     def memory(self) -> CallerMemory | None:
         """Return what counts the memory of the caller's connection."""
@@ -147,7 +155,7 @@
 
     def release_body(self) -> None:
         """Free the body of the request, which is not sent any more."""
-        self.body = b''
+        self.request_body.release()
 
     def _report_if_ended(self, operation: str) -> bool:
         if self.ended:
--- a/packages/edge/src/tallyhall_edge/memory_budget.py
+++ b/packages/edge/src/tallyhall_edge/memory_budget.py
@@ -86,12 +86,14 @@
 class UnreadPeer:
     """Progress of a peer that has not read all bytes written to it.
 
-    held: bytes that it has not read. read_at: when it was last seen to read.
+    held: bytes that it has not read. unwritten: bytes that are written once it
+    has read those. read_at: when it was last seen to read.
     """
 
-    def __init__(self, held: int, now: float) -> None:
+    def __init__(self, held: int, now: float, unwritten: int = 0) -> None:
         """Start with the bytes that are unread now."""
         self.held = held
+        self.unwritten = unwritten
         self.read_at = now
         self._written = held
         self._read = 0
@@ -114,7 +116,7 @@
 
     def is_stalled_upstream(self, now: float) -> bool:
         """Return whether the peer, an upstream, has stopped reading."""
-        if self.held <= _UPSTREAM_STALL_BYTES:
+        if self.held + self.unwritten <= _UPSTREAM_STALL_BYTES:
             return False
         return now - self.read_at >= _UPSTREAM_STALL_S
 
--- a/packages/edge/src/tallyhall_edge/memory_shedding.py
+++ b/packages/edge/src/tallyhall_edge/memory_shedding.py
@@ -32,6 +32,11 @@
         if memory is not None:
             memory.use_workspace(_workspace(context))
 
+    def check_body(self, context: RequestContext) -> None:
+        """Raise RefusedError if there was no memory for a request's body."""
+        if context.exchange.is_refused:
+            raise _shed_error()
+
     def check(self, context: RequestContext) -> None:
         """Raise RefusedError if a request may not be sent now."""
         if self._refuses(context):
--- /dev/null
+++ b/packages/edge/src/tallyhall_edge/request_reader.py
@@ -0,0 +1,359 @@
+"""Reads the requests of one connection from its bytes.
+
+Memory for a body is reserved before the body is read. While a large body waits
+for its memory, the connection is not read; after a while the request is
+refused, and its body is received and dropped.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+import httptools
+import msgspec
+
+from .body_memory import SMALL_BODY_BYTES, BodyMemory, BodyReservation
+from .messages import Headers, RequestHead, find_header
+from .request_body import RequestBody
+
+# Maximum time in seconds for which a body waits for its memory. Callers take a
+# request that is not read for a second for lost.
+_MAX_WAIT_S = 0.5
+# HTTP version without chunked encoding.
+_OLD_VERSION = '1.0'
+_BAD_REQUEST_STATUS = 400
+_TIMEOUT_STATUS = 408
+_TOO_LARGE_STATUS = 413
+_HEAD_TOO_LARGE_STATUS = 431
+
+
+class ServerLimits(msgspec.Struct, frozen=True):
+    """Limits of one connection, in bytes and seconds.
+
+    body_timeout_s: maximum time from the head of a request to its last byte.
+    """
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_s: float = 3
+    body_timeout_s: float = 10
+    idle_timeout_s: float = 15
+
+
+class Rejection(msgspec.Struct, frozen=True):
+    """The answer to a request that cannot be read."""
+
+    status: int
+    reason: bytes
+
+
+_BAD_REQUEST = Rejection(_BAD_REQUEST_STATUS, b'Bad Request')
+TIMED_OUT = Rejection(_TIMEOUT_STATUS, b'Request Timeout')
+_TOO_LARGE = Rejection(_TOO_LARGE_STATUS, b'Content Too Large')
+_HEAD_TOO_LARGE = Rejection(
+    _HEAD_TOO_LARGE_STATUS, b'Request Header Fields Too Large'
+)
+
+
+class IncomingRequest(msgspec.Struct, frozen=True):
+    """A request that is passed on to its handler.
+
+    received_at: when its first byte was received. is_refused: there was no
+    memory for its body, which is empty here.
+    """
+
+    head: RequestHead
+    body: RequestBody
+    received_at: float
+    keep_alive: bool = False
+    supports_chunked: bool = True
+    is_refused: bool = False
+
+
+class ReaderOwner(Protocol):
+    """The part of the server that a reader uses."""
+
+    @property
+    def limits(self) -> ServerLimits:
+        """Return the limits of a connection."""
+
+    @property
+    def bodies(self) -> BodyMemory:
+        """Return the memory for the bodies of requests."""
+
+    @property
+    def workspace_of(self) -> Callable[[RequestHead], str]:
+        """Return what finds the workspace of a request, empty if unknown."""
+
+
+class RequestListener(Protocol):
+    """Receives what is read from a connection."""
+
+    def on_request_begun(self, now: float) -> float:
+        """Handle the first byte; return when it was received."""
+
+    def on_head_read(self) -> None:
+        """Handle a complete head, before its body."""
+
+    def on_wait_changed(self) -> None:
+        """Handle that a body begins or ends to wait for its memory."""
+
+    def on_request_read(self, req: IncomingRequest) -> None:
+        """Handle a request that was read, or refused after its head."""
+
+    def on_rejected(self, rejection: Rejection) -> None:
+        """Handle a request that cannot be read; nothing follows it."""
+
+    def on_dropped(self) -> None:
+        """Handle the end of a request that was answered before its end."""
+
+
+class RequestReader:
+    """Parses requests and bounds what is held of each."""
+
+    def __init__(self, listener: RequestListener, owner: ReaderOwner) -> None:
+        """Report to the listener, under the limits of a server."""
+        self.began_at: float = 0
+        # Whether the request that is being read was answered; the rest of it
+        # is dropped.
+        self.is_answered = False
+        self.is_waiting = False
+        # Whether the caller waits for `100 Continue` before it sends the body.
+        self.expects_continue = False
+        self._listener = listener
+        self._owner = owner
+        self._bodies = owner.bodies
+        self._loop = asyncio.get_running_loop()
+        self._parser: httptools.HttpRequestParser | None = (
+            httptools.HttpRequestParser(self)
+        )
+        self._timer: asyncio.TimerHandle | None = None
+        self._reservation: BodyReservation | None = None
+        self._head: RequestHead | None = None
+        self._reset()
+
+    @property
+    def is_reading(self) -> bool:
+        """Return whether a request was received in part."""
+        return bool(self.began_at)
+
+    def feed(self, payload: bytes | memoryview) -> None:
+        """Parse received bytes."""
+        parser = self._parser
+        if parser is None:
+            return
+        try:
+            parser.feed_data(payload)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.reject(_BAD_REQUEST)
+            self.close()
+
+    def reject(self, rejection: Rejection) -> None:
+        """Answer the request that is being read; drop the rest of it."""
+        if self.is_answered:
+            return
+        self._answer()
+        if rejection is not _TOO_LARGE:
+            # What follows is no request, or does not come.
+            self.close()
+        self._listener.on_rejected(rejection)
+
+    def close(self) -> None:
+        """Drop what was read; nothing is parsed any more."""
+        self._drop_body()
+        self._parser = None
+        self.began_at = 0
+
+    # -- parser
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        if self._parser is None:
+            return
+        self._reset()
+        self.began_at = self._listener.on_request_begun(self._loop.time())
+
+    def on_url(self, url: bytes) -> None:
+        """Append to the request target, which may come in parts."""
+        if self.is_answered:
+            return
+        self._target += url
+        self._add_head_bytes(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store a header and check the size of the head."""
+        self._headers.append((name, value))
+        self._add_head_bytes(len(name) + len(value))
+
+    def on_headers_complete(self) -> None:
+        """Reserve memory for the body."""
+        parser = self._parser
+        if self.is_answered or parser is None:
+            return
+        head = RequestHead(
+            parser.get_method(), self._target, tuple(self._headers)
+        )
+        self._head = head
+        expectation = find_header(head.headers, b'expect')
+        if expectation is not None and expectation.lower() == b'100-continue':
+            self.expects_continue = True
+        self._reserve(head)
+        if not self.is_answered:
+            self._listener.on_head_read()
+
+    def on_body(self, piece: bytes) -> None:
+        """Append to the body and check its size."""
+        if self.is_answered:
+            return
+        size = self._body.size + len(piece)
+        if size > self._owner.limits.max_body_bytes:
+            self.reject(_TOO_LARGE)
+            return
+        if self._reserve_piece(size, len(piece)):
+            self._body.add(piece)
+
+    def on_message_complete(self) -> None:
+        """Pass on a request that was read completely."""
+        parser = self._parser
+        head = self._head
+        if self.is_answered or parser is None or head is None:
+            self._reset()
+            self._listener.on_dropped()
+            return
+        if self._reservation is not None:
+            # The length may have been unknown before.
+            self._reservation.shrink(self._body.size)
+        self._end_wait()
+        req = IncomingRequest(
+            head,
+            self._body,
+            self.began_at,
+            parser.should_keep_alive(),
+            parser.get_http_version() != _OLD_VERSION,
+        )
+        self._reset()
+        self._listener.on_request_read(req)
+
+    # -- memory for the body
+
+    def _reserve(self, head: RequestHead) -> None:
+        length = _stated_length(head.headers)
+        if length is None:
+            self._reservation = BodyReservation(self._bodies)
+            self._body = RequestBody(self._reservation)
+            return
+        if not length:
+            return
+        limit = self._owner.limits.max_body_bytes
+        if length > limit or self._bodies.exceeds_budget(length):
+            self.reject(_TOO_LARGE)
+            return
+        self._reservation = BodyReservation(self._bodies)
+        self._body = RequestBody(self._reservation)
+        if length > SMALL_BODY_BYTES:
+            self._reserve_large(self._reservation, length)
+        elif not self._bodies.reserve_small(self._reservation, length):
+            self._refuse()
+
+    def _reserve_piece(self, size: int, piece: int) -> bool:
+        """Return whether a piece may be kept of a body of now this size."""
+        reservation = self._reservation
+        if reservation is None or size <= reservation.held:
+            return True
+        if self._add_to_waiting(reservation, piece):
+            return True
+        if size <= SMALL_BODY_BYTES:
+            if self._bodies.reserve_small(reservation, piece):
+                return True
+            self._refuse()
+            return False
+        if reservation.wanted:
+            self.reject(_TOO_LARGE)
+            return False
+        self._reserve_large(reservation, self._bodies.most(self._max_bytes))
+        self._add_to_waiting(reservation, piece)
+        return not self.is_answered
+
+    def _add_to_waiting(self, reservation: BodyReservation, piece: int) -> bool:
+        """Count what was received together with what made the body wait."""
+        if self.is_waiting:
+            reservation.add(piece)
+        return self.is_waiting
+
+    def _reserve_large(self, reservation: BodyReservation, size: int) -> None:
+        head = self._head
+        if head is not None:
+            reservation.workspace = self._owner.workspace_of(head)
+        self.is_waiting = True
+        if not self._bodies.reserve_large(reservation, size, self._on_granted):
+            self.is_waiting = False
+            self._refuse()
+            return
+        if self.is_waiting:
+            self._timer = self._loop.call_later(_MAX_WAIT_S, self._refuse)
+            self._listener.on_wait_changed()
+
+    def _on_granted(self) -> None:
+        self._end_wait()
+
+    def _end_wait(self) -> None:
+        self.is_waiting = False
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+            self._listener.on_wait_changed()
+
+    def _refuse(self) -> None:
+        """Pass on a request without its body, as there is no memory for it."""
+        head = self._head
+        if head is None or self.is_answered:
+            return
+        self._bodies.refused += 1
+        req = IncomingRequest(
+            head, RequestBody(), self.began_at, is_refused=True
+        )
+        self._answer()
+        self._listener.on_request_read(req)
+
+    def _answer(self) -> None:
+        self.is_answered = True
+        self._drop_body()
+
+    def _drop_body(self) -> None:
+        self._body.release()
+        self._reservation = None
+        self._end_wait()
+
+    # -- internals
+
+    @property
+    def _max_bytes(self) -> int:
+        return self._owner.limits.max_body_bytes
+
+    def _reset(self) -> None:
+        self._target = b''
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._head_bytes = 0
+        self._head = None
+        self._body = RequestBody()
+        self._reservation = None
+        self.began_at = 0
+        self.is_answered = False
+        self.expects_continue = False
+
+    def _add_head_bytes(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > self._owner.limits.max_header_bytes:
+            self.reject(_HEAD_TOO_LARGE)
+
+
+def _stated_length(headers: Headers) -> int | None:
+    """Return the length of a body, None if it comes in chunks."""
+    text = find_header(headers, b'content-length')
+    if text is not None:
+        return int(text)
+    if find_header(headers, b'transfer-encoding') is not None:
+        return None
+    return 0
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -21,6 +21,7 @@
 from .guard import Fingerprint, Guard
 from .job_factory import JobFactory, JobSource
 from .memory_shedding import MemoryShedding, wait_error
+from .messages import RequestHead
 from .relay import Relay
 from .request_context import ANSWERED, RequestContext, record_send
 from .request_log import RequestLog
@@ -91,6 +92,14 @@
         """Refuse waiting requests if the memory budget is used up."""
         self.shedding.refuse_waiting(self._pending, self._loop.time())
 
+    def workspace_of(self, head: RequestHead) -> str:
+        """Return the workspace of a request, empty if it is unknown."""
+        try:
+            call = self._codec.parse_request(head)
+        except InvalidHeaderError:
+            return ''
+        return self._gate.workspace_name(call.key)
+
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
         try:
@@ -180,7 +189,7 @@
             head.method,
             head.target,
             caller.encode(),
-            exchange.body,
+            body=exchange.request_body.blocks,
         )
         service = admitted.service
         parts = tuple(f'{service}/{part}' for part in call.parts)
@@ -201,6 +210,7 @@
         )
 
     async def _serve(self, context: RequestContext) -> None:
+        self.shedding.check_body(context)
         self._check_stop(context)
         await self._versions.find(context)
         while True:
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -312,9 +312,10 @@
             self._guard.established, context.permit
         )
         conn.send(
-            self._encode_request(context, upstream),
+            self._encode_head(context, upstream),
             relay,
             context.call.request_id,
+            context.exchange.request_body.blocks,
         )
         context.may_have_run += 1
         if context.retry is not None:
@@ -370,7 +371,7 @@
         prefill_s = context.call.prompt_tokens * _PREFILL_S_PER_TOKEN
         return _SILENCE_FRACTION * objective_s + prefill_s
 
-    def _encode_request(
+    def _encode_head(
         self, context: RequestContext, upstream: Upstream
     ) -> bytes:
         exchange = context.exchange
@@ -385,11 +386,11 @@
         head = exchange.head
         headers = self._codec.upstream_headers(
             head,
-            len(exchange.body),
+            exchange.request_body.size,
             info,
         )
         line = b'%b %b HTTP/1.1' % (head.method, head.target)
-        return encode_head(line, headers) + exchange.body
+        return encode_head(line, headers)
 
     def _reserve_retry(self, context: RequestContext) -> bool:
         """Return whether the retry budget allows a retry; reserve it."""
--- a/packages/edge/src/tallyhall_edge/server.py
+++ b/packages/edge/src/tallyhall_edge/server.py
@@ -5,16 +5,21 @@
 import asyncio
 from collections.abc import Callable
 
-from .caller_connection import ServerConnection, ServerLimits
+from .body_memory import BodyMemory
+from .caller_connection import ServerConnection
 from .connection_memory import MemoryMonitor
 from .exchange import RequestHandler
-from .memory_budget import MemoryBudget
+from .memory_budget import MemoryBudget, budget_bytes
+from .messages import RequestHead
+from .request_reader import ServerLimits
 
 # Length of the listen queue. If it is full, a caller's SYN is dropped and sent
 # again, which delays the caller by seconds.
 _BACKLOG = 1024
 # Default maximum of simultaneous connections.
 _MAX_CONNECTIONS = 1000
+# Maximum bytes of one read.
+_RECEIVE_BYTES = 65_536
 
 
 class HttpServer:
@@ -27,15 +32,18 @@
         limits: ServerLimits,
         max_connections: int = _MAX_CONNECTIONS,
         memory: MemoryMonitor | None = None,
-        budget: MemoryBudget | None = None,
+        bodies: BodyMemory | None = None,
     ) -> None:
         """Pass requests to `handle_request`, its exceptions to `on_error`.
 
         memory: counts what the connections of slow peers hold; None for no
-        limit. budget: counts the bodies of requests that have not ended.
+        limit. bodies: the memory for the bodies of requests, None for some of
+        its own.
         """
         self.memory = memory
-        self.budget = budget
+        self.bodies = bodies or BodyMemory(MemoryBudget(budget_bytes(0, None)))
+        self.receive_buffer = bytearray(_RECEIVE_BYTES)
+        self.workspace_of: Callable[[RequestHead], str] = _unknown_workspace
         self.max_connections = max_connections
         self.rejected_connections = 0
         self.handle_request = handle_request
@@ -102,3 +110,7 @@
     def discard(self, conn: ServerConnection) -> None:
         """Unregister a connection."""
         self._conns.discard(conn)
+
+
+def _unknown_workspace(head: RequestHead) -> str:
+    return ''
--- a/packages/edge/src/tallyhall_edge/tunnel_server.py
+++ b/packages/edge/src/tallyhall_edge/tunnel_server.py
@@ -207,6 +207,7 @@
         other = self.other
         if other is None or other.transport is None:
             return
+        self.other = None
         if exc is None:
             other.transport.close()
         else:
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -18,8 +18,8 @@
 from tallyhall_dispatch.fleet import FleetMembership
 from tallyhall_dispatch.options import Options
 from tallyhall_dispatch.quota_limits import FleetView
-from tallyhall_edge.caller_connection import ServerLimits
 from tallyhall_edge.dispatcher import Dispatcher
+from tallyhall_edge.request_reader import ServerLimits
 from tallyhall_edge.server import HttpServer
 from tallyhall_edge.stopping import StopSchedule
 from tallyhall_platform.call_counts import CallCounts
@@ -81,6 +81,8 @@
 _CLIENT_DESCRIPTOR_SHARE = 0.6
 # Ownership key: the owner of this name writes the quota usage to the store.
 _USAGE_WRITER_KEY = 'use of quotas'
+# Limits of calls to the instance itself, which have no bodies.
+_CALL_LIMITS = ServerLimits(max_body_bytes=1024)
 # Settings that are applied without a restart.
 _RELOADABLE_SETTINGS = frozenset(('store', 'bounds'))
 
@@ -159,8 +161,9 @@
             ServerLimits(),
             int(options.descriptors * _CLIENT_DESCRIPTOR_SHARE),
             self.memory.monitor,
-            self.memory.budget,
+            self.memory.bodies,
         )
+        self._front.workspace_of = self._runner.workspace_of
         self.memory.limit_components(self._front, self._runner)
         self._membership = FleetMembership(
             options.instance,
@@ -188,7 +191,7 @@
         self._servers = (
             self._front,
             *(
-                HttpServer(respond, self._log_request_failure, ServerLimits())
+                HttpServer(respond, self._log_request_failure, _CALL_LIMITS)
                 for respond in (
                     self._endpoints.ready,
                     self._endpoints.locate,
--- a/packages/entry/src/tallyhall_entry/memory.py
+++ b/packages/entry/src/tallyhall_entry/memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tallyhall_core.events import Event
+from tallyhall_edge.body_memory import BodyMemory
 from tallyhall_edge.connection_memory import MemoryMonitor
 from tallyhall_edge.memory_budget import MemoryBudget, Step, budget_bytes
 from tallyhall_edge.runner import RequestPipeline
@@ -37,6 +38,8 @@
         limit: 0 if it is unknown.
         """
         self.budget = MemoryBudget(budget_bytes(limit, None))
+        has_steps = limit > 0 and has_slow_peers
+        self.bodies = BodyMemory(self.budget, has_steps=has_steps)
         self.monitor: MemoryMonitor | None = None
         self._limit = limit
         self._log = log
@@ -44,7 +47,7 @@
         self._runner: RequestPipeline | None = None
         self._polled_at: float = 0
         metrics.memory = self.budget
-        if limit and has_slow_peers:
+        if has_steps:
             self.budget.on_step = self._on_step
             self.monitor = MemoryMonitor(self.budget)
 
@@ -67,6 +70,7 @@
             return
         self._polled_at = now
         self.monitor.poll(now)
+        self.bodies.grant_waiting()
         if self._runner is not None:
             self._runner.shed_waiting()
 
--- a/tests/platform/test_edge_server.py
+++ b/tests/platform/test_edge_server.py
@@ -6,7 +6,7 @@
 
 import pytest
 from tallyhall_bench.ports import free_ports
-from tallyhall_edge.caller_connection import ServerLimits
+from tallyhall_edge.request_reader import ServerLimits
 from tallyhall_edge.errors import ExchangeEndedError
 from tallyhall_edge.exchange import Exchange
 from tallyhall_edge.server import HttpServer
