Heads and chunks without end are bounded by what was received

A caller could make an instance hold any amount before its timeout: a header line, a header name or a trailer without end, 64 KB after 64 KB for 3 to 10 s.

Cause: limits counted what the parser had reported, and the parser gathers a line until it is complete. Header lines of a few bytes were counted without their separators, and each takes many times its length. Trailers were taken for headers, and were passed on as such; they are dropped now.

The reader counts the bytes received of a message that are not its body, with an allowance for chunks, and takes 256 headers at most.

--- a/packages/edge/src/tallyhall_edge/request_reader.py
+++ b/packages/edge/src/tallyhall_edge/request_reader.py
@@ -15,9 +15,14 @@
 import msgspec
 
 from .body_memory import SMALL_BODY_BYTES, BodyMemory, BodyReservation
+from .framing import FramingCounter
 from .messages import Headers, RequestHead, find_header
 from .request_body import RequestBody
 
+# Maximum number of headers of a request; each takes many times its length.
+_MAX_HEADERS = 256
+# Bytes of a header line beside its name and value.
+_LINE_OVERHEAD = 4
 # Maximum time in seconds for which a body waits for its memory. Callers take a
 # request that is not read for a second for lost.
 _MAX_WAIT_S = 0.5
@@ -129,6 +134,8 @@
         self._parser: httptools.HttpRequestParser | None = (
             httptools.HttpRequestParser(self)
         )
+        self._framing = FramingCounter()
+        self._messages = 0
         self._timer: asyncio.TimerHandle | None = None
         self._reservation: BodyReservation | None = None
         self._head: RequestHead | None = None
@@ -144,11 +151,15 @@
         parser = self._parser
         if parser is None:
             return
+        message = self._messages if self.began_at else 0
         try:
             parser.feed_data(payload)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.reject(_BAD_REQUEST)
             self.close()
+            return
+        if message == self._messages and self.began_at:
+            self._count_framing(len(payload))
 
     def reject(self, rejection: Rejection) -> None:
         """Answer the request that is being read; drop the rest of it."""
@@ -173,6 +184,7 @@
         if self._parser is None:
             return
         self._reset()
+        self._messages += 1
         self.began_at = self._listener.on_request_begun(self._loop.time())
 
     def on_url(self, url: bytes) -> None:
@@ -183,9 +195,14 @@
         self._add_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header and check the size of the head."""
+        """Store a header and check the size of the head; drop trailers."""
+        if self.is_answered or self._head is not None:
+            return
+        if len(self._headers) >= _MAX_HEADERS:
+            self.reject(_HEAD_TOO_LARGE)
+            return
         self._headers.append((name, value))
-        self._add_head_bytes(len(name) + len(value))
+        self._add_head_bytes(len(name) + len(value) + _LINE_OVERHEAD)
 
     def on_headers_complete(self) -> None:
         """Reserve memory for the body."""
@@ -205,6 +222,7 @@
 
     def on_body(self, piece: bytes) -> None:
         """Append to the body and check its size."""
+        self._framing.add_body(len(piece))
         if self.is_answered:
             return
         size = self._body.size + len(piece)
@@ -339,6 +357,7 @@
         self._head = None
         self._body = RequestBody()
         self._reservation = None
+        self._framing.reset()
         self.began_at = 0
         self.is_answered = False
         self.expects_continue = False
@@ -348,6 +367,16 @@
         if self._head_bytes > self._owner.limits.max_header_bytes:
             self.reject(_HEAD_TOO_LARGE)
 
+    def _count_framing(self, size: int) -> None:
+        self._framing.add_received(size)
+        if not self._framing.exceeds(self._owner.limits.max_header_bytes):
+            return
+        if self.is_answered:
+            self.close()
+            self._listener.on_dropped()
+            return
+        self.reject(_HEAD_TOO_LARGE if self._head is None else _BAD_REQUEST)
+
 
 def _stated_length(headers: Headers) -> int | None:
     """Return the length of a body, None if it comes in chunks."""
