Answers without end are cut off at a bound of what was received

Callers got 504 for safe requests beside three sound upstreams, and an instance took up to 2,272 MB in 20 s, while one upstream of four sent a head, trailers, interim answers or answers to other requests without end (findings of the users, not measured again on processes).

The parser gathers a line until it is complete, so a bound has to count what was received.

A connection now counts, from the request on, all received bytes that are not the body of the answer: over 64 KB, with an allowance for chunks, over 1 MB of bodies of other answers or over 256 headers it is reset at once. Trailers are dropped.

--- a/packages/edge/src/tallyhall_edge/client.py
+++ b/packages/edge/src/tallyhall_edge/client.py
@@ -25,6 +25,7 @@
     NotSentError,
     UpstreamStalledError,
 )
+from .framing import MAX_HEADERS, FramingCounter
 from .messages import Headers, ResponseHead, find_header
 
 # Milliseconds without acknowledgement after which a peer counts as dead.
@@ -38,6 +39,11 @@
     (socket.TCP_KEEPCNT, 3),
 )
 _MIN_FINAL_STATUS = 200
+# Maximum bytes of a response beside its body, with interim responses and
+# trailers.
+_MAX_FRAMING_BYTES = 65_536
+# Maximum bytes of the bodies of responses to other requests.
+_MAX_SKIPPED_BYTES = 1_048_576
 # Requests up to this size in bytes are written at once. The blocks of a larger
 # one are written as the upstream reads them, since the transport copies what
 # it cannot send.
@@ -96,7 +102,9 @@
         self._sink: ResponseSink | None = None
         self._expected_id = b''
         self._tainted = False
+        self._framing = FramingCounter()
         self._skipping = False
+        self._skipped_bytes = 0
         self._framed = True
         self._interim = False
         self._headers: list[tuple[bytes, bytes]] = []
@@ -147,6 +155,8 @@
         self.reusable = False
         self._sink = sink
         self._expected_id = expected_id
+        self._framing.reset()
+        self._skipped_bytes = 0
         self._unwritten.extend(_written_blocks(raw, body))
         self._write_blocks()
 
@@ -244,12 +254,14 @@
         if self._sink is None or parser is None:
             self.close()
             return
+        self._framing.add_received(len(data))
         try:
             parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            self._tainted = True
-            self._end(InvalidResponseError(f'malformed response: {exc!r}'))
-            self.close()
+            self.fail(InvalidResponseError(f'malformed response: {exc!r}'))
+            return
+        if self._sink is not None:
+            self._check_size()
 
     # -- parser
 
@@ -265,7 +277,9 @@
         self._reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
+        """Store a header; drop trailers, and more headers than allowed."""
+        if self._in_body or len(self._headers) > MAX_HEADERS:
+            return
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -273,6 +287,9 @@
         parser = self._parser
         if self._sink is None or parser is None:
             return
+        if len(self._headers) > MAX_HEADERS:
+            self.fail(InvalidResponseError(f'over {MAX_HEADERS} headers'))
+            return
         status = parser.get_status_code()
         self._interim = status < _MIN_FINAL_STATUS
         if self._interim:
@@ -289,7 +306,12 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body to the sink."""
-        if self._sink is not None and not self._skipping:
+        if self._skipping:
+            self._skipped_bytes += len(body)
+            self._framing.add_received(-len(body))
+            return
+        self._framing.add_body(len(body))
+        if self._sink is not None:
             self._sink.on_data(body)
 
     def on_message_complete(self) -> None:
@@ -317,6 +339,12 @@
             UpstreamStalledError('the upstream does not read the request')
         )
 
+    def _check_size(self) -> None:
+        """Fail a response with more bytes beside its body than allowed."""
+        exceeds = self._framing.exceeds(_MAX_FRAMING_BYTES)
+        if exceeds or self._skipped_bytes > _MAX_SKIPPED_BYTES:
+            self.fail(InvalidResponseError('too long beside its body'))
+
     def _has_written_all(self) -> bool:
         # An upstream may answer before it has read the whole request; no other
         # request may be written behind the unsent rest.
--- a/packages/edge/src/tallyhall_edge/framing.py
+++ b/packages/edge/src/tallyhall_edge/framing.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+# Maximum number of headers of a message; each takes many times its length.
+MAX_HEADERS = 256
 # Bytes of chunk sizes and line ends that are allowed for each byte of a body.
 _MAX_FRAMING_PER_BYTE = 16
 
--- a/packages/edge/src/tallyhall_edge/request_reader.py
+++ b/packages/edge/src/tallyhall_edge/request_reader.py
@@ -15,12 +15,10 @@
 import msgspec
 
 from .body_memory import SMALL_BODY_BYTES, BodyMemory, BodyReservation
-from .framing import FramingCounter
+from .framing import MAX_HEADERS, FramingCounter
 from .messages import Headers, RequestHead, find_header
 from .request_body import RequestBody
 
-# Maximum number of headers of a request; each takes many times its length.
-_MAX_HEADERS = 256
 # Bytes of a header line beside its name and value.
 _LINE_OVERHEAD = 4
 # Maximum time in seconds for which a body waits for its memory. Callers take a
@@ -198,7 +196,7 @@
         """Store a header and check the size of the head; drop trailers."""
         if self.is_answered or self._head is not None:
             return
-        if len(self._headers) >= _MAX_HEADERS:
+        if len(self._headers) >= MAX_HEADERS:
             self.reject(_HEAD_TOO_LARGE)
             return
         self._headers.append((name, value))
