An error without end is not passed on

Cause: an error that exceeds what is buffered was passed on as it came. One that states no length, or over 1 MB, now ends the send at the limit of the buffer: the request goes to another upstream if it may, or is answered with a complete 502. An error of a stated length up to 1 MB is passed on as before.

Test: before, requests that are not repeatable got a 500 that never ended; now 200 or a complete 502.

--- a/packages/edge/src/tallyhall_edge/relay.py
+++ b/packages/edge/src/tallyhall_edge/relay.py
@@ -15,7 +15,11 @@
 
 from .client import ClientConnection, is_framed
 from .dialect import HeaderCodec, ResponseInfo
-from .errors import ConnectionFailedError, ConnectionLostError
+from .errors import (
+    ConnectionFailedError,
+    ConnectionLostError,
+    InvalidResponseError,
+)
 from .events import BadEventError, EventSplitter, StreamEvent
 from .exchange import Exchange
 from .memory_budget import Holder
@@ -23,6 +27,8 @@
 
 # Answers up to this size in bytes are buffered until they are complete.
 _MAX_BUFFERED_BYTES = 65_536
+# Maximum size in bytes of an answer that is no success.
+_MAX_ERROR_BYTES = 1_048_576
 _FIRST_SERVER_ERROR = 500
 # A stream is established once so many events have come and so much time has
 # passed since the first, in seconds.
@@ -183,8 +189,12 @@
             return
         self._buffered.append(payload)
         self._hold(len(payload))
-        if self._buffered_bytes > self._buffer_limit():
-            self._start_passthrough()
+        if self._buffered_bytes <= self._buffer_limit():
+            return
+        if self._is_endless_error():
+            self.on_end(InvalidResponseError('an error without end'))
+            return
+        self._start_passthrough()
 
     def on_end(self, exc: ConnectionFailedError | None) -> None:
         """Determine how the answer ended; `exc` is None if it is complete."""
@@ -315,6 +325,14 @@
         is_success = self.head is not None and self.head.is_success
         return 0 if is_success else _MAX_BUFFERED_BYTES
 
+    def _is_endless_error(self) -> bool:
+        """Return whether an error has no stated length, or a huge one."""
+        head = self.head
+        if head is None or head.is_success:
+            return False
+        length = _stated_length(head.headers)
+        return length is None or length > _MAX_ERROR_BYTES
+
     def _finish(self, ending: AttemptOutcome) -> None:
         self.begun.set()
         if not self.done.done():
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -49,6 +49,10 @@
     ),
     'other answers': (b'', (_OK + _OTHER) * 1000),
 }
+_ERROR = (
+    b'HTTP/1.1 500 Broken\r\n' + _CHUNKED,
+    b'1000\r\n' + b'x' * 4096 + b'\r\n',
+)
 _FORMS = pytest.mark.parametrize('form', _ENDLESS)
 
 
@@ -209,11 +213,11 @@
         server.close()
 
 
-@_FORMS
+@pytest.mark.parametrize('form', (*_ENDLESS, 'an error'))
 async def test_safe_requests_are_served_beside_endless_answers(
     form: str,
 ) -> None:
-    begin, more = _ENDLESS[form]
+    begin, more = (_ENDLESS | {'an error': _ERROR})[form]
     async with _beside_sound(begin, more) as (made, bad):
         answers = await asyncio.gather(
             *(made.caller().ask('/safe/x', f'r{number}') for number in range(8))
@@ -223,3 +227,14 @@
         async with asyncio.timeout(1):
             while bad.open:
                 await asyncio.sleep(0.01)
+
+
+async def test_an_error_without_end_becomes_a_complete_answer() -> None:
+    """It was passed on until the caller's time was over."""
+    async with _beside_sound(*_ERROR) as (made, bad):
+        answers = await asyncio.gather(
+            *(made.caller().ask('/once/x', f'r{number}') for number in range(8))
+        )
+        assert bad.asked
+        assert {answer.status for answer in answers} == {200, 502}
+        assert all(answer.whole for answer in answers)
