--- a/packages/entry/src/tallyhall_entry/exposition.py
+++ b/packages/entry/src/tallyhall_entry/exposition.py
@@ -146,8 +146,19 @@
             'How often each step of the memory budget was entered.',
             labels=('step',),
         )
-        memory = self._metrics.memory
-        if memory is not None:
+        bodies = self._metrics.bodies
+        if bodies is not None:
+            memory = bodies.budget
+            yield GaugeMetricFamily(
+                'tallyhall_waiting_bodies',
+                'Bodies of requests that wait unread for their memory.',
+                bodies.waiting,
+            )
+            yield CounterMetricFamily(
+                'tallyhall_refused_bodies',
+                'Requests refused as there was no memory for their bodies.',
+                bodies.refused,
+            )
             size.add_metric((), memory.size)
             for holder, count in memory.held.items():
                 held.add_metric((holder.value,), count)
--- a/packages/entry/src/tallyhall_entry/memory.py
+++ b/packages/entry/src/tallyhall_entry/memory.py
@@ -46,7 +46,7 @@
         self._front: HttpServer | None = None
         self._runner: RequestPipeline | None = None
         self._polled_at: float = 0
-        metrics.memory = self.budget
+        metrics.bodies = self.bodies
         if has_steps:
             self.budget.on_step = self._on_step
             self.monitor = MemoryMonitor(self.budget)
--- a/packages/entry/src/tallyhall_entry/metrics.py
+++ b/packages/entry/src/tallyhall_entry/metrics.py
@@ -15,7 +15,7 @@
 
 import msgspec
 from tallyhall_dispatch.retries import RetryUse
-from tallyhall_edge.memory_budget import MemoryBudget
+from tallyhall_edge.body_memory import BodyMemory
 
 from .logs import BoundedStream
 
@@ -128,7 +128,7 @@
         self.retry_use: Mapping[str, RetryUse] = {}
         self.paths = PathCounts()
         self.desired_state = DesiredStateStatus()
-        self.memory: MemoryBudget | None = None
+        self.bodies: BodyMemory | None = None
 
     def ended(self, kind: str, outcome: str, total_s: float) -> None:
         """Count a request that has ended."""
--- a/tests/platform/test_large_bodies.py
+++ b/tests/platform/test_large_bodies.py
@@ -145,6 +145,8 @@
             if refused.status == 503:
                 assert float(refused.header('retry-after')) > 0
         assert len(upstream.ran) == len(served)
+        bodies = made.instances[0].memory.bodies
+        assert bodies.refused == len(answers) - len(served)
         await until(lambda: budget.held[Holder.request_bodies] == 0)
         assert (await _ask(made, 'last', _LARGEST)).status == 200
 
