--- a/packages/edge/src/tallyhall_edge/body_memory.py
+++ b/packages/edge/src/tallyhall_edge/body_memory.py
@@ -122,6 +122,7 @@
         if self._may_wait():
             return True
         self._waiting.pop(reservation.serial)
+        reservation.wanted = 0
         return False
 
     def grant_waiting(self) -> None:
--- a/packages/edge/src/tallyhall_edge/caller_connection.py
+++ b/packages/edge/src/tallyhall_edge/caller_connection.py
@@ -135,6 +135,8 @@
         self._transport = None
         self._reader.close()
         self._drop_pipelined()
+        if self._current is not None:
+            self._current.release_body()
         if self._task is not None:
             self._task.cancel()
 
@@ -219,6 +221,7 @@
     def on_dropped(self) -> None:
         """Close, as the caller has sent the rest of an answered request."""
         if self._is_lingering:
+            self._reader.close()
             self.close()
 
     # -- used by exchanges
--- a/tests/platform/test_body_memory.py
+++ b/tests/platform/test_body_memory.py
@@ -29,6 +29,9 @@
     def has_memory(self) -> bool:
         return self._granted
 
+    def fail(self) -> None:
+        raise AssertionError('granted')
+
     def _grant(self) -> None:
         self._granted = True
 
@@ -97,6 +100,22 @@
     assert bodies.exceeds_budget(_SIZE + 1)
 
 
+def test_a_body_that_may_not_wait_frees_no_memory_of_others() -> None:
+    """A part of it may have been reserved before, as it came in chunks."""
+    bodies = _bodies()
+    asked = [_Asked(bodies, 4 * _MB, f'w{number}') for number in range(7)]
+    while asked[-1].accepted:
+        asked.append(_Asked(bodies, 4 * _MB, 'flood'))
+    for _ in range(50):
+        chunked = BodyReservation(bodies)
+        assert bodies.reserve_small(chunked, SMALL_BODY_BYTES)
+        assert not bodies.reserve_large(chunked, 4 * _MB, asked[0].fail)
+        chunked.release()
+    held = bodies.budget.total
+    asked[-1].reservation.release()
+    assert bodies.budget.total == held
+
+
 def test_few_bodies_wait_at_a_time() -> None:
     """What has been received of those that wait takes memory, too."""
     bodies = _bodies()
--- a/tests/platform/test_edge_server.py
+++ b/tests/platform/test_edge_server.py
@@ -133,6 +133,20 @@
     assert not served.failures
 
 
+async def test_nothing_behind_a_refused_request_is_run() -> None:
+    """Its answer says that the connection is closed."""
+    served = _EchoServer()
+    reader, writer = await served.open()
+    large = _post(b'z' * 101)
+    writer.write(large[:-1])
+    await reader.readuntil(b'Connection: close\r\n\r\n')
+    writer.write(large[-1:] + _post(b'two'))
+    async with asyncio.timeout(2):
+        assert await reader.read() == b''
+    await asyncio.sleep(0.1)
+    assert not served.bodies
+
+
 async def test_idle_connections_are_closed() -> None:
     served = _EchoServer()
     reader, writer = await served.open()
