A closed reader rejects nothing more

Read in the diff: a further request received together with a rejected one could be answered as well, if the first answer was not yet written to the kernel. The new test passed before, too, as its answer is written at once.

--- a/packages/edge/src/tallyhall_edge/request_reader.py
+++ b/packages/edge/src/tallyhall_edge/request_reader.py
@@ -161,7 +161,7 @@
 
     def reject(self, rejection: Rejection) -> None:
         """Answer the request that is being read; drop the rest of it."""
-        if self.is_answered:
+        if self.is_answered or self._parser is None:
             return
         self._answer()
         if rejection is not _TOO_LARGE:
--- a/tests/platform/test_edge_server.py
+++ b/tests/platform/test_edge_server.py
@@ -118,6 +118,18 @@
     assert not served.bodies
 
 
+async def test_a_rejected_connection_gets_one_answer() -> None:
+    """Further requests may have been received together with the first."""
+    served = _EchoServer()
+    reader, writer = await served.open()
+    target = b'GET /' + b'y' * 400 + b' HTTP/1.1\r\nHost: x\r\n\r\n'
+    writer.write(target * 3)
+    async with asyncio.timeout(2):
+        answer = await reader.read()
+    assert answer.count(b'HTTP/1.1 431 ') == 1
+    assert answer.count(b'HTTP/1.1') == 1
+
+
 @pytest.mark.parametrize('half', [False, True])
 async def test_a_disconnect_cancels_the_request(half: bool) -> None:
     served = _EchoServer()
