--- a/packages/entry/src/tallyhall_entry/exposition.py
+++ b/packages/entry/src/tallyhall_entry/exposition.py
@@ -146,25 +146,27 @@
             'How often each step of the memory budget was entered.',
             labels=('step',),
         )
+        waiting = GaugeMetricFamily(
+            'tallyhall_waiting_bodies',
+            'Bodies of requests that wait unread for their memory.',
+            labels=(),
+        )
+        refused = CounterMetricFamily(
+            'tallyhall_refused_bodies',
+            'Requests refused as there was no memory for their bodies.',
+            labels=(),
+        )
         bodies = self._metrics.bodies
         if bodies is not None:
             memory = bodies.budget
-            yield GaugeMetricFamily(
-                'tallyhall_waiting_bodies',
-                'Bodies of requests that wait unread for their memory.',
-                bodies.waiting,
-            )
-            yield CounterMetricFamily(
-                'tallyhall_refused_bodies',
-                'Requests refused as there was no memory for their bodies.',
-                bodies.refused,
-            )
+            waiting.add_metric((), bodies.waiting)
+            refused.add_metric((), bodies.refused)
             size.add_metric((), memory.size)
             for holder, count in memory.held.items():
                 held.add_metric((holder.value,), count)
             for step in tuple(Step)[1:]:
                 steps.add_metric((step.name,), memory.entered[step])
-        yield from (size, held, steps)
+        yield from (size, held, steps, waiting, refused)
 
     def _histograms(self) -> Iterator[Metric]:
         requests = HistogramMetricFamily(
