One statement of what a connection and its reader use of a server

Two protocols named limits, bodies and workspace_of; the connection's now extends the reader's. The reader passes `_end_wait` itself as what is called when memory is granted. The digest of content has one loop for parts and for the blocks of a body. No behaviour changes: the tests of content, the server and large bodies pass unchanged.

--- a/packages/core/src/tallyhall_core/content.py
+++ b/packages/core/src/tallyhall_core/content.py
@@ -24,12 +24,12 @@
     not matter.
     """
     digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
-    for part in parts:
-        # The length prefix keeps the boundaries between parts unambiguous.
-        digest.update(b'%d:' % len(part))
-        digest.update(part)
+    fields: list[Sequence[bytes | bytearray]] = [(part,) for part in parts]
     if body is not None:
-        digest.update(b'%d:' % sum(map(len, body)))
-        for block in body:
+        fields.append(body)
+    for blocks in fields:
+        # The length prefix keeps the boundaries between parts unambiguous.
+        digest.update(b'%d:' % sum(map(len, blocks)))
+        for block in blocks:
             digest.update(block)
     return digest.hexdigest()
--- a/packages/edge/src/tallyhall_edge/caller_connection.py
+++ b/packages/edge/src/tallyhall_edge/caller_connection.py
@@ -17,7 +17,6 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from .body_memory import BodyMemory
 from .connection_memory import CallerMemory, MemoryMonitor
 from .exchange import Exchange, RequestHandler
 from .messages import RequestHead
@@ -25,9 +24,9 @@
 from .request_reader import (
     TIMED_OUT,
     IncomingRequest,
+    ReaderOwner,
     Rejection,
     RequestReader,
-    ServerLimits,
 )
 
 # Pipelined requests that may be queued before reading is paused.
@@ -39,12 +38,8 @@
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
-class ConnectionOwner(Protocol):
-    """The part of the server that a connection uses."""
-
-    @property
-    def limits(self) -> ServerLimits:
-        """Return the limits of a connection."""
+class ConnectionOwner(ReaderOwner, Protocol):
+    """The part of the server that a connection and its reader use."""
 
     @property
     def stopping(self) -> bool:
@@ -62,18 +57,10 @@
     def memory(self) -> MemoryMonitor | None:
         """Return what counts the memory of connections, if anything does."""
 
-    @property
-    def bodies(self) -> BodyMemory:
-        """Return the memory for the bodies of requests."""
-
     @property
     def receive_buffer(self) -> bytearray:
         """Return a buffer that holds received bytes until they are parsed."""
 
-    @property
-    def workspace_of(self) -> Callable[[RequestHead], str]:
-        """Return what finds the workspace of a request, empty if unknown."""
-
     def add(self, conn: ServerConnection) -> bool:
         """Register a connection; return False if there are too many."""
 
--- a/packages/edge/src/tallyhall_edge/request_reader.py
+++ b/packages/edge/src/tallyhall_edge/request_reader.py
@@ -303,7 +303,7 @@
         if head is not None:
             reservation.workspace = self._owner.workspace_of(head)
         self.is_waiting = True
-        if not self._bodies.reserve_large(reservation, size, self._on_granted):
+        if not self._bodies.reserve_large(reservation, size, self._end_wait):
             self.is_waiting = False
             self._refuse()
             return
@@ -311,9 +311,6 @@
             self._timer = self._loop.call_later(_MAX_WAIT_S, self._refuse)
             self._listener.on_wait_changed()
 
-    def _on_granted(self) -> None:
-        self._end_wait()
-
     def _end_wait(self) -> None:
         self.is_waiting = False
         if self._timer is not None:
