--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -29,8 +29,6 @@
 
 _MB = 1_000_000
 _PIECE = 65_536
-# Time in which an instance earns the retries of a test.
-_RETRIES_EARNED_S = 20
 _OK = b'HTTP/1.1 200 OK\r\n'
 _SIGNED = b'X-Tallyhall-Response-Signature: s\r\n'
 _CHUNKED = _SIGNED + b'Transfer-Encoding: chunked\r\n\r\n'
@@ -208,7 +206,7 @@
         made.register('bad', f'{HOST}:{bad.port}', PLAIN)
         await made.add_engine('plain-0', PLAIN)
         await made.ready()
-        await asyncio.sleep(_RETRIES_EARNED_S)
+        await made.until_retries_are_earned()
         yield made, bad
         server.close()
 
