Four plays share how their options become plays

retry_run had written again what versions_run, limit_run and isolation_run do: the product of the chosen options and seeds, played a few at a time, with an exit code. plays.play_chosen does it for all four. rollout_run goes through its seeds first and keeps its own.

--- a/packages/bench/src/tallyhall_bench/isolation_run.py
+++ b/packages/bench/src/tallyhall_bench/isolation_run.py
@@ -12,7 +12,6 @@
 import asyncio
 import dataclasses
 import functools
-import itertools
 import random
 import sys
 import types
@@ -23,7 +22,7 @@
 from .platform_fleet import EntryProcess, PlatformFleet, platform_fleet
 from .platform_load import Caller, Tried, keep_calling
 from .platform_run import STREAMED, doubled, is_served, usual_state
-from .plays import Share, add_options, play_all
+from .plays import Share, add_options, play_chosen
 from .upstream_links import MODES, UpstreamLinks
 
 _INSTANCES = 6
@@ -274,14 +273,13 @@
     parser.add_argument('--mode', action='append', choices=MODES)
     add_options(parser, at_once=2)
     args = parser.parse_args()
-    chosen = itertools.product(
+    return play_chosen(
+        HEADING,
+        play_isolation,
+        args,
         args.case or CASES,
         args.mode or MODES,
-        range(args.seed, args.seed + args.seeds),
     )
-    starts = [functools.partial(play_isolation, *one) for one in chosen]
-    broken = asyncio.run(play_all(HEADING, starts, args.at_once))
-    return 1 if broken else 0
 
 
 if __name__ == '__main__':
--- a/packages/bench/src/tallyhall_bench/limit_run.py
+++ b/packages/bench/src/tallyhall_bench/limit_run.py
@@ -13,7 +13,6 @@
 import collections
 import dataclasses
 import functools
-import itertools
 import random
 import signal
 import sys
@@ -26,7 +25,7 @@
 from .platform_fleet import PlatformFleet, platform_fleet, restart_together
 from .platform_load import Caller, keep_calling
 from .platform_run import STREAMED, usual_state
-from .plays import add_options, play_all
+from .plays import add_options, play_chosen
 
 _INSTANCES = 6
 _UPSTREAMS = 4
@@ -322,15 +321,14 @@
     parser.add_argument('--service', action='append', choices=tuple(_SERVICES))
     add_options(parser, at_once=2)
     args = parser.parse_args()
-    chosen = itertools.product(
+    return play_chosen(
+        HEADING,
+        play_limits,
+        args,
         args.case or CASES,
         args.trouble or ['none'],
         args.service or _SERVICES,
-        range(args.seed, args.seed + args.seeds),
     )
-    starts = [functools.partial(play_limits, *one) for one in chosen]
-    broken = asyncio.run(play_all(HEADING, starts, args.at_once))
-    return 1 if broken else 0
 
 
 if __name__ == '__main__':
--- a/packages/bench/src/tallyhall_bench/plays.py
+++ b/packages/bench/src/tallyhall_bench/plays.py
@@ -5,6 +5,8 @@
 import argparse
 import asyncio
 import dataclasses
+import functools
+import itertools
 import sys
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol
@@ -45,6 +47,26 @@
     parser.add_argument('--at-once', type=int, default=at_once)
 
 
+def play_chosen(
+    heading: str,
+    play: Callable[..., Awaitable[Played]],
+    args: argparse.Namespace,
+    *choices: Iterable[str],
+) -> int:
+    """Play each combination of choices with each seed; return the exit code.
+
+    play: takes one of each of the choices and a seed. args: has the options of
+    `add_options`. The code is 1 if a rule was broken.
+    """
+    seeds = range(args.seed, args.seed + args.seeds)
+    starts = [
+        functools.partial(play, *one)
+        for one in itertools.product(*choices, seeds)
+    ]
+    broken = asyncio.run(play_all(heading, starts, args.at_once))
+    return 1 if broken else 0
+
+
 async def play_all(
     heading: str,
     starts: Iterable[Start],
--- a/packages/bench/src/tallyhall_bench/retry_run.py
+++ b/packages/bench/src/tallyhall_bench/retry_run.py
@@ -12,7 +12,6 @@
 import asyncio
 import dataclasses
 import functools
-import itertools
 import random
 import signal
 import sys
@@ -27,7 +26,7 @@
 )
 from .platform_load import Caller, keep_calling
 from .platform_run import usual_state
-from .plays import add_options, play_all
+from .plays import add_options, play_chosen
 from .rejections import draw_rejection
 from .retry_checks import RetryWindow, arrived_retries, fullest_window
 
@@ -179,13 +178,12 @@
     parser.add_argument('--trouble', action='append', choices=TROUBLES)
     add_options(parser, at_once=1)
     args = parser.parse_args()
-    chosen = itertools.product(
+    return play_chosen(
+        HEADING,
+        play_retries,
+        args,
         args.trouble or TROUBLES,
-        range(args.seed, args.seed + args.seeds),
     )
-    starts = [functools.partial(play_retries, *one) for one in chosen]
-    broken = asyncio.run(play_all(HEADING, starts, args.at_once))
-    return 1 if broken else 0
 
 
 if __name__ == '__main__':
--- a/packages/bench/src/tallyhall_bench/versions_run.py
+++ b/packages/bench/src/tallyhall_bench/versions_run.py
@@ -15,7 +15,6 @@
 import collections
 import contextlib
 import dataclasses
-import functools
 import itertools
 import random
 import signal
@@ -33,7 +32,7 @@
 )
 from .platform_load import keep_calling
 from .platform_run import usual_state
-from .plays import Share, add_options, play_all
+from .plays import Share, add_options, play_chosen
 from .stream_callers import Stream, StreamCallers
 
 _ZONES = ('a', 'a', 'b', 'b', 'c', 'c')
@@ -303,12 +302,12 @@
     parser.add_argument('--case', action='append', choices=CASES)
     add_options(parser, at_once=1)
     args = parser.parse_args()
-    chosen = itertools.product(
-        args.case or CASES, range(args.seed, args.seed + args.seeds)
+    return play_chosen(
+        HEADING,
+        play_versions,
+        args,
+        args.case or CASES,
     )
-    starts = [functools.partial(play_versions, *one) for one in chosen]
-    broken = asyncio.run(play_all(HEADING, starts, args.at_once))
-    return 1 if broken else 0
 
 
 if __name__ == '__main__':
