Tests: one way to switch the cycle collector off

Two tests of this change wrote it; the harness has it now, and enables the collector again whatever the test does. Assertions are unchanged.

--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -7,11 +7,18 @@
 import asyncio
 import contextlib
 import dataclasses
+import gc
 import os
 import random
 import time
 import types
-from collections.abc import AsyncIterator, Callable, Iterable, Mapping
+from collections.abc import (
+    AsyncIterator,
+    Callable,
+    Iterable,
+    Iterator,
+    Mapping,
+)
 from pathlib import Path
 from typing import Any
 
@@ -61,6 +68,17 @@
 )
 
 
+@contextlib.contextmanager
+def collector_off() -> Iterator[None]:
+    """Switch the cycle collector off: what is in a cycle stays alive."""
+    gc.collect()
+    gc.disable()
+    try:
+        yield
+    finally:
+        gc.enable()
+
+
 async def until(condition: Callable[[], bool], within_s: float = 5) -> None:
     """Wait until a condition holds; fail after a timeout."""
     clock = asyncio.get_running_loop().time
--- a/tests/platform/test_finished_requests.py
+++ b/tests/platform/test_finished_requests.py
@@ -20,6 +20,7 @@
     PLAIN,
     TOKENS,
     Deployment,
+    collector_off,
     deployment,
     patient,
     until,
@@ -30,10 +31,8 @@
 
 @pytest.fixture(autouse=True)
 def _collector_off() -> Iterator[None]:
-    gc.collect()
-    gc.disable()
-    yield
-    gc.enable()
+    with collector_off():
+        yield
 
 
 @contextlib.asynccontextmanager
--- a/tests/platform/test_large_bodies.py
+++ b/tests/platform/test_large_bodies.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import contextlib
-import gc
 import weakref
 from collections.abc import AsyncIterator
 from typing import Any
@@ -27,6 +26,7 @@
     SITE,
     Answer,
     Deployment,
+    collector_off,
     deployment,
     patient,
     until,
@@ -256,9 +256,7 @@
     alive = server.alive
     port = free_ports(1)[0]
     await server.listen(HOST, port)
-    gc.collect()
-    gc.disable()
-    try:
+    with contextlib.closing(server), collector_off():
         for raw in (
             b'GET / HTTP/1.1\r\nHost: x\r\n\r\n',
             b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9000\r\n\r\nabc',
@@ -271,9 +269,6 @@
             await asyncio.sleep(0.05)
             writer.transport.abort()
             await until(lambda: not alive, within_s=1)
-    finally:
-        gc.enable()
-        server.close()
 
 
 class _WatchedServer(HttpServer):
