The site of a fault run holds its troubles

Cause: `Site` copied four fields of `Troubles`, and `reports_loads` was set beside `loads`, so one fact stood twice.

Change: `Troubles` moves to soak_site.py, and `Site` has it as one field.

--- a/packages/bench/src/tallyhall_bench/platform_soak.py
+++ b/packages/bench/src/tallyhall_bench/platform_soak.py
@@ -11,7 +11,6 @@
 import argparse
 import asyncio
 import contextlib
-import dataclasses
 import random
 import sys
 from collections.abc import Coroutine, Iterable
@@ -34,6 +33,7 @@
     OLD_KEY,
     ROUTES,
     Site,
+    Troubles,
     soak_state,
 )
 from .soak_versions import versioned_upstreams
@@ -50,42 +50,14 @@
 _CALM_S = 7.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Troubles:
-    """What a fault run has beside the faults of every run.
-
-    all_links: faults of links to upstreams and between instances. fatal: one
-    request ends upstreams of a service of its own. loads: upstreams report
-    their load, at times wrongly. isolates: instances lose all upstreams at
-    times. versions: upstreams of several versions serve streams that callers
-    take up. parts: parts of prompts end upstreams of a service of their own.
-    rejects: upstreams reject at times, while instances are lost in series.
-    """
-
-    all_links: bool = False
-    fatal: bool = False
-    loads: bool = False
-    isolates: bool = False
-    versions: bool = False
-    parts: bool = False
-    rejects: bool = False
-
-
 async def soak(seed: int, seconds: float, troubles: Troubles) -> Site:
     """Run with this seed for this long, then wait for calm and check."""
     rng = random.Random(seed)
     async with platform_fleet(0, soak_state(1, with_old=True)) as fleet:
-        site = Site(
-            fleet,
-            rng,
-            all_links=troubles.all_links,
-            isolates=troubles.isolates,
-            rejects=troubles.rejects,
-        )
+        site = Site(fleet, rng, troubles)
         await _build(site)
         work = [_load(site)]
         if troubles.loads:
-            site.reports_loads = True
             share_machines(site, seed)
             work.append(report_wrongly(site, seed))
         async with contextlib.AsyncExitStack() as stack:
@@ -111,7 +83,7 @@
     tasks = [asyncio.create_task(one) for one in work]
     ends_at = asyncio.get_running_loop().time() + seconds
     courses = [trouble(site, ends_at) for _ in range(_AT_ONCE)]
-    if site.rejects:
+    if site.troubles.rejects:
         courses.append(reject_and_lose(site, ends_at))
     await asyncio.gather(*courses)
     await asyncio.sleep(_CALM_S)
@@ -125,7 +97,7 @@
     for engine in site.fleet.engines:
         engine.faults.clear()
     check_retries(site)
-    if site.reports_loads:
+    if site.troubles.loads:
         await check_sharing(site)
     else:
         await check_recovery(site)
@@ -136,7 +108,7 @@
 async def _build(site: Site) -> None:
     fleet = site.fleet
     fleet.store.on_write = site.put_link_between
-    links = site.engine_links if site.all_links else None
+    links = site.engine_links if site.troubles.all_links else None
     for number in range(1, 5):
         await fleet.add_engine(
             f'engine-{number}',
@@ -159,7 +131,7 @@
     front_link, front = await open_link(entry.front)
     site.front_links.append(front_link)
     site.fronts.append(front)
-    if site.all_links:
+    if site.troubles.all_links:
         await _link_peer(site, entry.peer)
 
 
@@ -176,7 +148,7 @@
 async def _seen_store(site: Site) -> Listening:
     """Return the store as an instance sees it that has links of its own."""
     fleet = site.fleet
-    if not site.isolates:
+    if not site.troubles.isolates:
         return fleet.store_at
     links, view = await UpstreamLinks.open(fleet.addresses.values())
     site.upstream_links.append(links)
--- a/packages/bench/src/tallyhall_bench/soak_faults.py
+++ b/packages/bench/src/tallyhall_bench/soak_faults.py
@@ -29,9 +29,9 @@
     loop = asyncio.get_running_loop()
     while loop.time() < ends_at:
         names = sorted(_FAULTS)
-        if site.all_links:
+        if site.troubles.all_links:
             names.extend(sorted(_LINK_FAULTS))
-        if site.isolates:
+        if site.troubles.isolates:
             names.extend(sorted(_ISOLATIONS))
         name = site.rng.choice(names)
         for_s = site.rng.uniform(0.2, 3)
--- a/packages/bench/src/tallyhall_bench/soak_site.py
+++ b/packages/bench/src/tallyhall_bench/soak_site.py
@@ -36,20 +36,34 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Troubles:
+    """What a fault run has beside the faults of every run.
+
+    all_links: faults of links to upstreams and between instances. fatal: one
+    request ends upstreams of a service of its own. loads: upstreams report
+    their load, at times wrongly. isolates: instances lose all upstreams at
+    times. versions: upstreams of several versions serve streams that callers
+    take up. parts: parts of prompts end upstreams of a service of their own.
+    rejects: upstreams reject at times, while instances are lost in series.
+    """
+
+    all_links: bool = False
+    fatal: bool = False
+    loads: bool = False
+    isolates: bool = False
+    versions: bool = False
+    parts: bool = False
+    rejects: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class Site:
     """A fleet with its links and what was asked of it."""
 
     fleet: PlatformFleet
     rng: random.Random
-    # Whether links to engines and between instances are disturbed as well.
-    all_links: bool = False
-    # Whether upstreams report their load.
-    reports_loads: bool = False
-    # Whether instances lose all upstreams at times.
-    isolates: bool = False
-    # Whether upstreams reject while instances are lost in series.
-    rejects: bool = False
+    troubles: Troubles
     store_links: list[FaultyLink] = dataclasses.field(default_factory=list)
     front_links: list[FaultyLink] = dataclasses.field(default_factory=list)
     engine_links: list[FaultyLink] = dataclasses.field(default_factory=list)
--- a/tests/processes/test_platform_soak.py
+++ b/tests/processes/test_platform_soak.py
@@ -3,7 +3,8 @@
 import asyncio
 
 import pytest
-from tallyhall_bench.platform_soak import Troubles, soak
+from tallyhall_bench.platform_soak import soak
+from tallyhall_bench.soak_site import Troubles
 
 pytestmark = pytest.mark.processes
 
