Fault runs: a caller leaves when its deadline is over

Cause: in the harness. A fault of a link may silence the open connections between callers and an instance for good. The callers stated a deadline of 8 s but waited for 20, longer than the rest of the run, so all 12 waited to its end.

Change: callers of fault runs leave 1 s after their deadline, and close the connection.

--- a/packages/bench/src/tallyhall_bench/platform_load.py
+++ b/packages/bench/src/tallyhall_bench/platform_load.py
@@ -25,6 +25,8 @@
 
 KEY = 'key-1'
 SITE = 'shop.example'
+# What each request states as its deadline.
+DEADLINE_S = 8
 _CONNECT_S = 1.0
 _WAIT_S = 20
 _TOKENS = ((b'X-Tallyhall-Token-Counts', b'400,30'),)
@@ -88,9 +90,10 @@
 class Caller:
     """A caller that keeps one connection to each instance."""
 
-    def __init__(self, rng: random.Random) -> None:
-        """Draw from this generator."""
+    def __init__(self, rng: random.Random, wait_s: float = _WAIT_S) -> None:
+        """Draw from this generator; leave an answer after this long."""
         self._rng = rng
+        self._wait_s = wait_s
         self._conns: dict[Listening, ClientConnection] = {}
 
     async def ask(
@@ -111,7 +114,7 @@
         sink = _Sink()
         error: EdgeError | None = None
         try:
-            async with asyncio.timeout(_WAIT_S):
+            async with asyncio.timeout(self._wait_s):
                 conn = await self._connected(place)
                 more = (*headers, *(_TOKENS if streams else ()))
                 raw = _request(route, request_id, key, body, more)
@@ -121,6 +124,7 @@
             error = exc
         except TimeoutError:
             error = ConnectionFailedError('no end of the answer')
+            self._close(place)
         kept = self._conns.pop(place, None)
         if kept is not None and kept.reusable:
             self._conns[place] = kept
@@ -138,6 +142,11 @@
             _retry_after_s(head),
         )
 
+    def _close(self, place: Listening) -> None:
+        conn = self._conns.get(place)
+        if conn is not None:
+            conn.close()
+
     async def _connected(self, place: Listening) -> ClientConnection:
         conn = self._conns.get(place)
         if conn is None or not conn.is_open:
@@ -172,7 +181,7 @@
     headers = (
         (b'Host', SITE.encode()),
         (b'X-Tallyhall-Request-Id', request_id.encode()),
-        (b'X-Tallyhall-Deadline-Ms', b'8000'),
+        (b'X-Tallyhall-Deadline-Ms', b'%d' % (DEADLINE_S * 1000)),
         (b'Authorization', f'Bearer {key}'.encode()),
         (b'Content-Length', b'%d' % len(body)),
         *more,
--- a/packages/bench/src/tallyhall_bench/platform_soak.py
+++ b/packages/bench/src/tallyhall_bench/platform_soak.py
@@ -19,7 +19,7 @@
 
 from .datagram_link import DatagramLink
 from .platform_fleet import open_link, platform_fleet
-from .platform_load import KEY, Caller
+from .platform_load import DEADLINE_S, KEY, Caller
 from .platform_run import STREAMED
 from .soak_checks import check_answers, check_processes, check_recovery
 from .soak_fatal import ask_fatal, frail_upstreams
@@ -44,6 +44,8 @@
 # Faults that go on at the same time.
 _AT_ONCE = 3
 _CALLS_PER_S = 10
+# An answer may come until its deadline and be on its way for a while.
+_PATIENCE_S = DEADLINE_S + 1.0
 _OLD_KEY_PART = 0.1
 # After the last fault: leases of lost instances, retries, the longest time
 # for which an upstream is left out.
@@ -156,7 +158,7 @@
 
 
 async def _load(site: Site) -> None:
-    callers = [Caller(site.rng) for _ in range(_CALLERS)]
+    callers = [Caller(site.rng, _PATIENCE_S) for _ in range(_CALLERS)]
     async with asyncio.TaskGroup() as group:
         for caller in callers:
             group.create_task(_calls(site, caller))
