Bench: one place that reads what a process uses

Cause: the peak of a process's memory was read by two functions in two files, and its processor time by a third, which another bench imported.

Change: process_use.py has them.

--- a/packages/bench/src/tallyhall_bench/idle.py
+++ b/packages/bench/src/tallyhall_bench/idle.py
@@ -12,7 +12,7 @@
 import time
 
 from .fleet import Fleet, FleetSpec, UpstreamSpec
-from .overhead import cpu_s
+from .process_use import cpu_s
 from .tables import usual_table
 
 _SIZES = (3, 6, 12, 24)
--- a/packages/bench/src/tallyhall_bench/memory_use.py
+++ b/packages/bench/src/tallyhall_bench/memory_use.py
@@ -28,6 +28,7 @@
 from .platform_load import KEY, SITE
 from .platform_run import usual_state
 from .ports import HOST, free_ports
+from .process_use import peak_mb, resident_mb
 
 _CALLERS = 300
 _LIMIT_MB = 4000
@@ -127,22 +128,23 @@
 class _Measured:
     def __init__(self, entry: EntryProcess) -> None:
         self._entry = entry
-        self._before = 0
+        self._before: float = 0
 
     async def add(self, phase: str, units: int) -> None:
         """Print what the phase has added to the phase before it."""
         await asyncio.sleep(_SETTLE_S)
         process = self._entry.process
         pid = 0 if process is None else process.pid
-        resident = _status_kb(pid, 'VmRSS')
+        resident = resident_mb(pid)
         line: dict[str, Any] = {
             'phase': phase,
-            'resident_mb': round(resident / _KB, 1),
-            'peak_mb': round(_status_kb(pid, 'VmHWM') / _KB, 1),
+            'resident_mb': round(resident, 1),
+            'peak_mb': round(peak_mb(pid), 1),
         }
         if units:
             line['units'] = units
-            line['added_kb_each'] = round((resident - self._before) / units, 1)
+            added_kb = (resident - self._before) * _KB
+            line['added_kb_each'] = round(added_kb / units, 1)
         line['counted_kb'] = await _counted_kb(self._entry)
         self._before = resident
         sys.stdout.write(f'{json.dumps(line)}\n')
@@ -236,12 +238,6 @@
     await measured.add('after these have left', 0)
 
 
-def _status_kb(pid: int, name: str) -> int:
-    text = pathlib.Path(f'/proc/{pid}/status').read_text()
-    line = next(row for row in text.splitlines() if row.startswith(name))
-    return int(line.split()[1])
-
-
 async def _counted_kb(entry: EntryProcess) -> dict[str, int]:
     """Return what the memory budget counts, by holder."""
     place = entry.metrics
--- a/packages/bench/src/tallyhall_bench/overhead.py
+++ b/packages/bench/src/tallyhall_bench/overhead.py
@@ -8,8 +8,6 @@
 from __future__ import annotations
 
 import json
-import os
-import pathlib
 import random
 import sys
 import time
@@ -20,6 +18,7 @@
 
 from .fleet import Fleet, FleetSpec, UpstreamSpec
 from .load import PlannedCall, run_plan, text_of
+from .process_use import cpu_s
 from .summary import Quantiles, quantiles
 from .tables import usual_table
 
@@ -128,12 +127,5 @@
         return quantiles([fut.result() for fut in futs])
 
 
-def cpu_s(pid: int) -> float:
-    """Return the processor time that a process has used, in seconds."""
-    fields = pathlib.Path(f'/proc/{pid}/stat').read_text().rsplit(')', 1)[1]
-    user, system = fields.split()[11:13]
-    return (int(user) + int(system)) / os.sysconf('SC_CLK_TCK')
-
-
 if __name__ == '__main__':
     sys.exit(main())
--- a/packages/bench/src/tallyhall_bench/start_cost.py
+++ b/packages/bench/src/tallyhall_bench/start_cost.py
@@ -30,6 +30,7 @@
 from .platform_fleet import EntryProcess, PlatformFleet, platform_fleet
 from .platform_load import Caller
 from .platform_run import usual_state
+from .process_use import peak_mb
 
 ROOT = pathlib.Path(__file__).resolve().parents[4]
 _RUNS = 10
@@ -47,7 +48,6 @@
 # The streams to other instances are ready by then.
 _SETTLED_S = 1.0
 _NANO = 1_000_000_000
-_KILO = 1024
 _OK = 200
 _MOST_PACKAGES = 14
 
@@ -143,9 +143,9 @@
         async with asyncio.timeout(_STARTING_S):
             while not await _is_served(caller, entry):
                 await asyncio.sleep(_LOOK_S)
-        first = _spent_s(pid), _peak_mb(pid)
+        first = _spent_s(pid), peak_mb(pid)
         await asyncio.sleep(_SETTLED_S)
-        settled = _spent_s(pid), _peak_mb(pid)
+        settled = _spent_s(pid), peak_mb(pid)
     finally:
         entry.send(signal.SIGKILL)
         await entry.wait()
@@ -182,12 +182,6 @@
     return sum(int(task.read_text().split()[0]) for task in tasks) / _NANO
 
 
-def _peak_mb(pid: int) -> float:
-    text = pathlib.Path(f'/proc/{pid}/status').read_text()
-    line = next(row for row in text.splitlines() if row.startswith('VmHWM'))
-    return int(line.split()[1]) / _KILO
-
-
 def imported() -> collections.Counter[str]:
     """Return the time in the import of each package, in seconds.
 
