Endless answers: stand-in, a play on processes, its test

Cause: whether the bounds of what an upstream sends keep an instance and its callers well was shown in one process only.

Change: EndlessEngine answers in one of eleven forms; `make endless` plays each on a real process, with one and three of four upstreams bad, and lets them be sound again.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 # Tests wait as well as compute.
 TEST_WORKERS ?= 4
 
-.PHONY: run run-platform proto days soak rollouts limits retries isolation versions parts test check fmt faults bench slopes overhead start-cost return-run
+.PHONY: run run-platform proto days soak rollouts limits retries isolation versions parts endless test check fmt faults bench slopes overhead start-cost return-run
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -82,6 +82,11 @@
 	$(BIN)/python -m tallyhall_bench.part_run --seed $(SEED) \
 		--seeds $(SEEDS)
 
+# Upstreams whose answers have no end, on real processes.
+endless: $(STAMP)
+	$(BIN)/python -m tallyhall_bench.endless_run --seed $(SEED) \
+		--seeds $(SEEDS)
+
 test: $(STAMP)
 	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist worksteal
 
--- a/packages/bench/src/tallyhall_bench/platform_fleet.py
+++ b/packages/bench/src/tallyhall_bench/platform_fleet.py
@@ -133,6 +133,19 @@
     ) -> EngineStandIn:
         """Start an upstream and register it, behind a link of its own."""
         engine = EngineStandIn(name, **pace)
+        await self.place_engine(engine, service, slots, links, version)
+        return engine
+
+    async def place_engine(
+        self,
+        engine: EngineStandIn,
+        service: str,
+        slots: int,
+        links: list[FaultyLink] | None = None,
+        version: str = 'v1',
+    ) -> None:
+        """Let an upstream listen and register it."""
+        name = engine.incarnation
         port = free_ports(1)[0]
         await engine.listen(HOST, port)
         if links is not None:
@@ -144,7 +157,6 @@
         fields['version'] = version
         self.store.put(f'servers/{name}', fields)
         self._named[name] = _Named(engine, port, fields)
-        return engine
 
     def stop_version(self, version: str) -> None:
         """Stop the upstreams of a version at once, without draining."""
@@ -255,8 +267,10 @@
         return entry
 
     async def until_ready(self) -> None:
-        """Wait until every instance hears every other one."""
-        wanted = f'"live": {json.dumps([one.name for one in self.entries])}'
+        """Wait until every instance has started and hears every other one."""
+        names = [one.name for one in self.entries]
+        # A single instance has no other to hear and logs none.
+        wanted = f'"live": {json.dumps(names)}' if names[1:] else '"started"'
         async with asyncio.timeout(_STARTING_S):
             for entry in self.entries:
                 while wanted not in entry.log.read_text():
--- a/packages/bench/src/tallyhall_bench/plays.py
+++ b/packages/bench/src/tallyhall_bench/plays.py
@@ -51,7 +51,7 @@
     heading: str,
     play: Callable[..., Awaitable[Played]],
     args: argparse.Namespace,
-    *choices: Iterable[str],
+    *choices: Iterable[object],
 ) -> int:
     """Play each combination of choices with each seed; return the exit code.
 
--- a/packages/standins/src/tallyhall_standins/platform_engine.py
+++ b/packages/standins/src/tallyhall_standins/platform_engine.py
@@ -168,6 +168,10 @@
             writer.transport.abort()
         self.ended.set()
 
+    async def answer_instead(self, writer: asyncio.StreamWriter) -> bool:
+        """Answer a request in another way; return whether that was done."""
+        return False
+
     async def _serve(
         self,
         reader: asyncio.StreamReader,
@@ -295,7 +299,8 @@
         engine.running += 1
         engine.most_running = max(engine.most_running, engine.running)
         try:
-            await self._by_fault(fault, request_id)
+            if not await engine.answer_instead(self._writer):
+                await self._by_fault(fault, request_id)
         finally:
             engine.running -= 1
 
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -17,6 +17,7 @@
 from tallyhall_edge.client import ClientConnection
 from tallyhall_edge.errors import ConnectionFailedError, InvalidResponseError
 from tallyhall_edge.messages import ResponseHead
+from tallyhall_standins.endless import ENDLESS_ANSWERS, EndlessEngine
 
 from tests.paused_clock import Outside, wait_for
 from tests.platform.harness import (
@@ -30,27 +31,16 @@
 _MB = 1_000_000
 _PIECE = 65_536
 _OK = b'HTTP/1.1 200 OK\r\n'
-_SIGNED = b'X-Tallyhall-Response-Signature: s\r\n'
-_CHUNKED = _SIGNED + b'Transfer-Encoding: chunked\r\n\r\n'
-_OTHER = b'X-Id: other\r\nContent-Length: 9\r\n\r\nsome-body'
-_ENDLESS = {
-    'a reason phrase': (b'HTTP/1.1 200 O', b'y' * _PIECE),
-    'a header line': (_OK + b'X: ', b'y' * _PIECE),
-    'header lines': (_OK, b'X: yyyyyyyyyyyyyyyy\r\n' * 3000),
-    'trailers': (_OK + _CHUNKED + b'1\r\nx\r\n0\r\n', b'X: yyy\r\n' * 9000),
-    'a trailer': (_OK + _CHUNKED + b'1\r\nx\r\n0\r\nX: ', b'y' * _PIECE),
-    'an extension': (_OK + _CHUNKED + b'1;x=', b'y' * _PIECE),
-    'interim answers': (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 2500),
-    'another answer': (
-        _OK + b'X-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n',
-        b'1000\r\n' + b'x' * 4096 + b'\r\n',
-    ),
-    'other answers': (b'', (_OK + _OTHER) * 1000),
-}
-_ERROR = (
-    b'HTTP/1.1 500 Broken\r\n' + _CHUNKED,
-    b'1000\r\n' + b'x' * 4096 + b'\r\n',
+_CHUNKED = (
+    b'X-Tallyhall-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n'
 )
+_OTHER = b'X-Tallyhall-Request-Id: other\r\nContent-Length: 9\r\n\r\nsome-body'
+# Their bytes end a connection; another one is ended by its time.
+_ENDLESS = [
+    form for form, answer in ENDLESS_ANSWERS.items() if not answer.pause_s
+]
+# Its bytes are a body, which is received until the caller has an answer.
+_ENDLESS.remove('error')
 _FORMS = pytest.mark.parametrize('form', _ENDLESS)
 
 
@@ -94,7 +84,7 @@
 
 def _asked() -> tuple[ClientConnection, _Transport, _Sink]:
     """Return a connection that waits for the answer to a request."""
-    conn = ClientConnection(b'x-id')
+    conn = ClientConnection(b'x-tallyhall-request-id')
     transport = _Transport()
     conn.connection_made(transport)
     sink = _Sink()
@@ -104,12 +94,13 @@
 
 @_FORMS
 async def test_little_is_held_of_an_answer_without_end(form: str) -> None:
-    begin, more = _ENDLESS[form]
+    answer = ENDLESS_ANSWERS[form]
     conn, transport, sink = _asked()
-    count = 20 * _MB // len(more)
+    count = 20 * _MB // len(answer.more)
+    more = itertools.repeat(answer.more, count)
     tracemalloc.start()
     received = 0
-    for piece in itertools.chain((begin,), itertools.repeat(more, count)):
+    for piece in itertools.chain((answer.begin,), more):
         if transport.aborted:
             break
         conn.data_received(piece)
@@ -165,74 +156,47 @@
             assert beside <= 1_048_576 + _PIECE + cut
 
 
-class _Endless:
-    """An upstream that sends bytes until it is closed."""
-
-    def __init__(self, begin: bytes, more: bytes) -> None:
-        self.port = free_ports(1)[0]
-        self.asked = 0
-        self.open = 0
-        self._begin = begin
-        self._more = more
-
-    async def listen(self) -> asyncio.Server:
-        return await asyncio.start_server(self._serve, HOST, self.port)
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        await reader.readuntil(b'\r\n\r\n')
-        self.asked += 1
-        self.open += 1
-        writer.write(self._begin)
-        with contextlib.suppress(OSError):
-            while True:
-                writer.write(self._more)
-                await writer.drain()
-        self.open -= 1
-        writer.transport.abort()
-
-
 @contextlib.asynccontextmanager
 async def _beside_sound(
-    begin: bytes, more: bytes
-) -> AsyncIterator[tuple[Deployment, _Endless]]:
+    form: str,
+) -> AsyncIterator[tuple[Deployment, EndlessEngine]]:
     """Start an instance with a sound upstream and a bad one."""
     wait_for(Outside.threads)
     async with deployment() as made:
         await made.change(patient(2))
-        bad = _Endless(begin, more)
-        server = await bad.listen()
-        made.register('bad', f'{HOST}:{bad.port}', PLAIN)
+        bad = EndlessEngine('bad')
+        bad.endless = ENDLESS_ANSWERS[form]
+        port = free_ports(1)[0]
+        await bad.listen(HOST, port)
+        made.register('bad', f'{HOST}:{port}', PLAIN)
         await made.add_engine('plain-0', PLAIN)
         await made.ready()
         await made.until_retries_are_earned()
         yield made, bad
-        server.close()
+        bad.close()
 
 
-@pytest.mark.parametrize('form', (*_ENDLESS, 'an error'))
+@pytest.mark.parametrize('form', ENDLESS_ANSWERS)
 async def test_safe_requests_are_served_beside_endless_answers(
     form: str,
 ) -> None:
-    begin, more = (_ENDLESS | {'an error': _ERROR})[form]
-    async with _beside_sound(begin, more) as (made, bad):
+    async with _beside_sound(form) as (made, bad):
         answers = await asyncio.gather(
             *(made.caller().ask('/safe/x', f'r{number}') for number in range(8))
         )
         assert [answer.status for answer in answers] == [200] * 8
-        assert bad.asked
+        assert bad.ran
         async with asyncio.timeout(1):
-            while bad.open:
+            while bad.running:
                 await asyncio.sleep(0.01)
 
 
 async def test_an_error_without_end_becomes_a_complete_answer() -> None:
     """It was passed on until the caller's time was over."""
-    async with _beside_sound(*_ERROR) as (made, bad):
+    async with _beside_sound('error') as (made, bad):
         answers = await asyncio.gather(
             *(made.caller().ask('/once/x', f'r{number}') for number in range(8))
         )
-        assert bad.asked
+        assert bad.ran
         assert {answer.status for answer in answers} == {200, 502}
         assert all(answer.whole for answer in answers)
