Soak: answers without end, and the memory of processes

Cause: fault runs had neither, so a bound that failed beside restarts would not have been seen.

Every run now checks that no process passed its memory.

--- a/packages/bench/src/tallyhall_bench/soak_checks.py
+++ b/packages/bench/src/tallyhall_bench/soak_checks.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from .platform_fleet import MEMORY_MB, EntryProcess
 from .platform_load import Caller, Tried
 from .platform_run import STREAMED, doubled, whole_stream
+from .process_use import peak_mb
 from .soak_site import EVENTS, INSTANCES, ROUTES, Site, Violation
 
 _OK = 200
@@ -58,8 +60,9 @@
 
 
 def check_processes(site: Site) -> None:
-    """Check that no process ended or raised by itself."""
+    """Check that no process ended, raised or passed its memory by itself."""
     for entry in site.fleet.entries:
+        _check_memory(site, entry)
         if entry.process is None or entry.process.returncode is not None:
             site.violations.append(Violation('ended by itself', entry.name))
         text = entry.log.read_text(errors='replace')
@@ -67,3 +70,12 @@
             place = max(text.find('internal_error'), text.find('Traceback'))
             detail = f'{entry.name}: {text[place : place + 400]!r}'
             site.violations.append(Violation('internal error', detail))
+
+
+def _check_memory(site: Site, entry: EntryProcess) -> None:
+    if entry.process is None or entry.process.returncode is not None:
+        return
+    used_mb = peak_mb(entry.process.pid)
+    if used_mb > MEMORY_MB:
+        detail = f'{entry.name}: {used_mb:.0f} MB of {MEMORY_MB}'
+        site.violations.append(Violation('memory', detail))
--- a/packages/bench/src/tallyhall_bench/soak_site.py
+++ b/packages/bench/src/tallyhall_bench/soak_site.py
@@ -46,6 +46,7 @@
     times. versions: upstreams of several versions serve streams that callers
     take up. parts: parts of prompts end upstreams of a service of their own.
     rejects: upstreams reject at times, while instances are lost in series.
+    endless: answers of upstreams go on without end at times.
     """
 
     all_links: bool = False
@@ -55,6 +56,7 @@
     versions: bool = False
     parts: bool = False
     rejects: bool = False
+    endless: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/processes/test_platform_soak.py
+++ b/tests/processes/test_platform_soak.py
@@ -50,6 +50,16 @@
     assert sum(tried.status == 200 for tried in site.tries) > 100
 
 
+def test_no_violations_beside_endless_answers() -> None:
+    """In heads and bodies, beside restarts and other faults."""
+    site = asyncio.run(
+        soak(1701, _SECONDS, Troubles(all_links=True, endless=True))
+    )
+    assert not site.violations, (site.violations, site.faults)
+    assert any('endless' in fault for fault in site.faults)
+    assert sum(tried.status == 200 for tried in site.tries) > 100
+
+
 def test_no_violations_under_wrong_load_reports() -> None:
     """Reports are missing, frozen, garbled, out of range or misleading."""
     site = asyncio.run(
