A sound part is told from a fatal one that came with it

Cause: a trial may hold two suspect parts.

Change: for 1 s after it is due a trial runs alone, a request with another suspect part waits as others do. Parts that one judgement has quarantined have a trial alone after 3 s in place of 30, on instances that were told, too. It does not count as a failed one.

--- a/packages/core/src/tallyhall_core/part_records.py
+++ b/packages/core/src/tallyhall_core/part_records.py
@@ -25,13 +25,17 @@
     """What is known of one part.
 
     charges: its terminations, by upstream. known: the highest count of them.
-    cleared: the count up to which an answer has cleared it.
+    cleared: the count up to which an answer has cleared it. judged_at: when it
+    was quarantined, by the clock of the instance that judged. has_rival:
+    whether another part was quarantined by the same judgement.
     """
 
     charges: dict[str, Charge] = msgspec.field(default_factory=dict)
     known: int = 0
     cleared: int = 0
     quarantine: QuarantinedPart | None = None
+    judged_at: float | None = None
+    has_rival: bool = False
 
     @property
     def active(self) -> dict[str, Charge]:
--- a/packages/core/src/tallyhall_core/part_suspects.py
+++ b/packages/core/src/tallyhall_core/part_suspects.py
@@ -13,6 +13,10 @@
 the service answered nothing between them: then its upstreams crash by
 themselves, and trials follow at growing intervals.
 
+A trial of several suspect parts does not tell which is the cause. So parts that
+were held have their trials alone at first, and parts that one judgement has
+quarantined have one soon.
+
 Times are wall clock seconds since 1970. Nothing in this module does I/O.
 """
 
@@ -46,6 +50,12 @@
 # Time in seconds for which a held part that is in use has no trial, as requests
 # that run already may clear it.
 _IN_FLIGHT_S = 0.3
+# Seconds in which a trial that is due runs only with a request without another
+# suspect part.
+_ALONE_S = 1.0
+# Seconds from a quarantine to a trial alone, if another part that was
+# quarantined together with it may be the cause.
+_RIVAL_TRIAL_S = 3.0
 # Seconds from the last termination of a part to its next trial, by their
 # number, if the service answered nothing between them.
 _UNANSWERED_DELAYS_S = (0, 1.0, 6.0, 36.0, 216.0, 600.0)
@@ -144,6 +154,7 @@
         self, quarantine: QuarantinedPart, now: float
     ) -> bool:
         """Record a verdict of any instance; return whether it is news."""
+        judged_at = quarantine.at_s
         # A sender whose clock is ahead must not extend the quarantine.
         at_s = min(quarantine.at_s, now)
         quarantine = msgspec.structs.replace(quarantine, at_s=at_s)
@@ -153,6 +164,7 @@
         if known is not None and _rank(known) >= _rank(quarantine):
             return False
         record.quarantine = quarantine
+        self._note_verdict(record, judged_at)
         self._explain_ends_of(quarantine.part)
         return True
 
@@ -178,7 +190,7 @@
         if record is None:
             return _FREE
         if record.quarantine is not None and record.is_quarantined:
-            return _trial_status(record.quarantine.trial_at, now)
+            return _quarantined_status(record, record.quarantine, now)
         if not self._is_suspected(part, HELD_ENDS, now):
             return _FREE
         if not record.follows_answer:
@@ -188,7 +200,7 @@
         wait_s = record.newest_at + _IN_FLIGHT_S - now
         if wait_s > 0 and self._usage.count(part, now):
             return PartStatus(PartVerdict.held, wait_s)
-        return PartStatus(PartVerdict.trial)
+        return _trial_status(record.newest_at, now)
 
     def judge(self, now: float) -> tuple[QuarantinedPart, ...]:
         """Quarantine the parts that must be the cause; return them."""
@@ -200,6 +212,7 @@
         for verdict in verdicts:
             self._records[verdict.part].quarantine = verdict
         for cause in verdicts:
+            self._note_verdict(self._records[cause.part], now)
             self._explain_ends_of(cause.part)
         return verdicts
 
@@ -227,7 +240,9 @@
         record = self._records[part]
         trials = 0
         if record.quarantine is not None and record.is_quarantined:
-            trials = record.quarantine.failed_trials + 1
+            # A trial against a rival does not make the next one later.
+            is_due = now >= record.quarantine.trial_at
+            trials = record.quarantine.failed_trials + is_due
         return QuarantinedPart(part, record.known, trials, now)
 
     def _explain_ends_of(self, part: str) -> None:
@@ -253,6 +268,17 @@
             return False
         return bool(record.active) or record.is_quarantined
 
+    def _note_verdict(self, record: PartRecord, judged_at: float) -> None:
+        """Note which parts one judgement has quarantined together."""
+        record.judged_at = judged_at
+        together = [
+            other
+            for other in self._records.values()
+            if other.is_quarantined and other.judged_at == judged_at
+        ]
+        for one in together:
+            one.has_rival = len(together) > 1
+
     def _is_convicted(self, part: str, now: float) -> bool:
         """Return whether a part must be the cause of its terminations."""
         record = self._records[part]
@@ -329,11 +355,23 @@
     return record.newest_at + delay_s
 
 
+def _quarantined_status(
+    record: PartRecord, quarantine: QuarantinedPart, now: float
+) -> PartStatus:
+    status = _trial_status(quarantine.trial_at, now)
+    if not status.wait_s or not record.has_rival:
+        return status
+    sooner = _trial_status(quarantine.at_s + _RIVAL_TRIAL_S, now)
+    if sooner.verdict is PartVerdict.trial:
+        return PartStatus(PartVerdict.trial, status.wait_s, alone=True)
+    return sooner
+
+
 def _trial_status(trial_at: float, now: float) -> PartStatus:
     wait_s = trial_at - now
     if wait_s > 0:
         return PartStatus(PartVerdict.quarantined, wait_s)
-    return PartStatus(PartVerdict.trial)
+    return PartStatus(PartVerdict.trial, alone=now < trial_at + _ALONE_S)
 
 
 def _service(part: str) -> str:
--- a/packages/core/src/tallyhall_core/part_verdicts.py
+++ b/packages/core/src/tallyhall_core/part_verdicts.py
@@ -61,7 +61,12 @@
 
 
 class PartStatus(msgspec.Struct, frozen=True):
-    """The verdict on a part; wait_s: seconds until it may change."""
+    """The verdict on a part.
+
+    wait_s: seconds until it may change. alone: a trial is only for a request
+    without another suspect part.
+    """
 
     verdict: PartVerdict
     wait_s: float = 0
+    alone: bool = False
--- a/packages/emulator/src/tallyhall_emulator/part_play.py
+++ b/packages/emulator/src/tallyhall_emulator/part_play.py
@@ -144,13 +144,16 @@
     def _trials_of(self, parts: Iterable[str]) -> list[str] | None:
         """Return the parts that need a trial, None if a request waits."""
         trials = []
+        alone = False
         for part in parts:
-            verdict = self._policy.status(part, self._env.now).verdict
+            status = self._policy.status(part, self._env.now)
+            verdict = status.verdict
             if verdict is PartVerdict.held or part in self._trials:
                 return None
             if verdict is PartVerdict.trial:
                 trials.append(part)
-        return trials
+                alone = alone or status.alone
+        return None if alone and len(trials) > 1 else trials
 
     def _is_refused(self, parts: Iterable[str]) -> bool:
         return any(
--- a/packages/entry/src/tallyhall_entry/guard.py
+++ b/packages/entry/src/tallyhall_entry/guard.py
@@ -16,7 +16,7 @@
 
 import msgspec
 from tallyhall_core.events import Event
-from tallyhall_core.part_verdicts import PartEnds, PartVerdict
+from tallyhall_core.part_verdicts import PartEnds, PartStatus, PartVerdict
 from tallyhall_core.suspects import (
     Cleared,
     InterruptedRun,
@@ -246,14 +246,28 @@
                 raise quarantined_error(part, status.wait_s)
             if part in claimed:
                 trials.append(part)
-            elif self._claims.is_claimed(part):
-                waiting.append(part)
-            elif status.verdict is PartVerdict.held:
+            elif self._is_undecided(status, part):
                 waiting.append(part)
             else:
                 trials.append(part)
+        if not claimed and len(trials) > 1:
+            waiting.extend(self._waiting_alone(trials))
         return trials, waiting
 
+    def _is_undecided(self, status: PartStatus, part: str) -> bool:
+        """Return whether the outcome of other requests is waited for."""
+        is_held = status.verdict is PartVerdict.held
+        return is_held or self._claims.is_claimed(part)
+
+    def _waiting_alone(self, trials: Collection[str]) -> Iterator[str]:
+        """Yield the parts that have no trial beside another suspect."""
+        for part in trials:
+            status = self._parts.status(part)
+            if status.alone and status.wait_s:
+                raise quarantined_error(part, status.wait_s)
+            if status.alone:
+                yield part
+
     def _standing(
         self, content: str, claimed: Collection[str] = ()
     ) -> SuspectStatus:
--- a/tests/platform/test_part_quarantine.py
+++ b/tests/platform/test_part_quarantine.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import itertools
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Collection, Iterable
 
 from tallyhall_bench.mortal import Mortality, MortalUpstreams
 from tallyhall_standins.fatal_requests import prompt_parts
@@ -28,6 +28,10 @@
 _RECOVERY_S = 2.0
 # Time in seconds within which verdicts are in the store.
 _STORED_S = 1.0
+# Time in seconds after which one of two quarantined parts has a trial alone.
+_RIVAL_TRIAL_S = 3.0
+# Time in seconds within which the cause of the last end is judged.
+_OBSERVATION_S = 1.5
 
 
 class _Callers:
@@ -56,9 +60,10 @@
 @contextlib.asynccontextmanager
 async def _fleet(
     events: int | None = None,
+    fatal: Collection[str] = ('fatal',),
 ) -> AsyncIterator[tuple[Deployment, MortalUpstreams, _Callers]]:
     async with deployment(_INSTANCES) as made:
-        mortality = Mortality(('fatal',), events)
+        mortality = Mortality(fatal, events)
         mortal = MortalUpstreams(made.store, MODEL, mortality)
         await mortal.start(_UPSTREAMS, first_s=0.02)
         await made.ready()
@@ -109,6 +114,55 @@
         assert mortal.ended <= _MAX_ENDED
 
 
+async def test_a_sound_part_is_told_from_a_fatal_one_that_came_with_it() -> (
+    None
+):
+    """All that crash upstreams hold both parts, and both are in use."""
+    fatal: set[str] = set()
+    async with _fleet(fatal=fatal) as (_, mortal, callers):
+        for _ in range(2 * _INSTANCES):
+            await callers.ask('m1', 'turned')
+        fatal.add('turned')
+        await callers.ask('m1', 'turned')
+        assert mortal.ended == 2
+        for _ in range(_INSTANCES):
+            await callers.ask('other')
+        both = asyncio.create_task(callers.ask('m1', 'turned'))
+        await asyncio.sleep(_PAUSE_S)
+        await callers.ask('m1', 'other')
+        assert (await both).status != 200
+        await asyncio.sleep(_OBSERVATION_S)
+        later = [await callers.ask('m1', 'other') for _ in range(5)]
+        assert [answer.status for answer in later] == [200] * 5
+        assert (await callers.ask('turned')).status == 503
+        assert mortal.ended <= _MAX_ENDED
+
+
+async def test_a_sound_part_quarantined_beside_a_fatal_one_is_soon_served() -> (
+    None
+):
+    """No request with one of them came while both were held."""
+    fatal: set[str] = set()
+    async with _fleet(fatal=fatal) as (_, mortal, callers):
+        for _ in range(2 * _INSTANCES):
+            await callers.ask('m1', 'turned')
+        fatal.add('turned')
+        for _ in range(2):
+            await callers.ask('m1', 'turned')
+            for _ in range(_INSTANCES):
+                await callers.ask('other')
+        await asyncio.sleep(_OBSERVATION_S)
+        assert (await callers.ask('m1', 'other')).status == 503
+        await asyncio.sleep(_RIVAL_TRIAL_S)
+        later = [await callers.ask('m1', 'other') for _ in range(5)]
+        assert [answer.status for answer in later] == [200] * 5
+        await callers.ask('turned')
+        answer = await callers.ask('turned')
+        assert answer.status == 503
+        assert float(answer.header('retry-after')) > 10
+        assert mortal.ended <= _MAX_ENDED
+
+
 async def test_a_new_instance_refuses_a_known_part() -> None:
     """All instances that saw the upstreams end have stopped."""
     async with _fleet() as (made, mortal, callers):
