A store's answer may take as long as it makes progress

Cause: a call to the store had 1 s for its whole answer. This one takes 1.6 s, so it was given up and begun anew from its first byte, for ever.

Change: the timeout is extended while parts of the answer arrive, by 1 s after each, at most 10 s in all. An answer that stops is given up after 1 s as before.

--- a/packages/platform/src/tallyhall_platform/store.py
+++ b/packages/platform/src/tallyhall_platform/store.py
@@ -1,8 +1,9 @@
 """Client of the platform's metadata store.
 
 Every call has a timeout, after which its connection is closed and not used
-again. Nothing is retried here, since only the caller knows whether a call may
-be repeated.
+again. It is extended while parts of the answer arrive, since a value of a
+megabyte takes seconds on a narrow link. Nothing is retried here, since only the
+caller knows whether a call may be repeated.
 """
 
 from __future__ import annotations
@@ -36,6 +37,10 @@
 # A healthy store answers in milliseconds; one that its operators slow down
 # deliberately answers within a second.
 _CALL_TIMEOUT_S = 1.0
+# Time in which some more of an answer must arrive, and longest time for all of
+# it.
+_PROGRESS_TIMEOUT_S = 1.0
+_MAX_ANSWER_S = 10.0
 _CONNECT_TIMEOUT_S = 0.5
 # Time that a watch may take beyond its requested wait.
 _WATCH_GRACE_S = 0.5
@@ -349,10 +354,13 @@
             return answer
 
     async def _exchange(self, raw: bytes, wait_s: float) -> BufferedResponse:
+        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(wait_s):
+            async with asyncio.timeout(wait_s) as scope:
                 conn = await self._connect()
+                conn.on_received = _Extension(scope, loop.time() + wait_s)
                 answer = await read_response(conn, raw)
+                conn.on_received = None
         except (EdgeError, TimeoutError) as exc:
             self.close()
             raise StoreUnavailableError(repr(exc)) from exc
@@ -377,6 +385,24 @@
         return conn
 
 
+class _Extension:
+    """Extends the timeout of a call whenever a part of its answer arrives."""
+
+    def __init__(self, scope: asyncio.Timeout, due_at: float) -> None:
+        """Extend this timeout, which is due at a time of the loop's clock."""
+        self._scope = scope
+        self._due_at = due_at
+        self._loop = asyncio.get_running_loop()
+        self._max_due_at = due_at + _MAX_ANSWER_S
+
+    def __call__(self, conn: ClientConnection) -> None:
+        """Extend the timeout, up to the longest time for an answer."""
+        extended_at = self._loop.time() + _PROGRESS_TIMEOUT_S
+        if self._due_at < extended_at and not self._scope.expired():
+            self._due_at = min(extended_at, self._max_due_at)
+            self._scope.reschedule(self._due_at)
+
+
 def _outcome(kind: CallKind, answer: BufferedResponse) -> CallOutcome:
     if answer.status == _TOO_MANY_REQUESTS:
         return CallOutcome.limited
