Bench: the id and the memory of a process are read in one place

Cause: three benches found the id of an entry process by themselves, and idle.py read its memory beside process_use.py. A loop of the endless play could not end but had to say so.

Change: EntryProcess.pid; idle.py calls process_use; a plain while loop.

--- a/packages/bench/src/tallyhall_bench/endless_run.py
+++ b/packages/bench/src/tallyhall_bench/endless_run.py
@@ -12,7 +12,6 @@
 import argparse
 import asyncio
 import dataclasses
-import itertools
 import random
 import sys
 import types
@@ -24,7 +23,7 @@
     EndlessEngine,
 )
 
-from .platform_fleet import EntryProcess, PlatformFleet, platform_fleet
+from .platform_fleet import PlatformFleet, platform_fleet
 from .platform_load import Caller
 from .platform_run import usual_state
 from .plays import Share, add_options, play_chosen
@@ -105,7 +104,7 @@
         answer = ENDLESS_ANSWERS.get(form)
         turned = _most_asked(engines)[: bad if answer else 0]
         _answer_with(turned, answer)
-        pid = _pid(fleet.entries[0])
+        pid = fleet.entries[0].pid
         used_s = cpu_s(pid)
         served = await _call_for(fleet, rng, _PLAY_S)
         used_s = cpu_s(pid) - used_s
@@ -175,23 +174,17 @@
     loop = asyncio.get_running_loop()
     caller = Caller(rng)
     entry = fleet.entries[0]
+    asked = 0
     served = 0
-    for asked in itertools.count():
-        if loop.time() >= ends_at:
-            return Share(served, asked)
+    while loop.time() < ends_at:
+        asked += 1
         request_id = f'r{number}-{loop.time()}'
         tried = await caller.ask(
             entry.name, entry.front, _ROUTE, request_id, streams=False
         )
         served += tried.status == _OK and tried.whole
         await asyncio.sleep(_PAUSE_S)
-    raise AssertionError
-
-
-def _pid(entry: EntryProcess) -> int:
-    if entry.process is None:
-        raise RuntimeError(f'{entry.name} is not started')
-    return entry.process.pid
+    return Share(served, asked)
 
 
 def main() -> int:
--- a/packages/bench/src/tallyhall_bench/idle.py
+++ b/packages/bench/src/tallyhall_bench/idle.py
@@ -7,12 +7,11 @@
 from __future__ import annotations
 
 import json
-import pathlib
 import sys
 import time
 
 from .fleet import Fleet, FleetSpec, UpstreamSpec
-from .process_use import cpu_s
+from .process_use import cpu_s, resident_mb
 from .tables import usual_table
 
 _SIZES = (3, 6, 12, 24)
@@ -47,7 +46,7 @@
         'instances': size,
         'core_percent_mean': round(sum(shares) / size, 2),
         'core_percent_most': round(max(shares), 2),
-        'resident_mb_mean': round(sum(map(_resident_mb, pids)) / size, 1),
+        'resident_mb_mean': round(sum(map(resident_mb, pids)) / size, 1),
         'kv_calls_per_s': round(
             (sum(fleet.counts('kv').values()) - calls) / _OVER_S,
             2,
@@ -56,11 +55,5 @@
     sys.stdout.write(f'{json.dumps(line)}\n')
 
 
-def _resident_mb(pid: int) -> float:
-    text = pathlib.Path(f'/proc/{pid}/status').read_text()
-    line = next(row for row in text.splitlines() if row.startswith('VmRSS'))
-    return int(line.split()[1]) / 1024
-
-
 if __name__ == '__main__':
     sys.exit(main())
--- a/packages/bench/src/tallyhall_bench/memory_use.py
+++ b/packages/bench/src/tallyhall_bench/memory_use.py
@@ -133,8 +133,7 @@
     async def add(self, phase: str, units: int) -> None:
         """Print what the phase has added to the phase before it."""
         await asyncio.sleep(_SETTLE_S)
-        process = self._entry.process
-        pid = 0 if process is None else process.pid
+        pid = self._entry.pid
         resident = resident_mb(pid)
         line: dict[str, Any] = {
             'phase': phase,
--- a/packages/bench/src/tallyhall_bench/platform_fleet.py
+++ b/packages/bench/src/tallyhall_bench/platform_fleet.py
@@ -55,6 +55,13 @@
     turn: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
     _log_from: int = 0
 
+    @property
+    def pid(self) -> int:
+        """Return the id of the process; raise RuntimeError before its start."""
+        if self.process is None:
+            raise RuntimeError(f'{self.name} is not started')
+        return self.process.pid
+
     async def start(
         self,
         command: Sequence[str] = (sys.executable, str(_ENTRY)),
--- a/packages/bench/src/tallyhall_bench/soak_checks.py
+++ b/packages/bench/src/tallyhall_bench/soak_checks.py
@@ -75,7 +75,7 @@
 def _check_memory(site: Site, entry: EntryProcess) -> None:
     if entry.process is None or entry.process.returncode is not None:
         return
-    used_mb = peak_mb(entry.process.pid)
+    used_mb = peak_mb(entry.pid)
     if used_mb > MEMORY_MB:
         detail = f'{entry.name}: {used_mb:.0f} MB of {MEMORY_MB}'
         site.violations.append(Violation('memory', detail))
--- a/packages/bench/src/tallyhall_bench/start_cost.py
+++ b/packages/bench/src/tallyhall_bench/start_cost.py
@@ -137,7 +137,7 @@
         (*INTERPRETER, '-c', _TIMED, str(spent), *program),
         PYTHONPATH=library(root),
     )
-    pid = _pid(entry)
+    pid = entry.pid
     caller = Caller(random.Random(1))
     try:
         async with asyncio.timeout(_STARTING_S):
@@ -170,12 +170,6 @@
     return str(built) if built.exists() else sysconfig.get_path('purelib')
 
 
-def _pid(entry: EntryProcess) -> int:
-    if entry.process is None:
-        raise RuntimeError(f'{entry.name} is not started')
-    return entry.process.pid
-
-
 def _spent_s(pid: int) -> float:
     """Return the processor time of all threads."""
     tasks = pathlib.Path(f'/proc/{pid}/task').glob('*/schedstat')
