A store call's timeout is read from its scope

Cause: the extension kept a copy of when the timeout is due.

Change: it asks the scope. Behaviour is as before.

Result: the tests of slow answers, of calls and of a silent store pass.

--- a/packages/platform/src/tallyhall_platform/store.py
+++ b/packages/platform/src/tallyhall_platform/store.py
@@ -354,11 +354,10 @@
             return answer
 
     async def _exchange(self, raw: bytes, wait_s: float) -> BufferedResponse:
-        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(wait_s) as scope:
                 conn = await self._connect()
-                conn.on_received = _Extension(scope, loop.time() + wait_s)
+                conn.on_received = _Extension(scope)
                 answer = await read_response(conn, raw)
                 conn.on_received = None
         except (EdgeError, TimeoutError) as exc:
@@ -388,19 +387,21 @@
 class _Extension:
     """Extends the timeout of a call whenever a part of its answer arrives."""
 
-    def __init__(self, scope: asyncio.Timeout, due_at: float) -> None:
-        """Extend this timeout, which is due at a time of the loop's clock."""
+    def __init__(self, scope: asyncio.Timeout) -> None:
+        """Extend this timeout, which has been entered."""
         self._scope = scope
-        self._due_at = due_at
         self._loop = asyncio.get_running_loop()
-        self._max_due_at = due_at + _MAX_ANSWER_S
+        self._max_due_at = self._due_at + _MAX_ANSWER_S
 
     def __call__(self, conn: ClientConnection) -> None:
         """Extend the timeout, up to the longest time for an answer."""
         extended_at = self._loop.time() + _PROGRESS_TIMEOUT_S
         if self._due_at < extended_at and not self._scope.expired():
-            self._due_at = min(extended_at, self._max_due_at)
-            self._scope.reschedule(self._due_at)
+            self._scope.reschedule(min(extended_at, self._max_due_at))
+
+    @property
+    def _due_at(self) -> float:
+        return self._scope.when() or 0
 
 
 def _outcome(kind: CallKind, answer: BufferedResponse) -> CallOutcome:
