--- a/tests/platform/test_part_quarantine.py
+++ b/tests/platform/test_part_quarantine.py
@@ -74,6 +74,24 @@
             mortal.close()
 
 
+@contextlib.asynccontextmanager
+async def _turned_fleet() -> AsyncIterator[tuple[MortalUpstreams, _Callers]]:
+    """Let a part turn fatal that was in use together with a sound one."""
+    fatal: set[str] = set()
+    async with _fleet(fatal=fatal) as (_, mortal, callers):
+        for _ in range(2 * _INSTANCES):
+            await callers.ask('m1', 'turned')
+        fatal.add('turned')
+        yield mortal, callers
+
+
+async def _ask_both(callers: _Callers) -> None:
+    """Ask with both parts, then with another one at each instance."""
+    await callers.ask('m1', 'turned')
+    for _ in range(_INSTANCES):
+        await callers.ask('other')
+
+
 async def _ask_fatal(callers: _Callers, path: str = '/stream/x') -> Answer:
     """Ask again and again, and without the part; return the last answer."""
     for _ in range(_ATTEMPTS):
@@ -118,15 +136,9 @@
     None
 ):
     """All that crash upstreams hold both parts, and both are in use."""
-    fatal: set[str] = set()
-    async with _fleet(fatal=fatal) as (_, mortal, callers):
-        for _ in range(2 * _INSTANCES):
-            await callers.ask('m1', 'turned')
-        fatal.add('turned')
-        await callers.ask('m1', 'turned')
+    async with _turned_fleet() as (mortal, callers):
+        await _ask_both(callers)
         assert mortal.ended == 2
-        for _ in range(_INSTANCES):
-            await callers.ask('other')
         both = asyncio.create_task(callers.ask('m1', 'turned'))
         await asyncio.sleep(_PAUSE_S)
         await callers.ask('m1', 'other')
@@ -142,15 +154,9 @@
     None
 ):
     """No request with one of them came while both were held."""
-    fatal: set[str] = set()
-    async with _fleet(fatal=fatal) as (_, mortal, callers):
-        for _ in range(2 * _INSTANCES):
-            await callers.ask('m1', 'turned')
-        fatal.add('turned')
+    async with _turned_fleet() as (mortal, callers):
         for _ in range(2):
-            await callers.ask('m1', 'turned')
-            for _ in range(_INSTANCES):
-                await callers.ask('other')
+            await _ask_both(callers)
         await asyncio.sleep(_OBSERVATION_S)
         assert (await callers.ask('m1', 'other')).status == 503
         await asyncio.sleep(_RIVAL_TRIAL_S)
