Review: case 4, resets of peer connections take a service away for good

The case shows that a grant that is lost with its stream leaves its place occupied at the owner for ever.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,8 @@
-"""Desired states in quick succession, each of a megabyte, stop every machine."""
+"""Resets of connections between two machines end a service for good.
+
+Three entry processes, three model engines and two plain ones. Connections that
+lead to one machine from the others are reset once a second for a while.
+"""
 
 from __future__ import annotations
 
@@ -14,107 +18,143 @@
 
 from client import KEY, ask  # noqa: E402
 from engine import Engine  # noqa: E402
-from fleet import Fleet, Record, main, route, service  # noqa: E402
-
-# PROTOCOL.md: a value has at most `value-bytes`, 1,048,576.
-SIZE = int(os.environ.get('SIZE', '1000000'))
-# The site's own storm: a change each 0.06 s for 1.5 s.
-GAP_S = float(os.environ.get('GAP_S', '0.06'))
-STORM = int(os.environ.get('STORM', '25'))
-APPLY_S = 2.0
+from fleet import CannotRunError, Fleet, Record, main, route, service  # noqa: E402
+from fleet import free_ports  # noqa: E402
+from link import Link  # noqa: E402
+
+ENGINES = 2
+SLOTS = 4
+SUM_PER_S = float(os.environ.get('SUM_PER_S', '30'))
+SAFE_PER_S = 8.0
 QUIET_S = 5.0
-LENGTH_S = 40.0
-PER_S = 12.0
+RESETS = int(os.environ.get('RESETS', '60'))
+EVERY_S = 0.5
+RECOVER_S = 12.0
+AFTER_S = 12.0
 
 
-def state(version: int, moved: str) -> dict:
-    """Return a desired state of about SIZE bytes; `moved` goes to a service."""
-    routes = [
-        route('moved', 'safe', moved, public=True),
-        route('keyed', 'safe', moved),
-    ]
-    spare = route('spare0000', 'safe', 'app')
-    fields = {
+def state(version: int, *, later: bool) -> dict:
+    routes = [route('safe', 'safe', 'app')]
+    if later:
+        routes.append(route('sum', 'streaming', 'llm', resumable=True))
+    return {
         'version': version,
         'routes': routes,
-        'services': [service('app'), service('new')],
+        'services': [service('app'), service('llm', engine={'stride': 5})],
         'tenants': [{'name': 'shop', 'api-keys': [KEY], 'unit': 'tokens'}],
     }
-    each = len(json.dumps(spare)) + 2
-    count = max(0, (SIZE - len(json.dumps(fields))) // each)
-    routes.extend(
-        spare | {'name': f'spare{number:04}', 'prefix': f'/spare{number:04}/'}
-        for number in range(count)
-    )
-    return fields
+
+
+def link_peers(fleet: Fleet, links: dict[str, Link]) -> None:
+    """Let machines learn the addresses of links to each other from the store."""
+    write = fleet.store._write
+
+    def linked(key: str, content: bytes, lease: int) -> None:
+        name = key.removeprefix('tallyhall/instances/')
+        if name != key and name in links:
+            fields = json.loads(content)
+            fields['peer'] = f'127.0.0.1:{links[name].port}'
+            content = json.dumps(fields).encode()
+        write(key, content, lease)
+
+    fleet.store._write = linked
 
 
 async def play(fleet: Fleet, record: Record, trouble: bool) -> bool:
     loop = asyncio.get_running_loop()
-    rng = random.Random(4)
-    await fleet.begin(state(1, 'app'))
+    rng = random.Random(9)
+    links: dict[str, Link] = {}
+    link_peers(fleet, links)
+    await fleet.begin(state(1, later=False))
+    for number in range(ENGINES):
+        one = Engine(f'llm-{number}', 'llm')
+        one.slots, one.slot = SLOTS, asyncio.Semaphore(SLOTS)
+        await fleet.add_engine(one)
     for number in range(2):
         await fleet.add_engine(Engine(f'app-{number}', 'app'))
-        await fleet.add_engine(Engine(f'new-{number}', 'new'))
     for zone in ('a', 'a', 'b'):
-        await fleet.add_entry(zone)
+        await fleet.add_entry(zone, links=links)
     await fleet.until_ready()
+    fleet.store.put('op/config', state(2, later=True))
+    await asyncio.sleep(3)
     began = loop.time()
-    confirmed: list[float] = []
-
-    async def change() -> None:
-        await asyncio.sleep(QUIET_S)
-        count = STORM if trouble else 1
-        for number in range(count):
-            is_last = number == count - 1
-            fields = state(10 + 3 * number, 'new' if is_last else 'app')
-            at = loop.time()
-            fleet.store.put('op/config', fields)
-            record(f'{loop.time() - began:8.3f} version {fields["version"]} is confirmed')
-            if is_last:
-                confirmed.append(loop.time())
-            await asyncio.sleep(max(0, GAP_S - (loop.time() - at)))
-
-    task = asyncio.ensure_future(change())
-    calls = set()
-    serial = 0
-    while loop.time() < began + LENGTH_S:
-        serial += 1
+    tried: list = []
+    calls: set = set()
+
+    async def call(name: str, number: int) -> None:
         entry = rng.choice(fleet.entries)
-        name = rng.choice(('moved', 'keyed'))
-        key = None if name == 'moved' else KEY
-        call = asyncio.ensure_future(
-            ask(entry.name, entry.front, name, f'r{serial}', method='GET', key=key)
+        more = [('X-Tallyhall-Token-Counts', '400,40')] if name == 'sum' else []
+        tried.append(
+            await ask(
+                entry.name, entry.front, name, f'{name}{number}',
+                body=b'hello', deadline_s=6, more=more,
+            )
         )
-        calls.add(call)
-        await asyncio.sleep(rng.expovariate(PER_S))
-    await task
+
+    async def load(name: str, per_s: float, until: float) -> None:
+        while loop.time() < until:
+            calls.add(asyncio.ensure_future(call(name, len(calls))))
+            await asyncio.sleep(rng.expovariate(per_s))
+
+    resets_end = began + QUIET_S + RESETS * EVERY_S
+    ends_at = resets_end + RECOVER_S + AFTER_S
+    loads = [
+        asyncio.ensure_future(load('sum', SUM_PER_S, ends_at)),
+        asyncio.ensure_future(load('safe', SAFE_PER_S, ends_at)),
+    ]
+    await asyncio.sleep(QUIET_S)
+    owner = granted_by(fleet)
+    others = [one for one in fleet.entries if one.name != owner]
+    record(f'{owner} grants the places of the service')
+    for number in range(RESETS):
+        await asyncio.sleep(EVERY_S)
+        if trouble:
+            victim = others[number % len(others)]
+            record(f'{loop.time() - began:8.3f} connections to {victim.name} are reset')
+            links[victim.name].reset()
+    await asyncio.gather(*loads)
+    await asyncio.gather(*calls)
+    return judge(fleet, record, tried, began, began + QUIET_S, resets_end)
+
+
+def granted_by(fleet: Fleet) -> str:
+    """Return the machine that grants places to the others, as their logs say."""
+    counts: collections.Counter = collections.Counter()
     for entry in fleet.entries:
-        failed = len(entry.events('store_call_failed'))
-        record(f'{entry.name}: {failed} failed calls to the store, peak {entry.peak_mb:.0f} MB')
-    tried = await asyncio.gather(*calls)
-    return judge(fleet, record, tried, began, confirmed[0])
-
-
-def judge(fleet, record, tried, began, confirmed) -> bool:
-    ran = collections.defaultdict(list)
-    for one in fleet.engines:
-        for run in one.runs:
-            if run.ran:
-                ran[run.request_id].append(one.service)
+        for line in entry.events('permitted'):
+            if line['upstream'].startswith('llm') and line['by'] != entry.name:
+                counts[line['by']] += 1
+    if not counts:
+        raise CannotRunError('no machine grants places to another one')
+    return counts.most_common(1)[0][0]
+
+
+def judge(fleet, record, tried, began, quiet_until, resets_end) -> bool:
     for one in sorted(tried, key=lambda each: each.at):
-        record(f'{one.line(began)} ran by {ran[one.request_id]}')
-    late = [one for one in tried if one.at > confirmed + APPLY_S]
-    old = [one for one in late if 'app' in ran[one.request_id]]
-    refused = [one for one in late if one.status == 503]
+        record(one.line(began))
+    settled = resets_end + RECOVER_S
+    late = {
+        name: [one for one in tried if one.at >= settled and one.route == name]
+        for name in ('sum', 'safe')
+    }
+    before = [one for one in tried if one.at < quiet_until and one.route == 'sum']
+    share = {
+        name: sum(one.served for one in each) / max(1, len(each))
+        for name, each in late.items()
+    }
     record.say(
-        f'of {len(late)} requests sent later than config-apply-ms after the last '
-        f'confirmation, {len(old)} were run by the old service, the last of them '
-        f'{max((one.at - confirmed for one in old), default=0):.1f} s after it; '
-        f'{len(refused)} got 503, the last of them '
-        f'{max((one.at - confirmed for one in refused), default=0):.1f} s after it'
+        f'before the resets {sum(one.served for one in before)} of {len(before)} '
+        f'streams were served; from recover-s after the last reset on '
+        f'{sum(one.served for one in late["sum"])} of {len(late["sum"])} requests on '
+        f'the route that was added later, and {sum(one.served for one in late["safe"])} '
+        f'of {len(late["safe"])} on the first route'
+    )
+    everything = [*late["sum"], *late["safe"]]
+    record(
+        f"RECOVER: {sum(one.served for one in everything)} of {len(everything)} "
+        f"requests served from recover-s after the last reset on"
     )
-    return bool(old)
+    return len(late["sum"]) >= 20 and share['sum'] < share['safe'] / 4
 
 
 main(__file__, play)
--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -151,8 +151,17 @@
         self.engines.append(engine)
         self.store.put(f'servers/{engine.name}', engine.fields)
 
-    async def add_entry(self, zone: str = 'a', *, linked: bool = False, **limits) -> Entry:
-        """Start an entry process; a linked one has links of its own to engines."""
+    async def add_entry(
+        self,
+        zone: str = 'a',
+        *,
+        linked: bool = False,
+        links: dict[str, Link] | None = None,
+    ) -> Entry:
+        """Start an entry process; a linked one has links of its own to engines.
+
+        links: gets the link through which other machines reach this one.
+        """
         entry = Entry(f'front-{zone}-{len(self.entries) + 1}', self.folder)
         store_port = self.store_port
         if linked:
@@ -164,6 +173,9 @@
             await self.store.listen(store_port, self._view(entry))
         entry.front, entry.ready, entry.directory, *peers = free_ports(8)
         entry.peer = peers[0]
+        if links is not None:
+            links[entry.name] = Link(entry.peer)
+            await links[entry.name].listen(free_ports(1)[0])
         fields = {
             'node': entry.name, 'role': 'entry', 'machine-class': 'front',
             'serves': ['front', 'directory'], 'ip': '127.0.0.1', 'zone': zone,
@@ -177,7 +189,7 @@
             'seeds': [], 'bootstrap': True, 'loss-counts': False,
             'limits': {
                 'cpu-share': 0.537, 'cores': 2, 'memory-mb': 150,
-                'max-fds': 4100, 'link-mbps': 1000.0, 'disk-mb': 0, **limits,
+                'max-fds': 4100, 'link-mbps': 1000.0, 'disk-mb': 0,
             },
             'data-dir': None, 'discovery': 'platform', 'entry': 'directory',
             'heartbeat-ms': 1200, 'contracts': CONTRACTS,
--- a/review/lib-2/link.py
+++ b/review/lib-2/link.py
@@ -26,6 +26,10 @@
         if self.server is not None:
             self.server.close()
             self.server = None
+        self.reset()
+
+    def reset(self) -> None:
+        """Reset the open connections; new ones work at once."""
         for writer in tuple(self.writers):
             writer.transport.abort()
 
