--- a/review/4/case.py
+++ b/review/4/case.py
@@ -23,12 +23,12 @@
 from link import Link  # noqa: E402
 
 ENGINES = 2
-SLOTS = 4
+SLOTS = 3
 SUM_PER_S = float(os.environ.get('SUM_PER_S', '30'))
 SAFE_PER_S = 8.0
 QUIET_S = 5.0
-RESETS = int(os.environ.get('RESETS', '60'))
-EVERY_S = 0.5
+RESETS = int(os.environ.get('RESETS', '30'))
+EVERY_S = 1.0
 RECOVER_S = 12.0
 AFTER_S = 12.0
 
--- a/review/lib-2/link.py
+++ b/review/lib-2/link.py
@@ -17,6 +17,8 @@
         self.port = 0
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
+        # Ends of connections that swallow what they get.
+        self.silent: set[asyncio.StreamWriter] = set()
 
     async def listen(self, port: int) -> None:
         self.port = port
@@ -33,6 +35,10 @@
         for writer in tuple(self.writers):
             writer.transport.abort()
 
+    def silence(self) -> None:
+        """Let the open connections go silent for good; new ones work."""
+        self.silent.update(self.writers)
+
     async def restore(self) -> None:
         if self.server is None:
             await self.listen(self.port)
@@ -56,12 +62,17 @@
             pass
         finally:
             self.writers.difference_update(both)
+            self.silent.difference_update(both)
 
     async def _pump(self, reader, writer, both) -> None:
         try:
             while data := await reader.read(65536):
+                if writer in self.silent:
+                    continue
                 writer.write(data)
                 await writer.drain()
+            if writer in self.silent:
+                return
             # The end of one direction ends the other after what is on its way.
             with contextlib.suppress(OSError, RuntimeError):
                 writer.close()
