--- a/review/4/case.py
+++ b/review/4/case.py
@@ -157,4 +157,5 @@
     return len(late["sum"]) >= 20 and share['sum'] < share['safe'] / 4
 
 
-main(__file__, play)
+# TROUBLE=0 plays the same without the disruption.
+main(__file__, play, trouble=os.environ.get('TROUBLE', '1') != '0')
--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -258,11 +258,15 @@
 def main(
     script: str,
     play: Callable[[Fleet, Record, bool], Awaitable[bool]],
+    *,
+    trouble: bool,
     within_s: float = 110,
 ) -> None:
-    """Play a case: exit with 1 if the rule was broken, 0 if not, 2 if unable."""
+    """Play a case: exit with 1 if the rule was broken, 0 if not, 2 if unable.
+
+    trouble: whether the disruption is played; a case reads it from TROUBLE.
+    """
     folder = pathlib.Path(script).resolve().parent
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     record = Record(folder)
 
     async def run() -> int:
