Play of upstreams that stop reading, and the incident's timeline

What the users saw: retries beyond the budget on two deployments, on real processes, without logs. Nothing played upstreams as processes of their own that a signal stops and continues.

make pauses does, with six entry processes.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 # Tests wait as well as compute.
 TEST_WORKERS ?= 4
 
-.PHONY: run run-platform proto days soak rollouts limits retries isolation versions parts endless test check fmt faults bench slopes overhead start-cost return-run
+.PHONY: run run-platform proto days soak rollouts limits retries pauses isolation versions parts endless test check fmt faults bench slopes overhead start-cost return-run
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -59,6 +59,11 @@
 	$(BIN)/python -m tallyhall_bench.retry_run --seed $(SEED) \
 		--seeds $(SEEDS)
 
+# Upstreams that stop reading for seconds, as processes that signals stop.
+pauses: $(STAMP)
+	$(BIN)/python -m tallyhall_bench.pause_run --seed $(SEED) \
+		--seeds $(SEEDS)
+
 # Instances that lose their way to all upstreams, on real processes.
 isolation: $(STAMP)
 	$(BIN)/python -m tallyhall_bench.isolation_run --seed $(SEED) \
--- /dev/null
+++ b/packages/bench/src/tallyhall_bench/pause_run.py
@@ -0,0 +1,305 @@
+"""`make pauses`: upstreams that stop reading for seconds, as real processes.
+
+Six entry processes and nine upstream processes of a service that reject a share
+of what arrives. Some or all upstreams are stopped by a signal and continued
+later; then they read all that has come meanwhile. For each trouble this prints
+the most retries that reached upstreams in a window of ten seconds against how
+many the fleet may send.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import dataclasses
+import functools
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import types
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from typing import Any
+
+from .platform_fleet import (
+    RETRY_LIMITS,
+    EntryProcess,
+    PlatformFleet,
+    platform_fleet,
+    restart_together,
+)
+from .platform_load import Caller, keep_calling
+from .platform_run import usual_state
+from .plays import add_options, play_chosen
+from .retry_checks import RetryWindow, arrived_retries, fullest_window
+from .start_cost import INTERPRETER, ROOT, library
+from .upstream_processes import UpstreamProcess, UpstreamProcesses
+
+_INSTANCES = 6
+_UPSTREAMS = 9
+_SLOTS = 20
+_WORK_S = 0.04
+_REJECTED = 0.3
+_SERVICE = 'app'
+_ROUTE = 'safe'
+_ATTEMPTS = 3
+_PER_S = 70.0
+_BEFORE_S = 4.0
+_PLAY_S = 22.0
+_PAUSE_S = 7.0
+_LONG_PAUSE_S = 9.0
+_SHORT_PAUSE_S = 4.0
+_BETWEEN_S = 2.5
+_DOWN_S = 0.3
+_OK = 200
+
+
+@dataclasses.dataclass(slots=True)
+class Play:
+    """One play under way."""
+
+    fleet: PlatformFleet
+    upstreams: list[UpstreamProcess]
+    rng: random.Random
+    root: pathlib.Path
+    requests: list[float] = dataclasses.field(default_factory=list)
+    times_s: list[float] = dataclasses.field(default_factory=list)
+    statuses: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter,
+    )
+    # What was done, at times of the loop's clock.
+    events: list[str] = dataclasses.field(default_factory=list)
+
+    def note(self, text: str) -> None:
+        """Keep what is done now."""
+        now = asyncio.get_running_loop().time()
+        self.events.append(f'{now:.2f} {text}')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What upstreams and callers saw in a play."""
+
+    trouble: str
+    seed: int
+    worst: RetryWindow
+    retries: int
+    requests: int
+    served: int
+    slowest_s: float
+
+    @property
+    def broken(self) -> bool:
+        """Return whether upstreams got more retries than allowed."""
+        return self.worst.is_exceeded
+
+    def __str__(self) -> str:
+        """Return a row of the table."""
+        return (
+            f'{self.trouble:8} {self.seed:4} {self.worst.retries:5} '
+            f'{self.worst.allowed:7.1f} {self.retries:7} '
+            f'{self.requests:8} {self.served:6} {self.slowest_s:7.2f}'
+            f'{" BROKEN" if self.broken else ""}'
+        )
+
+
+HEADING = 'trouble  seed  most allowed retries requests served p99 [s]'
+
+
+async def play_pauses(
+    trouble: str,
+    root: pathlib.Path,
+    seed: int,
+    kept: pathlib.Path | None = None,
+) -> Result:
+    """Play one trouble and return what was seen.
+
+    root: the checkout whose entry processes are played. kept: folder into which
+    logs and records are written.
+    """
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = kept or pathlib.Path(temporary)
+        async with platform_fleet(0, _state(), folder=kept) as fleet:
+            upstreams = UpstreamProcesses(fleet, folder)
+            try:
+                return await _play(fleet, upstreams, trouble, seed, root)
+            finally:
+                await upstreams.end()
+
+
+async def _play(
+    fleet: PlatformFleet,
+    upstreams: UpstreamProcesses,
+    trouble: str,
+    seed: int,
+    root: pathlib.Path,
+) -> Result:
+    for number in range(_UPSTREAMS):
+        await upstreams.add(
+            _SERVICE,
+            _SLOTS,
+            work_s=_WORK_S,
+            rejected=_REJECTED,
+            seed=seed * _UPSTREAMS + number,
+        )
+    play = Play(fleet, upstreams.started, random.Random(seed), root)
+    await asyncio.gather(
+        *(_start(fleet.prepare_entry(), root) for _ in range(_INSTANCES))
+    )
+    await fleet.until_ready()
+    await _run(play, trouble)
+    for text in play.events:
+        sys.stderr.write(f'{trouble} {seed}: {text}\n')
+    retries = arrived_retries(play.upstreams)
+    times_s = sorted(play.times_s)
+    return Result(
+        trouble,
+        seed,
+        fullest_window(retries, play.requests, RETRY_LIMITS),
+        len(retries),
+        len(play.requests),
+        play.statuses[_OK],
+        times_s[int(0.99 * len(times_s))],
+    )
+
+
+def _state() -> Mapping[str, Any]:
+    state = usual_state()
+    for route in state['routes']:
+        if route['name'] == _ROUTE:
+            route['attempts'] = _ATTEMPTS
+    return state
+
+
+async def _start(entry: EntryProcess, root: pathlib.Path) -> None:
+    if root == ROOT:
+        await entry.start()
+        return
+    command = (*INTERPRETER, str(root / 'deploy' / 'entry.py'))
+    await entry.start(command, PYTHONPATH=library(root))
+
+
+async def _run(play: Play, trouble: str) -> None:
+    """Let the trouble come under load."""
+    calls = keep_calling(functools.partial(_call, play), play.rng, _PER_S)
+    load = asyncio.create_task(calls)
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + _BEFORE_S + _PLAY_S
+    await asyncio.sleep(_BEFORE_S)
+    await _TROUBLES[trouble](play)
+    await asyncio.sleep(ends_at - loop.time())
+    load.cancel()
+    await asyncio.wait((load,))
+
+
+async def _call(play: Play) -> None:
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    play.requests.append(began_at)
+    entry = play.rng.choice(play.fleet.entries)
+    tried = await Caller(play.rng).ask(
+        entry.name,
+        entry.front,
+        _ROUTE,
+        f'r{len(play.requests)}',
+        streams=False,
+    )
+    play.statuses[tried.status] += 1
+    play.times_s.append(loop.time() - began_at)
+
+
+# -- troubles
+
+
+async def _nothing(play: Play) -> None:
+    """Disturb nothing."""
+
+
+async def _pause_some(play: Play) -> None:
+    for _ in range(4):
+        await _pause(play, 3, _SHORT_PAUSE_S)
+
+
+async def _pause_most(play: Play) -> None:
+    for _ in range(2):
+        await _pause(play, _UPSTREAMS - 2, _PAUSE_S)
+        await asyncio.sleep(_BETWEEN_S)
+
+
+async def _pause_all(play: Play) -> None:
+    for _ in range(2):
+        await _pause(play, _UPSTREAMS, _PAUSE_S)
+        await asyncio.sleep(_BETWEEN_S)
+
+
+async def _pause_and_kill(play: Play) -> None:
+    async with asyncio.TaskGroup() as group:
+        group.create_task(_pause(play, _UPSTREAMS, _LONG_PAUSE_S))
+        for _ in range(2):
+            await asyncio.sleep(_LONG_PAUSE_S / 3)
+            await _kill(play, _INSTANCES // 2)
+
+
+async def _pause_and_lose(play: Play) -> None:
+    async with asyncio.TaskGroup() as group:
+        group.create_task(_pause(play, _UPSTREAMS - 2, _LONG_PAUSE_S))
+        await asyncio.sleep(_LONG_PAUSE_S / 2)
+        await _kill(play, _INSTANCES)
+
+
+async def _pause(play: Play, count: int, for_s: float) -> None:
+    chosen = play.rng.sample(play.upstreams, count)
+    names = ' '.join(one.spec.incarnation for one in chosen)
+    play.note(f'pause {for_s} s: {names}')
+    await asyncio.gather(*(one.pause(for_s) for one in chosen))
+    play.note(f'continued: {names}')
+
+
+async def _kill(play: Play, count: int) -> None:
+    lost = play.rng.sample(play.fleet.entries, count)
+    play.note(f'kill {" ".join(one.name for one in lost)}')
+    if play.root == ROOT:
+        await restart_together(lost, signal.SIGKILL, _DOWN_S)
+        return
+    await asyncio.gather(*(_restart(one, play.root) for one in lost))
+
+
+async def _restart(entry: EntryProcess, root: pathlib.Path) -> None:
+    entry.send(signal.SIGKILL)
+    await entry.wait()
+    await asyncio.sleep(_DOWN_S)
+    await _start(entry, root)
+
+
+Course = Callable[[Play], Awaitable[None]]
+_TROUBLES: Mapping[str, Course] = types.MappingProxyType(
+    {
+        'none': _nothing,
+        'some': _pause_some,
+        'most': _pause_most,
+        'all': _pause_all,
+        'kills': _pause_and_kill,
+        'loss': _pause_and_lose,
+    },
+)
+TROUBLES = tuple(_TROUBLES)
+
+
+def main() -> int:
+    """Play and return 1 if a budget was exceeded."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--trouble', action='append', choices=TROUBLES)
+    parser.add_argument('--old', type=pathlib.Path, help='another checkout')
+    parser.add_argument('--keep', type=pathlib.Path, help='folder for logs')
+    add_options(parser, at_once=1)
+    args = parser.parse_args()
+    roots: Iterable[pathlib.Path] = (args.old or ROOT,)
+
+    play = functools.partial(play_pauses, kept=args.keep)
+    return play_chosen(HEADING, play, args, args.trouble or TROUBLES, roots)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/packages/bench/src/tallyhall_bench/platform_fleet.py
+++ b/packages/bench/src/tallyhall_bench/platform_fleet.py
@@ -306,10 +306,14 @@
     instances: int,
     state: Mapping[str, Any],
     contracts: Sequence[str] = (),
+    folder: pathlib.Path | None = None,
 ) -> AsyncIterator[PlatformFleet]:
-    """Start a store with a desired state, and entry processes."""
-    with tempfile.TemporaryDirectory() as folder:
-        fleet = PlatformFleet(pathlib.Path(folder), contracts)
+    """Start a store with a desired state, and entry processes.
+
+    folder: where settings and logs stay; None to remove them at the end.
+    """
+    with tempfile.TemporaryDirectory() as temporary:
+        fleet = PlatformFleet(folder or pathlib.Path(temporary), contracts)
         await fleet.store.listen(HOST, fleet.store_at.port)
         fleet.store.put('op/config', dict(state))
         try:
--- a/packages/bench/src/tallyhall_bench/retry_checks.py
+++ b/packages/bench/src/tallyhall_bench/retry_checks.py
@@ -9,9 +9,29 @@
 import bisect
 import dataclasses
 from collections.abc import Iterable, Sequence
+from typing import Protocol
 
 from tallyhall_dispatch.retries import RetryLimits
-from tallyhall_standins.platform_engine import EngineStandIn
+
+
+class SeenArrival(Protocol):
+    """A request as it reached an upstream, at a time in seconds."""
+
+    @property
+    def request_id(self) -> str:
+        """Return the id that its caller gave it."""
+
+    @property
+    def at(self) -> float:
+        """Return when it arrived, on a clock of all upstreams."""
+
+
+class Observed(Protocol):
+    """An upstream that keeps what it saw."""
+
+    @property
+    def seen(self) -> Sequence[SeenArrival]:
+        """Return the requests that have arrived."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,11 +55,11 @@
         )
 
 
-def arrived_retries(engines: Iterable[EngineStandIn]) -> list[float]:
+def arrived_retries(upstreams: Iterable[Observed]) -> list[float]:
     """Return when retries reached these upstreams, in order."""
     arrivals: dict[str, list[float]] = {}
-    for engine in engines:
-        for seen in engine.seen:
+    for upstream in upstreams:
+        for seen in upstream.seen:
             arrivals.setdefault(seen.request_id, []).append(seen.at)
     return sorted(at for times in arrivals.values() for at in sorted(times)[1:])
 
--- a/packages/standins/src/tallyhall_standins/platform_engine.py
+++ b/packages/standins/src/tallyhall_standins/platform_engine.py
@@ -168,6 +168,10 @@
             writer.transport.abort()
         self.ended.set()
 
+    def record(self, seen: SeenRequest) -> None:
+        """Keep a request that has arrived."""
+        self.seen.append(seen)
+
     async def answer_instead(self, writer: asyncio.StreamWriter) -> bool:
         """Answer a request in another way; return whether that was done."""
         return False
@@ -284,7 +288,7 @@
             fault = EngineFault.rejects
         refused = fault in {EngineFault.rejects, EngineFault.misplaced}
         request_id = self._headers.get('x-tallyhall-request-id', '')
-        engine.seen.append(
+        engine.record(
             SeenRequest(
                 request_id,
                 method,
