Unread sends are counted: which upstreams read, what may still arrive

Logs and metrics could not tell a retry that has arrived from one that waits, unread, in a stopped upstream: 409 tells that a send was given up, 219 what the budget spent on sending.

UnreadSends follows each send until its upstream answers it or one written later on the same path, closes the connection, starts again or is removed. New: events 430 upstream_silent and 431 upstream_heard, the field unread of 219, the gauges tallyhall_retries_unread, tallyhall_unread_sends, tallyhall_oldest_unread_seconds and tallyhall_silent_upstreams. What answers say about upstreams moved from sending.py to upstream_status.py. Nothing is decided by any of it yet.

--- a/packages/core/src/tallyhall_core/events.py
+++ b/packages/core/src/tallyhall_core/events.py
@@ -70,6 +70,8 @@
     stream_origin_asked = 427
     part_suspected = 428
     part_quarantined = 429
+    upstream_silent = 430
+    upstream_heard = 431
     logs_dropped = 501
     internal_error = 500
     order_sent = 600
--- a/packages/dispatch/src/tallyhall_dispatch/retries.py
+++ b/packages/dispatch/src/tallyhall_dispatch/retries.py
@@ -33,7 +33,7 @@
     requests, retries: counted since the start of the process, retries when they
     are sent. denied: retries that the budget did not allow. available: retries
     allowed at this moment. instances: number of instances that share the
-    allowance.
+    allowance. unread: retries that were sent and are not known to have arrived.
     """
 
     requests: int
@@ -41,6 +41,7 @@
     denied: int
     available: float
     instances: int
+    unread: int = 0
 
 
 # Part of the allowance that is divided. The rest is for instances that are not
@@ -55,7 +56,7 @@
 
 
 class RetryReservation:
-    """A retry that the budget allows and that is not sent yet."""
+    """A retry that the budget allows, until it has arrived or never will."""
 
     def __init__(self, budget: RetryBudget, price: float) -> None:
         """Hold the tokens that were taken for it."""
@@ -66,6 +67,10 @@
         """Count the retry as sent."""
         self._budget.commit()
 
+    def settle(self) -> None:
+        """Record that the retry has arrived, or never will."""
+        self._budget.settle()
+
     def release(self) -> None:
         """Return the tokens of a retry that will not be sent."""
         self._budget.release(self._price)
@@ -92,6 +97,8 @@
         self._refilled_at = started_at
         # Number of retries that are allowed and not sent yet.
         self._reserved = 0
+        # Number of retries that are sent and not known to have arrived.
+        self._unread = 0
         self._requests = 0
         self._retries = 0
         self._denied = 0
@@ -117,6 +124,11 @@
         """Count a reserved retry as sent."""
         self._reserved -= 1
         self._retries += 1
+        self._unread += 1
+
+    def settle(self) -> None:
+        """Stop counting a retry as unread."""
+        self._unread -= 1
 
     def release(self, price: float) -> None:
         """Return the tokens of a reserved retry that will not be sent."""
@@ -132,6 +144,7 @@
             self._denied,
             self._tokens,
             self.instances,
+            self._unread,
         )
 
     @property
--- a/packages/edge/src/tallyhall_edge/client.py
+++ b/packages/edge/src/tallyhall_edge/client.py
@@ -17,7 +17,11 @@
 
 import httptools
 
-from .connection_memory import ConnectionMemory, MemoryMonitor
+from .connection_memory import (
+    ConnectionMemory,
+    MemoryMonitor,
+    queued_bytes,
+)
 from .errors import (
     ConnectionFailedError,
     ConnectionLostError,
@@ -138,6 +142,18 @@
         """Return whether the connection is open and in a known state."""
         return self._transport is not None and not self._tainted
 
+    @property
+    def is_acknowledged(self) -> bool:
+        """Return whether the peer's machine has received all that was sent.
+
+        True if this is not known.
+        """
+        transport = self._transport
+        if self._unwritten or transport is None:
+            return not self._unwritten
+        sock = transport.get_extra_info('socket')
+        return not transport.get_write_buffer_size() + queued_bytes(sock)
+
     def send(
         self,
         raw: bytes,
--- a/packages/edge/src/tallyhall_edge/connection_memory.py
+++ b/packages/edge/src/tallyhall_edge/connection_memory.py
@@ -121,7 +121,7 @@
 
     def poll_received(self, now: float) -> None:
         """Update how many bytes were received and not read."""
-        self._count_received(self._query(termios.FIONREAD))
+        self._count_received(_query(self._socket, termios.FIONREAD))
 
     # -- internals
 
@@ -140,20 +140,9 @@
 
     def _unsent_bytes(self) -> int:
         """Return the bytes that the peer has not acknowledged."""
-        queued = self._query(termios.TIOCOUTQ)
+        queued = queued_bytes(self._socket)
         return queued + self._transport.get_write_buffer_size()
 
-    def _query(self, request: int) -> int:
-        sock = self._socket
-        if sock is None or sock.fileno() < 0:
-            return 0
-        answer = array.array('i', (0,))
-        try:
-            fcntl.ioctl(sock.fileno(), request, answer)
-        except OSError:
-            return 0
-        return answer[0]
-
 
 class CallerMemory(ConnectionMemory):
     """Counts what the connection of a caller holds, by its workspace.
@@ -306,3 +295,19 @@
 
 def _ignore_writable(writable: bool) -> None:  # noqa: FBT001
     """Stand in for the upstream of a caller who has left."""
+
+
+def queued_bytes(sock: socket.socket | None) -> int:
+    """Return the bytes that a peer has not acknowledged, 0 if unknown."""
+    return _query(sock, termios.TIOCOUTQ)
+
+
+def _query(sock: socket.socket | None, request: int) -> int:
+    if sock is None or sock.fileno() < 0:
+        return 0
+    answer = array.array('i', (0,))
+    try:
+        fcntl.ioctl(sock.fileno(), request, answer)
+    except OSError:
+        return 0
+    return answer[0]
--- a/packages/edge/src/tallyhall_edge/connections.py
+++ b/packages/edge/src/tallyhall_edge/connections.py
@@ -18,6 +18,7 @@
 
 from .client import ClientConnection
 from .errors import ConnectionLostError
+from .unread_sends import IGNORED, SilenceListener, UnreadSends
 
 # Upstreams that state no timeout keep idle connections for several seconds.
 # Connections are used for only half of a stated timeout, so that the upstream
@@ -55,9 +56,12 @@
 class ConnectionPool:
     """Keeps and reuses connections to upstreams."""
 
-    def __init__(self, connector: Connector) -> None:
+    def __init__(
+        self, connector: Connector, listener: SilenceListener = IGNORED
+    ) -> None:
         """Create an empty pool of connections that the connector opens."""
         self.connector = connector
+        self.unread = UnreadSends(listener)
         self._idle: dict[str, collections.deque[ClientConnection]] = {}
         self._busy: dict[str, set[ClientConnection]] = {}
         self._loop = asyncio.get_running_loop()
@@ -114,6 +118,7 @@
     def fail_all(self, incarnation: str) -> None:
         """Fail the requests in flight to an incarnation that has ended."""
         self.close_idle(incarnation)
+        self.unread.forget(incarnation)
         for conn in tuple(self._busy.get(incarnation, ())):
             conn.fail(ConnectionLostError('the upstream has restarted'))
 
--- a/packages/edge/src/tallyhall_edge/request_context.py
+++ b/packages/edge/src/tallyhall_edge/request_context.py
@@ -12,6 +12,7 @@
 from .exchange import Exchange
 from .guard import Fingerprint, Permit
 from .relay import Relay
+from .unread_sends import RequestSends, UnreadSend
 
 ANSWERED = 'answered'
 
@@ -45,6 +46,10 @@
     sends: int = 0
     may_have_run: int = 0
     retry: RetryReservation | None = None
+    # Its sends that upstreams may still read, and the one whose answer is
+    # waited for.
+    sent: RequestSends = msgspec.field(default_factory=RequestSends)
+    unread_send: UnreadSend | None = None
     # The instance through which the last send went, empty if it was direct, and
     # the id of the tunnel.
     via: str = ''
--- a/packages/edge/src/tallyhall_edge/request_log.py
+++ b/packages/edge/src/tallyhall_edge/request_log.py
@@ -132,6 +132,7 @@
             retries=use.retries,
             available=round(use.available, 2),
             instances=use.instances,
+            unread=use.unread,
         )
 
     def caller_left(self, context: RequestContext) -> None:
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -73,6 +73,7 @@
             guard,
             self._versions,
         )
+        self._unread = conns.unread
         self._guard = guard
         self._jobs = JobFactory(source)
         self._first_tries = FirstAttempts()
@@ -380,6 +381,7 @@
             context.relay.discard()
         if context.retry is not None:
             context.retry.release()
+        self._unread.close(context.sent)
         if not context.may_have_run:
             # This includes requests whose caller disconnected or whose time
             # ran out before they were sent.
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -11,7 +11,6 @@
 import functools
 
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
-from tallyhall_dispatch.backoffs import Backoffs
 from tallyhall_dispatch.desired import RouteKind, Upstream
 from tallyhall_dispatch.gate import AdmissionGate
 from tallyhall_dispatch.jobs import (
@@ -37,6 +36,8 @@
 from .request_log import RequestLog
 from .scheduling import Scheduler
 from .stream_versions import StreamVersions
+from .unread_sends import SendPath
+from .upstream_status import UpstreamStatusReader
 
 # A kept connection may have died unnoticed. Repeatable requests use any kept
 # connection; others use only one that was in use a moment ago. In seconds.
@@ -84,10 +85,11 @@
         self._gate = gate
         self._scheduler = scheduler
         self._conns = conns
+        self._unread = conns.unread
         self._codec = codec
         self._log = log
-        # Backoffs that upstreams requested from this instance.
-        self.backoffs = Backoffs()
+        self._status = UpstreamStatusReader(scheduler, conns, log)
+        self.backoffs = self._status.backoffs
         self._loop = asyncio.get_running_loop()
 
     async def send(
@@ -183,42 +185,6 @@
         if permit.trials:
             self._guard.release(permit)
 
-    def _apply_answer_info(
-        self,
-        upstream: Upstream,
-        asked_at: float,
-        info: ResponseInfo,
-    ) -> None:
-        self._report_limit(upstream, asked_at, info)
-        if info.leaving:
-            self._scheduler.upstream_listener.on_leaving(upstream.incarnation)
-            self._conns.close_idle(upstream.incarnation)
-        if info.backoff_s:
-            now = self._loop.time()
-            self.backoffs.add(upstream.incarnation, info.backoff_s, now)
-        if info.load is not None:
-            self._scheduler.upstream_listener.on_load_reported(
-                upstream.incarnation, info.load
-            )
-        for name in info.unknown_headers:
-            self._log.header_unread(upstream, name)
-
-    def _report_limit(
-        self,
-        upstream: Upstream,
-        asked_at: float,
-        info: ResponseInfo,
-    ) -> None:
-        # An upstream may reject a request before it has loaded its state; a
-        # rejection without a limit does not mean that there is none.
-        has_run = info.is_signed and not info.not_executed
-        if has_run or info.limit_per_s is not None:
-            self._scheduler.upstream_listener.on_limit_announced(
-                upstream.incarnation,
-                info.limit_per_s,
-                asked_at,
-            )
-
     def _make_relay(
         self,
         context: RequestContext,
@@ -233,7 +199,8 @@
             streaming=streaming,
         )
         relay.on_answer_info = functools.partial(
-            self._apply_answer_info,
+            self._on_answer_info,
+            context,
             upstream,
             self._loop.time(),
         )
@@ -246,6 +213,17 @@
         )
         return relay
 
+    def _on_answer_info(
+        self,
+        context: RequestContext,
+        upstream: Upstream,
+        asked_at: float,
+        info: ResponseInfo,
+    ) -> None:
+        if context.unread_send is not None:
+            self._unread.record_answer(context.unread_send)
+        self._status.apply(upstream, asked_at, info)
+
     def _on_first_event(
         self,
         context: RequestContext,
@@ -278,6 +256,7 @@
             ending = await self._await_answer(context, upstream, conn, relay)
         finally:
             context.exchange.on_writable = None
+            self._record_unread(context, conn)
             self._conns.release(upstream, conn)
         if ending in _SAFE_TO_RESEND:
             context.may_have_run -= 1
@@ -318,9 +297,26 @@
             context.exchange.request_body.blocks,
         )
         context.may_have_run += 1
-        if context.retry is not None:
-            context.retry.commit()
-            context.retry = None
+        path = SendPath(upstream.incarnation, conn.via)
+        context.unread_send = self._unread.add(
+            path, context.sent, context.retry
+        )
+        context.retry = None
+        relay.on_received = functools.partial(self._unread.record_data, path)
+
+    def _record_unread(
+        self, context: RequestContext, conn: ClientConnection
+    ) -> None:
+        """Record what is known of a send whose answer was waited for."""
+        if context.unread_send is None:
+            return
+        self._unread.record_end(
+            context.unread_send,
+            # The end of a tunnel says nothing about the upstream.
+            is_closed=conn.was_lost and not conn.via,
+            is_acknowledged=conn.is_acknowledged,
+        )
+        context.unread_send = None
 
     async def _await_answer(
         self,
@@ -347,6 +343,8 @@
             if relay.begun.is_set():
                 return await relay.done
             self._conns.connector.record_silence(upstream, conn, asked_at)
+            if context.unread_send is not None:
+                self._unread.record_overdue(context.unread_send)
             if self._may_abandon_silent(context) and self._reserve_retry(
                 context
             ):
--- a/packages/entry/src/tallyhall_entry/cluster_state.py
+++ b/packages/entry/src/tallyhall_entry/cluster_state.py
@@ -144,12 +144,15 @@
 
     def _close_connections(self, upstreams: tuple[Upstream, ...]) -> None:
         usable = {one.incarnation for one in upstreams if not one.leaving}
+        registered = {one.incarnation for one in upstreams}
         starts = {one.name: one.started_ms for one in upstreams}
         for known in self.upstreams:
             if starts.get(known.name, 0) > known.started_ms:
                 self._paths.conns.fail_all(known.incarnation)
             elif known.incarnation not in usable:
                 self._paths.conns.close_idle(known.incarnation)
+                if known.incarnation not in registered:
+                    self._paths.conns.unread.record_removed(known.incarnation)
 
     def _count_fleet(self) -> FleetCount:
         heard = {
--- a/packages/entry/src/tallyhall_entry/exposition.py
+++ b/packages/entry/src/tallyhall_entry/exposition.py
@@ -226,6 +226,21 @@
                 'Tunnels of other instances through this one.',
                 self._metrics.paths.open,
             ),
+            (
+                'tallyhall_silent_upstreams',
+                'Upstreams that do not answer any request.',
+                self._metrics.paths.silent,
+            ),
+            (
+                'tallyhall_unread_sends',
+                'Sends that their upstream may not have read.',
+                self._metrics.paths.unread,
+            ),
+            (
+                'tallyhall_oldest_unread_seconds',
+                'Age of the oldest of these sends.',
+                self._metrics.paths.oldest_unread_s,
+            ),
             (
                 'tallyhall_desired_state_version',
                 'Version of the desired state in force, -1 before the first.',
@@ -252,6 +267,14 @@
         for service, use in self._metrics.retry_use.items():
             available.add_metric((service,), use.available)
         yield available
+        unread = GaugeMetricFamily(
+            'tallyhall_retries_unread',
+            'Retries that are sent and may not have arrived, by service.',
+            labels=('service',),
+        )
+        for service, use in self._metrics.retry_use.items():
+            unread.add_metric((service,), use.unread)
+        yield unread
         dropped = GaugeMetricFamily(
             'tallyhall_log_lines_dropped',
             'Log lines dropped since the start, by cause.',
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -513,6 +513,6 @@
         while True:
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
             self._paths.conns.close_expired()
-            self._metrics.paths.open = self._paths.open_tunnels
+            self._paths.update_metrics()
             self._reports.update(self._gate, self._front, self._dispatcher)
             self._reports.update_loads(self._dispatcher, self._scheduler.loads)
--- a/packages/entry/src/tallyhall_entry/metrics.py
+++ b/packages/entry/src/tallyhall_entry/metrics.py
@@ -84,12 +84,17 @@
     """The links of this instance to upstreams, and tunnels through peers.
 
     isolated: 1 while this instance reaches no upstream itself. open: tunnels
-    of other instances through this one. asked, served: requests for tunnels to
-    other instances and from them, by outcome.
+    of other instances through this one. silent: upstreams that do not answer
+    any request. unread: sends to upstreams that these may not have read;
+    oldest_unread_s: age of the oldest one. asked, served: requests for tunnels
+    to other instances and from them, by outcome.
     """
 
     isolated: int = 0
     open: int = 0
+    silent: int = 0
+    unread: int = 0
+    oldest_unread_s: float = 0
     asked: collections.Counter[str] = msgspec.field(
         default_factory=collections.Counter
     )
--- a/packages/entry/src/tallyhall_entry/paths.py
+++ b/packages/entry/src/tallyhall_entry/paths.py
@@ -21,6 +21,7 @@
 from tallyhall_edge.link_probe import LinkProbe, ProbeTarget
 from tallyhall_edge.tunnel_messages import TunnelOutcome, TunnelRequest
 from tallyhall_edge.tunnel_server import TunnelEnd, TunnelServer
+from tallyhall_edge.unread_sends import SendPath
 from tallyhall_edge.upstream_paths import UpstreamPaths
 from tallyhall_platform.addresses import parse_address
 from tallyhall_platform.entries import InstanceEntry
@@ -43,7 +44,8 @@
 class InstancePaths:
     """The paths of one instance, and their logs and metrics.
 
-    Implements `PathListener`, `TunnelListener` and `UpstreamAccess`.
+    Implements `PathListener`, `SilenceListener`, `TunnelListener` and
+    `UpstreamAccess`.
     """
 
     def __init__(
@@ -79,7 +81,7 @@
             _CONNECT_TIMEOUT_S,
             memory,
         )
-        self.conns = ConnectionPool(self._connector)
+        self.conns = ConnectionPool(self._connector, self)
         # Returns whether nothing listens at the address of an upstream.
         self.refuses = self._connector.refuses
         self._server = TunnelServer(
@@ -113,6 +115,14 @@
         """Accept no further tunnels; open ones go on."""
         self._server.stopping = True
 
+    def update_metrics(self) -> None:
+        """Update the gauges of tunnels and unread sends."""
+        self._counts.open = self.open_tunnels
+        unread = self.conns.unread
+        self._counts.silent = len(unread.silent)
+        self._counts.unread = len(unread)
+        self._counts.oldest_unread_s = unread.oldest_s
+
     def close(self) -> None:
         """Close all tunnels through this instance."""
         self._server.close()
@@ -195,6 +205,27 @@
         """Count the outcome of a request for a tunnel."""
         self._counts.asked[outcome.value] += 1
 
+    # -- `SilenceListener`
+
+    def on_silent(self, path: SendPath, unread: int) -> None:
+        """Log that an upstream does not answer any request."""
+        self._log.event(
+            Event.upstream_silent,
+            upstream=path.incarnation,
+            via=path.via,
+            unread=unread,
+        )
+
+    def on_heard(self, path: SendPath, silent_s: float, unread: int) -> None:
+        """Log that an upstream answers again."""
+        self._log.event(
+            Event.upstream_heard,
+            upstream=path.incarnation,
+            via=path.via,
+            silent_ms=round(silent_s * _MILLI),
+            unread=unread,
+        )
+
     # -- `TunnelListener`
 
     def on_tunnel_replied(
