A retry is charged until it has arrived; upstreams that do not read get none

Cause: the rule counts a retry when it arrives, RetryBudget counted it when it was written. A stopped process reads all that has come once it goes on, also on connections that were reset, so retries of several windows arrived in one; and of a request that was sent elsewhere, the first send is the one that arrives late.

Change: a reservation keeps its place in the bucket until the send is known to have arrived, or never can (answered, a later send on the same path answered, closed by the upstream, started again, removed, or not acknowledged and thrown away). How many requests may leave a send unread is bounded by the part of the allowance that is not divided, since nobody knows what a killed instance had under way. An upstream from which nothing comes since a request became overdue counts as silent: it gets no retries, one request at a time while others answer, and no send is given up where nothing else answers. Decisions on retries moved from sending.py to retry_policy.py, socket queries to sockets.py.

--- a/packages/bench/src/tallyhall_bench/pause_run.py
+++ b/packages/bench/src/tallyhall_bench/pause_run.py
@@ -53,6 +53,7 @@
 _SHORT_PAUSE_S = 4.0
 _BETWEEN_S = 2.5
 _DOWN_S = 0.3
+_OBJECTIVE_S = 0.8
 _OK = 200
 
 
@@ -66,6 +67,7 @@
     root: pathlib.Path
     requests: list[float] = dataclasses.field(default_factory=list)
     times_s: list[float] = dataclasses.field(default_factory=list)
+    in_time: int = 0
     statuses: collections.Counter[int] = dataclasses.field(
         default_factory=collections.Counter,
     )
@@ -88,7 +90,8 @@
     retries: int
     requests: int
     served: int
-    slowest_s: float
+    in_time: int
+    p99_s: float
 
     @property
     def broken(self) -> bool:
@@ -100,12 +103,13 @@
         return (
             f'{self.trouble:8} {self.seed:4} {self.worst.retries:5} '
             f'{self.worst.allowed:7.1f} {self.retries:7} '
-            f'{self.requests:8} {self.served:6} {self.slowest_s:7.2f}'
+            f'{self.requests:8} {self.served:6} {self.in_time:7} '
+            f'{self.p99_s:7.2f}'
             f'{" BROKEN" if self.broken else ""}'
         )
 
 
-HEADING = 'trouble  seed  most allowed retries requests served p99 [s]'
+HEADING = 'trouble  seed  most allowed retries requests served in time p99 [s]'
 
 
 async def play_pauses(
@@ -161,6 +165,7 @@
         len(retries),
         len(play.requests),
         play.statuses[_OK],
+        play.in_time,
         times_s[int(0.99 * len(times_s))],
     )
 
@@ -206,8 +211,10 @@
         f'r{len(play.requests)}',
         streams=False,
     )
+    took_s = loop.time() - began_at
     play.statuses[tried.status] += 1
-    play.times_s.append(loop.time() - began_at)
+    play.times_s.append(took_s)
+    play.in_time += tried.status == _OK and took_s <= _OBJECTIVE_S
 
 
 # -- troubles
--- a/packages/dispatch/src/tallyhall_dispatch/gate.py
+++ b/packages/dispatch/src/tallyhall_dispatch/gate.py
@@ -161,10 +161,13 @@
             )
 
     def reserve_retry(
-        self, service: str, now: float
+        self, service: str, now: float, *, abandons: bool
     ) -> RetryReservation | None:
-        """Reserve a retry in a service's budget; None if it is spent."""
-        return self._budget(service).reserve(now)
+        """Reserve a retry in a service's budget; None if it is spent.
+
+        abandons: whether an upstream may hold an earlier send unread.
+        """
+        return self._budget(service).reserve(now, abandons=abandons)
 
     def retry_use(self, service: str, now: float) -> RetryUse:
         """Return what this instance has used of a service's retry budget."""
--- a/packages/dispatch/src/tallyhall_dispatch/group.py
+++ b/packages/dispatch/src/tallyhall_dispatch/group.py
@@ -187,11 +187,23 @@
         """Return the number of free slots of the usable upstreams."""
         return self._count_free(self.usable(now), now)
 
-    def serves_version(self, version: str) -> bool:
-        """Return whether an upstream of a version takes requests."""
+    def has_other(self, excluded: Collection[str], version: str | None) -> bool:
+        """Return whether an upstream takes requests that is not excluded.
+
+        excluded: incarnations. version: the only version that counts, None for
+        those in use.
+        """
+        if version is None:
+            views = self._active()
+        else:
+            views = [
+                view
+                for view in self._views.values()
+                if view.upstream.version == version
+            ]
         return any(
-            view.upstream.version == version and not view.upstream.leaving
-            for view in self._views.values()
+            not view.upstream.leaving and view.incarnation not in excluded
+            for view in views
         )
 
     def may_serve(self, job: Job) -> bool:
--- a/packages/dispatch/src/tallyhall_dispatch/retries.py
+++ b/packages/dispatch/src/tallyhall_dispatch/retries.py
@@ -1,12 +1,16 @@
 """The retry budget of a service, enforced by each instance on its own.
 
 The budget of all instances together is, in any window, a fraction of the
-requests plus a fixed allowance. Each instance has a token bucket: requests and
-time add tokens, a retry takes one. A bucket starts empty, and what time adds to
-all buckets within a window, together with all that they hold, is at most the
-allowance. So whatever is sent in a window was earned in it or was in a bucket
-when it began. Instances that restart or join bring nothing, and a lost one
-takes its tokens with it, however often that happens.
+requests plus a fixed allowance. It counts retries when they reach upstreams.
+Each instance has a token bucket: requests and time add tokens, a retry takes
+one. A bucket starts empty, and what time adds to all buckets within a window,
+together with all that they hold, is at most the allowance. A retry that is not
+known to have arrived takes its place in the bucket, as it may arrive in any
+later window. So whatever arrives in a window was earned in it or was in a
+bucket when it began. Instances that restart or join bring nothing, and a lost
+one takes its tokens with it, however often that happens. What upstreams that do
+not read hold of lost instances is covered by the part of the allowance that is
+not divided.
 """
 
 from __future__ import annotations
@@ -45,7 +49,8 @@
 
 
 # Part of the allowance that is divided. The rest is for instances that are not
-# counted: up to half as many as those that are.
+# counted, up to half as many as those that are, and for retries of lost
+# instances that upstreams have not read.
 _ALLOWANCE_PART = 2 / 3
 # Part of an instance's share that its bucket holds. Time adds the rest in each
 # window.
@@ -58,31 +63,48 @@
 class RetryReservation:
     """A retry that the budget allows, until it has arrived or never will."""
 
-    def __init__(self, budget: RetryBudget, price: float) -> None:
+    def __init__(
+        self, budget: RetryBudget, price: float, *, abandons: bool
+    ) -> None:
         """Hold the tokens that were taken for it."""
         self._budget = budget
         self._price = price
+        self._abandons = abandons
+        # What it takes of the capacity of the bucket.
+        self._held = 1
 
     def commit(self) -> None:
-        """Count the retry as sent."""
-        self._budget.commit()
+        """Count the retry as sent; it may arrive from now on."""
+        self._hold(self._budget.commit())
+
+    def record_overdue(self) -> None:
+        """Record that it takes longer than usual to arrive."""
+        self._hold(1)
 
     def settle(self) -> None:
         """Record that the retry has arrived, or never will."""
-        self._budget.settle()
+        self._hold(0)
+        self._budget.settle(abandons=self._abandons)
 
     def release(self) -> None:
         """Return the tokens of a retry that will not be sent."""
-        self._budget.release(self._price)
+        self._hold(0)
+        self._budget.release(self._price, abandons=self._abandons)
+
+    def _hold(self, held: int) -> None:
+        self._budget.change_held(held - self._held)
+        self._held = held
 
 
 class RetryBudget:
     """Token bucket for the retries of one service on one instance.
 
-    The tokens of a retry count against the capacity of the bucket until it is
-    sent, since it counts in the window in which it arrives. If there are more
-    instances than the allowance has retries, a bucket holds less than one
-    token. A retry is then allowed with the probability that the tokens pay for.
+    A retry counts against the capacity of the bucket until it is known to have
+    arrived, since it counts in the window in which it arrives. If there are
+    more instances than the allowance has retries, a bucket holds less than one
+    token. A retry is then allowed with the probability that the tokens pay for,
+    and counts against the capacity once it is overdue: any retry under way
+    would leave no room.
     """
 
     def __init__(
@@ -95,10 +117,15 @@
         self._rng = rng
         self._tokens: float = 0
         self._refilled_at = started_at
-        # Number of retries that are allowed and not sent yet.
-        self._reserved = 0
-        # Number of retries that are sent and not known to have arrived.
+        # What retries that have not arrived take of the capacity.
+        self._held = 0
+        # Retries that are sent and not known to have arrived.
         self._unread = 0
+        # Reserved or unread retries of requests that an upstream may hold
+        # unread.
+        self._abandoning = 0
+        # Rounds the share in what upstreams may hold unread; drawn when needed.
+        self._rounding: float | None = None
         self._requests = 0
         self._retries = 0
         self._denied = 0
@@ -109,31 +136,26 @@
         self._requests += 1
         self._add_tokens(self._limits.ratio)
 
-    def reserve(self, now: float) -> RetryReservation | None:
-        """Return a reservation for one retry, None if the budget is spent."""
+    def reserve(
+        self, now: float, *, abandons: bool = False
+    ) -> RetryReservation | None:
+        """Return a reservation for one retry, None if the budget is spent.
+
+        abandons: whether an upstream may hold an earlier send of the request
+        unread, which counts as a retry once it is read.
+        """
         self._refill(now)
+        if abandons and self._abandoning >= self._max_abandoning():
+            self._denied += 1
+            return None
         price = self._draw_price() if self._capacity < 1 else 1
         if price is None or self._tokens < price:
             self._denied += 1
             return None
         self._tokens -= price
-        self._reserved += 1
-        return RetryReservation(self, price)
-
-    def commit(self) -> None:
-        """Count a reserved retry as sent."""
-        self._reserved -= 1
-        self._retries += 1
-        self._unread += 1
-
-    def settle(self) -> None:
-        """Stop counting a retry as unread."""
-        self._unread -= 1
-
-    def release(self, price: float) -> None:
-        """Return the tokens of a reserved retry that will not be sent."""
-        self._reserved -= 1
-        self._add_tokens(price)
+        self._held += 1
+        self._abandoning += abandons
+        return RetryReservation(self, price, abandons=abandons)
 
     def use(self, now: float) -> RetryUse:
         """Return what this instance has used of the budget."""
@@ -147,6 +169,31 @@
             self._unread,
         )
 
+    # -- called by reservations
+
+    def commit(self) -> int:
+        """Count a reserved retry as sent; return what it holds from now on."""
+        self._retries += 1
+        self._unread += 1
+        return 1 if self._capacity >= 1 else 0
+
+    def change_held(self, change: int) -> None:
+        """Change what retries take of the capacity."""
+        self._held += change
+        self._add_tokens(0)
+
+    def settle(self, *, abandons: bool) -> None:
+        """Stop counting a retry that was sent."""
+        self._unread -= 1
+        self._abandoning -= abandons
+
+    def release(self, price: float, *, abandons: bool) -> None:
+        """Return the tokens of a reserved retry that will not be sent."""
+        self._abandoning -= abandons
+        self._add_tokens(price)
+
+    # -- internals
+
     @property
     def _share(self) -> float:
         """Return the part of the allowance that this instance uses."""
@@ -160,6 +207,16 @@
         # A request may pay for its own retry even without an allowance.
         return max(self._limits.ratio, self._share)
 
+    def _max_abandoning(self) -> int:
+        """Return for how many requests upstreams may hold sends unread.
+
+        A fraction is rounded up on as many instances as it stands for.
+        """
+        if self._rounding is None:
+            self._rounding = self._rng.random()
+        undivided = (1 - _ALLOWANCE_PART) * self._limits.allowance
+        return int(undivided / self.instances + self._rounding)
+
     def _refill(self, now: float) -> None:
         """Add the tokens that time has earned."""
         earned = max(0, self._share - self._capacity) / self._limits.window_s
@@ -167,7 +224,7 @@
         self._refilled_at = now
 
     def _add_tokens(self, count: float) -> None:
-        room = max(0, self._capacity - self._reserved)
+        room = max(0, self._capacity - self._held)
         self._tokens = min(self._tokens + count, room)
 
     def _draw_price(self) -> float | None:
--- a/packages/edge/src/tallyhall_edge/client.py
+++ b/packages/edge/src/tallyhall_edge/client.py
@@ -10,18 +10,12 @@
 
 import asyncio
 import collections
-import contextlib
-import socket
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import httptools
 
-from .connection_memory import (
-    ConnectionMemory,
-    MemoryMonitor,
-    queued_bytes,
-)
+from .connection_memory import ConnectionMemory, MemoryMonitor
 from .errors import (
     ConnectionFailedError,
     ConnectionLostError,
@@ -31,17 +25,8 @@
 )
 from .framing import MAX_HEADERS, FramingCounter
 from .messages import Headers, ResponseHead, find_header
+from .sockets import set_keepalive, unacknowledged_bytes
 
-# Milliseconds without acknowledgement after which a peer counts as dead.
-_USER_TIMEOUT_MS = 3000
-# Idle connections are probed after one second and dropped after three failed
-# probes, one second apart.
-_KEEPALIVE_OPTIONS = (
-    (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
-    (socket.TCP_KEEPIDLE, 1),
-    (socket.TCP_KEEPINTVL, 1),
-    (socket.TCP_KEEPCNT, 3),
-)
 _MIN_FINAL_STATUS = 200
 # Maximum bytes of a response beside its body, with interim responses and
 # trailers.
@@ -152,7 +137,9 @@
         if self._unwritten or transport is None:
             return not self._unwritten
         sock = transport.get_extra_info('socket')
-        return not transport.get_write_buffer_size() + queued_bytes(sock)
+        return not transport.get_write_buffer_size() + unacknowledged_bytes(
+            sock
+        )
 
     def send(
         self,
@@ -398,17 +385,6 @@
                 self.keep_alive_s = int(text)
 
 
-def set_keepalive(transport: asyncio.Transport) -> None:
-    """Enable the detection of dead peers on a connection."""
-    sock = transport.get_extra_info('socket')
-    if sock is None:
-        return
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        for option, limit in _KEEPALIVE_OPTIONS:
-            sock.setsockopt(socket.IPPROTO_TCP, option, limit)
-
-
 def is_framed(head: ResponseHead) -> bool:
     """Return whether an answer states its length or comes in chunks."""
     if find_header(head.headers, b'content-length') is not None:
--- a/packages/edge/src/tallyhall_edge/connection_memory.py
+++ b/packages/edge/src/tallyhall_edge/connection_memory.py
@@ -6,14 +6,12 @@
 
 from __future__ import annotations
 
-import array
 import asyncio
-import fcntl
 import socket
-import termios
 from collections.abc import Callable
 
 from .memory_budget import Holder, MemoryBudget, Step, UnreadPeer
+from .sockets import received_bytes, unacknowledged_bytes
 
 # Assumed memory of a connection in bytes, on either side: its objects in the
 # process and the socket in the kernel. See docs/design/memory-budget.md.
@@ -121,7 +119,7 @@
 
     def poll_received(self, now: float) -> None:
         """Update how many bytes were received and not read."""
-        self._count_received(_query(self._socket, termios.FIONREAD))
+        self._count_received(received_bytes(self._socket))
 
     # -- internals
 
@@ -140,7 +138,7 @@
 
     def _unsent_bytes(self) -> int:
         """Return the bytes that the peer has not acknowledged."""
-        queued = queued_bytes(self._socket)
+        queued = unacknowledged_bytes(self._socket)
         return queued + self._transport.get_write_buffer_size()
 
 
@@ -295,19 +293,3 @@
 
 def _ignore_writable(writable: bool) -> None:  # noqa: FBT001
     """Stand in for the upstream of a caller who has left."""
-
-
-def queued_bytes(sock: socket.socket | None) -> int:
-    """Return the bytes that a peer has not acknowledged, 0 if unknown."""
-    return _query(sock, termios.TIOCOUTQ)
-
-
-def _query(sock: socket.socket | None, request: int) -> int:
-    if sock is None or sock.fileno() < 0:
-        return 0
-    answer = array.array('i', (0,))
-    try:
-        fcntl.ioctl(sock.fileno(), request, answer)
-    except OSError:
-        return 0
-    return answer[0]
--- a/packages/edge/src/tallyhall_edge/job_factory.py
+++ b/packages/edge/src/tallyhall_edge/job_factory.py
@@ -32,12 +32,13 @@
     def create(
         self,
         context: RequestContext,
+        excluded: frozenset[str],
         backoffs: Mapping[str, float],
     ) -> Job:
         """Return the job of the next send of a request.
 
-        backoffs: the upstreams that take nothing from this instance, and until
-        when.
+        excluded: the upstreams that must not be used for it. backoffs: the
+        upstreams that take nothing from this instance, and until when.
         """
         route = context.admitted.route
         call = context.call
@@ -56,7 +57,7 @@
             asked_at=self._loop.time(),
             due_at=self._due_at(context),
             reject_at=min(context.end_at, received_at + wait_s),
-            excluded=frozenset(context.excluded),
+            excluded=excluded,
             over_quota=context.admitted.over_quota_s > 0,
             pause_s=route.gap_s,
             suspect_digest=context.suspect,
--- /dev/null
+++ b/packages/edge/src/tallyhall_edge/retry_policy.py
@@ -0,0 +1,135 @@
+"""Decides whether a request is sent again, and where it is not sent.
+
+A request that is not repeatable is written to one upstream, and written again
+only if that upstream states that it did not execute it or if nothing was
+written at all.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Collection
+
+from tallyhall_dispatch.desired import Upstream
+from tallyhall_dispatch.gate import AdmissionGate
+from tallyhall_dispatch.jobs import NOT_SENT, AttemptOutcome
+
+from .request_context import RequestContext
+from .request_log import RequestLog
+from .scheduling import Scheduler
+from .unread_sends import UnreadSends
+
+# Maximum sends of one request, including those that upstreams rejected.
+_MAX_SENDS = 4
+# A request that waited longer than this for its slot, in seconds, found the
+# engines full; asking the owner of a service takes only 3 ms.
+_OVERLOAD_WAIT_S = 0.03
+
+SAFE_TO_RESEND = frozenset(
+    (
+        AttemptOutcome.rejected,
+        AttemptOutcome.misplaced,
+        AttemptOutcome.unsent,
+        AttemptOutcome.withheld,
+        AttemptOutcome.no_path,
+    ),
+)
+
+
+class RetryPolicy:
+    """Decides on the retries of one instance."""
+
+    def __init__(
+        self,
+        gate: AdmissionGate,
+        scheduler: Scheduler,
+        log: RequestLog,
+        unread: UnreadSends,
+    ) -> None:
+        """Charge retries to the budgets of this gate."""
+        self._gate = gate
+        self._scheduler = scheduler
+        self._log = log
+        self._unread = unread
+        self._loop = asyncio.get_running_loop()
+
+    def excluded(self, context: RequestContext) -> frozenset[str]:
+        """Return the upstreams to which a request is not sent next.
+
+        Silent upstreams get no retries, and one request at a time, unless all
+        upstreams of the service are silent.
+        """
+        silent = self._unread.occupied
+        if context.sends:
+            silent = self._unread.silent
+        excluded = frozenset(context.excluded | silent)
+        if silent and self._has_other(context, excluded):
+            return excluded
+        return frozenset(context.excluded)
+
+    def may_retry(
+        self, context: RequestContext, ending: AttemptOutcome
+    ) -> bool:
+        """Return whether a request may be retried; reserve the retry."""
+        if context.sends >= _MAX_SENDS:
+            return False
+        if ending in SAFE_TO_RESEND:
+            if ending in NOT_SENT:
+                # Nothing was sent, so the retry budget is not charged.
+                return True
+            return self._reads_elsewhere(context) and self._reserve(context)
+        route = context.admitted.route
+        if not route.repeatable or context.may_have_run >= route.attempts:
+            return False
+        if context.exchange.started and not route.resumable:
+            return False
+        return self._reserve(context)
+
+    def may_abandon(self, context: RequestContext, upstream: Upstream) -> bool:
+        """Return whether an overdue send may be abandoned; reserve a retry.
+
+        If requests have to wait for slots, a missing answer is more likely
+        caused by load than by a fault.
+        """
+        route = context.admitted.route
+        if not route.repeatable:
+            return False
+        if context.may_have_run >= route.attempts:
+            return False
+        if context.waited_s > _OVERLOAD_WAIT_S:
+            return False
+        return self._reads_elsewhere(context, upstream) and self._reserve(
+            context
+        )
+
+    # -- internals
+
+    def _reads_elsewhere(
+        self, context: RequestContext, tried: Upstream | None = None
+    ) -> bool:
+        """Return whether an upstream is left that is not silent."""
+        if not self._unread.silent:
+            return True
+        excluded = context.excluded | self._unread.silent
+        if tried is not None:
+            excluded.add(tried.incarnation)
+        return self._has_other(context, excluded)
+
+    def _has_other(
+        self, context: RequestContext, excluded: Collection[str]
+    ) -> bool:
+        service = context.admitted.service
+        return self._scheduler.has_other(service, excluded, context.version)
+
+    def _reserve(self, context: RequestContext) -> bool:
+        """Return whether the retry budget allows a retry; reserve it."""
+        if context.retry is None:
+            now = self._loop.time()
+            service = context.admitted.service
+            context.retry = self._gate.reserve_retry(
+                service, now, abandons=bool(context.sent.unread)
+            )
+            if context.retry is None:
+                use = self._gate.retry_use(service, now)
+                self._log.budget_binds(context, use)
+        return context.retry is not None
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -220,7 +220,8 @@
             context.suspect = await self._guard.admit(context.fingerprint)
             job = self._jobs.create(
                 context,
-                backoffs=self._sender.backoffs.current(self._loop.time()),
+                self._sender.retries.excluded(context),
+                self._sender.backoffs.current(self._loop.time()),
             )
             grant = await self._acquire(context, job)
             record_send(context, grant, self._loop.time())
@@ -238,7 +239,7 @@
             context.last_event = relay.last_event
             if ending is not AttemptOutcome.no_path:
                 context.excluded.add(grant.upstream.incarnation)
-            if not self._sender.may_retry(context, ending):
+            if not self._sender.retries.may_retry(context, ending):
                 self._fail(context, ending, relay)
                 return
 
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import Protocol
 
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
@@ -48,8 +48,13 @@
     def is_usable(self, upstream: Upstream) -> bool:
         """Return whether an upstream still takes new requests."""
 
-    def serves_version(self, service: str, version: str) -> bool:
-        """Return whether an upstream of a software version takes requests."""
+    def has_other(
+        self, service: str, excluded: Collection[str], version: str | None
+    ) -> bool:
+        """Return whether an upstream takes requests that is not excluded.
+
+        version: the only software version that counts, None for any.
+        """
 
     def record_first_byte(self, job: Job) -> None:
         """Record that the answer of a job has begun."""
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -1,9 +1,4 @@
-"""Sends a request to an upstream and decides whether it may be retried.
-
-A request that is not repeatable is written to one upstream, and written again
-only if that upstream states that it did not execute it or if nothing was
-written at all.
-"""
+"""Sends a request to an upstream once and waits for its answer."""
 
 from __future__ import annotations
 
@@ -15,7 +10,6 @@
 from tallyhall_dispatch.gate import AdmissionGate
 from tallyhall_dispatch.jobs import (
     INTERRUPTED,
-    NOT_SENT,
     AttemptOutcome,
     Job,
     RunReport,
@@ -34,6 +28,7 @@
 from .relay import Relay
 from .request_context import RequestContext
 from .request_log import RequestLog
+from .retry_policy import SAFE_TO_RESEND, RetryPolicy
 from .scheduling import Scheduler
 from .stream_versions import StreamVersions
 from .unread_sends import SendPath
@@ -43,27 +38,12 @@
 # connection; others use only one that was in use a moment ago. In seconds.
 _MAX_IDLE_REPEATABLE_S = 10.0
 _MAX_IDLE_NON_REPEATABLE_S = 1.0
-# Maximum sends of one request, including those that upstreams rejected.
-_MAX_SENDS = 4
 # An answer that has not begun after this fraction of the route's objective is
 # treated as lost, so that another upstream can still meet the objective. The
 # timeout is extended by the time that a slow engine with queued requests needs
 # for each token of the prompt.
 _SILENCE_FRACTION = 0.65
 _PREFILL_S_PER_TOKEN = 0.00006
-# A request that waited longer than this for its slot, in seconds, found the
-# engines full; asking the owner of a service takes only 3 ms.
-_OVERLOAD_WAIT_S = 0.03
-
-_SAFE_TO_RESEND = frozenset(
-    (
-        AttemptOutcome.rejected,
-        AttemptOutcome.misplaced,
-        AttemptOutcome.unsent,
-        AttemptOutcome.withheld,
-        AttemptOutcome.no_path,
-    ),
-)
 
 
 class Sender:
@@ -88,6 +68,7 @@
         self._unread = conns.unread
         self._codec = codec
         self._log = log
+        self.retries = RetryPolicy(gate, scheduler, log, conns.unread)
         self._status = UpstreamStatusReader(scheduler, conns, log)
         self.backoffs = self._status.backoffs
         self._loop = asyncio.get_running_loop()
@@ -126,24 +107,6 @@
             self._record_end(context, upstream, relay, report)
         return report.ending, relay
 
-    def may_retry(
-        self, context: RequestContext, ending: AttemptOutcome
-    ) -> bool:
-        """Return whether a request may be retried; reserve the retry."""
-        if context.sends >= _MAX_SENDS:
-            return False
-        if ending in _SAFE_TO_RESEND:
-            if ending in NOT_SENT:
-                # Nothing was sent, so the retry budget is not charged.
-                return True
-            return self._reserve_retry(context)
-        route = context.admitted.route
-        if not route.repeatable or context.may_have_run >= route.attempts:
-            return False
-        if context.exchange.started and not route.resumable:
-            return False
-        return self._reserve_retry(context)
-
     # -- steps
 
     def _record_end(
@@ -164,7 +127,8 @@
         If this instance reaches no upstream, what it loses is lost on its own
         links.
         """
-        if report.ending in INTERRUPTED and self._conns.connector.is_isolated:
+        is_interrupted = report.ending in INTERRUPTED
+        if is_interrupted and self._conns.connector.is_isolated:
             return RunReport(AttemptOutcome.no_path, 0)
         return report
 
@@ -258,7 +222,7 @@
             context.exchange.on_writable = None
             self._record_unread(context, conn)
             self._conns.release(upstream, conn)
-        if ending in _SAFE_TO_RESEND:
+        if ending in SAFE_TO_RESEND:
             context.may_have_run -= 1
         return ending
 
@@ -345,25 +309,10 @@
             self._conns.connector.record_silence(upstream, conn, asked_at)
             if context.unread_send is not None:
                 self._unread.record_overdue(context.unread_send)
-            if self._may_abandon_silent(context) and self._reserve_retry(
-                context
-            ):
+            if self.retries.may_abandon(context, upstream):
                 return AttemptOutcome.unknown
         return await relay.done
 
-    def _may_abandon_silent(self, context: RequestContext) -> bool:
-        """Return whether a send may be abandoned if no answer begins.
-
-        If requests have to wait for slots, a missing answer is more likely
-        caused by load than by a fault.
-        """
-        route = context.admitted.route
-        if not route.repeatable:
-            return False
-        if context.may_have_run >= route.attempts:
-            return False
-        return context.waited_s <= _OVERLOAD_WAIT_S
-
     def _silence_timeout_s(self, context: RequestContext) -> float:
         objective_s = context.admitted.route.objective_s
         prefill_s = context.call.prompt_tokens * _PREFILL_S_PER_TOKEN
@@ -389,14 +338,3 @@
         )
         line = b'%b %b HTTP/1.1' % (head.method, head.target)
         return encode_head(line, headers)
-
-    def _reserve_retry(self, context: RequestContext) -> bool:
-        """Return whether the retry budget allows a retry; reserve it."""
-        if context.retry is None:
-            now = self._loop.time()
-            service = context.admitted.service
-            context.retry = self._gate.reserve_retry(service, now)
-            if context.retry is None:
-                use = self._gate.retry_use(service, now)
-                self._log.budget_binds(context, use)
-        return context.retry is not None
--- a/packages/edge/src/tallyhall_edge/stream_versions.py
+++ b/packages/edge/src/tallyhall_edge/stream_versions.py
@@ -80,9 +80,7 @@
         version = context.version
         if version is None:
             return
-        if not self._scheduler.serves_version(
-            context.admitted.service, version
-        ):
+        if not self._scheduler.has_other(context.admitted.service, (), version):
             raise RefusedError(Refusal.of(Reason.stream_version_gone))
 
     def begun(
--- a/packages/edge/src/tallyhall_edge/tunnel_server.py
+++ b/packages/edge/src/tallyhall_edge/tunnel_server.py
@@ -14,9 +14,9 @@
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.link_monitor import LinkFailure
 
-from .client import set_keepalive
 from .connection_memory import ConnectionMemory, MemoryMonitor
 from .errors import InvalidTunnelMessageError
+from .sockets import set_keepalive
 from .tunnel_messages import (
     LineBuffer,
     TunnelOutcome,
--- a/packages/edge/src/tallyhall_edge/unread_sends.py
+++ b/packages/edge/src/tallyhall_edge/unread_sends.py
@@ -82,6 +82,11 @@
         while len(self._charges) > len(self.unread):
             self._charges.pop().settle()
 
+    def record_overdue(self) -> None:
+        """Record that a send takes longer than usual to be read."""
+        for charge in self._charges:
+            charge.record_overdue()
+
 
 class UnreadSend:
     """One send to an upstream that has not answered it."""
@@ -156,18 +161,20 @@
 
     def record_answer(self, send: UnreadSend) -> None:
         """Record the head of an answer: all sends up to this one are read."""
+        self.record_data(send.path)
         for earlier in self._up_to(send):
             self._settle(earlier)
-        self.record_data(send.path)
 
     def record_data(self, path: SendPath) -> None:
         """Record that anything has arrived on a path."""
         now = self._loop.time()
         self._heard_at[path] = now
-        since = self._silent_since.pop(path, None)
-        if since is not None:
-            unread = len(self._by_path.get(path, ()))
-            self._listener.on_heard(path, now - since, unread)
+        since = self._silent_since.get(path)
+        if since is None:
+            return
+        unread = self._by_path.get(path, {})
+        self._silent_since.pop(path)
+        self._listener.on_heard(path, now - since, len(unread))
 
     def record_overdue(self, send: UnreadSend) -> None:
         """Record that the answer to a send is overdue."""
@@ -176,6 +183,7 @@
             return
         if self._heard_at.get(path, 0) >= send.written_at:
             return
+        send.request.record_overdue()
         if path not in self._silent_since:
             self._silent_since[path] = send.written_at
             self._listener.on_silent(path, len(self._by_path[path]))
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -15,7 +15,7 @@
 
 import asyncio
 import collections
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -139,10 +139,14 @@
             ticket.forecast_s,
         )
 
-    def serves_version(self, service: str, version: str) -> bool:
-        """Return whether an upstream of a version takes requests."""
+    def has_other(
+        self, service: str, excluded: Collection[str], version: str | None
+    ) -> bool:
+        """Return whether an upstream takes requests that is not excluded."""
         pool = self._dispatcher.pools.get(service)
-        return pool is not None and pool.upstreams.serves_version(version)
+        if pool is None:
+            return False
+        return pool.upstreams.has_other(excluded, version)
 
     def is_usable(self, upstream: Upstream) -> bool:
         """Return whether an upstream still accepts new requests."""
--- a/tests/platform/retry_fleet.py
+++ b/tests/platform/retry_fleet.py
@@ -3,7 +3,11 @@
 import dataclasses
 import random
 
-from tallyhall_dispatch.retries import RetryBudget, RetryLimits
+from tallyhall_dispatch.retries import (
+    RetryBudget,
+    RetryLimits,
+    RetryReservation,
+)
 
 LIMITS = RetryLimits(ratio=0.2, allowance=52, window_s=10)
 
@@ -51,6 +55,7 @@
             if reservation is None:
                 return
             reservation.commit()
+            reservation.settle()
             self.retries.append(now)
 
     def play(
@@ -75,3 +80,54 @@
         budget = RetryBudget(self.limits, rng, now)
         budget.instances = self.size
         return budget
+
+
+@dataclasses.dataclass(slots=True)
+class PausingFleet(RetryFleet):
+    """The same before upstreams that may stop reading."""
+
+    # Retries that wait unread, each with the run of the instance that sent it.
+    unread: list[tuple[RetryBudget, RetryReservation]] = dataclasses.field(
+        default_factory=list
+    )
+
+    def abandon(self, number: int, now: float) -> bool:
+        """Abandon the first send of a request, and retry it elsewhere.
+
+        Return whether the budget allows it.
+        """
+        budget = self.budgets[number]
+        budget.record_request(now)
+        self.requests.append(now)
+        reservation = budget.reserve(now, abandons=True)
+        if reservation is None:
+            return False
+        self._wait(budget, reservation)
+        return True
+
+    def retry_unread(self, number: int, now: float) -> bool:
+        """Retry a rejected request at an upstream that does not read.
+
+        Return whether the budget allows it.
+        """
+        budget = self.budgets[number]
+        budget.record_request(now)
+        self.requests.append(now)
+        reservation = budget.reserve(now)
+        if reservation is None:
+            return False
+        self._wait(budget, reservation)
+        return True
+
+    def read_all(self, now: float) -> None:
+        """Let the upstreams read all that waits."""
+        for budget, reservation in self.unread:
+            self.retries.append(now)
+            if budget in self.budgets:
+                reservation.settle()
+        self.unread.clear()
+
+    def _wait(self, budget: RetryBudget, reservation: RetryReservation) -> None:
+        reservation.commit()
+        reservation.record_overdue()
+        self.unread.append((budget, reservation))
--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -97,6 +97,7 @@
     assert 1 < len(waiting) <= LIMITS.allowance
     for reservation in waiting:
         reservation.commit()
+        reservation.settle()
     assert budget.use(0).retries == len(waiting)
 
 
