The time of a pause is no service time of an upstream

Cause: runs that waited through the pause were recorded as slots held for seconds, so the queue foresaw that no slot would come free in time.

--- a/packages/edge/src/tallyhall_edge/request_context.py
+++ b/packages/edge/src/tallyhall_edge/request_context.py
@@ -50,6 +50,8 @@
     # waited for.
     sent: RequestSends = msgspec.field(default_factory=RequestSends)
     unread_send: UnreadSend | None = None
+    # Time in seconds for which the upstream of the last send was silent.
+    stalled_s: float = 0
     # The instance through which the last send went, empty if it was direct, and
     # the id of the tunnel.
     via: str = ''
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 
+import msgspec
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
 from tallyhall_dispatch.desired import RouteKind, Upstream
 from tallyhall_dispatch.gate import AdmissionGate
@@ -44,6 +45,15 @@
 # for each token of the prompt.
 _SILENCE_FRACTION = 0.65
 _PREFILL_S_PER_TOKEN = 0.00006
+# Endings at which the answer of the upstream is complete.
+_COMPLETE = frozenset(
+    (
+        AttemptOutcome.answered,
+        AttemptOutcome.failed,
+        AttemptOutcome.rejected,
+        AttemptOutcome.misplaced,
+    )
+)
 
 
 class Sender:
@@ -85,6 +95,7 @@
             context.relay.discard()
         context.relay = relay
         context.not_sent = None
+        context.stalled_s = 0
         context.via = ''
         context.tunnel = ''
         ending = AttemptOutcome.left
@@ -103,7 +114,9 @@
             context.begun = context.exchange.started
             # An ending that was reached before the wait was cancelled counts.
             report = relay.report(relay.ending or ending)
-            self._scheduler.finish(job, upstream, self._evidence(report))
+            self._scheduler.finish(
+                job, upstream, self._evidence(context, report)
+            )
             self._record_end(context, upstream, relay, report)
         return report.ending, relay
 
@@ -121,15 +134,20 @@
         self._update_guard(context, upstream)
         relay.detach()
 
-    def _evidence(self, report: RunReport) -> RunReport:
+    def _evidence(
+        self, context: RequestContext, report: RunReport
+    ) -> RunReport:
         """Return what a report says about its upstream, for the scheduler.
 
         If this instance reaches no upstream, what it loses is lost on its own
-        links.
+        links. The time for which an upstream was silent says nothing about how
+        fast it works.
         """
         is_interrupted = report.ending in INTERRUPTED
         if is_interrupted and self._conns.connector.is_isolated:
             return RunReport(AttemptOutcome.no_path, 0)
+        if context.stalled_s:
+            return _without_stall(report, context.stalled_s)
         return report
 
     def _update_guard(
@@ -280,6 +298,7 @@
             is_closed=conn.was_lost and not conn.via,
             is_acknowledged=conn.is_acknowledged,
         )
+        context.stalled_s = context.unread_send.stalled_s
         context.unread_send = None
 
     async def _await_answer(
@@ -338,3 +357,14 @@
         )
         line = b'%b %b HTTP/1.1' % (head.method, head.target)
         return encode_head(line, headers)
+
+
+def _without_stall(report: RunReport, stalled_s: float) -> RunReport:
+    """Return a report as if the upstream had not been silent for so long."""
+    if report.ending not in _COMPLETE:
+        return msgspec.structs.replace(report, total_s=0)
+    first_s = report.first_s
+    if first_s is not None:
+        first_s = max(0, first_s - stalled_s)
+    total_s = max(0, report.total_s - stalled_s)
+    return msgspec.structs.replace(report, total_s=total_s, first_s=first_s)
--- a/packages/edge/src/tallyhall_edge/unread_sends.py
+++ b/packages/edge/src/tallyhall_edge/unread_sends.py
@@ -91,7 +91,7 @@
 class UnreadSend:
     """One send to an upstream that has not answered it."""
 
-    __slots__ = ('is_waiting', 'path', 'request', 'written_at')
+    __slots__ = ('is_waiting', 'path', 'request', 'stalled_s', 'written_at')
 
     def __init__(
         self, path: SendPath, request: RequestSends, written_at: float
@@ -101,6 +101,8 @@
         self.request = request
         self.written_at = written_at
         self.is_waiting = True
+        # Time in seconds for which it waited while its path was silent.
+        self.stalled_s: float = 0
 
 
 class UnreadSends:
@@ -173,6 +175,8 @@
         if since is None:
             return
         unread = self._by_path.get(path, {})
+        for send in unread:
+            self._record_stall(send)
         self._silent_since.pop(path)
         self._listener.on_heard(path, now - since, len(unread))
 
@@ -197,6 +201,7 @@
         of it. is_acknowledged: whether its machine has received all of the
         request; else the rest of it is discarded here.
         """
+        self._record_stall(send)
         send.is_waiting = False
         if is_closed:
             self._settle(send)
@@ -240,6 +245,13 @@
             if earlier is send:
                 return
 
+    def _record_stall(self, send: UnreadSend) -> None:
+        """Record for how long the path of a send has been silent."""
+        since = self._silent_since.get(send.path)
+        if since is not None and send.is_waiting:
+            began_at = max(since, send.written_at)
+            send.stalled_s = self._loop.time() - began_at
+
     def _settle(self, send: UnreadSend) -> None:
         sends = self._by_path.get(send.path)
         if sends is None or send not in sends:
--- a/tests/platform/test_silent_upstreams.py
+++ b/tests/platform/test_silent_upstreams.py
@@ -112,3 +112,17 @@
         before = site.arrived(0)
         await asyncio.gather(*(site.ask() for _ in range(20)))
         assert site.arrived(0) >= before + 5
+
+
+async def test_time_of_a_pause_is_no_service_time() -> None:
+    async with deployment() as made:
+        site = _Site(made)
+        await site.open(2)
+        asked = await site.pause(0, 1)
+        asked.extend(site.ask() for _ in range(6))
+        await asyncio.sleep(_PAUSE_S)
+        for engine in site.engines:
+            engine.goes_on.set()
+        await asyncio.gather(*asked)
+        answers = await asyncio.gather(*(site.ask() for _ in range(30)))
+        assert {answer.status for answer in answers} == {200}
