--- a/tests/platform/test_silent_upstreams.py
+++ b/tests/platform/test_silent_upstreams.py
@@ -62,7 +62,7 @@
             engine.goes_on.clear()
         asked = []
         for _ in range(20):
-            if all(engine.running for engine in paused):
+            if all(one.running for one in paused):
                 break
             asked.append(self.ask())
             await asyncio.sleep(0.05)
