--- a/packages/bench/src/tallyhall_bench/stream_callers.py
+++ b/packages/bench/src/tallyhall_bench/stream_callers.py
@@ -24,6 +24,8 @@
 _PATIENCE_S = 6.0
 # A caller that was told no time comes back after this long.
 _PAUSE_S = 0.1
+# How often callers look whether an instance is up again, in seconds.
+_LOOK_S = 0.05
 _OK = 200
 _CANNOT_GO_ON = 503
 
@@ -133,8 +135,14 @@
         last: Tried | None,
         headers: Headers,
     ) -> Tried:
-        """Ask an instance that is up, another one than the last time."""
-        up = [one for one in self._entries if one.name not in self.down]
+        """Ask an instance that is up, another one than the last time.
+
+        Waits while all are down.
+        """
+        up = self._up()
+        while not up:
+            await asyncio.sleep(_LOOK_S)
+            up = self._up()
         others = [
             one for one in up if last is None or one.name != last.instance
         ]
@@ -149,6 +157,9 @@
             headers=headers,
         )
 
+    def _up(self) -> list[EntryProcess]:
+        return [one for one in self._entries if one.name not in self.down]
+
     def _peers(self, stream: Stream) -> set[str]:
         return set(self._serving_with(stream.makers[0]))
 
--- a/packages/bench/src/tallyhall_bench/versions_run.py
+++ b/packages/bench/src/tallyhall_bench/versions_run.py
@@ -124,7 +124,9 @@
 class Result:
     """What became of the streams.
 
-    idle: versions that got far less than their due.
+    taken_up: those that were taken up while two upstreams of their version
+    served, and went on. tries: how often any was taken up. idle: versions that
+    got far less than their due.
     """
 
     case: str
@@ -132,6 +134,7 @@
     mixed: int
     new: Share
     taken_up: Share
+    tries: int
     by_version: Mapping[str, int]
     idle: tuple[str, ...]
 
@@ -236,6 +239,20 @@
         play.end(name)
 
 
+async def _lose_instances(play: Play) -> None:
+    """Kill all instances as the last upstreams of a version leave, twice."""
+    for name in play.of_version('v2'):
+        play.end(name)
+    for version, newer in (('v1', 'v3'), ('v3', 'v4')):
+        await asyncio.sleep(2 * _GAP_S)
+        for _ in _ZONES:
+            await play.add(newer)
+        await asyncio.sleep(_GAP_S)
+        for name in play.of_version(version):
+            play.end(name)
+        await play.restart(play.fleet.entries)
+
+
 async def _all_at_once(play: Play) -> None:
     """Upstreams end, join and leave while zones of instances are killed."""
     async with asyncio.TaskGroup() as group:
@@ -251,6 +268,7 @@
         'join': _join,
         'replace': _replace,
         'lost': _lose_version,
+        'rejoined': _lose_instances,
         'all': _all_at_once,
     },
 )
@@ -273,6 +291,7 @@
         sum(len(_versions_of(play, stream)) > 1 for stream in streams),
         Share(sum(stream.began for stream in streams), len(streams)),
         Share(sum(possible), len(possible)),
+        len(takes),
         dict(sorted(by_version.items())),
         _idle_versions(play, by_version),
     )
