--- a/packages/emulator/src/tallyhall_emulator/callers.py
+++ b/packages/emulator/src/tallyhall_emulator/callers.py
@@ -205,6 +205,8 @@
         """Count a send that is a retry."""
         if visit.retry is not None:
             visit.retry.commit()
+            # Emulated upstreams read at once.
+            visit.retry.settle()
             visit.retry = None
             self.retries.append(self._env.now)
 
