An answer that stops in its head is not complete, in the product's own interface

In the product's own interface it did: the client library took 'HTTP/1.1 200' and a closed connection for an answer with an empty text, the gateway a 204 or a Content-Length of 0 without its end, a relay between instances passed on 200 without its length, the clients of the platform took such a head for a stream, or a part of a number for a length.

Cause: http.client takes the end of the connection inside a head for the end of the head.

--- a/packages/client/src/tallyhall_client/client.py
+++ b/packages/client/src/tallyhall_client/client.py
@@ -15,6 +15,7 @@
 import urllib3
 
 from .errors import IncompleteResponseError, NoEntryError, NotSentError
+from .http import new_pool
 from .locating import Entry, Locator
 from .outcome import CallOptions, CallOutcome, Verdict
 from .reading import ResponseReader
@@ -53,8 +54,7 @@
     def __init__(self, seeds: tuple[str, ...], key: str = '') -> None:
         """Use `seeds` as the initial addresses of entry instances."""
         self._locator = Locator(seeds, key)
-        self._pool = urllib3.PoolManager(
-            retries=False,
+        self._pool = new_pool(
             num_pools=_MAX_POOLS,
             maxsize=_MAX_POOL_CONNECTIONS,
         )
--- a/packages/client/src/tallyhall_client/locating.py
+++ b/packages/client/src/tallyhall_client/locating.py
@@ -12,6 +12,7 @@
 import urllib3
 
 from .errors import NoEntryError
+from .http import new_pool
 
 _TIMEOUT_S = 2.0
 _OK = 200
@@ -53,8 +54,7 @@
         self._answer: LocateAnswer | None = None
         self._expires_at: float = 0
         self._failed_at: dict[str, float] = {}
-        self._http = urllib3.PoolManager(
-            retries=False,
+        self._http = new_pool(
             timeout=_TIMEOUT_S,
             num_pools=_MAX_POOLS,
         )
--- a/packages/daemon/src/tallyhall_daemon/command_table.py
+++ b/packages/daemon/src/tallyhall_daemon/command_table.py
@@ -13,6 +13,7 @@
 import urllib3
 from cleo.helpers import argument, option
 from expression import Result
+from tallyhall_client.http import new_pool
 from tallyhall_sources.kv import EtcdKeyValue
 from tallyhall_table.edits import (
     SECTIONS,
@@ -214,7 +215,7 @@
 
 def instance_status(address: str) -> dict[str, object] | None:
     """Return an instance's status, None if it does not answer."""
-    http = urllib3.PoolManager(retries=False, timeout=_HTTP_S)
+    http = new_pool(timeout=_HTTP_S)
     try:
         resp = http.request('GET', f'http://{address}/status')
         state: dict[str, object] = json.loads(resp.data)
--- a/packages/daemon/src/tallyhall_daemon/orders.py
+++ b/packages/daemon/src/tallyhall_daemon/orders.py
@@ -13,6 +13,7 @@
 import time
 
 import urllib3
+from tallyhall_client.http import new_pool
 from tallyhall_core.events import Event
 from tallyhall_node.orders import Order
 from tallyhall_sources.errors import PlatformError
@@ -84,7 +85,7 @@
         self._telemetry = telemetry
         self._holder = holder
         self._leases: dict[str, ServiceLease] = {}
-        self._http = urllib3.PoolManager(retries=False, timeout=_TIMEOUT_S)
+        self._http = new_pool(timeout=_TIMEOUT_S)
 
     def send_all(self, orders: tuple[Order, ...]) -> None:
         """Send orders, each only if it may be sent."""
--- a/packages/daemon/src/tallyhall_daemon/pollers.py
+++ b/packages/daemon/src/tallyhall_daemon/pollers.py
@@ -11,6 +11,7 @@
 
 import urllib3
 from prometheus_client.parser import text_string_to_metric_families
+from tallyhall_client.http import new_pool
 from tallyhall_core.events import Event
 from tallyhall_core.messages import SharedValue
 from tallyhall_membership import assignment as assignments
@@ -72,8 +73,7 @@
             cfg.instance.name,
         )
         self._stop = threading.Event()
-        self._http = urllib3.PoolManager(
-            retries=False,
+        self._http = new_pool(
             timeout=_LOAD_TIMEOUT_S,
             num_pools=_POOLS,
         )
--- a/packages/gateway/src/tallyhall_gateway/upstream.py
+++ b/packages/gateway/src/tallyhall_gateway/upstream.py
@@ -14,7 +14,7 @@
 from http.client import HTTPException
 
 import urllib3
-from urllib3.connection import HTTPConnection
+from tallyhall_client.http import CompleteHeadConnection
 
 from .errors import NotSentError, StreamBrokenError
 
@@ -42,7 +42,7 @@
     def __init__(self, address: str, read_s: float) -> None:
         """Set the address and read timeout; `connect` opens the connection."""
         host, _, port = address.rpartition(':')
-        self._conn = HTTPConnection(
+        self._conn = CompleteHeadConnection(
             host,
             int(port),
             timeout=urllib3.Timeout(connect=_CONNECT_TIMEOUT_S).connect_timeout,
--- a/packages/sources/src/tallyhall_sources/http.py
+++ b/packages/sources/src/tallyhall_sources/http.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import urllib3
+from tallyhall_client.http import new_pool
 
 from .errors import InvalidResponseError, RateLimitedError, UnavailableError
 
@@ -20,8 +21,7 @@
     def __init__(self, base: str, timeout_s: float) -> None:
         """Create a connection pool for this base URL."""
         self._base = base.rstrip('/')
-        self._pool = urllib3.PoolManager(
-            retries=False,
+        self._pool = new_pool(
             timeout=urllib3.Timeout(total=timeout_s),
             maxsize=4,
         )
--- a/packages/sources/src/tallyhall_sources/weights.py
+++ b/packages/sources/src/tallyhall_sources/weights.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 import urllib3
+from tallyhall_client.http import new_pool
 
 from .errors import RateLimitedError, UnavailableError
 
@@ -39,7 +40,7 @@
     def __init__(self, base: str, timeout_s: float) -> None:
         """Use the store at this base URL."""
         self._base = base.rstrip('/')
-        self._pool = urllib3.PoolManager(retries=False, timeout=timeout_s)
+        self._pool = new_pool(timeout=timeout_s)
 
     def get_metadata(self, model: str) -> Weights:
         """Return the metadata of a model's weights."""
