--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 # Tests wait as well as compute.
 TEST_WORKERS ?= 4
 
-.PHONY: run run-platform proto days soak rollouts limits retries pauses isolation versions parts endless test check fmt faults bench slopes overhead start-cost return-run
+.PHONY: run run-platform proto days soak rollouts limits retries pauses limit-pauses isolation versions parts endless test check fmt faults bench slopes overhead start-cost return-run
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -64,6 +64,11 @@
 	$(BIN)/python -m tallyhall_bench.pause_run --seed $(SEED) \
 		--seeds $(SEEDS)
 
+# The same where upstreams name limits.
+limit-pauses: $(STAMP)
+	$(BIN)/python -m tallyhall_bench.limit_pause_run --seed $(SEED) \
+		--seeds $(SEEDS)
+
 # Instances that lose their way to all upstreams, on real processes.
 isolation: $(STAMP)
 	$(BIN)/python -m tallyhall_bench.isolation_run --seed $(SEED) \
--- /dev/null
+++ b/packages/bench/src/tallyhall_bench/limit_pause_run.py
@@ -0,0 +1,207 @@
+"""`make limit-pauses`: limited upstreams that stop reading for seconds.
+
+Six entry processes and four upstream processes, each of which announces a limit
+in all its answers. Some are stopped by a signal and continued later; then they
+read all that has come meanwhile. A row shows the most requests that reached one
+upstream in four seconds against what its limit allows.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import dataclasses
+import functools
+import pathlib
+import random
+import sys
+import tempfile
+import types
+from collections.abc import Sequence
+
+from .pause_run import start_entry
+from .platform_fleet import PlatformFleet, platform_fleet
+from .platform_load import Caller, keep_calling
+from .platform_run import STREAMED, usual_state
+from .plays import add_options, play_chosen
+from .start_cost import ROOT
+from .upstream_processes import UpstreamProcess, UpstreamProcesses
+
+_INSTANCES = 6
+_UPSTREAMS = 4
+_SLOTS = 30
+_PER_S = 60.0
+_LIMIT_PER_S = 4.0
+# What an upstream may get in a window, by its limit.
+_WINDOW_S = 4.0
+_FACTOR = 1.5
+_SLACK = 5
+# All instances know a limit after this time.
+_KNOWN_S = 3.0
+_PAUSE_S = 9.0
+_BETWEEN_S = 5.0
+_WORK_S = 0.04
+_OK = 200
+# A route to each service.
+_ROUTES = types.MappingProxyType({'app': 'safe', 'engines': 'summary'})
+SERVICES = tuple(_ROUTES)
+# How many of the upstreams are paused.
+PAUSED = (1, _UPSTREAMS)
+
+
+@dataclasses.dataclass(slots=True)
+class Play:
+    """One play under way."""
+
+    fleet: PlatformFleet
+    upstreams: list[UpstreamProcess]
+    rng: random.Random
+    route: str
+    asked: int = 0
+    statuses: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter,
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What the upstream got that had the most."""
+
+    service: str
+    paused: int
+    seed: int
+    most: int
+    arrived: int
+    served: int
+
+    @property
+    def broken(self) -> bool:
+        """Return whether an upstream got more than its limit allows."""
+        return self.most > self.allowed
+
+    @property
+    def allowed(self) -> float:
+        """Return what an upstream may get in a window."""
+        return _FACTOR * _WINDOW_S * _LIMIT_PER_S + _SLACK
+
+    def __str__(self) -> str:
+        """Return a row of the table."""
+        return (
+            f'{self.service:8} {self.paused:6} {self.seed:4} {self.most:5} '
+            f'{self.allowed:7.1f} {self.arrived:7} {self.served:6}'
+            f'{" BROKEN" if self.broken else ""}'
+        )
+
+
+HEADING = 'service  paused seed  most allowed arrived served'
+
+
+async def play_limit_pauses(
+    service: str, paused: int, root: pathlib.Path, seed: int
+) -> Result:
+    """Play one case and return what was seen.
+
+    paused: how many of the upstreams are stopped. root: the checkout whose
+    entry processes are played.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        async with platform_fleet(0, usual_state()) as fleet:
+            upstreams = UpstreamProcesses(fleet, pathlib.Path(folder))
+            try:
+                play = await _open(fleet, upstreams, service, root, seed)
+                await _run(play, paused)
+            finally:
+                await upstreams.end()
+            return _result(play, service, paused, seed)
+
+
+async def _open(
+    fleet: PlatformFleet,
+    upstreams: UpstreamProcesses,
+    service: str,
+    root: pathlib.Path,
+    seed: int,
+) -> Play:
+    for _ in range(_UPSTREAMS):
+        await upstreams.add(
+            service, _SLOTS, work_s=_WORK_S, limit_per_s=_LIMIT_PER_S
+        )
+    await asyncio.gather(
+        *(start_entry(fleet.prepare_entry(), root) for _ in range(_INSTANCES))
+    )
+    await fleet.until_ready()
+    rng = random.Random(seed)
+    return Play(fleet, upstreams.started, rng, _ROUTES[service])
+
+
+async def _run(play: Play, paused: int) -> None:
+    calls = keep_calling(functools.partial(_call, play), play.rng, _PER_S)
+    load = asyncio.create_task(calls)
+    await asyncio.sleep(_KNOWN_S + _BETWEEN_S)
+    for _ in range(2):
+        chosen = play.rng.sample(play.upstreams, paused)
+        await asyncio.gather(*(one.pause(_PAUSE_S) for one in chosen))
+        await asyncio.sleep(_BETWEEN_S)
+    load.cancel()
+    await asyncio.wait((load,))
+
+
+async def _call(play: Play) -> None:
+    play.asked += 1
+    entry = play.rng.choice(play.fleet.entries)
+    tried = await Caller(play.rng).ask(
+        entry.name,
+        entry.front,
+        play.route,
+        f'r{play.asked}',
+        streams=play.route in STREAMED,
+    )
+    play.statuses[tried.status] += 1
+
+
+def _result(play: Play, service: str, paused: int, seed: int) -> Result:
+    arrivals = [
+        sorted(arrival.at for arrival in one.seen) for one in play.upstreams
+    ]
+    return Result(
+        service,
+        paused,
+        seed,
+        max(map(_most_in_a_window, arrivals)),
+        sum(map(len, arrivals)),
+        play.statuses[_OK],
+    )
+
+
+def _most_in_a_window(arrivals: Sequence[float]) -> int:
+    """Return the most arrivals in a window once the limit is known."""
+    since = arrivals[0] + _KNOWN_S
+    counts = [
+        sum(start <= at < start + _WINDOW_S for at in arrivals)
+        for start in arrivals
+        if start >= since
+    ]
+    return max(counts, default=0)
+
+
+def main() -> int:
+    """Play and return 1 if a limit was exceeded."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--service', action='append', choices=SERVICES)
+    parser.add_argument('--paused', action='append', type=int, choices=PAUSED)
+    parser.add_argument('--old', type=pathlib.Path, help='another checkout')
+    add_options(parser, at_once=2)
+    args = parser.parse_args()
+    return play_chosen(
+        HEADING,
+        play_limit_pauses,
+        args,
+        args.service or SERVICES,
+        args.paused or PAUSED,
+        (args.old or ROOT,),
+    )
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/packages/bench/src/tallyhall_bench/pause_run.py
+++ b/packages/bench/src/tallyhall_bench/pause_run.py
@@ -150,7 +150,7 @@
         )
     play = Play(fleet, upstreams.started, random.Random(seed), root)
     await asyncio.gather(
-        *(_start(fleet.prepare_entry(), root) for _ in range(_INSTANCES))
+        *(start_entry(fleet.prepare_entry(), root) for _ in range(_INSTANCES))
     )
     await fleet.until_ready()
     await _run(play, trouble)
@@ -178,7 +178,7 @@
     return state
 
 
-async def _start(entry: EntryProcess, root: pathlib.Path) -> None:
+async def start_entry(entry: EntryProcess, root: pathlib.Path) -> None:
     if root == ROOT:
         await entry.start()
         return
@@ -277,7 +277,7 @@
     entry.send(signal.SIGKILL)
     await entry.wait()
     await asyncio.sleep(_DOWN_S)
-    await _start(entry, root)
+    await start_entry(entry, root)
 
 
 Course = Callable[[Play], Awaitable[None]]
--- a/packages/dispatch/src/tallyhall_dispatch/token_bucket.py
+++ b/packages/dispatch/src/tallyhall_dispatch/token_bucket.py
@@ -15,6 +15,9 @@
 # Capacity of the bucket, in seconds at its rate. It is small to spare an
 # overloaded upstream bursts.
 _CAPACITY_S = 0.5
+# Requests that may be under way to an upstream that has not begun to answer
+# them, in seconds at the rate: if it stops reading, they arrive together later.
+_MAX_UNREAD_S = 1.5
 # Maximum debt of the bucket, in seconds at its rate. Requests that other
 # instances scheduled take tokens too and may exceed the limit.
 _MAX_DEBT_S = 2.0
@@ -46,6 +49,15 @@
         self._refill(now)
         return self.rate > 0 and self._tokens >= 1
 
+    def may_send(self, now: float, unread: int) -> bool:
+        """Return whether a request may be sent.
+
+        unread: requests that the upstream may not have read yet.
+        """
+        if unread >= max(1, _MAX_UNREAD_S * self.rate):
+            return False
+        return self.has_token(now)
+
     def next_token_in_s(self, now: float) -> float:
         """Return the seconds until the next request may be sent.
 
--- a/packages/dispatch/src/tallyhall_dispatch/upstream_state.py
+++ b/packages/dispatch/src/tallyhall_dispatch/upstream_state.py
@@ -55,6 +55,18 @@
     ),
 )
 
+# Endings at which the upstream has answered.
+_ANSWERS = frozenset(
+    (
+        AttemptOutcome.answered,
+        AttemptOutcome.failed,
+        AttemptOutcome.rejected,
+        AttemptOutcome.misplaced,
+    ),
+)
+# Endings at which it may not have read the request.
+_UNANSWERED = frozenset((AttemptOutcome.unknown, AttemptOutcome.left))
+
 
 class RunningJob(msgspec.Struct):
     """A job that runs on an upstream.
@@ -126,6 +138,9 @@
         # answered.
         self.ejection: Ejection | None = None
         self._consecutive_failures = 0
+        # Requests that were given up before an answer began, since the last
+        # one that was not. The upstream may read them later.
+        self._left_unread = 0
         # For the rate limit announced by the upstream, None if there is none.
         self.bucket: TokenBucket | None = None
 
@@ -168,7 +183,9 @@
         """Return whether a request may start here now."""
         if self.free_slots(share, now) <= 0:
             return False
-        return self.bucket is None or self.bucket.has_token(now)
+        if self.bucket is None:
+            return True
+        return self.bucket.may_send(now, self._unread())
 
     def is_ejected(self, now: float) -> bool:
         """Return whether the upstream is ejected because of its failures."""
@@ -243,6 +260,7 @@
         """Record that the prefill of a job is complete."""
         run = self.runs.get(key)
         if run is not None:
+            self._left_unread = 0
             self._end_prefill(run)
 
     def finish(self, key: str, report: RunReport, now: float) -> None:
@@ -251,6 +269,7 @@
         if run is None:
             return
         self._load.end_run(now)
+        self._record_read(run, report.ending)
         self._end_prefill(run)
         if self.bucket is not None and report.ending in NOT_SENT:
             self.bucket.return_token()
@@ -306,6 +325,22 @@
             )
         self._pause_s = moving_average(self._pause_s, pause_s)
 
+    def _unread(self) -> int:
+        """Return how many requests the upstream may not have read yet.
+
+        Returns 0 while no answer is waited for, so that a request is sent to
+        find out whether it reads.
+        """
+        waiting = sum(run.in_prefill for run in self.runs.values())
+        return waiting + self._left_unread if waiting else 0
+
+    def _record_read(self, run: RunningJob, ending: AttemptOutcome) -> None:
+        """Record whether the upstream has read what it was sent."""
+        if ending in _ANSWERS:
+            self._left_unread = 0
+        elif run.in_prefill and ending in _UNANSWERED:
+            self._left_unread += 1
+
     def _end_prefill(self, run: RunningJob) -> None:
         if run.in_prefill:
             run.in_prefill = False
--- a/tests/platform/test_token_bucket.py
+++ b/tests/platform/test_token_bucket.py
@@ -97,3 +97,14 @@
     assert not limits.current
     assert not limits.update('u', AnnouncedLimit(3, 10))
     assert not limits.current
+
+
+def test_few_requests_are_sent_to_an_upstream_that_does_not_answer() -> None:
+    bucket = _bucket(4, 1)
+    sent = 0
+    for step in range(400):
+        if bucket.may_send(step / 20, sent):
+            bucket.take_token()
+            sent += 1
+    assert sent == 6
+    assert bucket.may_send(20, 0)
--- a/tests/processes/test_pauses.py
+++ b/tests/processes/test_pauses.py
@@ -1,6 +1,7 @@
-"""The retry budget as upstreams see it that stop reading for seconds."""
+"""Retries and limits as upstreams see them that stop reading for seconds."""
 
 import pytest
+from tallyhall_bench.limit_pause_run import play_limit_pauses
 from tallyhall_bench.pause_run import play_pauses
 from tallyhall_bench.start_cost import ROOT
 
@@ -14,3 +15,11 @@
     played = await play_pauses(trouble, ROOT, 3)
     assert not played.broken, str(played)
     assert played.served > 1000, str(played)
+
+
+async def test_requests_read_late_by_a_stopped_upstream_stay_in_its_limit() -> (
+    None
+):
+    played = await play_limit_pauses('app', 4, ROOT, 1)
+    assert not played.broken, str(played)
+    assert played.served > 200, str(played)
