--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,5 @@
 """Settings for all tests: the same examples every time."""
 
-import asyncio
 import inspect
 import os
 from collections.abc import Callable, Coroutine
@@ -9,7 +8,7 @@
 import pytest
 from hypothesis import HealthCheck, settings
 
-from tests import paused_clock
+from tests import closing_loop, paused_clock
 from tests.known_red import LIST, read_known_red
 
 _Runner = Callable[[Coroutine[Any, Any, Any]], None]
@@ -45,7 +44,7 @@
 def _runner(test: pytest.Function) -> _Runner:
     for marker in ('processes', 'real_time'):
         if test.get_closest_marker(marker):
-            return asyncio.run
+            return closing_loop.run
     return paused_clock.run
 
 
--- a/tests/paused_clock.py
+++ b/tests/paused_clock.py
@@ -14,6 +14,8 @@
 from typing import Any
 from unittest import mock
 
+from tests.closing_loop import ClosingLoop
+
 _Ready = list[tuple[selectors.SelectorKey, int]]
 
 # The same in each run, so that simulations repeat exactly, in seconds.
@@ -44,7 +46,7 @@
 _STALL_S = 0.02
 
 
-class PausedLoop(asyncio.SelectorEventLoop):
+class PausedLoop(ClosingLoop):
     """An event loop with a clock of its own, in seconds."""
 
     def __init__(self) -> None:
--- a/tests/unit/test_paused_clock.py
+++ b/tests/unit/test_paused_clock.py
@@ -16,6 +16,21 @@
     return asyncio.get_running_loop().time()
 
 
+async def _leave_connection_open() -> asyncio.StreamWriter:
+    server = await asyncio.start_server(
+        lambda reader, writer: None, '127.0.0.1', 0
+    )
+    port = server.sockets[0].getsockname()[1]
+    _, writer = await asyncio.open_connection('127.0.0.1', port)
+    return writer
+
+
+def test_no_connection_stays_open_when_the_loop_of_a_test_is_closed() -> None:
+    with asyncio.Runner(loop_factory=PausedLoop) as runner:
+        writer = runner.run(_leave_connection_open())
+    assert writer.is_closing()
+
+
 async def test_a_long_wait_takes_no_real_time() -> None:
     began_at = time.monotonic()
     wakes_at = _now() + _LONG_S
