Soak: upstream processes that are stopped and continued

A service of its own, safe requests with three attempts, four processes that reject 0.3 of what arrives; 1 to 4 of them stopped for up to 5 s again and again, beside all other faults. The check counts retries from what the processes wrote.

--- a/packages/bench/src/tallyhall_bench/platform_run.py
+++ b/packages/bench/src/tallyhall_bench/platform_run.py
@@ -81,6 +81,11 @@
     return _route(name, 'streaming', service, resumable=True)
 
 
+def plain_route(name: str, service: str) -> dict[str, Any]:
+    """Return a route whose requests may run more than once."""
+    return _route(name, 'safe', service, attempts=3)
+
+
 def _route(
     name: str,
     kind: str,
--- a/packages/bench/src/tallyhall_bench/platform_soak.py
+++ b/packages/bench/src/tallyhall_bench/platform_soak.py
@@ -13,7 +13,7 @@
 import contextlib
 import random
 import sys
-from collections.abc import Coroutine, Iterable
+from collections.abc import Coroutine, Iterable, Iterator
 
 from tallyhall_dispatch.options import Listening
 from tallyhall_standins.endless import EndlessEngine
@@ -27,6 +27,7 @@
 from .soak_fatal import ask_fatal, frail_upstreams
 from .soak_faults import trouble
 from .soak_parts import fatal_parts
+from .soak_pauses import pausing_upstreams
 from .soak_loads import check_sharing, report_wrongly, share_machines
 from .soak_retries import check_retries, reject_and_lose
 from .soak_site import (
@@ -43,7 +44,15 @@
 
 _OK = 200
 # Troubles that runs of earlier seeds did not have.
-_LATER = ('loads', 'isolates', 'versions', 'parts', 'rejects', 'endless')
+_LATER = (
+    'loads',
+    'isolates',
+    'versions',
+    'parts',
+    'rejects',
+    'endless',
+    'pauses',
+)
 _CALLERS = 12
 # Faults that go on at the same time.
 _AT_ONCE = 3
@@ -67,12 +76,9 @@
             share_machines(site, seed)
             work.append(report_wrongly(site, seed))
         async with contextlib.AsyncExitStack() as stack:
-            if troubles.versions:
-                await stack.enter_async_context(versioned_upstreams(site, seed))
-            if troubles.parts:
-                await stack.enter_async_context(fatal_parts(site, seed))
+            for services in _own_services(site, seed):
+                await stack.enter_async_context(services)
             if troubles.fatal:
-                await stack.enter_async_context(frail_upstreams(site))
                 work.append(ask_fatal(site, seed))
             await _disturb(site, seconds, work)
         for link in site.datagram_links:
@@ -80,6 +86,21 @@
     return site
 
 
+def _own_services(
+    site: Site, seed: int
+) -> Iterator[contextlib.AbstractAsyncContextManager[None]]:
+    """Yield the troubles that have a service of their own."""
+    troubles = site.troubles
+    if troubles.versions:
+        yield versioned_upstreams(site, seed)
+    if troubles.parts:
+        yield fatal_parts(site, seed)
+    if troubles.pauses:
+        yield pausing_upstreams(site, seed)
+    if troubles.fatal:
+        yield frail_upstreams(site)
+
+
 async def _disturb(
     site: Site,
     seconds: float,
@@ -210,7 +231,7 @@
             f'faults {len(site.faults)} ended {site.ended} '
             f'by parts {site.ended_by_parts} '
             f'streams {site.streams} taken up {site.taken_up} '
-            f'retries {site.retries} '
+            f'retries {site.retries} late {site.late_retries} '
             f'violations {len(site.violations)}\n',
         )
         for violation in site.violations:
--- /dev/null
+++ b/packages/bench/src/tallyhall_bench/soak_pauses.py
@@ -0,0 +1,114 @@
+"""Upstream processes in a soak that are stopped and continued by signals.
+
+They reject a share of what arrives, and read what came meanwhile when they go
+on. The retries that reach them must stay within the budget of their service.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import pathlib
+import random
+import signal
+import tempfile
+from collections.abc import AsyncIterator
+
+from .platform_fleet import RETRY_LIMITS
+from .platform_load import Caller, keep_calling
+from .retry_checks import arrived_retries, fullest_window
+from .soak_site import PAUSING, Site, Violation
+from .upstream_processes import UpstreamProcess, UpstreamProcesses
+
+_UPSTREAMS = 4
+_SLOTS = 6
+_WORK_S = 0.02
+_REJECTED = 0.3
+_PER_S = 15.0
+_CALM_S = (0.2, 2.5)
+_PAUSED_S = (0.3, 5.0)
+
+
+@contextlib.asynccontextmanager
+async def pausing_upstreams(site: Site, seed: int) -> AsyncIterator[None]:
+    """Run upstream processes under load and pauses; check them at the end."""
+    with tempfile.TemporaryDirectory() as folder:
+        upstreams = UpstreamProcesses(site.fleet, pathlib.Path(folder))
+        pauses = _Pauses(site, upstreams.started, random.Random(seed))
+        try:
+            for number in range(_UPSTREAMS):
+                await upstreams.add(
+                    PAUSING,
+                    _SLOTS,
+                    work_s=_WORK_S,
+                    rejected=_REJECTED,
+                    seed=seed * _UPSTREAMS + number,
+                )
+            async with pauses.running():
+                yield
+            pauses.check()
+        finally:
+            await upstreams.end()
+
+
+class _Pauses:
+    """The upstreams of the service, and what was asked of them."""
+
+    def __init__(
+        self, site: Site, upstreams: list[UpstreamProcess], rng: random.Random
+    ) -> None:
+        self._site = site
+        self._upstreams = upstreams
+        self._rng = rng
+        self._requests: list[float] = []
+        self._numbers = itertools.count(1)
+        self._loop = asyncio.get_running_loop()
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Ask, stop and continue; all go on at the end."""
+        tasks = [
+            asyncio.create_task(keep_calling(self._ask, self._rng, _PER_S)),
+            asyncio.create_task(self._pause()),
+        ]
+        try:
+            yield
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks)
+            for upstream in self._upstreams:
+                upstream.send(signal.SIGCONT)
+
+    def check(self) -> None:
+        """Check that the retries that arrived stayed within the budget."""
+        retries = arrived_retries(self._upstreams)
+        worst = fullest_window(retries, self._requests, RETRY_LIMITS)
+        self._site.late_retries += len(retries)
+        if worst.is_exceeded:
+            detail = f'{PAUSING}: {worst}'
+            self._site.violations.append(Violation('retry budget', detail))
+
+    async def _ask(self) -> None:
+        self._requests.append(self._loop.time())
+        number = self._rng.randrange(len(self._site.fronts))
+        await Caller(self._rng).ask(
+            self._site.fleet.entries[number].name,
+            self._site.fronts[number],
+            PAUSING,
+            f'p{next(self._numbers)}',
+            streams=False,
+        )
+
+    async def _pause(self) -> None:
+        rng = self._rng
+        while True:
+            await asyncio.sleep(rng.uniform(*_CALM_S))
+            count = rng.randint(1, _UPSTREAMS)
+            for_s = rng.uniform(*_PAUSED_S)
+            self._site.faults.append(
+                f'{self._loop.time():.2f} pause {count} {for_s:.2f}'
+            )
+            chosen = rng.sample(self._upstreams, count)
+            await asyncio.gather(*(one.pause(for_s) for one in chosen))
--- a/packages/bench/src/tallyhall_bench/soak_site.py
+++ b/packages/bench/src/tallyhall_bench/soak_site.py
@@ -11,7 +11,7 @@
 from .faulty_link import FaultyLink
 from .platform_fleet import PlatformFleet
 from .platform_load import KEY, Tried
-from .platform_run import service, stream_route, usual_state
+from .platform_run import plain_route, service, stream_route, usual_state
 from .upstream_links import UpstreamLinks
 
 INSTANCES = 3
@@ -25,6 +25,8 @@
 # The same, with upstreams of several versions. The short timeout makes the time
 # pass often within which a stream can come back.
 VERSIONED = 'versioned'
+# A plain one, with upstream processes that are stopped and continued.
+PAUSING = 'pausing'
 _TIMEOUT_MS = 2000
 
 
@@ -46,7 +48,8 @@
     times. versions: upstreams of several versions serve streams that callers
     take up. parts: parts of prompts end upstreams of a service of their own.
     rejects: upstreams reject at times, while instances are lost in series.
-    endless: answers of upstreams go on without end at times.
+    endless: answers of upstreams go on without end at times. pauses: upstream
+    processes of a service of their own are stopped and continued.
     """
 
     all_links: bool = False
@@ -57,6 +60,7 @@
     parts: bool = False
     rejects: bool = False
     endless: bool = False
+    pauses: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -99,6 +103,8 @@
     taken_up: int = 0
     # Retries that reached the upstreams of usual routes.
     retries: int = 0
+    # Retries that reached upstreams that are stopped at times.
+    late_retries: int = 0
 
     def put_link_between(self, key: str, content: bytes) -> bytes:
         """Have an instance's entry name the link to it."""
@@ -117,6 +123,8 @@
     state['routes'].append(
         stream_route(VERSIONED, VERSIONED) | {'timeout-ms': _TIMEOUT_MS},
     )
+    state['routes'].append(plain_route(PAUSING, PAUSING))
+    state['services'].append(service(PAUSING))
     for name in (FRAIL, PARTS, VERSIONED):
         state['services'].append(service(name, engine={'stride': 3}))
     if with_old:
--- a/tests/processes/test_platform_soak.py
+++ b/tests/processes/test_platform_soak.py
@@ -50,6 +50,12 @@
     assert sum(tried.status == 200 for tried in site.tries) > 100
 
 
+def test_no_violations_beside_upstreams_that_are_stopped_for_seconds() -> None:
+    site = asyncio.run(soak(1801, 14, Troubles(all_links=True, pauses=True)))
+    assert not site.violations, (site.violations, site.faults)
+    assert site.late_retries > 20
+
+
 def test_no_violations_beside_endless_answers() -> None:
     """In heads and bodies, beside restarts and other faults."""
     site = asyncio.run(
