A connection that is given up discards what is not acknowledged

ClientConnection.close said that a reset tells the upstream at once, and sent no reset: a socket that is closed goes on sending what its peer has not acknowledged, so an upstream behind a cut or that reads slowly got requests that nobody waited for any more. Since the retry budget stops charging such a send once its bytes can be under way no longer, this has to be true.

--- a/packages/edge/src/tallyhall_edge/client.py
+++ b/packages/edge/src/tallyhall_edge/client.py
@@ -24,8 +24,12 @@
     UpstreamStalledError,
 )
 from .framing import MAX_HEADERS, FramingCounter
-from .messages import Headers, ResponseHead, find_header
-from .sockets import set_keepalive, unacknowledged_bytes
+from .messages import Headers, ResponseHead, find_header, is_framed
+from .sockets import (
+    discard_on_close,
+    set_keepalive,
+    unacknowledged_bytes,
+)
 
 _MIN_FINAL_STATUS = 200
 # Maximum bytes of a response beside its body, with interim responses and
@@ -185,6 +189,8 @@
         self._sink = None
         self.reusable = False
         self._tainted = True
+        if not self.is_acknowledged and self._transport is not None:
+            discard_on_close(self._transport.get_extra_info('socket'))
         self._unwritten.clear()
         if self._transport is not None:
             # A reset tells the upstream at once that nobody reads its response.
@@ -385,14 +391,6 @@
                 self.keep_alive_s = int(text)
 
 
-def is_framed(head: ResponseHead) -> bool:
-    """Return whether an answer states its length or comes in chunks."""
-    if find_header(head.headers, b'content-length') is not None:
-        return True
-    coding = find_header(head.headers, b'transfer-encoding')
-    return coding is not None and b'chunked' in coding.lower()
-
-
 def _written_blocks(
     raw: bytes, body: Sequence[bytes | bytearray]
 ) -> Sequence[bytes | bytearray]:
--- a/packages/edge/src/tallyhall_edge/messages.py
+++ b/packages/edge/src/tallyhall_edge/messages.py
@@ -106,3 +106,11 @@
 
 
 LAST_CHUNK = b'0\r\n\r\n'
+
+
+def is_framed(head: ResponseHead) -> bool:
+    """Return whether an answer states its length or comes in chunks."""
+    if find_header(head.headers, b'content-length') is not None:
+        return True
+    coding = find_header(head.headers, b'transfer-encoding')
+    return coding is not None and b'chunked' in coding.lower()
--- a/packages/edge/src/tallyhall_edge/relay.py
+++ b/packages/edge/src/tallyhall_edge/relay.py
@@ -13,7 +13,7 @@
 
 from tallyhall_dispatch.jobs import INTERRUPTED, AttemptOutcome, RunReport
 
-from .client import ClientConnection, is_framed
+from .client import ClientConnection
 from .dialect import HeaderCodec, ResponseInfo
 from .errors import (
     ConnectionFailedError,
@@ -23,7 +23,13 @@
 from .events import BadEventError, EventSplitter, StreamEvent
 from .exchange import Exchange
 from .memory_budget import Holder
-from .messages import Headers, ResponseHead, find_header, forwardable_headers
+from .messages import (
+    Headers,
+    ResponseHead,
+    find_header,
+    forwardable_headers,
+    is_framed,
+)
 
 # Answers up to this size in bytes are buffered until they are complete.
 _MAX_BUFFERED_BYTES = 65_536
--- a/packages/edge/src/tallyhall_edge/sockets.py
+++ b/packages/edge/src/tallyhall_edge/sockets.py
@@ -7,6 +7,7 @@
 import contextlib
 import fcntl
 import socket
+import struct
 import termios
 
 # Milliseconds without acknowledgement after which a peer counts as dead.
@@ -20,6 +21,9 @@
     (socket.TCP_KEEPCNT, 3),
 )
 
+# The value of SO_LINGER with which a socket is reset when it is closed.
+_NO_LINGER = struct.pack('ii', 1, 0)
+
 
 def set_keepalive(transport: asyncio.Transport) -> None:
     """Enable the detection of dead peers on a connection."""
@@ -32,6 +36,17 @@
             sock.setsockopt(socket.IPPROTO_TCP, option, limit)
 
 
+def discard_on_close(sock: socket.socket | None) -> None:
+    """Have the kernel discard what is not acknowledged when it is closed.
+
+    It would go on sending it otherwise, to an upstream that nobody waits for.
+    """
+    if sock is None:
+        return
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+
+
 def unacknowledged_bytes(sock: socket.socket | None) -> int:
     """Return the bytes that a peer has not acknowledged, 0 if unknown."""
     return _query(sock, termios.TIOCOUTQ)
