A request waits for an alternative while all upstreams are silent

Only an upstream whose machine has acknowledged the request counts as silent; an overdue request looks again for an upstream that answers.

--- a/packages/edge/src/tallyhall_edge/retry_policy.py
+++ b/packages/edge/src/tallyhall_edge/retry_policy.py
@@ -77,7 +77,7 @@
             if ending in NOT_SENT:
                 # Nothing was sent, so the retry budget is not charged.
                 return True
-            return self._reads_elsewhere(context) and self._reserve(context)
+            return self.has_alternative(context) and self._reserve(context)
         route = context.admitted.route
         if not route.repeatable or context.may_have_run >= route.attempts:
             return False
@@ -85,7 +85,7 @@
             return False
         return self._reserve(context)
 
-    def may_abandon(self, context: RequestContext, upstream: Upstream) -> bool:
+    def may_abandon(self, context: RequestContext) -> bool:
         """Return whether an overdue send may be abandoned; reserve a retry.
 
         If requests have to wait for slots, a missing answer is more likely
@@ -98,16 +98,15 @@
             return False
         if context.waited_s > _OVERLOAD_WAIT_S:
             return False
-        return self._reads_elsewhere(context, upstream) and self._reserve(
-            context
-        )
-
-    # -- internals
+        return self._reserve(context)
 
-    def _reads_elsewhere(
+    def has_alternative(
         self, context: RequestContext, tried: Upstream | None = None
     ) -> bool:
-        """Return whether an upstream is left that is not silent."""
+        """Return whether an upstream is left that is not silent.
+
+        tried: the upstream that is tried now, None after its answer.
+        """
         if not self._unread.silent:
             return True
         excluded = context.excluded | self._unread.silent
@@ -115,6 +114,8 @@
             excluded.add(tried.incarnation)
         return self._has_other(context, excluded)
 
+    # -- internals
+
     def _has_other(
         self, context: RequestContext, excluded: Collection[str]
     ) -> bool:
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 
 import msgspec
@@ -311,27 +312,37 @@
         """Wait for the end of an answer, or until it is overdue to begin.
 
         An upstream may hang, or lose the answer of a request that it ran. A
-        repeatable request is then sent to another upstream if the retry budget
-        allows it; otherwise waiting on is the better chance.
+        repeatable request is then sent to another upstream, once there is one
+        that answers, if the retry budget allows it; otherwise waiting on is the
+        better chance.
 
         After a stall of the process, one iteration of the event loop may both
         read an answer and find the timer expired. What counts is therefore
         whether the answer has begun, not whether the timer expired.
         """
         asked_at = self._loop.time()
-        try:
-            async with asyncio.timeout(self._silence_timeout_s(context)):
-                await relay.begun.wait()
-        except TimeoutError:
-            if relay.begun.is_set():
+        timeout_s = self._silence_timeout_s(context)
+        if await _begins(relay, timeout_s):
+            return await relay.done
+        self._conns.connector.record_silence(upstream, conn, asked_at)
+        self._record_overdue(context, conn)
+        while not self.retries.has_alternative(context, upstream):
+            if await _begins(relay, timeout_s):
                 return await relay.done
-            self._conns.connector.record_silence(upstream, conn, asked_at)
-            if context.unread_send is not None:
-                self._unread.record_overdue(context.unread_send)
-            if self.retries.may_abandon(context, upstream):
-                return AttemptOutcome.unknown
+        if self.retries.may_abandon(context):
+            return AttemptOutcome.unknown
         return await relay.done
 
+    def _record_overdue(
+        self, context: RequestContext, conn: ClientConnection
+    ) -> None:
+        """Record that an upstream may have stopped reading.
+
+        Bytes that its machine has not received wait on the link instead.
+        """
+        if context.unread_send is not None and conn.is_acknowledged:
+            self._unread.record_overdue(context.unread_send)
+
     def _silence_timeout_s(self, context: RequestContext) -> float:
         objective_s = context.admitted.route.objective_s
         prefill_s = context.call.prompt_tokens * _PREFILL_S_PER_TOKEN
@@ -359,6 +370,14 @@
         return encode_head(line, headers)
 
 
+async def _begins(relay: Relay, timeout_s: float) -> bool:
+    """Return whether an answer begins, or ends, within the timeout."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(timeout_s):
+            await relay.begun.wait()
+    return relay.begun.is_set()
+
+
 def _without_stall(report: RunReport, stalled_s: float) -> RunReport:
     """Return a report as if the upstream had not been silent for so long."""
     if report.ending not in _COMPLETE:
--- a/packages/edge/src/tallyhall_edge/unread_sends.py
+++ b/packages/edge/src/tallyhall_edge/unread_sends.py
@@ -226,7 +226,7 @@
         """Forget an upstream whose process has ended."""
         gone = [
             path
-            for path in (*self._by_path, *self._heard_at)
+            for path in (*self._by_path, *self._heard_at, *self._silent_since)
             if path.incarnation == incarnation
         ]
         for path in gone:
--- a/tests/platform/test_silent_upstreams.py
+++ b/tests/platform/test_silent_upstreams.py
@@ -99,6 +99,22 @@
         assert {answer.status for answer in answers} == {200}
 
 
+async def test_request_moves_once_an_upstream_answers_that_was_silent() -> None:
+    async with deployment() as made:
+        site = _Site(made)
+        await site.open(2)
+        for left in await site.pause(0, 1):
+            left.cancel()
+        await asyncio.sleep(0.1)
+        asked = [site.ask() for _ in range(2)]
+        await asyncio.sleep(1)
+        site.engines[1].goes_on.set()
+        async with asyncio.timeout(1.5):
+            answers = await asyncio.gather(*asked)
+        assert {answer.status for answer in answers} == {200}
+        assert not site.engines[0].goes_on.is_set()
+
+
 async def test_upstream_that_answers_again_is_used_as_before() -> None:
     async with deployment() as made:
         site = _Site(made)
--- a/tests/platform/test_unread_sends.py
+++ b/tests/platform/test_unread_sends.py
@@ -171,3 +171,14 @@
     await asyncio.sleep(0.3)
     made.sends.record_overdue(send)
     assert not made.sends.silent
+
+
+async def test_silent_upstream_that_is_removed_is_forgotten() -> None:
+    made = _Fixture()
+    first = made.send()
+    made.abandon(first, is_acknowledged=True)
+    made.sends.close(first.request)
+    assert made.sends.silent == {'app-1'}
+    made.sends.record_removed('app-1')
+    await asyncio.sleep(11)
+    assert not made.sends.silent
