--- a/tests/closing_loop.py
+++ b/tests/closing_loop.py
@@ -7,7 +7,9 @@
 
 import asyncio
 from collections.abc import Collection, Coroutine
-from typing import Any
+from typing import Any, TypeVar
+
+_Result = TypeVar('_Result')
 
 
 class ClosingLoop(asyncio.SelectorEventLoop):
@@ -23,14 +25,15 @@
         super().close()
 
 
-def run(main: Coroutine[Any, Any, Any]) -> None:
-    """Run a coroutine on the real clock."""
+def run(main: Coroutine[Any, Any, _Result]) -> _Result:
+    """Run a coroutine on the real clock and return its result."""
     with asyncio.Runner(loop_factory=ClosingLoop) as runner:
-        runner.run(main)
+        return runner.run(main)
 
 
 def _open_transports(
     loop: asyncio.AbstractEventLoop,
 ) -> Collection[asyncio.Transport]:
     # The loop knows its transports by descriptor, and tells nobody.
-    return tuple(loop.__dict__['_transports'].values())
+    known = loop.__dict__['_transports'].values()
+    return [transport for transport in known if not transport.is_closing()]
--- a/tests/processes/test_platform_soak.py
+++ b/tests/processes/test_platform_soak.py
@@ -1,11 +1,11 @@
 """Short runs with random faults on entry processes, with past failing seeds."""
 
-import asyncio
-
 import pytest
 from tallyhall_bench.platform_soak import soak
 from tallyhall_bench.soak_site import Troubles
 
+from tests import closing_loop
+
 pytestmark = pytest.mark.processes
 
 _SECONDS = 8
@@ -19,14 +19,14 @@
     seed: int,
     all_links: bool,
 ) -> None:
-    site = asyncio.run(soak(seed, _SECONDS, Troubles(all_links=all_links)))
+    site = closing_loop.run(soak(seed, _SECONDS, Troubles(all_links=all_links)))
     assert not site.violations, (site.violations, site.faults)
     assert sum(tried.status == 200 for tried in site.tries) > 100
 
 
 def test_fatal_request_ends_few_upstreams_under_faults() -> None:
     """Instances are killed, stopped and cut off while exchanging reports."""
-    site = asyncio.run(
+    site = closing_loop.run(
         soak(1001, _SECONDS, Troubles(all_links=True, fatal=True))
     )
     assert not site.violations, (site.violations, site.faults)
@@ -35,14 +35,16 @@
 
 def test_fatal_parts_reach_few_upstreams_under_faults() -> None:
     """Beside ends of all upstreams, kills, cuts and an unreachable store."""
-    site = asyncio.run(soak(1401, 12, Troubles(all_links=True, parts=True)))
+    site = closing_loop.run(
+        soak(1401, 12, Troubles(all_links=True, parts=True))
+    )
     assert not site.violations, (site.violations, site.faults)
     assert site.ended_by_parts > 0
 
 
 def test_no_violations_while_instances_lose_all_upstreams() -> None:
     """One or most of them, in a series, beside restarts and other faults."""
-    site = asyncio.run(
+    site = closing_loop.run(
         soak(1201, _SECONDS, Troubles(all_links=True, isolates=True))
     )
     assert not site.violations, (site.violations, site.faults)
@@ -51,14 +53,16 @@
 
 
 def test_no_violations_beside_upstreams_that_are_stopped_for_seconds() -> None:
-    site = asyncio.run(soak(1801, 14, Troubles(all_links=True, pauses=True)))
+    site = closing_loop.run(
+        soak(1801, 14, Troubles(all_links=True, pauses=True))
+    )
     assert not site.violations, (site.violations, site.faults)
     assert site.late_retries > 20
 
 
 def test_no_violations_beside_endless_answers() -> None:
     """In heads and bodies, beside restarts and other faults."""
-    site = asyncio.run(
+    site = closing_loop.run(
         soak(1701, _SECONDS, Troubles(all_links=True, endless=True))
     )
     assert not site.violations, (site.violations, site.faults)
@@ -68,7 +72,7 @@
 
 def test_no_violations_under_wrong_load_reports() -> None:
     """Reports are missing, frozen, garbled, out of range or misleading."""
-    site = asyncio.run(
+    site = closing_loop.run(
         soak(1101, _SECONDS, Troubles(all_links=True, loads=True))
     )
     assert not site.violations, (site.violations, site.faults)
@@ -78,7 +82,7 @@
 @pytest.mark.parametrize('all_links', [False, True])
 def test_no_stream_mixes_versions_under_faults(*, all_links: bool) -> None:
     """Versions come and leave; without links between instances, none copies."""
-    site = asyncio.run(
+    site = closing_loop.run(
         soak(1301, 12, Troubles(all_links=all_links, versions=True))
     )
     assert not site.violations, (site.violations, site.faults)
@@ -89,6 +93,8 @@
     None
 ):
     """Instances are killed and stopped several times within a window."""
-    site = asyncio.run(soak(1501, 14, Troubles(all_links=True, rejects=True)))
+    site = closing_loop.run(
+        soak(1501, 14, Troubles(all_links=True, rejects=True))
+    )
     assert not site.violations, (site.violations, site.faults)
     assert site.retries > 50
--- a/tests/unit/test_paused_clock.py
+++ b/tests/unit/test_paused_clock.py
@@ -31,6 +31,19 @@
     assert writer.is_closing()
 
 
+async def _close_connection() -> asyncio.StreamWriter:
+    writer = await _leave_connection_open()
+    writer.close()
+    await writer.wait_closed()
+    return writer
+
+
+def test_loop_of_a_test_closes_beside_connections_that_were_closed() -> None:
+    with asyncio.Runner(loop_factory=PausedLoop) as runner:
+        writer = runner.run(_close_connection())
+    assert writer.is_closing()
+
+
 async def test_a_long_wait_takes_no_real_time() -> None:
     began_at = time.monotonic()
     wakes_at = _now() + _LONG_S
