Sends on lost links are given up as before

Read in review: how many requests may leave a send unread was bounded also where the upstream's machine had not received it, behind a cut link or of a dark machine, where nothing can be read later once the bytes are discarded.

The bound counts only sends that the upstream's machine has acknowledged. Tests of isolated instances, of pauses and of silent upstreams pass.

--- a/packages/edge/src/tallyhall_edge/retry_policy.py
+++ b/packages/edge/src/tallyhall_edge/retry_policy.py
@@ -128,7 +128,7 @@
             now = self._loop.time()
             service = context.admitted.service
             context.retry = self._gate.reserve_retry(
-                service, now, abandons=bool(context.sent.unread)
+                service, now, abandons=context.sent.is_held
             )
             if context.retry is None:
                 use = self._gate.retry_use(service, now)
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -336,12 +336,11 @@
     def _record_overdue(
         self, context: RequestContext, conn: ClientConnection
     ) -> None:
-        """Record that an upstream may have stopped reading.
-
-        Bytes that its machine has not received wait on the link instead.
-        """
-        if context.unread_send is not None and conn.is_acknowledged:
-            self._unread.record_overdue(context.unread_send)
+        """Record that an upstream may have stopped reading."""
+        if context.unread_send is not None:
+            self._unread.record_overdue(
+                context.unread_send, is_acknowledged=conn.is_acknowledged
+            )
 
     def _silence_timeout_s(self, context: RequestContext) -> float:
         objective_s = context.admitted.route.objective_s
--- a/packages/edge/src/tallyhall_edge/unread_sends.py
+++ b/packages/edge/src/tallyhall_edge/unread_sends.py
@@ -69,6 +69,11 @@
         """Return whether retries are charged that may still arrive."""
         return bool(self._charges)
 
+    @property
+    def is_held(self) -> bool:
+        """Return whether an upstream may hold a send unread for long."""
+        return any(send.is_acknowledged for send in self.unread)
+
     def add(self, send: UnreadSend, charge: RetryReservation | None) -> None:
         """Add a send that was written; `charge` is None for the first one."""
         self.unread.add(send)
@@ -91,7 +96,14 @@
 class UnreadSend:
     """One send to an upstream that has not answered it."""
 
-    __slots__ = ('is_waiting', 'path', 'request', 'stalled_s', 'written_at')
+    __slots__ = (
+        'is_acknowledged',
+        'is_waiting',
+        'path',
+        'request',
+        'stalled_s',
+        'written_at',
+    )
 
     def __init__(
         self, path: SendPath, request: RequestSends, written_at: float
@@ -101,6 +113,8 @@
         self.request = request
         self.written_at = written_at
         self.is_waiting = True
+        # Whether the machine of the upstream may have received all of it.
+        self.is_acknowledged = True
         # Time in seconds for which it waited while its path was silent.
         self.stalled_s: float = 0
 
@@ -180,8 +194,17 @@
         self._silent_since.pop(path)
         self._listener.on_heard(path, now - since, len(unread))
 
-    def record_overdue(self, send: UnreadSend) -> None:
-        """Record that the answer to a send is overdue."""
+    def record_overdue(
+        self, send: UnreadSend, *, is_acknowledged: bool
+    ) -> None:
+        """Record that the answer to a send is overdue.
+
+        is_acknowledged: whether the machine of the upstream has received it;
+        else it waits on the link, and says nothing of the upstream.
+        """
+        send.is_acknowledged = is_acknowledged
+        if not is_acknowledged:
+            return
         path = send.path
         if send not in self._by_path.get(path, ()):
             return
@@ -203,6 +226,7 @@
         """
         self._record_stall(send)
         send.is_waiting = False
+        send.is_acknowledged = is_acknowledged
         if is_closed:
             self._settle(send)
         elif not is_acknowledged:
--- a/tests/platform/test_unread_sends.py
+++ b/tests/platform/test_unread_sends.py
@@ -58,7 +58,7 @@
         return charge
 
     def abandon(self, send: UnreadSend, *, is_acknowledged: bool) -> None:
-        self.sends.record_overdue(send)
+        self.sends.record_overdue(send, is_acknowledged=is_acknowledged)
         self.sends.record_end(
             send, is_closed=False, is_acknowledged=is_acknowledged
         )
@@ -151,7 +151,7 @@
     await asyncio.sleep(0.1)
     send = made.send()
     await asyncio.sleep(0.5)
-    made.sends.record_overdue(send)
+    made.sends.record_overdue(send, is_acknowledged=True)
     assert made.sends.silent == {'app-1'}
     assert made.sends.occupied == {'app-1'}
     made.abandon(send, is_acknowledged=True)
@@ -169,7 +169,7 @@
     await asyncio.sleep(0.3)
     made.sends.record_data(_PATH)
     await asyncio.sleep(0.3)
-    made.sends.record_overdue(send)
+    made.sends.record_overdue(send, is_acknowledged=True)
     assert not made.sends.silent
 
 
@@ -182,3 +182,13 @@
     made.sends.record_removed('app-1')
     await asyncio.sleep(11)
     assert not made.sends.silent
+
+
+async def test_send_that_waits_on_a_lost_link_makes_no_silent_upstream() -> (
+    None
+):
+    made = _Fixture()
+    first = made.send()
+    made.sends.record_overdue(first, is_acknowledged=False)
+    assert not first.request.is_held
+    assert not made.sends.silent
