One set of complete outcomes, one way to ask for unacknowledged bytes

Read in review of the change: the outcomes at which a response is complete stood in upstream_state.py and in sending.py, and are now jobs.COMPLETE; the sum of what the kernel and the transport hold unacknowledged stood in connection_memory.py and in client.py, and is unacknowledged_bytes, which like all of sockets.py takes the transport. Each send asked the kernel for it at its end; now only one that was not answered does. Nothing else changes.

--- a/packages/dispatch/src/tallyhall_dispatch/jobs.py
+++ b/packages/dispatch/src/tallyhall_dispatch/jobs.py
@@ -92,6 +92,15 @@
 NOT_SENT = frozenset(
     (AttemptOutcome.unsent, AttemptOutcome.withheld, AttemptOutcome.no_path)
 )
+# Outcomes in which the upstream's response is complete.
+COMPLETE = frozenset(
+    (
+        AttemptOutcome.answered,
+        AttemptOutcome.failed,
+        AttemptOutcome.rejected,
+        AttemptOutcome.misplaced,
+    )
+)
 # Outcomes in which the connection was lost before the response was complete.
 INTERRUPTED = frozenset((AttemptOutcome.unknown, AttemptOutcome.broken))
 
--- a/packages/dispatch/src/tallyhall_dispatch/upstream_state.py
+++ b/packages/dispatch/src/tallyhall_dispatch/upstream_state.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from .desired import Upstream
-from .jobs import NOT_SENT, AttemptOutcome, Job, RunReport
+from .jobs import COMPLETE, NOT_SENT, AttemptOutcome, Job, RunReport
 from .load_reports import UpstreamLoad
 from .token_bucket import TokenBucket
 from .usual_time import UsualTime, moving_average
@@ -55,16 +55,7 @@
     ),
 )
 
-# Endings at which the upstream has answered.
-_ANSWERS = frozenset(
-    (
-        AttemptOutcome.answered,
-        AttemptOutcome.failed,
-        AttemptOutcome.rejected,
-        AttemptOutcome.misplaced,
-    ),
-)
-# Endings at which it may not have read the request.
+# Endings at which the upstream may not have read the request.
 _UNANSWERED = frozenset((AttemptOutcome.unknown, AttemptOutcome.left))
 
 
@@ -336,7 +327,7 @@
 
     def _record_read(self, run: RunningJob, ending: AttemptOutcome) -> None:
         """Record whether the upstream has read what it was sent."""
-        if ending in _ANSWERS:
+        if ending in COMPLETE:
             self._left_unread = 0
         elif run.in_prefill and ending in _UNANSWERED:
             self._left_unread += 1
--- a/packages/edge/src/tallyhall_edge/client.py
+++ b/packages/edge/src/tallyhall_edge/client.py
@@ -137,13 +137,10 @@
 
         True if this is not known.
         """
+        if self._unwritten:
+            return False
         transport = self._transport
-        if self._unwritten or transport is None:
-            return not self._unwritten
-        sock = transport.get_extra_info('socket')
-        return not transport.get_write_buffer_size() + unacknowledged_bytes(
-            sock
-        )
+        return transport is None or not unacknowledged_bytes(transport)
 
     def send(
         self,
@@ -189,8 +186,8 @@
         self._sink = None
         self.reusable = False
         self._tainted = True
-        if not self.is_acknowledged and self._transport is not None:
-            discard_on_close(self._transport.get_extra_info('socket'))
+        if self._transport is not None and not self.is_acknowledged:
+            discard_on_close(self._transport)
         self._unwritten.clear()
         if self._transport is not None:
             # A reset tells the upstream at once that nobody reads its response.
--- a/packages/edge/src/tallyhall_edge/connection_memory.py
+++ b/packages/edge/src/tallyhall_edge/connection_memory.py
@@ -58,7 +58,6 @@
         if sock is not None:
             for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
                 sock.setsockopt(socket.SOL_SOCKET, option, _SOCKET_BUFFER_BYTES)
-        self._socket: socket.socket | None = sock
         self.budget.add(Holder.connections, _CONNECTION_BYTES)
 
     def release(self) -> None:
@@ -78,7 +77,7 @@
         """
         if self.progress is not None:
             return
-        held = self._unsent_bytes()
+        held = unacknowledged_bytes(self._transport)
         self.progress = UnreadPeer(held, now, unwritten)
         self.monitor.unread[self.progress] = self
         self._count(held)
@@ -97,7 +96,7 @@
         progress = self.progress
         if progress is not None:
             before = progress.held
-            progress.update(self._unsent_bytes(), now)
+            progress.update(unacknowledged_bytes(self._transport), now)
             self._count(progress.held - before)
 
     # -- bytes that were received and not read
@@ -119,7 +118,7 @@
 
     def poll_received(self, now: float) -> None:
         """Update how many bytes were received and not read."""
-        self._count_received(received_bytes(self._socket))
+        self._count_received(received_bytes(self._transport))
 
     # -- internals
 
@@ -136,11 +135,6 @@
         else:
             self.budget.add_unread(self._received_for, size, Holder.received)
 
-    def _unsent_bytes(self) -> int:
-        """Return the bytes that the peer has not acknowledged."""
-        queued = unacknowledged_bytes(self._socket)
-        return queued + self._transport.get_write_buffer_size()
-
 
 class CallerMemory(ConnectionMemory):
     """Counts what the connection of a caller holds, by its workspace.
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -11,6 +11,7 @@
 from tallyhall_dispatch.desired import RouteKind, Upstream
 from tallyhall_dispatch.gate import AdmissionGate
 from tallyhall_dispatch.jobs import (
+    COMPLETE,
     INTERRUPTED,
     AttemptOutcome,
     Job,
@@ -46,15 +47,6 @@
 # for each token of the prompt.
 _SILENCE_FRACTION = 0.65
 _PREFILL_S_PER_TOKEN = 0.00006
-# Endings at which the answer of the upstream is complete.
-_COMPLETE = frozenset(
-    (
-        AttemptOutcome.answered,
-        AttemptOutcome.failed,
-        AttemptOutcome.rejected,
-        AttemptOutcome.misplaced,
-    )
-)
 
 
 class Sender:
@@ -291,15 +283,17 @@
         self, context: RequestContext, conn: ClientConnection
     ) -> None:
         """Record what is known of a send whose answer was waited for."""
-        if context.unread_send is None:
+        send = context.unread_send
+        if send is None:
             return
+        is_answered = send not in context.sent.unread
         self._unread.record_end(
-            context.unread_send,
+            send,
             # The end of a tunnel says nothing about the upstream.
             is_closed=conn.was_lost and not conn.via,
-            is_acknowledged=conn.is_acknowledged,
+            is_acknowledged=is_answered or conn.is_acknowledged,
         )
-        context.stalled_s = context.unread_send.stalled_s
+        context.stalled_s = send.stalled_s
         context.unread_send = None
 
     async def _await_answer(
@@ -379,7 +373,7 @@
 
 def _without_stall(report: RunReport, stalled_s: float) -> RunReport:
     """Return a report as if the upstream had not been silent for so long."""
-    if report.ending not in _COMPLETE:
+    if report.ending not in COMPLETE:
         return msgspec.structs.replace(report, total_s=0)
     first_s = report.first_s
     if first_s is not None:
--- a/packages/edge/src/tallyhall_edge/sockets.py
+++ b/packages/edge/src/tallyhall_edge/sockets.py
@@ -27,7 +27,7 @@
 
 def set_keepalive(transport: asyncio.Transport) -> None:
     """Enable the detection of dead peers on a connection."""
-    sock = transport.get_extra_info('socket')
+    sock = _socket_of(transport)
     if sock is None:
         return
     with contextlib.suppress(OSError):
@@ -36,28 +36,34 @@
             sock.setsockopt(socket.IPPROTO_TCP, option, limit)
 
 
-def discard_on_close(sock: socket.socket | None) -> None:
+def discard_on_close(transport: asyncio.Transport) -> None:
     """Have the kernel discard what is not acknowledged when it is closed.
 
     It would go on sending it otherwise, to an upstream that nobody waits for.
     """
+    sock = _socket_of(transport)
     if sock is None:
         return
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
 
 
-def unacknowledged_bytes(sock: socket.socket | None) -> int:
-    """Return the bytes that a peer has not acknowledged, 0 if unknown."""
-    return _query(sock, termios.TIOCOUTQ)
+def unacknowledged_bytes(transport: asyncio.Transport) -> int:
+    """Return the written bytes that the peer has not acknowledged.
+
+    Those that the kernel holds count as none if it does not tell.
+    """
+    queued = _query(transport, termios.TIOCOUTQ)
+    return queued + transport.get_write_buffer_size()
 
 
-def received_bytes(sock: socket.socket | None) -> int:
+def received_bytes(transport: asyncio.Transport) -> int:
     """Return the bytes that were received and not read, 0 if unknown."""
-    return _query(sock, termios.FIONREAD)
+    return _query(transport, termios.FIONREAD)
 
 
-def _query(sock: socket.socket | None, request: int) -> int:
+def _query(transport: asyncio.Transport, request: int) -> int:
+    sock = _socket_of(transport)
     if sock is None or sock.fileno() < 0:
         return 0
     answer = array.array('i', (0,))
@@ -66,3 +72,8 @@
     except OSError:
         return 0
     return answer[0]
+
+
+def _socket_of(transport: asyncio.Transport) -> socket.socket | None:
+    sock: socket.socket | None = transport.get_extra_info('socket')
+    return sock
