Bench: load, other checkouts and upstream processes are each started in one place

Seven plays began and cancelled their load by the same lines: under_load. pause_run had its copy of how return_run starts another checkout, and of a restart: an entry process now starts again as it did last, and both use start_entry. Three plays opened a folder, upstream processes with seeds and their end: upstream_processes.

--- a/packages/bench/src/tallyhall_bench/isolation_run.py
+++ b/packages/bench/src/tallyhall_bench/isolation_run.py
@@ -20,7 +20,7 @@
 from tallyhall_dispatch.ownership import Ownership
 
 from .platform_fleet import EntryProcess, PlatformFleet, platform_fleet
-from .platform_load import Caller, Tried, keep_calling
+from .platform_load import Caller, Tried, under_load
 from .platform_run import STREAMED, doubled, is_served, usual_state
 from .plays import Share, add_options, play_chosen
 from .upstream_links import MODES, UpstreamLinks
@@ -143,11 +143,9 @@
 
 async def _run(play: Play, case: str, mode: str) -> None:
     """Lose and restore the links of the isolated instances under load."""
-    calls = keep_calling(functools.partial(_call, play), play.rng, _PER_S)
-    load = asyncio.create_task(calls)
-    await _disturb(play, case, mode)
-    load.cancel()
-    await asyncio.wait((load,))
+    call = functools.partial(_call, play)
+    async with under_load(call, play.rng, _PER_S):
+        await _disturb(play, case, mode)
 
 
 async def _disturb(play: Play, case: str, mode: str) -> None:
--- a/packages/bench/src/tallyhall_bench/limit_pause_run.py
+++ b/packages/bench/src/tallyhall_bench/limit_pause_run.py
@@ -16,17 +16,15 @@
 import pathlib
 import random
 import sys
-import tempfile
 import types
 from collections.abc import Sequence
 
-from .pause_run import start_entry
 from .platform_fleet import PlatformFleet, platform_fleet
-from .platform_load import Caller, keep_calling
+from .platform_load import Caller, under_load
 from .platform_run import STREAMED, usual_state
 from .plays import add_options, play_chosen
-from .start_cost import ROOT
-from .upstream_processes import UpstreamProcess, UpstreamProcesses
+from .start_cost import ROOT, start_entry
+from .upstream_processes import UpstreamProcess, upstream_processes
 
 _INSTANCES = 6
 _UPSTREAMS = 4
@@ -105,46 +103,33 @@
     paused: how many of the upstreams are stopped. root: the checkout whose
     entry processes are played.
     """
-    with tempfile.TemporaryDirectory() as folder:
-        async with platform_fleet(0, usual_state()) as fleet:
-            upstreams = UpstreamProcesses(fleet, pathlib.Path(folder))
-            try:
-                play = await _open(fleet, upstreams, service, root, seed)
-                await _run(play, paused)
-            finally:
-                await upstreams.end()
-            return _result(play, service, paused, seed)
-
-
-async def _open(
-    fleet: PlatformFleet,
-    upstreams: UpstreamProcesses,
-    service: str,
-    root: pathlib.Path,
-    seed: int,
-) -> Play:
-    for _ in range(_UPSTREAMS):
-        await upstreams.add(
-            service, _SLOTS, work_s=_WORK_S, limit_per_s=_LIMIT_PER_S
-        )
-    await asyncio.gather(
-        *(start_entry(fleet.prepare_entry(), root) for _ in range(_INSTANCES))
-    )
-    await fleet.until_ready()
-    rng = random.Random(seed)
-    return Play(fleet, upstreams.started, rng, _ROUTES[service])
+    async with (
+        platform_fleet(0, usual_state()) as fleet,
+        upstream_processes(
+            fleet,
+            service,
+            _UPSTREAMS,
+            _SLOTS,
+            work_s=_WORK_S,
+            limit_per_s=_LIMIT_PER_S,
+        ) as upstreams,
+    ):
+        prepared = [fleet.prepare_entry() for _ in range(_INSTANCES)]
+        await asyncio.gather(*(start_entry(one, root) for one in prepared))
+        await fleet.until_ready()
+        play = Play(fleet, upstreams, random.Random(seed), _ROUTES[service])
+        await _run(play, paused)
+        return _result(play, service, paused, seed)
 
 
 async def _run(play: Play, paused: int) -> None:
-    calls = keep_calling(functools.partial(_call, play), play.rng, _PER_S)
-    load = asyncio.create_task(calls)
-    await asyncio.sleep(_KNOWN_S + _BETWEEN_S)
-    for _ in range(2):
-        chosen = play.rng.sample(play.upstreams, paused)
-        await asyncio.gather(*(one.pause(_PAUSE_S) for one in chosen))
-        await asyncio.sleep(_BETWEEN_S)
-    load.cancel()
-    await asyncio.wait((load,))
+    call = functools.partial(_call, play)
+    async with under_load(call, play.rng, _PER_S):
+        await asyncio.sleep(_KNOWN_S + _BETWEEN_S)
+        for _ in range(2):
+            chosen = play.rng.sample(play.upstreams, paused)
+            await asyncio.gather(*(one.pause(_PAUSE_S) for one in chosen))
+            await asyncio.sleep(_BETWEEN_S)
 
 
 async def _call(play: Play) -> None:
--- a/packages/bench/src/tallyhall_bench/limit_run.py
+++ b/packages/bench/src/tallyhall_bench/limit_run.py
@@ -23,7 +23,7 @@
 from tallyhall_standins.platform_store import StoreFault
 
 from .platform_fleet import PlatformFleet, platform_fleet, restart_together
-from .platform_load import Caller, keep_calling
+from .platform_load import Caller, under_load
 from .platform_run import STREAMED, usual_state
 from .plays import add_options, play_chosen
 
@@ -141,14 +141,12 @@
 
 async def _run(play: Play, case: str, trouble: str) -> None:
     """Let limits and trouble come under load."""
-    calls = keep_calling(functools.partial(_call, play), play.rng, _PER_S)
-    load = asyncio.create_task(calls)
-    await asyncio.sleep(_BEFORE_S)
-    ends_at = play.now + _PLAY_S
-    await asyncio.gather(_CASES[case](play), _TROUBLES[trouble](play))
-    await asyncio.sleep(ends_at - play.now)
-    load.cancel()
-    await asyncio.wait((load,))
+    call = functools.partial(_call, play)
+    async with under_load(call, play.rng, _PER_S):
+        await asyncio.sleep(_BEFORE_S)
+        ends_at = play.now + _PLAY_S
+        await asyncio.gather(_CASES[case](play), _TROUBLES[trouble](play))
+        await asyncio.sleep(ends_at - play.now)
 
 
 async def _call(play: Play) -> None:
--- a/packages/bench/src/tallyhall_bench/pause_run.py
+++ b/packages/bench/src/tallyhall_bench/pause_run.py
@@ -18,24 +18,22 @@
 import random
 import signal
 import sys
-import tempfile
 import types
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from typing import Any
 
 from .platform_fleet import (
     RETRY_LIMITS,
-    EntryProcess,
     PlatformFleet,
     platform_fleet,
     restart_together,
 )
-from .platform_load import Caller, keep_calling
+from .platform_load import Caller, under_load
 from .platform_run import usual_state
 from .plays import add_options, play_chosen
 from .retry_checks import RetryWindow, arrived_retries, fullest_window
-from .start_cost import INTERPRETER, ROOT, library
-from .upstream_processes import UpstreamProcess, UpstreamProcesses
+from .start_cost import ROOT, start_entry
+from .upstream_processes import UpstreamProcess, upstream_processes
 
 _INSTANCES = 6
 _UPSTREAMS = 9
@@ -64,7 +62,6 @@
     fleet: PlatformFleet
     upstreams: list[UpstreamProcess]
     rng: random.Random
-    root: pathlib.Path
     requests: list[float] = dataclasses.field(default_factory=list)
     times_s: list[float] = dataclasses.field(default_factory=list)
     in_time: int = 0
@@ -123,32 +120,27 @@
     root: the checkout whose entry processes are played. kept: folder into which
     logs and records are written.
     """
-    with tempfile.TemporaryDirectory() as temporary:
-        folder = kept or pathlib.Path(temporary)
-        async with platform_fleet(0, _state(), folder=kept) as fleet:
-            upstreams = UpstreamProcesses(fleet, folder)
-            try:
-                return await _play(fleet, upstreams, trouble, seed, root)
-            finally:
-                await upstreams.end()
-
-
-async def _play(
-    fleet: PlatformFleet,
-    upstreams: UpstreamProcesses,
-    trouble: str,
-    seed: int,
-    root: pathlib.Path,
-) -> Result:
-    for number in range(_UPSTREAMS):
-        await upstreams.add(
+    async with (
+        platform_fleet(0, _state(), folder=kept) as fleet,
+        upstream_processes(
+            fleet,
             _SERVICE,
+            _UPSTREAMS,
             _SLOTS,
+            kept,
+            seed,
             work_s=_WORK_S,
             rejected=_REJECTED,
-            seed=seed * _UPSTREAMS + number,
-        )
-    play = Play(fleet, upstreams.started, random.Random(seed), root)
+        ) as upstreams,
+    ):
+        play = Play(fleet, upstreams, random.Random(seed))
+        return await _play(play, trouble, root, seed)
+
+
+async def _play(
+    play: Play, trouble: str, root: pathlib.Path, seed: int
+) -> Result:
+    fleet = play.fleet
     await asyncio.gather(
         *(start_entry(fleet.prepare_entry(), root) for _ in range(_INSTANCES))
     )
@@ -178,25 +170,15 @@
     return state
 
 
-async def start_entry(entry: EntryProcess, root: pathlib.Path) -> None:
-    if root == ROOT:
-        await entry.start()
-        return
-    command = (*INTERPRETER, str(root / 'deploy' / 'entry.py'))
-    await entry.start(command, PYTHONPATH=library(root))
-
-
 async def _run(play: Play, trouble: str) -> None:
     """Let the trouble come under load."""
-    calls = keep_calling(functools.partial(_call, play), play.rng, _PER_S)
-    load = asyncio.create_task(calls)
-    loop = asyncio.get_running_loop()
-    ends_at = loop.time() + _BEFORE_S + _PLAY_S
-    await asyncio.sleep(_BEFORE_S)
-    await _TROUBLES[trouble](play)
-    await asyncio.sleep(ends_at - loop.time())
-    load.cancel()
-    await asyncio.wait((load,))
+    call = functools.partial(_call, play)
+    async with under_load(call, play.rng, _PER_S):
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + _BEFORE_S + _PLAY_S
+        await asyncio.sleep(_BEFORE_S)
+        await _TROUBLES[trouble](play)
+        await asyncio.sleep(ends_at - loop.time())
 
 
 async def _call(play: Play) -> None:
@@ -267,17 +249,7 @@
 async def _kill(play: Play, count: int) -> None:
     lost = play.rng.sample(play.fleet.entries, count)
     play.note(f'kill {" ".join(one.name for one in lost)}')
-    if play.root == ROOT:
-        await restart_together(lost, signal.SIGKILL, _DOWN_S)
-        return
-    await asyncio.gather(*(_restart(one, play.root) for one in lost))
-
-
-async def _restart(entry: EntryProcess, root: pathlib.Path) -> None:
-    entry.send(signal.SIGKILL)
-    await entry.wait()
-    await asyncio.sleep(_DOWN_S)
-    await start_entry(entry, root)
+    await restart_together(lost, signal.SIGKILL, _DOWN_S)
 
 
 Course = Callable[[Play], Awaitable[None]]
--- a/packages/bench/src/tallyhall_bench/platform_fleet.py
+++ b/packages/bench/src/tallyhall_bench/platform_fleet.py
@@ -54,6 +54,9 @@
     # Held by whoever ends, pauses or starts the process.
     turn: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
     _log_from: int = 0
+    # How it was started last, and with which variables.
+    _command: Sequence[str] = (sys.executable, str(_ENTRY))
+    _variables: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
     @property
     def pid(self) -> int:
@@ -64,16 +67,23 @@
 
     async def start(
         self,
-        command: Sequence[str] = (sys.executable, str(_ENTRY)),
+        command: Sequence[str] = (),
         **variables: str,
     ) -> None:
-        """Start the process; its log goes on in the same file."""
-        variables['TALLYHALL_CONFIG'] = str(self.settings)
+        """Start the process; its log goes on in the same file.
+
+        command, variables: stay for later starts; without a command it starts
+        as it did last.
+        """
+        if command:
+            self._command = command
+            self._variables = variables
+        config = {'TALLYHALL_CONFIG': str(self.settings)}
         with self.log.open('ab') as log:
             self._log_from = log.tell()
             self.process = await asyncio.create_subprocess_exec(
-                *command,
-                env=os.environ | variables,
+                *self._command,
+                env={**os.environ, **self._variables, **config},
                 stdout=log,
                 stderr=log,
             )
--- a/packages/bench/src/tallyhall_bench/platform_load.py
+++ b/packages/bench/src/tallyhall_bench/platform_load.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
 
 from tallyhall_dispatch.options import Listening
@@ -159,6 +160,21 @@
         return conn
 
 
+@contextlib.asynccontextmanager
+async def under_load(
+    call: Callable[[], Coroutine[Any, Any, None]],
+    rng: random.Random,
+    per_s: float,
+) -> AsyncIterator[None]:
+    """Begin calls at this rate; those under way at the end are cancelled."""
+    load = asyncio.create_task(keep_calling(call, rng, per_s))
+    try:
+        yield
+    finally:
+        load.cancel()
+        await asyncio.wait((load,))
+
+
 async def keep_calling(
     call: Callable[[], Coroutine[Any, Any, None]],
     rng: random.Random,
--- a/packages/bench/src/tallyhall_bench/retry_run.py
+++ b/packages/bench/src/tallyhall_bench/retry_run.py
@@ -24,7 +24,7 @@
     platform_fleet,
     restart_together,
 )
-from .platform_load import Caller, keep_calling
+from .platform_load import Caller, under_load
 from .platform_run import usual_state
 from .plays import add_options, play_chosen
 from .rejections import draw_rejection
@@ -109,15 +109,13 @@
 
 async def _run(play: Play, trouble: str) -> None:
     """Let the trouble come under load."""
-    calls = keep_calling(functools.partial(_call, play), play.rng, _PER_S)
-    load = asyncio.create_task(calls)
-    loop = asyncio.get_running_loop()
-    ends_at = loop.time() + _BEFORE_S + _PLAY_S
-    await asyncio.sleep(_BEFORE_S)
-    await _TROUBLES[trouble](play)
-    await asyncio.sleep(ends_at - loop.time())
-    load.cancel()
-    await asyncio.wait((load,))
+    call = functools.partial(_call, play)
+    async with under_load(call, play.rng, _PER_S):
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + _BEFORE_S + _PLAY_S
+        await asyncio.sleep(_BEFORE_S)
+        await _TROUBLES[trouble](play)
+        await asyncio.sleep(ends_at - loop.time())
 
 
 async def _call(play: Play) -> None:
--- a/packages/bench/src/tallyhall_bench/return_run.py
+++ b/packages/bench/src/tallyhall_bench/return_run.py
@@ -20,7 +20,7 @@
 from .platform_fleet import EntryProcess, PlatformFleet, platform_fleet
 from .platform_load import Caller
 from .platform_run import usual_state
-from .start_cost import INTERPRETER, ROOT, library
+from .start_cost import ROOT, start_entry
 
 _INSTANCES = 6
 _ENGINES = 3
@@ -75,7 +75,7 @@
     for number in range(_ENGINES):
         await fleet.add_engine(f'app-{number}', 'app', 10, first_s=0.02)
     prepared = [fleet.prepare_entry() for _ in range(_INSTANCES)]
-    await asyncio.gather(*(_start(entry, root) for entry in prepared))
+    await asyncio.gather(*(start_entry(entry, root) for entry in prepared))
     await fleet.until_ready()
 
 
@@ -83,7 +83,7 @@
     loop = asyncio.get_running_loop()
     returned_at = loop.time()
     await fleet.start_engines_again()
-    starts = asyncio.gather(*(_start(one, root) for one in fleet.entries))
+    starts = asyncio.gather(*(start_entry(one, root) for one in fleet.entries))
     tries = []
     number = 0
     while loop.time() < returned_at + _COUNTED_S:
@@ -125,13 +125,6 @@
     return None
 
 
-async def _start(entry: EntryProcess, root: pathlib.Path) -> None:
-    await entry.start(
-        (*INTERPRETER, str(root / 'deploy' / 'entry.py')),
-        PYTHONPATH=library(root),
-    )
-
-
 async def _lose(fleet: PlatformFleet) -> None:
     fleet.lose_engines()
     for entry in fleet.entries:
--- a/packages/bench/src/tallyhall_bench/rollout_run.py
+++ b/packages/bench/src/tallyhall_bench/rollout_run.py
@@ -25,7 +25,7 @@
 from tallyhall_standins.platform_store import StoreFault
 
 from .platform_fleet import PlatformFleet, platform_fleet
-from .platform_load import Caller, keep_calling
+from .platform_load import Caller, under_load
 from .platform_run import STREAMED, usual_state
 from .plays import add_options, play_all
 from .rollout_versions import KINDS, VERSIONS
@@ -158,19 +158,17 @@
 
 async def _order(play: Play, trouble: str) -> None:
     """Give the order under load and trouble, and wait until it is over."""
-    calls = keep_calling(functools.partial(_call, play), play.rng, _PER_S)
-    load = asyncio.create_task(calls)
-    await asyncio.sleep(_BEFORE_S)
-    play.ordered_at = play.now
-    play.fleet.store.put(
-        f'op/rollout/{_SERVICE}',
-        {'service': _SERVICE, 'target': _NEW, 'duration-s': play.limit_s},
-    )
-    await _TROUBLES[trouble](play)
-    ends_at = play.ordered_at + play.limit_s + _AFTER_S
-    await asyncio.sleep(ends_at - play.now)
-    load.cancel()
-    await asyncio.wait((load,))
+    call = functools.partial(_call, play)
+    async with under_load(call, play.rng, _PER_S):
+        await asyncio.sleep(_BEFORE_S)
+        play.ordered_at = play.now
+        play.fleet.store.put(
+            f'op/rollout/{_SERVICE}',
+            {'service': _SERVICE, 'target': _NEW, 'duration-s': play.limit_s},
+        )
+        await _TROUBLES[trouble](play)
+        ends_at = play.ordered_at + play.limit_s + _AFTER_S
+        await asyncio.sleep(ends_at - play.now)
 
 
 async def _upstream(play: Play, version: str, number: int) -> EngineStandIn:
--- a/packages/bench/src/tallyhall_bench/soak_pauses.py
+++ b/packages/bench/src/tallyhall_bench/soak_pauses.py
@@ -9,17 +9,15 @@
 import asyncio
 import contextlib
 import itertools
-import pathlib
 import random
 import signal
-import tempfile
 from collections.abc import AsyncIterator
 
 from .platform_fleet import RETRY_LIMITS
-from .platform_load import Caller, keep_calling
+from .platform_load import Caller, under_load
 from .retry_checks import arrived_retries, fullest_window
 from .soak_site import PAUSING, Site, Violation
-from .upstream_processes import UpstreamProcess, UpstreamProcesses
+from .upstream_processes import UpstreamProcess, upstream_processes
 
 _UPSTREAMS = 4
 _SLOTS = 6
@@ -33,23 +31,19 @@
 @contextlib.asynccontextmanager
 async def pausing_upstreams(site: Site, seed: int) -> AsyncIterator[None]:
     """Run upstream processes under load and pauses; check them at the end."""
-    with tempfile.TemporaryDirectory() as folder:
-        upstreams = UpstreamProcesses(site.fleet, pathlib.Path(folder))
-        pauses = _Pauses(site, upstreams.started, random.Random(seed))
-        try:
-            for number in range(_UPSTREAMS):
-                await upstreams.add(
-                    PAUSING,
-                    _SLOTS,
-                    work_s=_WORK_S,
-                    rejected=_REJECTED,
-                    seed=seed * _UPSTREAMS + number,
-                )
-            async with pauses.running():
-                yield
-            pauses.check()
-        finally:
-            await upstreams.end()
+    async with upstream_processes(
+        site.fleet,
+        PAUSING,
+        _UPSTREAMS,
+        _SLOTS,
+        seed=seed,
+        work_s=_WORK_S,
+        rejected=_REJECTED,
+    ) as upstreams:
+        pauses = _Pauses(site, upstreams, random.Random(seed))
+        async with pauses.running():
+            yield
+        pauses.check()
 
 
 class _Pauses:
@@ -68,16 +62,13 @@
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Ask, stop and continue; all go on at the end."""
-        tasks = [
-            asyncio.create_task(keep_calling(self._ask, self._rng, _PER_S)),
-            asyncio.create_task(self._pause()),
-        ]
+        pausing = asyncio.create_task(self._pause())
         try:
-            yield
+            async with under_load(self._ask, self._rng, _PER_S):
+                yield
         finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.wait(tasks)
+            pausing.cancel()
+            await asyncio.wait((pausing,))
             for upstream in self._upstreams:
                 upstream.send(signal.SIGCONT)
 
--- a/packages/bench/src/tallyhall_bench/start_cost.py
+++ b/packages/bench/src/tallyhall_bench/start_cost.py
@@ -170,6 +170,14 @@
     return str(built) if built.exists() else sysconfig.get_path('purelib')
 
 
+async def start_entry(entry: EntryProcess, root: pathlib.Path) -> None:
+    """Start an entry process from a checkout, as deploy/system.toml does."""
+    await entry.start(
+        (*INTERPRETER, str(root / 'deploy' / 'entry.py')),
+        PYTHONPATH=library(root),
+    )
+
+
 def _spent_s(pid: int) -> float:
     """Return the processor time of all threads."""
     tasks = pathlib.Path(f'/proc/{pid}/task').glob('*/schedstat')
--- a/packages/bench/src/tallyhall_bench/upstream_processes.py
+++ b/packages/bench/src/tallyhall_bench/upstream_processes.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import pathlib
 import signal
 import sys
-from collections.abc import Sequence
+import tempfile
+from collections.abc import AsyncIterator, Sequence
 
 import msgspec
 from tallyhall_standins.platform_engine import entry_fields
@@ -74,40 +76,40 @@
         return True
 
 
-class UpstreamProcesses:
-    """The upstream processes of one fleet."""
-
-    def __init__(self, fleet: PlatformFleet, folder: pathlib.Path) -> None:
-        """Register upstreams with this fleet; keep records in a folder."""
-        self.started: list[UpstreamProcess] = []
-        self._fleet = fleet
-        self._folder = folder
-
-    async def add(
-        self, service: str, slots: int, **options: float
-    ) -> UpstreamProcess:
-        """Start an upstream of a service and register it.
-
-        options: further fields of its `UpstreamSpec`.
-        """
-        name = f'{service}-{len(self.started)}'
-        port = free_ports(1)[0]
-        records = str(self._folder / f'{name}.seen')
-        fields = {'work_s': 0, 'seed': len(self.started), **options}
-        base = {
-            'incarnation': name,
-            'host': HOST,
-            'port': port,
-            'records': records,
-        }
-        spec = msgspec.convert({**base, **fields}, UpstreamSpec)
-        upstream = UpstreamProcess(spec)
-        await upstream.start()
-        self.started.append(upstream)
-        entry = entry_fields(service, f'{HOST}:{port}', slots)
-        self._fleet.store.put(f'servers/{name}', entry)
-        return upstream
-
-    async def end(self) -> None:
-        """End all processes."""
-        await asyncio.gather(*(one.end() for one in self.started))
+@contextlib.asynccontextmanager
+async def upstream_processes(
+    fleet: PlatformFleet,
+    service: str,
+    count: int,
+    slots: int,
+    folder: pathlib.Path | None = None,
+    seed: int = 0,
+    **options: float,
+) -> AsyncIterator[list[UpstreamProcess]]:
+    """Run upstreams of a service as processes and register them with a fleet.
+
+    folder: where their records stay; None to remove them at the end. seed: no
+    two of them draw the same. options: further fields of each `UpstreamSpec`.
+    """
+    started: list[UpstreamProcess] = []
+    with tempfile.TemporaryDirectory() as temporary:
+        records = folder or pathlib.Path(temporary)
+        try:
+            for number in range(count):
+                name = f'{service}-{number}'
+                fields = {
+                    'incarnation': name,
+                    'host': HOST,
+                    'port': free_ports(1)[0],
+                    'records': str(records / f'{name}.seen'),
+                    'seed': seed * count + number,
+                    **options,
+                }
+                spec = msgspec.convert(fields, UpstreamSpec)
+                started.append(UpstreamProcess(spec))
+                await started[-1].start()
+                entry = entry_fields(service, f'{HOST}:{spec.port}', slots)
+                fleet.store.put(f'servers/{name}', entry)
+            yield started
+        finally:
+            await asyncio.gather(*(one.end() for one in started))
--- a/packages/bench/src/tallyhall_bench/versions_run.py
+++ b/packages/bench/src/tallyhall_bench/versions_run.py
@@ -30,7 +30,7 @@
     platform_fleet,
     restart_together,
 )
-from .platform_load import keep_calling
+from .platform_load import under_load
 from .platform_run import usual_state
 from .plays import Share, add_options, play_chosen
 from .stream_callers import Stream, StreamCallers
@@ -184,15 +184,12 @@
 
 async def _run(play: Play, case: str, seconds: float) -> None:
     """Disturb upstreams and instances while streams begin."""
-    work = keep_calling(play.callers.call, play.rng, _PER_S)
-    load = asyncio.create_task(work)
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(seconds):
-            await _CASES[case](play)
-            await asyncio.Event().wait()
-    await asyncio.sleep(_LAST_S)
-    load.cancel()
-    await asyncio.wait((load,))
+    async with under_load(play.callers.call, play.rng, _PER_S):
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await _CASES[case](play)
+                await asyncio.Event().wait()
+        await asyncio.sleep(_LAST_S)
 
 
 # -- cases
