Tests: the harness's collector, one way to leave a retry unread

test_cut_heads and test_abandoned_bytes had sinks of their own; PausingFleet had two methods that differed in a flag, and its tests two loops. The cases and what they assert stay.

--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -177,20 +177,26 @@
         return (find_header(self.headers, name.encode()) or b'').decode()
 
 
-class _ResponseCollector:
+class ResponseCollector:
+    """Keeps a response as it arrives; a `ResponseSink`."""
+
     def __init__(self) -> None:
+        """Wait for a response."""
         loop = asyncio.get_running_loop()
         self.done: asyncio.Future[Answer] = loop.create_future()
         self.head: ResponseHead | None = None
         self.parts: list[bytes] = []
 
     def on_head(self, head: ResponseHead) -> None:
+        """Keep the head."""
         self.head = head
 
     def on_data(self, payload: bytes) -> None:
+        """Keep a part of the body."""
         self.parts.append(payload)
 
     def on_end(self, exc: ConnectionFailedError | None) -> None:
+        """Return the response to whoever waits for it."""
         head = self.head or ResponseHead(0, b'', ())
         answer = Answer(head.status, head.headers, b''.join(self.parts), exc)
         if not self.done.done():
@@ -204,7 +210,7 @@
         """Create a client that connects on its first request."""
         self._address = address
         self.conn: ClientConnection | None = None
-        self._collector: _ResponseCollector | None = None
+        self._collector: ResponseCollector | None = None
 
     @property
     def parts(self) -> bytes:
@@ -240,7 +246,7 @@
             wire = name.replace('_', '-').encode()
             headers.append((wire, text.encode()))
         request_line = f'{method} {path} HTTP/1.1'.encode()
-        self._collector = _ResponseCollector()
+        self._collector = ResponseCollector()
         self.conn.send(
             encode_head(request_line, tuple(headers)) + body,
             self._collector,
--- a/tests/platform/retry_fleet.py
+++ b/tests/platform/retry_fleet.py
@@ -91,33 +91,21 @@
         default_factory=list
     )
 
-    def abandon(self, number: int, now: float) -> bool:
-        """Abandon the first send of a request, and retry it elsewhere.
+    def retry_unread(self, number: int, now: float, *, abandons: bool) -> None:
+        """Send a request of which a send waits unread, if it may be retried.
 
-        Return whether the budget allows it.
+        abandons: whether that is the first send, which the retry replaces; else
+        it is the retry.
         """
         budget = self.budgets[number]
         budget.record_request(now)
         self.requests.append(now)
-        reservation = budget.reserve(now, abandons=True)
+        reservation = budget.reserve(now, abandons=abandons)
         if reservation is None:
-            return False
-        self._wait(budget, reservation)
-        return True
-
-    def retry_unread(self, number: int, now: float) -> bool:
-        """Retry a rejected request at an upstream that does not read.
-
-        Return whether the budget allows it.
-        """
-        budget = self.budgets[number]
-        budget.record_request(now)
-        self.requests.append(now)
-        reservation = budget.reserve(now)
-        if reservation is None:
-            return False
-        self._wait(budget, reservation)
-        return True
+            return
+        reservation.commit()
+        reservation.record_overdue()
+        self.unread.append((budget, reservation))
 
     def read_all(self, now: float) -> None:
         """Let the upstreams read all that waits."""
@@ -126,8 +114,3 @@
             if budget in self.budgets:
                 reservation.settle()
         self.unread.clear()
-
-    def _wait(self, budget: RetryBudget, reservation: RetryReservation) -> None:
-        reservation.commit()
-        reservation.record_overdue()
-        self.unread.append((budget, reservation))
--- a/tests/platform/test_abandoned_bytes.py
+++ b/tests/platform/test_abandoned_bytes.py
@@ -5,26 +5,14 @@
 
 import pytest
 from tallyhall_edge.client import ClientConnection
-from tallyhall_edge.errors import ConnectionFailedError
-from tallyhall_edge.messages import ResponseHead
 
 from tests.paused_clock import Outside, wait_for
+from tests.platform.harness import ResponseCollector
 
 _BODY_BYTES = 8_000_000
 _READ_BYTES = 65_536
 
 
-class _Sink:
-    def on_head(self, head: ResponseHead) -> None:
-        """Ignore it."""
-
-    def on_data(self, payload: bytes) -> None:
-        """Ignore it."""
-
-    def on_end(self, exc: ConnectionFailedError | None) -> None:
-        """Ignore it."""
-
-
 def _address(server: socket.socket) -> tuple[str, int]:
     host, port = server.getsockname()
     return host, port
@@ -45,7 +33,7 @@
         conn = await ClientConnection.open(*_address(server), 1)
         upstream, _ = server.accept()
         with upstream:
-            conn.send(b'POST', _Sink(), b'', [bytes(_BODY_BYTES)])
+            conn.send(b'POST', ResponseCollector(), b'', [bytes(_BODY_BYTES)])
             await asyncio.sleep(0.2)
             assert not conn.is_acknowledged
             conn.close()
@@ -61,7 +49,7 @@
         conn = await ClientConnection.open(*_address(server), 1)
         upstream, _ = server.accept()
         with upstream:
-            conn.send(b'POST', _Sink(), b'')
+            conn.send(b'POST', ResponseCollector(), b'')
             await asyncio.sleep(0.2)
             assert conn.is_acknowledged
             conn.close()
--- a/tests/platform/test_cut_heads.py
+++ b/tests/platform/test_cut_heads.py
@@ -6,7 +6,8 @@
 import pytest
 from tallyhall_edge.client import ClientConnection
 from tallyhall_edge.errors import ConnectionFailedError
-from tallyhall_edge.messages import ResponseHead
+
+from tests.platform.harness import ResponseCollector
 
 _ID = b'X-Tallyhall-Request-Id: r1\r\n'
 _STATUS = b'HTTP/1.1 200 OK\r\n%bX-Tallyhall-Response-Signature: s\r\n' % _ID
@@ -21,23 +22,6 @@
 _WHOLE = b'%bContent-Length: 0\r\n\r\n' % _STATUS
 
 
-class _Sink:
-    def __init__(self) -> None:
-        loop = asyncio.get_running_loop()
-        self.done: asyncio.Future[ConnectionFailedError | None] = (
-            loop.create_future()
-        )
-
-    def on_head(self, head: ResponseHead) -> None:
-        """Ignore it."""
-
-    def on_data(self, payload: bytes) -> None:
-        """Ignore it."""
-
-    def on_end(self, exc: ConnectionFailedError | None) -> None:
-        self.done.set_result(exc)
-
-
 async def _serve(
     answers: tuple[bytes, ...],
     reader: asyncio.StreamReader,
@@ -60,9 +44,9 @@
     conn.via = via
     exc = None
     for _ in answers:
-        sink = _Sink()
+        sink = ResponseCollector()
         conn.send(b'GET / HTTP/1.1\r\n\r\n', sink, b'r1')
-        exc = await sink.done
+        exc = (await sink.done).error
     conn.close()
     server.close()
     return exc
--- a/tests/platform/test_retry_arrivals.py
+++ b/tests/platform/test_retry_arrivals.py
@@ -1,7 +1,6 @@
 """The retry budget where upstreams read retries long after they were sent."""
 
 import random
-from collections.abc import Callable
 
 import pytest
 from hypothesis import given
@@ -14,7 +13,6 @@
 # Allowances of fleets of these sizes, each for a window of ten seconds.
 _SIZES = ((6, 54), (76, 196), (410, 430))
 _PER_INSTANCE_S = 10
-_Pause = Callable[[PausingFleet, random.Random, float, float], None]
 
 
 def _fleet(size: int, allowance: float) -> PausingFleet:
@@ -27,22 +25,17 @@
 
 
 def _pause(
-    fleet: PausingFleet, rng: random.Random, begins_at: float, ends_at: float
-) -> None:
-    """Let first sends be abandoned while no upstream reads."""
-    now = begins_at
-    while now < ends_at:
-        fleet.abandon(rng.randrange(fleet.size), now)
-        now += rng.expovariate(_PER_INSTANCE_S * fleet.size)
-
-
-def _reject(
-    fleet: PausingFleet, rng: random.Random, begins_at: float, ends_at: float
+    fleet: PausingFleet,
+    rng: random.Random,
+    seconds: tuple[float, float],
+    *,
+    abandons: bool = True,
 ) -> None:
-    """Let requests be rejected, and retried where nothing is read."""
-    now = begins_at
+    """Let all requests be retried while no upstream reads."""
+    now, ends_at = seconds
     while now < ends_at:
-        fleet.retry_unread(rng.randrange(fleet.size), now)
+        number = rng.randrange(fleet.size)
+        fleet.retry_unread(number, now, abandons=abandons)
         now += rng.expovariate(_PER_INSTANCE_S * fleet.size)
 
 
@@ -57,16 +50,17 @@
     )
 
 
-@pytest.mark.parametrize('pause', [_pause, _reject])
+@pytest.mark.parametrize('abandons', [True, False])
 @pytest.mark.parametrize(('size', 'allowance'), _SIZES)
 def test_retries_of_several_windows_do_not_arrive_in_one(
-    size: int, allowance: float, pause: _Pause
+    size: int, allowance: float, *, abandons: bool
 ) -> None:
     rng = random.Random(1)
     fleet = _fleet(size, allowance)
     _play(fleet, rng, 0, 12)
     for begins_at in (12, 25):
-        pause(fleet, rng, begins_at, begins_at + 9)
+        paused = (begins_at, begins_at + 9)
+        _pause(fleet, rng, paused, abandons=abandons)
         fleet.read_all(begins_at + 9)
         _play(fleet, rng, begins_at + 9, begins_at + 13)
     _play(fleet, rng, 38, 50)
@@ -80,9 +74,9 @@
     rng = random.Random(2)
     fleet = _fleet(size, allowance)
     _play(fleet, rng, 0, 12)
-    _pause(fleet, rng, 12, 20)
+    _pause(fleet, rng, (12, 20))
     fleet.restart_all(20)
-    _pause(fleet, rng, 20, 28)
+    _pause(fleet, rng, (20, 28))
     fleet.read_all(28)
     _play(fleet, rng, 28, 40)
     _assert_kept(fleet)
@@ -94,7 +88,7 @@
 ) -> None:
     rng = random.Random(3)
     fleet = _fleet(size, allowance)
-    _pause(fleet, rng, 0, 10)
+    _pause(fleet, rng, (0, 10))
     fleet.read_all(10)
     before = len(fleet.retries)
     fleet.requests.clear()
@@ -122,11 +116,10 @@
             fleet.read_all(now)
             continue
         for _ in range(count):
-            if action == 'abandon':
-                fleet.abandon(number, now)
-            elif action == 'unread':
-                fleet.retry_unread(number, now)
-            else:
+            if action == 'rejected':
                 fleet.request(number, now, 3)
+                continue
+            abandons = action == 'abandon'
+            fleet.retry_unread(number, now, abandons=abandons)
     fleet.read_all(now)
     _assert_kept(fleet)
