--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 # Tests wait as well as compute.
 TEST_WORKERS ?= 4
 
-.PHONY: run run-platform proto days soak rollouts limits retries pauses limit-pauses isolation versions parts endless test check fmt faults bench slopes overhead start-cost return-run
+.PHONY: run run-platform proto days soak rollouts limits retries pauses limit-pauses isolation versions parts endless crowds test check fmt faults bench slopes overhead start-cost return-run
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -97,8 +97,13 @@
 	$(BIN)/python -m tallyhall_bench.endless_run --seed $(SEED) \
 		--seeds $(SEEDS)
 
+# Clients that do not behave, at each listener of a real process.
+crowds: $(STAMP)
+	$(BIN)/python -m tallyhall_bench.crowd_run
+
 test: $(STAMP)
-	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist worksteal
+	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist worksteal -m "not alone"
+	$(BIN)/python -m pytest -m alone
 
 check: $(STAMP)
 	$(BIN)/ruff format --check $(SOURCES)
--- a/packages/bench/src/tallyhall_bench/platform_fleet.py
+++ b/packages/bench/src/tallyhall_bench/platform_fleet.py
@@ -37,6 +37,17 @@
 RETRY_LIMITS = RetryLimits(ratio=0.2, allowance=50, window_s=10)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryLimits:
+    """Limits that the settings of an entry process state; memory in MB."""
+
+    memory_mb: float = MEMORY_MB
+    descriptors: int = 1000
+
+
+_USUAL_LIMITS = EntryLimits()
+
+
 @dataclasses.dataclass(slots=True)
 class EntryProcess:
     """One entry instance, its addresses and what it wrote."""
@@ -238,6 +249,7 @@
         self,
         store_at: Listening | None = None,
         zone: str = 'a',
+        limits: EntryLimits = _USUAL_LIMITS,
     ) -> EntryProcess:
         """Return an entry process with its settings; it is not started."""
         name = f'entry-{len(self.entries) + 1}'
@@ -255,7 +267,10 @@
             },
             'port-range': [places[3].port, places[5].port],
             'contracts': list(self._contracts),
-            'limits': {'memory-mb': MEMORY_MB, 'max-fds': 1000},
+            'limits': {
+                'memory-mb': limits.memory_mb,
+                'max-fds': limits.descriptors,
+            },
             'bounds': {
                 'revoke-ms': 5000,
                 'grace-s': 8,
--- a/packages/bench/src/tallyhall_bench/process_use.py
+++ b/packages/bench/src/tallyhall_bench/process_use.py
@@ -25,6 +25,11 @@
     return _status_mb(pid, 'VmHWM')
 
 
+def anonymous_mb(pid: int) -> float:
+    """Return the anonymous resident memory of a process, in MiB."""
+    return _status_mb(pid, 'RssAnon')
+
+
 def _status_mb(pid: int, name: str) -> float:
     text = pathlib.Path(f'/proc/{pid}/status').read_text()
     line = next(row for row in text.splitlines() if row.startswith(name))
