Tunnels: connections that are not accepted do not take the descriptors

400 silent connections at the tunnel port took 381 descriptors of 300. The event loop accepted as many connections at a time as its listen queue holds, and each keeps its descriptor until the next iteration, also where it is reset at once; and connections beyond the allowed tunnels were kept for 0.5 s to be told so.

--- a/packages/edge/src/tallyhall_edge/tunnel_server.py
+++ b/packages/edge/src/tallyhall_edge/tunnel_server.py
@@ -16,6 +16,7 @@
 
 from .connection_memory import ConnectionMemory, MemoryMonitor
 from .errors import InvalidTunnelMessageError
+from .listening import listen
 from .sockets import set_keepalive
 from .tunnel_messages import (
     LineBuffer,
@@ -32,7 +33,9 @@
 _REQUEST_TIMEOUT_S = 0.5
 # Unsent bytes from which on the other side of a tunnel is not read.
 _MAX_UNSENT_BYTES = 65_536
-_BACKLOG = 256
+# Connections for each tunnel that is allowed; those beyond the allowed ones are
+# told so.
+_CONNECTIONS_PER_TUNNEL = 2
 
 
 class TunnelEnd(msgspec.Struct, frozen=True):
@@ -103,14 +106,7 @@
 
     async def listen(self, host: str, port: int) -> None:
         """Listen on an address; raise OSError if it is in use."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: _PeerSide(self),
-            host,
-            port,
-            backlog=_BACKLOG,
-            reuse_address=True,
-        )
+        self._server = await listen(lambda: _PeerSide(self), host, port)
 
     @property
     def open_tunnels(self) -> int:
@@ -127,6 +123,12 @@
         for side in tuple(self._tunnels):
             side.abort()
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether further connections are reset without a reply."""
+        limit = _CONNECTIONS_PER_TUNNEL * self._max_tunnels
+        return len(self._tunnels) >= limit
+
     def add(self, side: _PeerSide) -> bool:
         """Register a connection; return False if it is not accepted."""
         self._tunnels.add(side)
@@ -279,7 +281,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         peername = transport.get_extra_info('peername')
-        if peername is None or not self._server.access.is_peer(peername[0]):
+        is_peer = peername and self._server.access.is_peer(peername[0])
+        if self._server.is_full or not is_peer:
             self.abort()
             return
         self._is_accepted = self._server.add(self)
