Peer port: a bound on connections and on calls of each

400 silent connections at the peer port took 431 descriptors of 300 and stayed for two minutes. gRPC bounds neither by itself. Peers keep one stream each and fetch the state beside it.

--- a/packages/transport/src/tallyhall_transport/peer_streams.py
+++ b/packages/transport/src/tallyhall_transport/peer_streams.py
@@ -30,6 +30,8 @@
 # slowest working connection takes 30 ms.
 _SILENT_HEARTBEATS = 5.4
 _MICRO = 1_000_000
+# Default maximum of connections of other instances.
+_MAX_CONNECTIONS = 1000
 OnBatch = Callable[[Peer, 'peers_pb2.Batch'], None]
 FillBatch = Callable[[Peer, 'peers_pb2.Batch'], None]
 
@@ -50,6 +52,8 @@
         self.on_lost = on_lost
         self.on_opened = on_opened
         self.own_cores: float = 0
+        # Maximum of connections that other instances open to this one.
+        self.max_connections = _MAX_CONNECTIONS
         # Number of instances whose use of quotas is known here, with this one.
         self.heard_count = 1
         # Those of them that this instance hears directly. Only this number is
--- a/packages/transport/src/tallyhall_transport/streams.py
+++ b/packages/transport/src/tallyhall_transport/streams.py
@@ -46,11 +46,20 @@
 )
 
 
+# Concurrent calls on one connection; a peer makes two.
+_MAX_CALLS = 8
+# Timeout in milliseconds of a connection before its first settings, and of one
+# without a call.
+_HANDSHAKE_TIMEOUT_MS = 2000
+_IDLE_TIMEOUT_MS = 10_000
+
+
 class StreamOwner(Protocol):
     """The object that owns streams, as the streams use it."""
 
     on_lost: Callable[[Peer, Exception], None]
     on_opened: Callable[[Peer], None]
+    max_connections: int
 
     @property
     def heartbeat_s(self) -> float:
@@ -242,7 +251,18 @@
         Batches are passed to `take`; `read_state` returns the desired state
         for peers that fetch it.
         """
-        server = aio.server(options=(('grpc.so_reuseport', 0),))
+        server = aio.server(
+            options=(
+                ('grpc.so_reuseport', 0),
+                (
+                    'grpc.max_allowed_incoming_connections',
+                    self._owner.max_connections,
+                ),
+                ('grpc.max_concurrent_streams', _MAX_CALLS),
+                ('grpc.server_handshake_timeout_ms', _HANDSHAKE_TIMEOUT_MS),
+                ('grpc.max_connection_idle_ms', _IDLE_TIMEOUT_MS),
+            ),
+        )
         self._servicer = Servicer(take, read_state)
         _add_servicer(self._servicer, server)
         try:
