Logs: requests that are refused for what their caller sent have a limit of their own

Eight clients at an unknown route wrote as many lines as the limit for all failures lets through (480 kB in 8 s), so the lines that explain other failures were dropped. A refusal for an unknown route, an unknown key or a malformed request now has 6 KB/s and a burst of 60 KB, and is dropped before it is formatted.

--- a/packages/edge/src/tallyhall_edge/request_log.py
+++ b/packages/edge/src/tallyhall_edge/request_log.py
@@ -4,7 +4,7 @@
 
 import msgspec
 from tallyhall_core.events import Event
-from tallyhall_core.refusals import Refusal, RefusedError
+from tallyhall_core.refusals import Reason, Refusal, RefusedError
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.gate import Admitted, OverQuotaError
 from tallyhall_dispatch.jobs import AttemptOutcome, RunReport, SlotGrant
@@ -27,6 +27,14 @@
 # Maximum number of unknown header names that are logged; an upstream could send
 # any number of them.
 _MAX_UNREAD_HEADERS = 20
+# Refusals that a caller can bring about as often as it likes.
+_CALLER_REASONS = frozenset(
+    (
+        Reason.bad_request,
+        Reason.unknown_key,
+        Reason.unknown_route,
+    )
+)
 
 
 class RequestLog:
@@ -155,7 +163,8 @@
         """Log a refusal, and the values that decided it if known."""
         self._telemetry.event(
             Event.refused,
-            request=request_id,
+            by_caller=refusal.reason in _CALLER_REASONS,
+            request=request_id[:_MAX_ID_CHARS],
             reason=refusal.reason.value,
             detail=refusal.detail,
             retry_after=refusal.retry_after,
--- a/packages/entry/src/tallyhall_entry/logs.py
+++ b/packages/entry/src/tallyhall_entry/logs.py
@@ -1,9 +1,9 @@
 """JSON log lines on standard output that never block the process.
 
-The pipe is non-blocking: a line that does not fit is dropped and counted. Two
-rate limits in bytes per second bound the volume, one for lines about requests
-that were served and one for all others, so that under load the lines that
-explain failures are kept.
+The pipe is non-blocking: a line that does not fit is dropped and counted. Rate
+limits in bytes per second bound the volume: one for lines about requests that
+were served, one for those that are refused for what their caller sent, and one
+for all others, so that under load the lines that explain failures are kept.
 """
 
 from __future__ import annotations
@@ -16,23 +16,37 @@
 from tallyhall_core.events import Event
 
 _LOGGER = 'tallyhall.entry'
-# Rate and burst of each of the two limits. A line has about 250 bytes and a
+# Rate and burst of the limits. A line has about 250 bytes and a
 # request logs three lines, so up to 40 requests per second on one instance are
 # logged completely.
 _BYTES_PER_S = 60_000
 _BURST_BYTES = 240_000
+# The same for requests that are refused for what their caller sent.
+_CALLER_BYTES_PER_S = 6_000
+_CALLER_BURST_BYTES = 60_000
+# No line is shorter: without so much left, it is dropped unformatted.
+_MIN_LINE_BYTES = 100
 
 
 class _RateLimit:
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, per_s: float, burst: float) -> None:
         self.dropped = 0
-        self._available: float = _BURST_BYTES
+        self._per_s = per_s
+        self._burst = burst
+        self._available = burst
         self._refilled_at = now
 
-    def take(self, size: int, now: float) -> bool:
-        refill = (now - self._refilled_at) * _BYTES_PER_S
-        self._available = min(_BURST_BYTES, self._available + refill)
+    def refill(self, now: float) -> bool:
+        """Return whether a line may be written now."""
+        refill = (now - self._refilled_at) * self._per_s
+        self._available = min(self._burst, self._available + refill)
         self._refilled_at = now
+        if self._available < _MIN_LINE_BYTES:
+            self.dropped += 1
+            return False
+        return True
+
+    def take(self, size: int) -> bool:
         if self._available < size:
             self.dropped += 1
             return False
@@ -50,8 +64,11 @@
         self._descriptor = descriptor
         self._clock = clock
         now = clock()
-        self._served = _RateLimit(now)
-        self._others = _RateLimit(now)
+        self._served = _RateLimit(now, _BYTES_PER_S, _BURST_BYTES)
+        self._others = _RateLimit(now, _BYTES_PER_S, _BURST_BYTES)
+        self._by_callers = _RateLimit(
+            now, _CALLER_BYTES_PER_S, _CALLER_BURST_BYTES
+        )
         self._pending = b''
         self.unwritten = 0
 
@@ -61,15 +78,17 @@
         return {
             'served': self._served.dropped,
             'others': self._others.dropped,
+            'by_callers': self._by_callers.dropped,
             'unread': self.unwritten,
         }
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a record, or drop and count it."""
+        rate_limit = self._rate_limit(record)
+        if not rate_limit.refill(self._clock()):
+            return
         line = f'{self.format(record)}\n'.encode()
-        served = getattr(record, 'served', False)
-        rate_limit = self._served if served else self._others
-        if not rate_limit.take(len(line), self._clock()):
+        if not rate_limit.take(len(line)):
             return
         if not self._flush_pending():
             self.unwritten += 1
@@ -77,6 +96,13 @@
         self._pending = line
         self._flush_pending()
 
+    def _rate_limit(self, record: logging.LogRecord) -> _RateLimit:
+        if getattr(record, 'served', False):
+            return self._served
+        if getattr(record, 'by_caller', False):
+            return self._by_callers
+        return self._others
+
     def _flush_pending(self) -> bool:
         # A line may be written partially; its rest precedes the next line.
         while self._pending:
