The product's own interface: smaller reads, shorter idle time, a bound on RPC connections

Silent connections kept others out for 60 s, now 15. The RPC port had no bound on connections, calls of one connection or calls that wait for a thread; now 500, 8 and 1,000, 2 s for the handshake, 60 s without a call.

--- a/packages/daemon/src/tallyhall_daemon/serve.py
+++ b/packages/daemon/src/tallyhall_daemon/serve.py
@@ -42,6 +42,13 @@
 # The longest a leaving instance waits for callers that read too slowly.
 _READ_OUT_S = 60.0
 _OUTBUF_BYTES = 64_000_000
+# Maximum bytes of one read. All requests that it holds are parsed at once, and
+# each takes a hundred times its bytes.
+_RECEIVE_BYTES = 2048
+# Seconds after which a connection without a request is closed, and between two
+# looks for such connections.
+_IDLE_TIMEOUT_S = 15
+_CLEANUP_INTERVAL_S = 5
 # Most threads wait for I/O and have little to do when they wake up; with the
 # interpreter's usual 5 ms each would wait that long for a busy one.
 _SWITCH_S = 0.0005
@@ -185,7 +192,9 @@
             threads=self._cfg.http.threads,
             connection_limit=self._cfg.http.threads * 4,
             backlog=_SOCKET_BACKLOG,
-            channel_timeout=60,
+            channel_timeout=_IDLE_TIMEOUT_S,
+            cleanup_interval=_CLEANUP_INTERVAL_S,
+            recv_bytes=_RECEIVE_BYTES,
             # Instances have no disks: nothing is ever spooled to a file.
             max_request_body_size=2 * self._cfg.http.max_body_bytes,
             inbuf_overflow=4 * self._cfg.http.max_body_bytes,
--- a/packages/transport/src/tallyhall_transport/server.py
+++ b/packages/transport/src/tallyhall_transport/server.py
@@ -12,6 +12,22 @@
 from .generated import link_pb2, link_pb2_grpc
 
 _THREADS = 8
+# Maximum of connections, of calls on each of them, and of all calls that run or
+# wait for a thread.
+_MAX_CONNECTIONS = 500
+_MAX_CALLS_PER_CONNECTION = 8
+_MAX_CALLS = 1000
+# Timeout in milliseconds of a connection before its first settings, and of one
+# without a call.
+_HANDSHAKE_TIMEOUT_MS = 2000
+_IDLE_TIMEOUT_MS = 60_000
+_OPTIONS = (
+    ('grpc.so_reuseport', 0),
+    ('grpc.max_allowed_incoming_connections', _MAX_CONNECTIONS),
+    ('grpc.max_concurrent_streams', _MAX_CALLS_PER_CONNECTION),
+    ('grpc.server_handshake_timeout_ms', _HANDSHAKE_TIMEOUT_MS),
+    ('grpc.max_connection_idle_ms', _IDLE_TIMEOUT_MS),
+)
 
 
 class MessageReceiver(link_pb2_grpc.LinkServicer):
@@ -54,7 +70,8 @@
     """Start a server; raise TransportError if it cannot listen."""
     server = grpc.server(
         futures.ThreadPoolExecutor(_THREADS, 'link'),
-        options=[('grpc.so_reuseport', 0)],
+        options=_OPTIONS,
+        maximum_concurrent_rpcs=_MAX_CALLS,
     )
     link_pb2_grpc.add_LinkServicer_to_server(  # type: ignore[no-untyped-call]
         receiver,
