Requests sent ahead are bounded by number, bytes and unread answers on every listener

Cause: a read of 64 KB was parsed whole, up to 3,600 requests that each take a hundred times their bytes; the bound on queued requests paused reading only until the next answer; no holder of the budget counted requests, and three listeners had budgets of their own; the next request began whether or not its caller read; each iteration of the event loop handled one request of every such connection; the listeners together were allowed more connections than there are descriptors.

Change: received bytes are parsed in pieces that end with a request, and only as requests are accepted; the rest stays unparsed (4 KB), then in the kernel. Requests count in one budget for all listeners from their first byte to their end. A request that was sent ahead begins once the kernel has taken the answers before it, in turns, eight in an iteration. Callers that read nothing for 15 s are closed, also while their connection closes. Without room, the connection that is idle longest is closed, first one that never sent a request; the descriptors are divided among the listeners. Closed connections are counted by reason and logged (432).

--- a/packages/bench/src/tallyhall_bench/crowd_run.py
+++ b/packages/bench/src/tallyhall_bench/crowd_run.py
@@ -106,10 +106,10 @@
         watching = asyncio.create_task(watch.run())
         caller = _Ordinary(entry)
         calling = asyncio.create_task(caller.run())
-        spec = _spec(
+        spec = crowd_spec(
             entry, listener, forms_of(listener)[form], clients, seconds
         )
-        await _run_crowd(spec)
+        await run_crowd(spec)
         for task in (calling, watching):
             task.cancel()
         await asyncio.wait((calling, watching))
@@ -141,13 +141,14 @@
         yield fleet
 
 
-def _spec(
+def crowd_spec(
     entry: EntryProcess,
     listener: Listener,
     form: Form,
     clients: int,
     seconds: float,
 ) -> CrowdSpec:
+    """Return a crowd at a listener of an entry process."""
     places = {
         Listener.front: entry.front,
         Listener.locate: entry.locate,
@@ -169,7 +170,8 @@
     )
 
 
-async def _run_crowd(spec: CrowdSpec) -> None:
+async def run_crowd(spec: CrowdSpec) -> None:
+    """Run a crowd in a process of its own until it ends."""
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         '-m',
--- a/packages/bench/src/tallyhall_bench/memory_use.py
+++ b/packages/bench/src/tallyhall_bench/memory_use.py
@@ -21,7 +21,7 @@
 
 from tallyhall_edge.exchange import Exchange
 from tallyhall_edge.messages import find_header
-from tallyhall_edge.request_reader import ServerLimits
+from tallyhall_edge.server_limits import ServerLimits
 from tallyhall_edge.server import HttpServer
 
 from .platform_fleet import EntryProcess, PlatformFleet, platform_fleet
--- a/packages/core/src/tallyhall_core/events.py
+++ b/packages/core/src/tallyhall_core/events.py
@@ -72,6 +72,7 @@
     part_quarantined = 429
     upstream_silent = 430
     upstream_heard = 431
+    callers_closed = 432
     logs_dropped = 501
     internal_error = 500
     order_sent = 600
--- a/packages/edge/src/tallyhall_edge/connection_memory.py
+++ b/packages/edge/src/tallyhall_edge/connection_memory.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from .memory_budget import Holder, MemoryBudget, Step, UnreadPeer
+from .server_limits import ServerLimits
 from .sockets import received_bytes, unacknowledged_bytes
 
 # Assumed memory of a connection in bytes, on either side: its objects in the
@@ -258,7 +259,12 @@
 
 
 class MemoryMonitor:
-    """Polls the connections that hold more than an idle one."""
+    """Polls the connections that hold more than an idle one.
+
+    unread_timeout_s: after which a caller that reads nothing is closed.
+    """
+
+    unread_timeout_s: float = ServerLimits().unread_timeout_s
 
     def __init__(self, budget: MemoryBudget) -> None:
         """Report to this budget."""
@@ -275,10 +281,15 @@
             memory.poll(now)
             if memory.holder is Holder.caller_writes:
                 callers.append(progress)
+                if now - progress.read_at >= self.unread_timeout_s:
+                    memory.close()
             elif progress.is_stalled_upstream(now):
                 memory.close()
         for stalled in self.budget.callers_to_close(callers, now):
-            self.unread[stalled].close()
+            closed = self.unread.get(stalled)
+            # Its connection may have been closed just now.
+            if closed is not None:
+                closed.close()
 
 
 def _do_nothing() -> None:
--- a/packages/edge/src/tallyhall_edge/exchange.py
+++ b/packages/edge/src/tallyhall_edge/exchange.py
@@ -16,13 +16,17 @@
     encode_head,
 )
 from .request_body import RequestBody
+from .request_memory import RequestReservation
 
 
 class ExchangeConnection(Protocol):
     """The part of a connection that an exchange uses."""
 
     supports_chunked: bool
-    memory: CallerMemory | None
+
+    @property
+    def memory(self) -> CallerMemory | None:
+        """Return what counts the connection, if anything does."""
 
     def write(self, payload: bytes) -> None:
         """Send bytes, or drop them if the caller has disconnected."""
@@ -53,11 +57,13 @@
         conn: ExchangeConnection,
         head: RequestHead,
         body: RequestBody,
+        reservation: RequestReservation,
         received_at: float,
     ) -> None:
         """Create the exchange of a request.
 
-        received_at: when the first byte of the request was received.
+        reservation: what the request holds beside its body. received_at: when
+        the first byte of the request was received.
         """
         self.head = head
         self.request_body = body
@@ -70,6 +76,7 @@
         self.keep_alive = True
         self.on_writable: Callable[[bool], None] | None = None
         self._conn = conn
+        self._reservation = reservation
         self._chunked = False
 
     @property
@@ -129,7 +136,7 @@
             self._conn.write(LAST_CHUNK)
         self.ended = True
         self._conn.finished(keep=self.keep_alive)
-        self.release_body()
+        self.release()
 
     def answer(
         self,
@@ -151,11 +158,12 @@
             return
         self.ended = True
         self._conn.abort()
-        self.release_body()
+        self.release()
 
-    def release_body(self) -> None:
-        """Free the body of the request, which is not sent any more."""
+    def release(self) -> None:
+        """Release the memory of the request, which is not sent any more."""
         self.request_body.release()
+        self._reservation.release()
 
     def _report_if_ended(self, operation: str) -> bool:
         if self.ended:
--- a/packages/edge/src/tallyhall_edge/memory_budget.py
+++ b/packages/edge/src/tallyhall_edge/memory_budget.py
@@ -43,6 +43,7 @@
     """What holds memory; labels of the metric."""
 
     connections = 'connections'
+    requests = 'requests'
     request_bodies = 'request_bodies'
     responses = 'responses'
     caller_writes = 'caller_writes'
@@ -183,6 +184,13 @@
 
     # -- decisions
 
+    @property
+    def excess(self) -> float:
+        """Return how many bytes must be released, 0 below the last step."""
+        if self.step < Step.close:
+            return 0
+        return max(0, self.total - _ENDS[Step.close - 1] * self.size)
+
     @property
     def may_buffer_responses(self) -> bool:
         """Return whether responses may be buffered until complete."""
@@ -219,9 +227,9 @@
         caller that reads slowly is not closed, and does not protect others.
         """
         to_close: list[UnreadPeer] = []
-        if self.step < Step.close:
+        excess = self.excess
+        if not excess:
             return to_close
-        excess = self.total - _ENDS[Step.close - 1] * self.size
         stalled = [peer for peer in peers if peer.is_stalled_caller(now)]
         for peer in sorted(stalled, key=_held, reverse=True):
             if excess < 0:
--- a/packages/edge/src/tallyhall_edge/request_reader.py
+++ b/packages/edge/src/tallyhall_edge/request_reader.py
@@ -1,23 +1,30 @@
 """Reads the requests of one connection from its bytes.
 
-Memory for a body is reserved before the body is read. While a large body waits
-for its memory, the connection is not read; after a while the request is
-refused, and its body is received and dropped.
+Received bytes are parsed up to the end of one request; what follows is kept
+until the connection accepts another one. Memory for a body is reserved before
+the body is read. While a large body waits for its memory, the connection is not
+read; after a while the request is refused, and its body received and dropped.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from typing import Protocol
-
 import httptools
-import msgspec
 
-from .body_memory import SMALL_BODY_BYTES, BodyMemory, BodyReservation
+from .body_memory import SMALL_BODY_BYTES, BodyReservation
 from .framing import MAX_HEADERS, FramingCounter
+from .incoming import IncomingRequest, ReaderOwner, RequestListener
 from .messages import Headers, RequestHead, find_header
+from .read_ahead import MessagePosition, ReadAhead
 from .request_body import RequestBody
+from .request_memory import RequestReservation
+from .server_limits import (
+    BAD_REQUEST,
+    HEAD_TOO_LARGE,
+    NO_MEMORY,
+    TOO_LARGE,
+    Rejection,
+)
 
 # Bytes of a header line beside its name and value.
 _LINE_OVERHEAD = 4
@@ -26,91 +33,6 @@
 _MAX_WAIT_S = 0.5
 # HTTP version without chunked encoding.
 _OLD_VERSION = '1.0'
-_BAD_REQUEST_STATUS = 400
-_TIMEOUT_STATUS = 408
-_TOO_LARGE_STATUS = 413
-_HEAD_TOO_LARGE_STATUS = 431
-
-
-class ServerLimits(msgspec.Struct, frozen=True):
-    """Limits of one connection, in bytes and seconds.
-
-    body_timeout_s: maximum time from the head of a request to its last byte.
-    """
-
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_s: float = 3
-    body_timeout_s: float = 10
-    idle_timeout_s: float = 15
-
-
-class Rejection(msgspec.Struct, frozen=True):
-    """The answer to a request that cannot be read."""
-
-    status: int
-    reason: bytes
-
-
-_BAD_REQUEST = Rejection(_BAD_REQUEST_STATUS, b'Bad Request')
-TIMED_OUT = Rejection(_TIMEOUT_STATUS, b'Request Timeout')
-_TOO_LARGE = Rejection(_TOO_LARGE_STATUS, b'Content Too Large')
-_HEAD_TOO_LARGE = Rejection(
-    _HEAD_TOO_LARGE_STATUS, b'Request Header Fields Too Large'
-)
-
-
-class IncomingRequest(msgspec.Struct, frozen=True):
-    """A request that is passed on to its handler.
-
-    received_at: when its first byte was received. is_refused: there was no
-    memory for its body, which is empty here.
-    """
-
-    head: RequestHead
-    body: RequestBody
-    received_at: float
-    keep_alive: bool = False
-    supports_chunked: bool = True
-    is_refused: bool = False
-
-
-class ReaderOwner(Protocol):
-    """The part of the server that a reader uses."""
-
-    @property
-    def limits(self) -> ServerLimits:
-        """Return the limits of a connection."""
-
-    @property
-    def bodies(self) -> BodyMemory:
-        """Return the memory for the bodies of requests."""
-
-    @property
-    def workspace_of(self) -> Callable[[RequestHead], str]:
-        """Return what finds the workspace of a request, empty if unknown."""
-
-
-class RequestListener(Protocol):
-    """Receives what is read from a connection."""
-
-    def on_request_begun(self, now: float) -> float:
-        """Handle the first byte; return when it was received."""
-
-    def on_head_read(self) -> None:
-        """Handle a complete head, before its body."""
-
-    def on_wait_changed(self) -> None:
-        """Handle that a body begins or ends to wait for its memory."""
-
-    def on_request_read(self, req: IncomingRequest) -> None:
-        """Handle a request that was read, or refused after its head."""
-
-    def on_rejected(self, rejection: Rejection) -> None:
-        """Handle a request that cannot be read; nothing follows it."""
-
-    def on_dropped(self) -> None:
-        """Handle the end of a request that was answered before its end."""
 
 
 class RequestReader:
@@ -133,9 +55,12 @@
             httptools.HttpRequestParser(self)
         )
         self._framing = FramingCounter()
+        self._position = MessagePosition()
+        self._ahead = ReadAhead(owner.bodies.budget)
         self._messages = 0
         self._timer: asyncio.TimerHandle | None = None
         self._reservation: BodyReservation | None = None
+        self._reserved = RequestReservation(owner.bodies.budget)
         self._head: RequestHead | None = None
         self._reset()
 
@@ -144,27 +69,41 @@
         """Return whether a request was received in part."""
         return bool(self.began_at)
 
+    @property
+    def has_head(self) -> bool:
+        """Return whether the head of the request was received."""
+        return self._head is not None
+
+    @property
+    def is_ahead(self) -> bool:
+        """Return whether received bytes wait to be parsed."""
+        return bool(self._ahead)
+
+    @property
+    def read_bytes(self) -> int:
+        """Return how many bytes to read at most."""
+        return self._position.read_bytes
+
     def feed(self, payload: bytes | memoryview) -> None:
-        """Parse received bytes."""
-        parser = self._parser
-        if parser is None:
+        """Parse received bytes, or keep them until a request is accepted."""
+        if self._parser is None:
             return
-        message = self._messages if self.began_at else 0
-        try:
-            parser.feed_data(payload)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.reject(_BAD_REQUEST)
-            self.close()
+        if self._ahead:
+            self._ahead.keep(bytes(payload))
             return
-        if message == self._messages and self.began_at:
-            self._count_framing(len(payload))
+        self._parse(bytes(payload))
+
+    def resume(self) -> None:
+        """Parse the bytes that were kept."""
+        if self._ahead:
+            self._parse(self._ahead.take())
 
     def reject(self, rejection: Rejection) -> None:
         """Answer the request that is being read; drop the rest of it."""
         if self.is_answered or self._parser is None:
             return
         self._answer()
-        if rejection is not _TOO_LARGE:
+        if rejection is not TOO_LARGE:
             # What follows is no request, or does not come.
             self.close()
         self._listener.on_rejected(rejection)
@@ -172,6 +111,8 @@
     def close(self) -> None:
         """Drop what was read; nothing is parsed any more."""
         self._drop_body()
+        self._reserved.release()
+        self._ahead.take()
         self._parser = None
         self.began_at = 0
 
@@ -197,7 +138,7 @@
         if self.is_answered or self._head is not None:
             return
         if len(self._headers) >= MAX_HEADERS:
-            self.reject(_HEAD_TOO_LARGE)
+            self.reject(HEAD_TOO_LARGE)
             return
         self._headers.append((name, value))
         self._add_head_bytes(len(name) + len(value) + _LINE_OVERHEAD)
@@ -211,21 +152,26 @@
             parser.get_method(), self._target, tuple(self._headers)
         )
         self._head = head
+        length = _stated_length(head.headers)
+        self._position.begin_body(length)
+        if not self._reserve_head():
+            return
         expectation = find_header(head.headers, b'expect')
         if expectation is not None and expectation.lower() == b'100-continue':
             self.expects_continue = True
-        self._reserve(head)
+        self._reserve(length)
         if not self.is_answered:
             self._listener.on_head_read()
 
     def on_body(self, piece: bytes) -> None:
         """Append to the body and check its size."""
         self._framing.add_body(len(piece))
+        self._position.add_body(len(piece))
         if self.is_answered:
             return
         size = self._body.size + len(piece)
         if size > self._owner.limits.max_body_bytes:
-            self.reject(_TOO_LARGE)
+            self.reject(TOO_LARGE)
             return
         if self._reserve_piece(size, len(piece)):
             self._body.add(piece)
@@ -245,17 +191,64 @@
         req = IncomingRequest(
             head,
             self._body,
+            self._reserved,
             self.began_at,
             parser.should_keep_alive(),
             parser.get_http_version() != _OLD_VERSION,
         )
+        self._hand_over()
         self._reset()
         self._listener.on_request_read(req)
 
+    # -- pieces
+
+    def _parse(self, received: bytes) -> None:
+        """Parse request after request as long as the listener accepts one."""
+        start = 0
+        view = memoryview(received)
+        while start < len(received) and self._parser is not None:
+            if not self.began_at and not self._listener.accepts_request:
+                self._ahead.keep(received[start:])
+                return
+            end = self._position.piece_end(received, start)
+            self._parse_piece(self._parser, view[start:end])
+            start = end
+
+    def _parse_piece(
+        self, parser: httptools.HttpRequestParser, piece: memoryview
+    ) -> None:
+        message = self._messages if self.began_at else 0
+        try:
+            parser.feed_data(piece)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.reject(BAD_REQUEST)
+            self.close()
+            return
+        if message == self._messages and self.began_at:
+            self._count_framing(len(piece))
+        if self.began_at and self._head is None:
+            self._received += len(piece)
+            self._reserve_head()
+
+    # -- memory for the head
+
+    def _reserve_head(self) -> bool:
+        """Reserve memory for what was received; else reject the request."""
+        if self.is_answered:
+            return True
+        received = max(self._head_bytes, self._received)
+        if self._reserved.cover(received, len(self._headers)):
+            return True
+        self.reject(NO_MEMORY)
+        return False
+
+    def _hand_over(self) -> None:
+        """Leave the memory of the head to whoever handles the request."""
+        self._reserved = RequestReservation(self._bodies.budget)
+
     # -- memory for the body
 
-    def _reserve(self, head: RequestHead) -> None:
-        length = _stated_length(head.headers)
+    def _reserve(self, length: int | None) -> None:
         if length is None:
             self._reservation = BodyReservation(self._bodies)
             self._body = RequestBody(self._reservation)
@@ -264,7 +257,7 @@
             return
         limit = self._owner.limits.max_body_bytes
         if length > limit or self._bodies.exceeds_budget(length):
-            self.reject(_TOO_LARGE)
+            self.reject(TOO_LARGE)
             return
         self._reservation = BodyReservation(self._bodies)
         self._body = RequestBody(self._reservation)
@@ -286,7 +279,7 @@
             self._refuse()
             return False
         if reservation.wanted:
-            self.reject(_TOO_LARGE)
+            self.reject(TOO_LARGE)
             return False
         self._reserve_large(reservation, self._bodies.most(self._max_bytes))
         self._add_to_waiting(reservation, piece)
@@ -325,8 +318,13 @@
             return
         self._bodies.refused += 1
         req = IncomingRequest(
-            head, RequestBody(), self.began_at, is_refused=True
+            head,
+            RequestBody(),
+            self._reserved,
+            self.began_at,
+            is_refused=True,
         )
+        self._hand_over()
         self._answer()
         self._listener.on_request_read(req)
 
@@ -349,10 +347,14 @@
         self._target = b''
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
+        # Received bytes of a head that is not complete.
+        self._received = 0
         self._head = None
         self._body = RequestBody()
         self._reservation = None
+        self._reserved.release()
         self._framing.reset()
+        self._position.begin_head()
         self.began_at = 0
         self.is_answered = False
         self.expects_continue = False
@@ -360,7 +362,7 @@
     def _add_head_bytes(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self._owner.limits.max_header_bytes:
-            self.reject(_HEAD_TOO_LARGE)
+            self.reject(HEAD_TOO_LARGE)
 
     def _count_framing(self, size: int) -> None:
         self._framing.add_received(size)
@@ -370,7 +372,7 @@
             self.close()
             self._listener.on_dropped()
             return
-        self.reject(_HEAD_TOO_LARGE if self._head is None else _BAD_REQUEST)
+        self.reject(HEAD_TOO_LARGE if self._head is None else BAD_REQUEST)
 
 
 def _stated_length(headers: Headers) -> int | None:
--- a/packages/edge/src/tallyhall_edge/server.py
+++ b/packages/edge/src/tallyhall_edge/server.py
@@ -3,23 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Callable
 
 from .body_memory import BodyMemory
 from .caller_connection import ServerConnection
 from .connection_memory import MemoryMonitor
+from .connection_watch import CloseReason, ConnectionWatch
 from .exchange import RequestHandler
+from .idle_connections import IdleConnections
+from .listening import listen
 from .memory_budget import MemoryBudget, budget_bytes
 from .messages import RequestHead
-from .request_reader import ServerLimits
+from .read_ahead import MAX_READ_BYTES
+from .server_limits import ServerLimits
+from .turns import Turns
 
-# Length of the listen queue. If it is full, a caller's SYN is dropped and sent
-# again, which delays the caller by seconds.
-_BACKLOG = 1024
 # Default maximum of simultaneous connections.
 _MAX_CONNECTIONS = 1000
-# Maximum bytes of one read.
-_RECEIVE_BYTES = 65_536
 
 
 class HttpServer:
@@ -42,10 +43,14 @@
         """
         self.memory = memory
         self.bodies = bodies or BodyMemory(MemoryBudget(budget_bytes(0, None)))
-        self.receive_buffer = bytearray(_RECEIVE_BYTES)
+        self.receive_buffer = bytearray(MAX_READ_BYTES)
         self.workspace_of: Callable[[RequestHead], str] = _unknown_workspace
         self.max_connections = max_connections
-        self.rejected_connections = 0
+        # Connections that were closed before their callers wanted it.
+        self.closed: collections.Counter[CloseReason] = collections.Counter()
+        self.watch = ConnectionWatch(self.bodies.budget)
+        self.idle = IdleConnections()
+        self.turns = Turns()
         self.handle_request = handle_request
         self.on_error = on_error
         self.limits = limits
@@ -55,14 +60,7 @@
 
     async def listen(self, host: str, port: int) -> None:
         """Listen on an address; raise OSError if it is in use."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: ServerConnection(self),
-            host,
-            port,
-            backlog=_BACKLOG,
-            reuse_address=True,
-        )
+        self._server = await listen(lambda: ServerConnection(self), host, port)
 
     @property
     def open_connections(self) -> int:
@@ -101,15 +99,26 @@
 
     def add(self, conn: ServerConnection) -> bool:
         """Register a connection; return False if there are too many."""
-        if len(self._conns) >= self.max_connections:
-            self.rejected_connections += 1
+        is_full = len(self._conns) >= self.max_connections
+        if is_full and not self.idle.evict_longest():
+            self.count_closed(CloseReason.turned_away)
             return False
         self._conns.add(conn)
+        self.idle.add_new(conn)
         return True
 
     def discard(self, conn: ServerConnection) -> None:
         """Unregister a connection."""
         self._conns.discard(conn)
+        self.idle.remove(conn)
+
+    def count_closed(self, reason: CloseReason) -> None:
+        """Count a connection that is closed for this reason."""
+        self.closed[reason] += 1
+
+    def poll(self, now: float) -> None:
+        """Close callers that read too little or send too much."""
+        self.watch.poll(now, self.limits.unread_timeout_s)
 
 
 def _unknown_workspace(head: RequestHead) -> str:
--- a/packages/entry/src/tallyhall_entry/cluster_state.py
+++ b/packages/entry/src/tallyhall_entry/cluster_state.py
@@ -11,7 +11,7 @@
 from tallyhall_dispatch.fleet import FleetCount, FleetMembership
 from tallyhall_dispatch.gate import AdmissionGate
 from tallyhall_dispatch.quota import StoredUse
-from tallyhall_edge.request_reader import ServerLimits
+from tallyhall_edge.server_limits import ServerLimits
 from tallyhall_edge.dispatcher import Dispatcher
 from tallyhall_edge.server import HttpServer
 from tallyhall_platform.entries import InstanceEntry
--- a/packages/entry/src/tallyhall_entry/exposition.py
+++ b/packages/entry/src/tallyhall_entry/exposition.py
@@ -52,6 +52,14 @@
         for labels, count in self._metrics.store_calls.items():
             calls.add_metric(labels, count)
         yield calls
+        closed = CounterMetricFamily(
+            'tallyhall_connections_closed',
+            'Connections of callers that were closed, by listener and reason.',
+            labels=('listener', 'reason'),
+        )
+        for labels, count in self._metrics.connections.closed.items():
+            closed.add_metric(labels, count)
+        yield closed
         yield self._retry_budget()
         for name, text, label, counts in (
             (
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -19,7 +19,8 @@
 from tallyhall_dispatch.options import Options
 from tallyhall_dispatch.quota_limits import FleetView
 from tallyhall_edge.dispatcher import Dispatcher
-from tallyhall_edge.request_reader import ServerLimits
+from tallyhall_edge.exchange import RequestHandler
+from tallyhall_edge.server_limits import ServerLimits
 from tallyhall_edge.server import HttpServer
 from tallyhall_edge.stopping import StopSchedule
 from tallyhall_platform.call_counts import CallCounts
@@ -31,6 +32,7 @@
 from tallyhall_transport.peer_streams import PeerStreams
 
 from .cluster_state import ClusterState
+from .descriptors import DescriptorShares, Listener
 from .endpoints import LOCATE_CACHE_S, Endpoints
 from .from_options import (
     admits_s,
@@ -75,10 +77,6 @@
 # Part of that margin for the call that revokes the lease and so removes the
 # store entry. If the call fails, the entry is removed when the lease expires.
 _LEASE_REVOKE_TIMEOUT_S = 0.2
-# Fraction of all file descriptors available to client connections. Each running
-# request needs another one for its upstream, and files, peers and the store
-# need 200.
-_CLIENT_DESCRIPTOR_SHARE = 0.6
 # Ownership key: the owner of this name writes the quota usage to the store.
 _USAGE_WRITER_KEY = 'use of quotas'
 # Limits of calls to the instance itself, which have no bodies.
@@ -101,6 +99,7 @@
         self._loop = asyncio.get_running_loop()
         self.log = EventLog(stream)
         self._metrics = Metrics(stream)
+        self._shares = DescriptorShares.of(options.descriptors)
         self._entry = own_entry(options, rng)
         self._gate = new_gate(options, rng, self._loop.time())
         self._peer_streams = PeerStreams(
@@ -112,6 +111,7 @@
             self._on_peer_opened,
         )
         self._peer_streams.own_cores = self._entry.cores
+        self._peer_streams.max_connections = self._shares.peer
         self._dispatcher = Dispatcher(rng, has_rollouts=options.has_rollouts)
         self._origins = new_origins(options, rng, self.log)
         self._scheduler = SharedScheduler(
@@ -159,12 +159,11 @@
             self._runner.handle,
             self._log_request_failure,
             ServerLimits(),
-            int(options.descriptors * _CLIENT_DESCRIPTOR_SHARE),
+            self._shares.front,
             self.memory.monitor,
             self.memory.bodies,
         )
         self._front.workspace_of = self._runner.workspace_of
-        self.memory.limit_components(self._front, self._runner)
         self._membership = FleetMembership(
             options.instance,
             admits_s(options),
@@ -188,17 +187,19 @@
             self._metrics,
             rng,
         )
-        self._servers = (
-            self._front,
-            *(
-                HttpServer(respond, self._log_request_failure, _CALL_LIMITS)
-                for respond in (
-                    self._endpoints.ready,
-                    self._endpoints.locate,
-                    self._endpoints.metrics,
-                )
+        self._servers = {
+            Listener.front: self._front,
+            Listener.ready: self._call_server(
+                self._endpoints.ready, self._shares.ready
             ),
-        )
+            Listener.locate: self._call_server(
+                self._endpoints.locate, self._shares.locate
+            ),
+            Listener.metrics: self._call_server(
+                self._endpoints.metrics, self._shares.metrics
+            ),
+        }
+        self.memory.limit_components(self._servers, self._runner)
         self._registration_store = StoreClient(
             options.store.address, self._calls
         )
@@ -274,7 +275,9 @@
             self._origins.listen(options.peer),
             *(
                 server.listen(place.host, place.port)
-                for server, place in zip(self._servers, places, strict=True)
+                for server, place in zip(
+                    self._servers.values(), places, strict=True
+                )
             ),
         )
         self._spawn('follower', self._follower.run())
@@ -353,7 +356,7 @@
         for task in self._tasks.values():
             task.cancel()
         self._orders.close()
-        for server in self._servers:
+        for server in self._servers.values():
             server.close()
             server.abort_all()
         self._paths.close()
@@ -466,6 +469,18 @@
         if exc is not None:
             self.log.failure(task.get_name(), exc)
 
+    def _call_server(
+        self, respond: RequestHandler, max_connections: int
+    ) -> HttpServer:
+        """Return a server of calls to the instance itself."""
+        return HttpServer(
+            respond,
+            self._log_request_failure,
+            _CALL_LIMITS,
+            max_connections,
+            bodies=self.memory.bodies,
+        )
+
     def _log_request_failure(self, exc: Exception) -> None:
         self.log.failure('request', exc)
 
@@ -516,3 +531,4 @@
             self._paths.update_metrics()
             self._reports.update(self._gate, self._front, self._dispatcher)
             self._reports.update_loads(self._dispatcher, self._scheduler.loads)
+            self._reports.update_closed(self._servers)
--- a/packages/entry/src/tallyhall_entry/memory.py
+++ b/packages/entry/src/tallyhall_entry/memory.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from tallyhall_core.events import Event
 from tallyhall_edge.body_memory import BodyMemory
 from tallyhall_edge.connection_memory import MemoryMonitor
@@ -9,6 +11,7 @@
 from tallyhall_edge.runner import RequestPipeline
 from tallyhall_edge.server import HttpServer
 
+from .descriptors import Listener
 from .logs import EventLog
 from .metrics import Metrics
 from .process_memory import resident_bytes
@@ -44,6 +47,7 @@
         self._limit = limit
         self._log = log
         self._front: HttpServer | None = None
+        self._servers: tuple[HttpServer, ...] = ()
         self._runner: RequestPipeline | None = None
         self._polled_at: float = 0
         metrics.bodies = self.bodies
@@ -52,10 +56,11 @@
             self.monitor = MemoryMonitor(self.budget)
 
     def limit_components(
-        self, front: HttpServer, runner: RequestPipeline
+        self, servers: Mapping[Listener, HttpServer], runner: RequestPipeline
     ) -> None:
-        """Limit the connections of this server and the requests on them."""
-        self._front = front
+        """Limit the connections of these servers and the requests on them."""
+        self._front = servers[Listener.front]
+        self._servers = tuple(servers.values())
         self._runner = runner
         if self.monitor is not None:
             runner.shedding.budget = self.budget
@@ -66,9 +71,13 @@
 
     def poll(self, now: float) -> None:
         """Update the counts of slow peers, and refuse waiting requests."""
-        if self.monitor is None or now - self._polled_at < _POLL_S:
+        if now - self._polled_at < _POLL_S:
             return
         self._polled_at = now
+        for server in self._servers:
+            server.poll(now)
+        if self.monitor is None:
+            return
         self.monitor.poll(now)
         self.bodies.grant_waiting()
         if self._runner is not None:
--- a/packages/entry/src/tallyhall_entry/metrics.py
+++ b/packages/entry/src/tallyhall_entry/metrics.py
@@ -61,11 +61,17 @@
     slowed: int = 0
 
 
-class ConnectionCounts(msgspec.Struct, frozen=True):
-    """Open connections of callers, and those that were turned away."""
+class ConnectionCounts(msgspec.Struct):
+    """Open connections of callers, and those that were closed.
+
+    closed: by listener and reason.
+    """
 
     open: int = 0
     turned_away: int = 0
+    closed: collections.Counter[_Labels] = msgspec.field(
+        default_factory=collections.Counter
+    )
 
 
 class DesiredStateStatus(msgspec.Struct):
--- a/packages/entry/src/tallyhall_entry/reports.py
+++ b/packages/entry/src/tallyhall_entry/reports.py
@@ -3,23 +3,29 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+from collections.abc import Mapping
 
 import msgspec
 from tallyhall_core.events import Event
 from tallyhall_dispatch.fleet import FleetCount
 from tallyhall_dispatch.gate import AdmissionGate
 from tallyhall_dispatch.pool import ServicePool
+from tallyhall_edge.connection_watch import CloseReason
 from tallyhall_edge.dispatcher import Dispatcher
 from tallyhall_edge.server import HttpServer
 from tallyhall_platform.call_counts import CallCounts
 
+from .descriptors import Listener
 from .load_sharing import LoadSharing
 from .logs import EventLog
-from .metrics import ConnectionCounts, Metrics, UpstreamLoadCounts
+from .metrics import Metrics, UpstreamLoadCounts
 
 # Interval of the log lines about store calls, in seconds: a line of 300 bytes
 # every 2 s is a hundredth of an instance's log budget.
 _LOG_CALLS_S = 2.0
+# Minimum interval of the log lines about closed connections, in seconds.
+_LOG_CLOSED_S = 5.0
 _MILLI = 1000
 
 
@@ -40,6 +46,7 @@
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._calls_logged_at = self._loop.time()
+        self._closed_logged_at = self._loop.time()
         self._last_counts: dict[str, int] = {}
 
     def log_fleet(self, count: FleetCount, heard: int) -> None:
@@ -97,9 +104,8 @@
             self.log_calls()
         self._log.report_dropped()
         metrics = self._metrics
-        metrics.connections = ConnectionCounts(
-            front.open_connections, front.rejected_connections
-        )
+        metrics.connections.open = front.open_connections
+        metrics.connections.turned_away = front.closed[CloseReason.turned_away]
         metrics.waiting = dispatcher.waiting
         metrics.limited_upstreams = sum(
             dispatcher.upstream(incarnation) is not None
@@ -127,6 +133,32 @@
         )
         self._metrics.load_reports = loads.counts
 
+    def update_closed(self, servers: Mapping[Listener, HttpServer]) -> None:
+        """Count the closed connections of callers, and log how many."""
+        now = self._loop.time()
+        if now - self._closed_logged_at < _LOG_CLOSED_S:
+            return
+        before = self._metrics.connections.closed
+        closed: collections.Counter[tuple[str, ...]] = collections.Counter(
+            {
+                (listener.value, reason.value): count
+                for listener, server in servers.items()
+                for reason, count in server.closed.items()
+            }
+        )
+        if closed == before:
+            return
+        self._closed_logged_at = now
+        self._metrics.connections.closed = closed
+        for labels, count in (closed - before).items():
+            listener, reason = labels
+            self._log.event(
+                Event.callers_closed,
+                listener=listener,
+                reason=reason,
+                connections=count,
+            )
+
     def _log_ejections(self, dispatcher: Dispatcher, now: float) -> None:
         for service, pool in dispatcher.pools.items():
             for ejection in pool.take_ejections():
--- a/packages/standins/src/tallyhall_standins/platform_store.py
+++ b/packages/standins/src/tallyhall_standins/platform_store.py
@@ -18,7 +18,7 @@
 from typing import Any
 from urllib.parse import parse_qsl, urlsplit
 
-from tallyhall_edge.request_reader import ServerLimits
+from tallyhall_edge.server_limits import ServerLimits
 from tallyhall_edge.exchange import Exchange
 from tallyhall_edge.server import HttpServer
 
--- a/tests/platform/test_large_bodies.py
+++ b/tests/platform/test_large_bodies.py
@@ -15,7 +15,7 @@
 from tallyhall_edge.caller_connection import ServerConnection
 from tallyhall_edge.exchange import Exchange
 from tallyhall_edge.memory_budget import Holder, MemoryBudget
-from tallyhall_edge.request_reader import ServerLimits
+from tallyhall_edge.server_limits import ServerLimits
 from tallyhall_edge.server import HttpServer
 
 from tests.paused_clock import Outside, wait_for
--- a/tests/platform/test_memory_limits.py
+++ b/tests/platform/test_memory_limits.py
@@ -18,7 +18,7 @@
 import pytest
 from tallyhall_bench.ports import free_ports
 from tallyhall_dispatch.desired import Upstream
-from tallyhall_edge.request_reader import ServerLimits
+from tallyhall_edge.server_limits import ServerLimits
 from tallyhall_edge.connection_memory import CallerMemory, MemoryMonitor
 from tallyhall_edge.connections import ConnectionPool
 from tallyhall_edge.exchange import Exchange
