Soak: clients that do not behave, at each listener

Crowds of one to eight clients of any form come to a listener of an instance, beside restarts and faults of links.

--- a/packages/bench/src/tallyhall_bench/platform_soak.py
+++ b/packages/bench/src/tallyhall_bench/platform_soak.py
@@ -23,6 +23,7 @@
 from .platform_load import DEADLINE_S, KEY, Caller
 from .platform_run import STREAMED
 from .soak_checks import check_answers, check_processes, check_recovery
+from .soak_crowds import send_crowds
 from .soak_endless import answer_endlessly
 from .soak_fatal import ask_fatal, frail_upstreams
 from .soak_faults import trouble
@@ -52,6 +53,7 @@
     'rejects',
     'endless',
     'pauses',
+    'crowds',
 )
 _CALLERS = 12
 # Faults that go on at the same time.
@@ -114,6 +116,8 @@
         courses.append(reject_and_lose(site, ends_at))
     if site.troubles.endless:
         courses.append(answer_endlessly(site, ends_at))
+    if site.troubles.crowds:
+        courses.append(send_crowds(site, ends_at))
     await asyncio.gather(*courses)
     await asyncio.sleep(_CALM_S)
     for task in tasks:
--- a/packages/bench/src/tallyhall_bench/soak_site.py
+++ b/packages/bench/src/tallyhall_bench/soak_site.py
@@ -49,7 +49,8 @@
     take up. parts: parts of prompts end upstreams of a service of their own.
     rejects: upstreams reject at times, while instances are lost in series.
     endless: answers of upstreams go on without end at times. pauses: upstream
-    processes of a service of their own are stopped and continued.
+    processes of a service of their own are stopped and continued. crowds:
+    clients that do not behave come to a listener of an instance at times.
     """
 
     all_links: bool = False
@@ -61,6 +62,7 @@
     rejects: bool = False
     endless: bool = False
     pauses: bool = False
+    crowds: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/processes/test_platform_soak.py
+++ b/tests/processes/test_platform_soak.py
@@ -70,6 +70,16 @@
     assert sum(tried.status == 200 for tried in site.tries) > 100
 
 
+def test_no_violations_beside_clients_that_do_not_behave() -> None:
+    """At each listener, beside restarts and other faults."""
+    site = closing_loop.run(
+        soak(1901, 14, Troubles(all_links=True, crowds=True))
+    )
+    assert not site.violations, (site.violations, site.faults)
+    assert any('clients' in fault for fault in site.faults)
+    assert sum(tried.status == 200 for tried in site.tries) > 100
+
+
 def test_no_violations_under_wrong_load_reports() -> None:
     """Reports are missing, frozen, garbled, out of range or misleading."""
     site = closing_loop.run(
