Peer port: only registered instances are read

A client of the peer port, which any client can open, took 464 MB of 64 with eight calls on one connection, eight clients 3,119 MB: gRPC receives 4 MB of each call and more as it reads, and nothing counts it.

An instance that has just started is known to the others within a second, and its stream waits for that. FetchState is registered as a stream of requests, the same on the wire, as the library reads a single request before the call is handled.

--- a/packages/bench/src/tallyhall_bench/crowd_run.py
+++ b/packages/bench/src/tallyhall_bench/crowd_run.py
@@ -16,12 +16,13 @@
 import pathlib
 import random
 import sys
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Coroutine, Sequence
 
 import msgspec
 
 from .client_crowd import CrowdSpec
 from .crowd_forms import Form, Listener, forms_of
+from .peer_crowd import PeerCrowdSpec
 from .platform_fleet import (
     EntryLimits,
     EntryProcess,
@@ -54,6 +55,15 @@
 _MIB = 1_048_576
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crowd:
+    """So many clients of one form at a listener."""
+
+    listener: Listener
+    form: str
+    clients: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Result:
     """What was seen of the process and of the ordinary requests.
@@ -62,9 +72,7 @@
     open ones at their most. log_kb: what was logged meanwhile, in kB.
     """
 
-    listener: Listener
-    form: str
-    clients: int
+    crowd: Crowd
     peak_mb: float
     descriptors: int
     served: int
@@ -85,7 +93,8 @@
     def __str__(self) -> str:
         """Return a row of the table."""
         return (
-            f'{self.listener:8} {self.form:20} {self.clients:4} '
+            f'{self.crowd.listener:8} {self.crowd.form:20} '
+            f'{self.crowd.clients:4} '
             f'{self.peak_mb:6.1f} {self.descriptors:4} '
             f'{self.served:3}/{self.asked:<3} {self.log_kb:7.1f} '
             f'{"yes" if self.is_served_after else "no":3}'
@@ -102,34 +111,54 @@
     """Play one form of clients at one listener."""
     async with _site() as fleet:
         entry = fleet.entries[0]
-        watch = _Watch(entry)
-        watching = asyncio.create_task(watch.run())
-        caller = _Ordinary(entry)
-        calling = asyncio.create_task(caller.run())
         spec = crowd_spec(
             entry, listener, forms_of(listener)[form], clients, seconds
         )
-        await run_crowd(spec)
-        for task in (calling, watching):
-            task.cancel()
-        await asyncio.wait((calling, watching))
-        is_running = entry.process is not None
-        if entry.process is not None:
-            is_running = entry.process.returncode is None
-        return Result(
-            listener,
-            form,
-            clients,
-            watch.peak_mb,
-            watch.descriptors,
-            caller.served,
-            caller.asked,
-            entry.log.stat().st_size / 1000,
-            is_running,
-            is_running and await caller.is_served(),
+        return await _watched(
+            entry, run_crowd(spec), Crowd(listener, form, clients)
         )
 
 
+async def play_peers(peers: int, seconds: float = CROWD_S) -> Result:
+    """Play peers that send large batches on many calls each."""
+    async with _site() as fleet:
+        entry = fleet.entries[0]
+        spec = PeerCrowdSpec(entry.peer.port, peers, seconds)
+        sending = _run_process(
+            'tallyhall_bench.peer_crowd', msgspec.json.encode(spec).decode()
+        )
+        return await _watched(
+            entry, sending, Crowd(Listener.peer, 'large batches', peers)
+        )
+
+
+async def _watched(
+    entry: EntryProcess, sending: Coroutine[None, None, None], crowd: Crowd
+) -> Result:
+    """Return what is seen of a process while a crowd sends."""
+    watch = _Watch(entry)
+    caller = _Ordinary(entry)
+    tasks = [
+        asyncio.create_task(watch.run()),
+        asyncio.create_task(caller.run()),
+    ]
+    await sending
+    for task in tasks:
+        task.cancel()
+    await asyncio.wait(tasks)
+    is_running = entry.process is not None and entry.process.returncode is None
+    return Result(
+        crowd,
+        watch.peak_mb,
+        watch.descriptors,
+        caller.served,
+        caller.asked,
+        entry.log.stat().st_size / 1000,
+        is_running,
+        is_running and await caller.is_served(),
+    )
+
+
 @contextlib.asynccontextmanager
 async def _site() -> AsyncIterator[PlatformFleet]:
     async with platform_fleet(0, usual_state()) as fleet:
@@ -172,11 +201,14 @@
 
 async def run_crowd(spec: CrowdSpec) -> None:
     """Run a crowd in a process of its own until it ends."""
+    await _run_process(
+        'tallyhall_bench.client_crowd', msgspec.json.encode(spec).decode()
+    )
+
+
+async def _run_process(module: str, argument: str) -> None:
     process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        '-m',
-        'tallyhall_bench.client_crowd',
-        msgspec.json.encode(spec).decode(),
+        sys.executable, '-m', module, argument
     )
     try:
         await process.wait()
--- a/packages/transport/src/tallyhall_transport/peer.py
+++ b/packages/transport/src/tallyhall_transport/peer.py
@@ -49,3 +49,8 @@
     address: str
     cores: float
     serves: bool = True
+
+    @property
+    def host(self) -> str:
+        """Return the IP address."""
+        return self.address.rpartition(':')[0]
--- a/packages/transport/src/tallyhall_transport/peer_streams.py
+++ b/packages/transport/src/tallyhall_transport/peer_streams.py
@@ -70,6 +70,8 @@
         self._loop = asyncio.get_running_loop()
         self._streams: GrpcStreams | None = None
         self._endpoints: dict[str, PeerEndpoint] = {}
+        # Set, and replaced, when the registered peers change.
+        self._changed = asyncio.Event()
         self._update_derived_values()
         self._outboxes: dict[str, Outbox] = {}
         self._peers: dict[str, Peer] = {}
@@ -122,10 +124,21 @@
         """Open streams through this object from now on."""
         self._streams = streams
 
+    def is_registered(self, host: str) -> bool:
+        """Return whether a peer is registered at this IP address."""
+        return host in self._hosts
+
+    async def wait_for_change(self) -> None:
+        """Return once other peers are registered."""
+        await self._changed.wait()
+
     def update_peers(self, endpoints: Mapping[str, PeerEndpoint]) -> None:
         """Replace the registered peers."""
         self._endpoints = dict(endpoints)
         self._update_derived_values()
+        changed = self._changed
+        self._changed = asyncio.Event()
+        changed.set()
         for name, outbox in tuple(self._outboxes.items()):
             if (
                 name not in endpoints
@@ -204,6 +217,9 @@
         """
         # All registered instances, with this one.
         self.registered = frozenset((*self._endpoints, self._name))
+        self._hosts = frozenset(
+            endpoint.host for endpoint in self._endpoints.values()
+        )
         # The interval of heartbeats.
         self.heartbeat_s = heartbeat_s(len(self._endpoints))
         # A peer that was not heard for this long counts as lost.
--- a/packages/transport/src/tallyhall_transport/streams.py
+++ b/packages/transport/src/tallyhall_transport/streams.py
@@ -9,13 +9,21 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import AsyncIterator, Callable
-from typing import Protocol
+from typing import Any, Protocol
 
-from grpc import RpcError, aio
+from grpc import (
+    RpcError,
+    RpcMethodHandler,
+    aio,
+    method_handlers_generic_handler,
+    stream_unary_rpc_method_handler,
+)
 
 from .errors import TransportError
 from .generated import peers_pb2, peers_pb2_grpc
+from .host_check import Registry, check_host
 from .peer import Peer, ReadState
 
 # Additional time for the first echo on a new stream.
@@ -47,14 +55,18 @@
 
 
 # Concurrent calls on one connection; a peer makes two.
-_MAX_CALLS = 8
+_MAX_CALLS = 3
+# Bytes of a call that are received before it is read.
+_WINDOW_BYTES = 16_384
+# Name of the service in peers.proto.
+_SERVICE = 'tallyhall.peers.v1.Peers'
 # Timeout in milliseconds of a connection before its first settings, and of one
 # without a call.
 _HANDSHAKE_TIMEOUT_MS = 2000
 _IDLE_TIMEOUT_MS = 10_000
 
 
-class StreamOwner(Protocol):
+class StreamOwner(Registry, Protocol):
     """The object that owns streams, as the streams use it."""
 
     on_lost: Callable[[Peer, Exception], None]
@@ -259,12 +271,14 @@
                     self._owner.max_connections,
                 ),
                 ('grpc.max_concurrent_streams', _MAX_CALLS),
+                ('grpc.http2.lookahead_bytes', _WINDOW_BYTES),
+                ('grpc.http2.bdp_probe', 0),
                 ('grpc.server_handshake_timeout_ms', _HANDSHAKE_TIMEOUT_MS),
                 ('grpc.max_connection_idle_ms', _IDLE_TIMEOUT_MS),
             ),
         )
         self._servicer = Servicer(take, read_state)
-        _add_servicer(self._servicer, server)
+        _add_servicer(self._servicer, self._owner, server)
         try:
             port = server.add_insecure_port(address)
         except RuntimeError as exc:
@@ -286,6 +300,46 @@
     return peers_pb2_grpc.PeersStub(channel)  # type: ignore[no-untyped-call]
 
 
-def _add_servicer(servicer: Servicer, server: aio.Server) -> None:
-    add = peers_pb2_grpc.add_PeersServicer_to_server
-    add(servicer, server)  # type: ignore[no-untyped-call]
+def _add_servicer(
+    servicer: Servicer, registry: Registry, server: aio.Server
+) -> None:
+    """Register the calls.
+
+    Both are registered as streams of requests: the library reads a single
+    request before the call is handled.
+    """
+    handlers: dict[str, RpcMethodHandler[Any, Any]] = {
+        'Exchange': stream_unary_rpc_method_handler(
+            functools.partial(_exchange, servicer, registry),
+            peers_pb2.Batch.FromString,
+            peers_pb2.Closed.SerializeToString,
+        ),
+        'FetchState': stream_unary_rpc_method_handler(
+            functools.partial(_fetch_state, servicer, registry),
+            peers_pb2.StateRequest.FromString,
+            peers_pb2.StateReply.SerializeToString,
+        ),
+    }
+    generic = method_handlers_generic_handler(_SERVICE, handlers)
+    server.add_generic_rpc_handlers((generic,))
+
+
+async def _exchange(
+    servicer: Servicer,
+    registry: Registry,
+    batches: AsyncIterator[peers_pb2.Batch],
+    context: aio.ServicerContext[peers_pb2.Batch, peers_pb2.Closed],
+) -> peers_pb2.Closed:
+    await check_host(context, registry)
+    return await servicer.Exchange(batches, context)
+
+
+async def _fetch_state(
+    servicer: Servicer,
+    registry: Registry,
+    requests: AsyncIterator[peers_pb2.StateRequest],
+    context: aio.ServicerContext[peers_pb2.StateRequest, peers_pb2.StateReply],
+) -> peers_pb2.StateReply:
+    """Answer a request, which is empty and not read."""
+    await check_host(context, registry)
+    return await servicer.FetchState(peers_pb2.StateRequest(), context)
--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -6,7 +6,7 @@
 
 import pytest
 from tallyhall_bench.crowd_forms import Listener
-from tallyhall_bench.crowd_run import CROWD, MANY, play_crowd
+from tallyhall_bench.crowd_run import CROWD, MANY, play_crowd, play_peers
 
 pytestmark = [pytest.mark.processes, pytest.mark.alone]
 
@@ -44,3 +44,11 @@
 ) -> None:
     result = await play_crowd(listener, 'silent', MANY)
     assert not result.broken, str(result)
+
+
+@pytest.mark.parametrize('peers', [1, CROWD])
+async def test_large_batches_of_peers_do_not_take_the_memory(
+    peers: int,
+) -> None:
+    result = await play_peers(peers)
+    assert not result.broken, str(result)
