--- a/packages/transport/src/tallyhall_transport/host_check.py
+++ b/packages/transport/src/tallyhall_transport/host_check.py
@@ -20,7 +20,7 @@
     """What is known of the registered instances."""
 
     def is_registered(self, host: str) -> bool:
-        """Return whether an instance is registered at this IP address."""
+        """Return whether an instance is or was registered at this address."""
 
     async def wait_for_change(self) -> None:
         """Return once other instances are registered."""
--- a/packages/transport/src/tallyhall_transport/peer_streams.py
+++ b/packages/transport/src/tallyhall_transport/peer_streams.py
@@ -70,6 +70,9 @@
         self._loop = asyncio.get_running_loop()
         self._streams: GrpcStreams | None = None
         self._endpoints: dict[str, PeerEndpoint] = {}
+        # Where peers are registered or were: an entry may lapse while its
+        # instance lives.
+        self._hosts: set[str] = set()
         # Set, and replaced, when the registered peers change.
         self._changed = asyncio.Event()
         self._update_derived_values()
@@ -125,7 +128,7 @@
         self._streams = streams
 
     def is_registered(self, host: str) -> bool:
-        """Return whether a peer is registered at this IP address."""
+        """Return whether a peer is or was registered at this IP address."""
         return host in self._hosts
 
     async def wait_for_change(self) -> None:
@@ -135,6 +138,7 @@
     def update_peers(self, endpoints: Mapping[str, PeerEndpoint]) -> None:
         """Replace the registered peers."""
         self._endpoints = dict(endpoints)
+        self._hosts.update(endpoint.host for endpoint in endpoints.values())
         self._update_derived_values()
         changed = self._changed
         self._changed = asyncio.Event()
@@ -217,9 +221,6 @@
         """
         # All registered instances, with this one.
         self.registered = frozenset((*self._endpoints, self._name))
-        self._hosts = frozenset(
-            endpoint.host for endpoint in self._endpoints.values()
-        )
         # The interval of heartbeats.
         self.heartbeat_s = heartbeat_s(len(self._endpoints))
         # A peer that was not heard for this long counts as lost.
--- a/tests/platform/test_peer_streams.py
+++ b/tests/platform/test_peer_streams.py
@@ -87,3 +87,21 @@
     batch.echo_us = int(now * 1_000_000)
     peer_streams.receive(batch)
     assert peer_streams.peers['b'].echoed_at > 0
+
+
+async def test_a_call_is_read_once_its_host_is_registered() -> None:
+    """Any client can connect to the port, and a call may hold megabytes."""
+    first, second = (f'{HOST}:{port}' for port in free_ports(2))
+    one, other = _peer_streams('a', 'a1'), _peer_streams('b', 'b1')
+    await one.listen(first, _no_state)
+    await other.listen(second, _no_state)
+    other.update_peers({'a': PeerEndpoint(first, 1)})
+    other.set_targets(frozenset('a'))
+    await asyncio.sleep(0.3)
+    assert not one.peers
+    one.update_peers({'b': PeerEndpoint(second, 1)})
+    await until(lambda: 'b' in one.peers)
+    one.update_peers({})
+    assert one.is_registered(HOST)
+    await one.close()
+    await other.close()
