--- a/tests/platform/test_requests_ahead.py
+++ b/tests/platform/test_requests_ahead.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from tallyhall_bench.ports import free_ports
+from tallyhall_edge import caller_link
 from tallyhall_edge.connection_watch import CloseReason
 from tallyhall_edge.exchange import Exchange
 from tallyhall_edge.incoming import IncomingRequest
@@ -187,6 +188,34 @@
     writer.transport.abort()
 
 
+@pytest.mark.parametrize('half_closed', [False, True])
+async def test_a_closing_connection_does_not_wait_for_ever(
+    half_closed: bool,  # noqa: FBT001
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Neither where less is unsent than pauses an upstream."""
+    wait_for(Outside.threads)
+    monkeypatch.setattr(caller_link, '_WRITE_HIGH_WATER_BYTES', 100 * _MB)
+    served = _Served(_LARGE, ServerLimits(unread_timeout_s=0.5))
+    await served.server.listen(HOST, served.port)
+    _, writer = await served.open()
+    if half_closed:
+        writer.write(_GET)
+        await until(lambda: served.handled == 1)
+        writer.write_eof()
+    else:
+        writer.write(_GET.replace(b'Host', b'Connection: close\r\nHost'))
+    await until(lambda: served.handled == 1)
+    await asyncio.sleep(0.6)
+    loop = asyncio.get_running_loop()
+    for _ in range(2):
+        served.server.poll(loop.time())
+        await asyncio.sleep(0.6)
+    assert not served.server.open_connections
+    assert served.server.closed[CloseReason.unread] == 1
+    writer.transport.abort()
+
+
 async def test_one_caller_ahead_does_not_hold_up_another() -> None:
     served = _Served(b'', ServerLimits())
     await served.server.listen(HOST, served.port)
