--- a/packages/bench/src/tallyhall_bench/client_crowd.py
+++ b/packages/bench/src/tallyhall_bench/client_crowd.py
@@ -22,25 +22,33 @@
 _POLL_S = 0.02
 
 
+class Form(msgspec.Struct, frozen=True):
+    """What each client sends.
+
+    opening: sent once on each connection. repeated: sent without end after
+    that, with `%d` replaced by a serial number; nothing if it is empty.
+    pause_s: between two sends of `piece` bytes; 0 to send as fast as it is
+    read. reads: whether answers are read.
+    """
+
+    opening: bytes = b''
+    repeated: bytes = b''
+    pause_s: float = 0
+    piece: int = _ROUND_BYTES
+    reads: bool = False
+
+
 class CrowdSpec(msgspec.Struct, frozen=True):
     """What a crowd does.
 
-    port: on the loopback address. source: the address it comes from. opening:
-    sent once on each connection. repeated: sent without end after that, with
-    `%d` replaced by a serial number; nothing if it is empty. pause_s: between
-    two sends of `piece` bytes; 0 to send as fast as it is read. reads: whether
-    answers are read.
+    port: on the loopback address. source: the address it comes from.
     """
 
     port: int
     clients: int
     seconds: float
     source: str
-    opening: bytes = b''
-    repeated: bytes = b''
-    pause_s: float = 0
-    piece: int = _ROUND_BYTES
-    reads: bool = False
+    form: Form
 
 
 class _Client:
@@ -62,7 +70,7 @@
         sock.setblocking(False)
         sock.connect_ex(('127.0.0.1', self._spec.port))
         self.sock = sock
-        self._unsent = self._spec.opening
+        self._unsent = self._spec.form.opening
         selector.register(sock, self._events, self)
 
     def close(self, selector: selectors.BaseSelector, due_at: float) -> None:
@@ -93,25 +101,25 @@
         if not self._unsent:
             self._unsent = self._next_round()
         try:
-            sent = self.sock.send(self._unsent[: self._spec.piece])
+            sent = self.sock.send(self._unsent[: self._spec.form.piece])
         except BlockingIOError:
             return True
         except OSError:
             return False
         self._unsent = self._unsent[sent:]
-        self._due_at = now + self._spec.pause_s
+        self._due_at = now + self._spec.form.pause_s
         return True
 
     @property
     def _events(self) -> int:
-        events = selectors.EVENT_READ if self._spec.reads else 0
-        if self._spec.opening or self._spec.repeated:
+        events = selectors.EVENT_READ if self._spec.form.reads else 0
+        if self._spec.form.opening or self._spec.form.repeated:
             events |= selectors.EVENT_WRITE
         # Something must be waited for; a silent client sees only the end.
         return events or selectors.EVENT_READ
 
     def _next_round(self) -> bytes:
-        message = self._spec.repeated
+        message = self._spec.form.repeated
         if not message:
             return b''
         count = 1 + _ROUND_BYTES // len(message)
@@ -125,13 +133,14 @@
     selector = selectors.DefaultSelector()
     serials = iter(range(sys.maxsize))
     clients = [_Client(spec, serials) for _ in range(spec.clients)]
+    form = spec.form
     ends_at = time.monotonic() + spec.seconds
     while time.monotonic() < ends_at:
         _connect_absent(clients, selector)
         for key, events in selector.select(_POLL_S):
-            _serve(key.data, events, selector, spec)
-        if not spec.repeated or spec.pause_s:
-            time.sleep(spec.pause_s / 2 or _POLL_S)
+            _serve(key.data, events, selector)
+        if not form.repeated or form.pause_s:
+            time.sleep(form.pause_s / 2 or _POLL_S)
     for client in clients:
         client.close(selector, ends_at)
 
@@ -149,7 +158,6 @@
     client: _Client,
     events: int,
     selector: selectors.BaseSelector,
-    spec: CrowdSpec,
 ) -> None:
     now = time.monotonic()
     is_open = True
--- a/packages/bench/src/tallyhall_bench/crowd_forms.py
+++ b/packages/bench/src/tallyhall_bench/crowd_forms.py
@@ -5,8 +5,7 @@
 import enum
 import types
 
-import msgspec
-
+from .client_crowd import Form
 from .platform_load import KEY, SITE
 
 # Half of the largest head that operators allow, and more headers than most.
@@ -26,16 +25,6 @@
     tunnel = 'tunnel'
 
 
-class Form(msgspec.Struct, frozen=True):
-    """What each client sends; the fields are those of `CrowdSpec`."""
-
-    opening: bytes = b''
-    repeated: bytes = b''
-    pause_s: float = 0
-    piece: int = 65_536
-    reads: bool = False
-
-
 def _request(path: str, *lines: str, body: str = '') -> bytes:
     method = 'POST' if body else 'GET'
     if body:
--- a/packages/bench/src/tallyhall_bench/crowd_run.py
+++ b/packages/bench/src/tallyhall_bench/crowd_run.py
@@ -20,8 +20,8 @@
 
 import msgspec
 
-from .client_crowd import CrowdSpec
-from .crowd_forms import Form, Listener, forms_of
+from .client_crowd import CrowdSpec, Form
+from .crowd_forms import Listener, forms_of
 from .peer_crowd import PeerCrowdSpec
 from .platform_fleet import (
     EntryLimits,
@@ -186,17 +186,7 @@
         Listener.peer: entry.peer,
         Listener.tunnel: entry.tunnel,
     }
-    return CrowdSpec(
-        places[listener].port,
-        clients,
-        seconds,
-        _SOURCE,
-        form.opening,
-        form.repeated,
-        form.pause_s,
-        form.piece,
-        form.reads,
-    )
+    return CrowdSpec(places[listener].port, clients, seconds, _SOURCE, form)
 
 
 async def run_crowd(spec: CrowdSpec) -> None:
