Retry budget: a new run leaves no sends where earlier runs may have left some

Callers saw nothing; upstreams got more retries than the budget allows.

Cause: what a lost run leaves unread is covered by the undivided third of the allowance, once. Each new run knew of no silent upstream, so each gave up as many sends again before it found that all are silent. The class: what a run that ended left at a receiver.

Change: for ten seconds after its start, a run leaves a send only at an upstream from which it has heard. An upstream stops in one run of each instance, so one run alone adds to what waits there. Retries after a rejection prefer upstreams that were heard from, and go to no other once one of those not heard from is silent. What any byte of an upstream shows counts as heard.

--- a/packages/bench/src/tallyhall_bench/pause_run.py
+++ b/packages/bench/src/tallyhall_bench/pause_run.py
@@ -19,7 +19,7 @@
 import signal
 import sys
 import types
-from collections.abc import Awaitable, Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from typing import Any
 
 from .platform_fleet import (
@@ -51,6 +51,7 @@
 _SHORT_PAUSE_S = 4.0
 _BETWEEN_S = 2.5
 _DOWN_S = 0.3
+_KILL_S = 0.8
 _OBJECTIVE_S = 0.8
 _OK = 200
 
@@ -238,8 +239,37 @@
         await _kill(play, _INSTANCES)
 
 
+async def _pause_and_lose_in_series(
+    play: Play, paused: int = _UPSTREAMS, times: int = 3
+) -> None:
+    async with asyncio.TaskGroup() as group:
+        group.create_task(_pause(play, paused, _LONG_PAUSE_S))
+        for _ in range(times):
+            await asyncio.sleep(_LONG_PAUSE_S / (times + 1))
+            await _kill(play, _INSTANCES)
+
+
+async def _pause_in_turn_and_lose(play: Play) -> None:
+    """Pause a third at a time until all go on; lose all after each."""
+    step_s = _LONG_PAUSE_S / 3
+    left = list(play.upstreams)
+    play.rng.shuffle(left)
+    async with asyncio.TaskGroup() as group:
+        for turn in range(3):
+            chosen = [left.pop() for _ in range(_UPSTREAMS // 3)]
+            for_s = _LONG_PAUSE_S - turn * step_s
+            group.create_task(_pause_these(play, chosen, for_s))
+            await asyncio.sleep(step_s - _KILL_S)
+            await _kill(play, _INSTANCES)
+
+
 async def _pause(play: Play, count: int, for_s: float) -> None:
-    chosen = play.rng.sample(play.upstreams, count)
+    await _pause_these(play, play.rng.sample(play.upstreams, count), for_s)
+
+
+async def _pause_these(
+    play: Play, chosen: Sequence[UpstreamProcess], for_s: float
+) -> None:
     names = ' '.join(one.spec.incarnation for one in chosen)
     play.note(f'pause {for_s} s: {names}')
     await asyncio.gather(*(one.pause(for_s) for one in chosen))
@@ -261,6 +291,12 @@
         'all': _pause_all,
         'kills': _pause_and_kill,
         'loss': _pause_and_lose,
+        'losses': _pause_and_lose_in_series,
+        'two-losses': functools.partial(_pause_and_lose_in_series, times=2),
+        'staggered': _pause_in_turn_and_lose,
+        'some-read': functools.partial(
+            _pause_and_lose_in_series, paused=_UPSTREAMS - 2, times=2
+        ),
     },
 )
 TROUBLES = tuple(_TROUBLES)
--- a/packages/dispatch/src/tallyhall_dispatch/retries.py
+++ b/packages/dispatch/src/tallyhall_dispatch/retries.py
@@ -10,7 +10,7 @@
 bucket when it began. Instances that restart or join bring nothing, and a lost
 one takes its tokens with it, however often that happens. What upstreams that do
 not read hold of lost instances is covered by the part of the allowance that is
-not divided.
+not divided: a new run of an instance adds nothing to it (`unread_sends`).
 """
 
 from __future__ import annotations
--- a/packages/edge/src/tallyhall_edge/client.py
+++ b/packages/edge/src/tallyhall_edge/client.py
@@ -72,6 +72,8 @@
         self.tunnel = ''
         # Called whenever something was received.
         self.on_received: Callable[[ClientConnection], None] | None = None
+        # The same, for what counts the sends that are not read.
+        self.on_heard: Callable[[], None] | None = None
         # Whether anything was ever received on it.
         self.is_proven = False
         # Whether the other side ended it.
@@ -255,6 +257,8 @@
         """Parse received bytes; close if no response is expected."""
         if self.on_received is not None:
             self.on_received(self)
+        if self.on_heard is not None:
+            self.on_heard()
         self.is_proven = True
         parser = self._parser
         if self._sink is None or parser is None:
--- a/packages/edge/src/tallyhall_edge/connections.py
+++ b/packages/edge/src/tallyhall_edge/connections.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import collections
+import functools
 from collections.abc import Callable
 from typing import Protocol
 
@@ -18,7 +19,7 @@
 
 from .client import ClientConnection
 from .errors import ConnectionLostError
-from .unread_sends import IGNORED, SilenceListener, UnreadSends
+from .unread_sends import IGNORED, SendPath, SilenceListener, UnreadSends
 
 # Upstreams that state no timeout keep idle connections for several seconds.
 # Connections are used for only half of a stated timeout, so that the upstream
@@ -77,6 +78,8 @@
         conn = self._pop_idle(incarnation, max_idle_s)
         if conn is None:
             conn = await self.connector.connect(upstream)
+            path = SendPath(incarnation, conn.via)
+            conn.on_heard = functools.partial(self.unread.record_data, path)
         self._busy.setdefault(incarnation, set()).add(conn)
         return conn
 
--- a/packages/edge/src/tallyhall_edge/relay.py
+++ b/packages/edge/src/tallyhall_edge/relay.py
@@ -73,8 +73,6 @@
         self.is_established = False
         # Called with the parsed head before the answer is forwarded.
         self.on_answer_info: Callable[[ResponseInfo], None] | None = None
-        # Called whenever a part of the answer arrives.
-        self.on_received: Callable[[], None] | None = None
         self.head: ResponseHead | None = None
         self._loop = loop
         self._exchange = exchange
@@ -160,7 +158,6 @@
         self.on_answer_info = None
         self.on_first_event = None
         self.on_established = None
-        self.on_received = None
         self._conn = None
 
     def discard(self) -> None:
@@ -187,8 +184,6 @@
 
     def on_data(self, payload: bytes) -> None:
         """Forward or buffer a part of the body."""
-        if self.on_received is not None:
-            self.on_received()
         if self.done.done():
             return
         if self._splitter is not None:
--- a/packages/edge/src/tallyhall_edge/retry_policy.py
+++ b/packages/edge/src/tallyhall_edge/retry_policy.py
@@ -57,14 +57,13 @@
         """Return the upstreams to which a request is not sent next.
 
         Silent upstreams get no retries, and one request at a time, unless all
-        upstreams of the service are silent.
+        upstreams of the service are silent. A new run prefers to retry at
+        those from which it has heard.
         """
-        silent = self._unread.occupied
-        if context.sends:
-            silent = self._unread.silent
-        excluded = frozenset(context.excluded | silent)
-        if silent and self._has_other(context, excluded):
-            return excluded
+        for avoided in self._avoided(context):
+            excluded = frozenset(context.excluded | avoided)
+            if avoided and self._has_other(context, excluded):
+                return excluded
         return frozenset(context.excluded)
 
     def may_retry(
@@ -103,27 +102,67 @@
     def has_alternative(
         self, context: RequestContext, tried: Upstream | None = None
     ) -> bool:
-        """Return whether an upstream is left that is not silent.
+        """Return whether an upstream is left that may be sent a retry.
 
         tried: the upstream that is tried now, None after its answer.
         """
-        if not self._unread.silent:
+        if self._is_held_unheard(context):
+            return False
+        avoided = self._unread.silent | self._waited_for(context)
+        if not avoided:
             return True
-        excluded = context.excluded | self._unread.silent
+        excluded = context.excluded | avoided
         if tried is not None:
             excluded.add(tried.incarnation)
         return self._has_other(context, excluded)
 
     # -- internals
 
+    def _avoided(self, context: RequestContext) -> tuple[frozenset[str], ...]:
+        """Return which upstreams to avoid, at best and at least."""
+        if not context.sends:
+            return (self._unread.occupied,)
+        silent = self._unread.silent
+        unheard = self._unheard(context)
+        return (silent | unheard, silent | self._waited_for(context))
+
+    def _waited_for(self, context: RequestContext) -> frozenset[str]:
+        """Return the upstreams of which a new run waits for its first answer.
+
+        They may have stopped reading before it began; once one is silent, all
+        others may have.
+        """
+        unheard = self._unheard(context)
+        if unheard & self._unread.silent:
+            return unheard
+        return unheard & self._unread.holders
+
+    def _is_held_unheard(self, context: RequestContext) -> bool:
+        """Return whether an upstream holds a send that a new run may not leave.
+
+        Earlier runs of this instance may have left others there.
+        """
+        return bool(context.sent.holders & self._unheard(context))
+
+    def _unheard(self, context: RequestContext) -> frozenset[str]:
+        """Return the upstreams from which a new run has not heard."""
+        if not self._unread.is_new_run:
+            return frozenset()
+        group = self._scheduler.upstreams(context.admitted.service)
+        if group is None:
+            return frozenset()
+        return frozenset(group.views) - self._unread.heard
+
     def _has_other(
         self, context: RequestContext, excluded: Collection[str]
     ) -> bool:
-        service = context.admitted.service
-        return self._scheduler.has_other(service, excluded, context.version)
+        group = self._scheduler.upstreams(context.admitted.service)
+        return group is not None and group.has_other(excluded, context.version)
 
     def _reserve(self, context: RequestContext) -> bool:
         """Return whether the retry budget allows a retry; reserve it."""
+        if self._is_held_unheard(context):
+            return False
         if context.retry is None:
             now = self._loop.time()
             service = context.admitted.service
--- a/packages/edge/src/tallyhall_edge/scheduling.py
+++ b/packages/edge/src/tallyhall_edge/scheduling.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping
+from collections.abc import Mapping
 from typing import Protocol
 
 from tallyhall_core.refusals import Reason, Refusal, RefusedError
 from tallyhall_dispatch.desired import Upstream
+from tallyhall_dispatch.group import UpstreamGroup
 from tallyhall_dispatch.jobs import Job, RunReport, SlotGrant
 from tallyhall_dispatch.load_reports import LoadReport
 from tallyhall_dispatch.pool import GrantDecision
@@ -48,13 +49,8 @@
     def is_usable(self, upstream: Upstream) -> bool:
         """Return whether an upstream still takes new requests."""
 
-    def has_other(
-        self, service: str, excluded: Collection[str], version: str | None
-    ) -> bool:
-        """Return whether an upstream takes requests that is not excluded.
-
-        version: the only software version that counts, None for any.
-        """
+    def upstreams(self, service: str) -> UpstreamGroup | None:
+        """Return the upstreams of a service, None if it is unknown."""
 
     def record_first_byte(self, job: Job) -> None:
         """Record that the answer of a job has begun."""
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -277,7 +277,6 @@
             path, context.sent, context.retry
         )
         context.retry = None
-        relay.on_received = functools.partial(self._unread.record_data, path)
 
     def _record_unread(
         self, context: RequestContext, conn: ClientConnection
--- a/packages/edge/src/tallyhall_edge/stream_versions.py
+++ b/packages/edge/src/tallyhall_edge/stream_versions.py
@@ -80,7 +80,8 @@
         version = context.version
         if version is None:
             return
-        if not self._scheduler.has_other(context.admitted.service, (), version):
+        group = self._scheduler.upstreams(context.admitted.service)
+        if group is None or not group.has_other((), version):
             raise RefusedError(Refusal.of(Reason.stream_version_gone))
 
     def begun(
--- a/packages/edge/src/tallyhall_edge/unread_sends.py
+++ b/packages/edge/src/tallyhall_edge/unread_sends.py
@@ -5,6 +5,11 @@
 unread until its upstream answers it, or answers another one that was written
 later on the same path. An upstream from which nothing has arrived since a send
 became overdue counts as silent.
+
+An earlier run of this instance may have left sends at an upstream that stopped
+reading before this run began, and nothing tells how many. A new run therefore
+leaves sends only at upstreams from which it has heard: a stop of an upstream
+begins in one run of each instance, and only this run adds to what waits there.
 """
 
 from __future__ import annotations
@@ -20,6 +25,10 @@
 _MAX_TRANSIT_S = 1.0
 # Time in seconds after which the process of a removed upstream has ended.
 _REMOVED_S = 10.0
+# Time in seconds after its start for which a run leaves sends only at upstreams
+# from which it has heard. What runs leave that each last longer is spread over
+# several windows of a retry budget.
+_NEW_RUN_S = 10.0
 
 
 class SendPath(msgspec.Struct, frozen=True):
@@ -32,8 +41,11 @@
 class SilenceListener(Protocol):
     """Receives which upstreams stop and start reading."""
 
-    def on_silent(self, path: SendPath, unread: int) -> None:
-        """Handle that nothing arrives any more; `unread` sends wait there."""
+    def on_silent(self, path: SendPath, unread: int, *, is_heard: bool) -> None:
+        """Handle that nothing arrives any more; `unread` sends wait there.
+
+        is_heard: whether this run has heard from the upstream before.
+        """
 
     def on_heard(self, path: SendPath, silent_s: float, unread: int) -> None:
         """Handle that something arrives again, after so many seconds."""
@@ -42,7 +54,7 @@
 class _NoListener:
     """Follows nothing; a `SilenceListener`."""
 
-    def on_silent(self, path: SendPath, unread: int) -> None:
+    def on_silent(self, path: SendPath, unread: int, *, is_heard: bool) -> None:
         """Ignore it."""
 
     def on_heard(self, path: SendPath, silent_s: float, unread: int) -> None:
@@ -72,7 +84,16 @@
     @property
     def is_held(self) -> bool:
         """Return whether an upstream may hold a send unread for long."""
-        return any(send.is_acknowledged for send in self.unread)
+        return bool(self.holders)
+
+    @property
+    def holders(self) -> frozenset[str]:
+        """Return the upstreams that may hold a send unread for long."""
+        return frozenset(
+            send.path.incarnation
+            for send in self.unread
+            if send.is_acknowledged
+        )
 
     def add(self, send: UnreadSend, charge: RetryReservation | None) -> None:
         """Add a send that was written; `charge` is None for the first one."""
@@ -131,6 +152,7 @@
         # When the first overdue send of a silent path was written.
         self._silent_since: dict[SendPath, float] = {}
         self._loop = asyncio.get_running_loop()
+        self._started_at = self._loop.time()
 
     def __len__(self) -> int:
         """Return the number of unread sends."""
@@ -160,6 +182,21 @@
             if any(send.is_waiting for send in self._by_path.get(path, ()))
         )
 
+    @property
+    def holders(self) -> frozenset[str]:
+        """Return the upstreams that have unread sends."""
+        return frozenset(path.incarnation for path in self._by_path)
+
+    @property
+    def is_new_run(self) -> bool:
+        """Return whether an earlier run may have left sends lately."""
+        return self._loop.time() - self._started_at < _NEW_RUN_S
+
+    @property
+    def heard(self) -> frozenset[str]:
+        """Return the upstreams from which this run has heard."""
+        return frozenset(path.incarnation for path in self._heard_at)
+
     def add(
         self,
         path: SendPath,
@@ -213,7 +250,11 @@
         send.request.record_overdue()
         if path not in self._silent_since:
             self._silent_since[path] = send.written_at
-            self._listener.on_silent(path, len(self._by_path[path]))
+            self._listener.on_silent(
+                path,
+                len(self._by_path[path]),
+                is_heard=path.incarnation in self.heard,
+            )
 
     def record_end(
         self, send: UnreadSend, *, is_closed: bool, is_acknowledged: bool
--- a/packages/entry/src/tallyhall_entry/paths.py
+++ b/packages/entry/src/tallyhall_entry/paths.py
@@ -207,13 +207,14 @@
 
     # -- `SilenceListener`
 
-    def on_silent(self, path: SendPath, unread: int) -> None:
+    def on_silent(self, path: SendPath, unread: int, *, is_heard: bool) -> None:
         """Log that an upstream does not answer any request."""
         self._log.event(
             Event.upstream_silent,
             upstream=path.incarnation,
             via=path.via,
             unread=unread,
+            heard=is_heard,
         )
 
     def on_heard(self, path: SendPath, silent_s: float, unread: int) -> None:
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -15,12 +15,13 @@
 
 import asyncio
 import collections
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 import msgspec
 from tallyhall_core.events import Event
 from tallyhall_dispatch.desired import Upstream
+from tallyhall_dispatch.group import UpstreamGroup
 from tallyhall_dispatch.jobs import AttemptOutcome, Job, RunReport, SlotGrant
 from tallyhall_dispatch.pool import GrantDecision
 from tallyhall_dispatch.rejection import RejectDecision
@@ -139,14 +140,10 @@
             ticket.forecast_s,
         )
 
-    def has_other(
-        self, service: str, excluded: Collection[str], version: str | None
-    ) -> bool:
-        """Return whether an upstream takes requests that is not excluded."""
+    def upstreams(self, service: str) -> UpstreamGroup | None:
+        """Return the upstreams of a service, None if it is unknown."""
         pool = self._dispatcher.pools.get(service)
-        if pool is None:
-            return False
-        return pool.upstreams.has_other(excluded, version)
+        return None if pool is None else pool.upstreams
 
     def is_usable(self, upstream: Upstream) -> bool:
         """Return whether an upstream still accepts new requests."""
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -208,6 +208,19 @@
         assert all(answer.whole for answer in answers)
 
 
+async def _until_all_have_answered(
+    cluster: Deployment, engines: list[EngineStandIn]
+) -> None:
+    """Ask until the instance has heard from each of these upstreams."""
+    while not all(engine.ran for engine in engines):
+        await asyncio.gather(
+            *(cluster.caller().ask('/stream/x', 'm', **TOKENS) for _ in '12'),
+            *(cluster.caller().ask('/safe/x', 'p') for _ in '12'),
+        )
+    for engine in engines:
+        engine.seen.clear()
+
+
 @pytest.mark.parametrize(
     ('path', 'more', 'runs'),
     [
@@ -226,6 +239,7 @@
         engines = await _add_model_engines(cluster)
         engines += await _add_plain_engines(cluster)
         await cluster.until_retries_are_earned()
+        await _until_all_have_answered(cluster, engines)
         for engine in engines:
             engine.faults.append(EngineFault.hangs)
         caller = cluster.caller()
--- a/tests/platform/test_silent_upstreams.py
+++ b/tests/platform/test_silent_upstreams.py
@@ -1,9 +1,11 @@
 """What is sent to upstreams that have stopped answering."""
 
 import asyncio
+import itertools
+from collections.abc import Callable
 
 from tallyhall_bench.ports import free_ports
-from tallyhall_standins.platform_engine import EngineStandIn
+from tallyhall_standins.platform_engine import EngineFault, EngineStandIn
 
 from tests.platform.harness import (
     HOST,
@@ -17,6 +19,8 @@
 # The time after which an answer on the safe route is overdue, and more.
 _OVERDUE_S = 0.4
 _PAUSE_S = 3.0
+# For longer than this, no run counts as new.
+_NEW_RUN_S = 11.0
 
 
 class _PausingEngine(EngineStandIn):
@@ -40,7 +44,8 @@
         self.engines: list[_PausingEngine] = []
         self._asked = 0
 
-    async def open(self, count: int) -> None:
+    async def open(self, count: int, earned_s: float | None = None) -> None:
+        """Start upstreams; wait so long, None until retries are earned."""
         for number in range(count):
             engine = _PausingEngine(f'plain-{number}')
             port = free_ports(1)[0]
@@ -48,7 +53,15 @@
             self.made.register(engine.incarnation, f'{HOST}:{port}', PLAIN)
             self.engines.append(engine)
         await self.made.ready()
-        await self.made.until_retries_are_earned()
+        if earned_s is None:
+            await self.made.until_retries_are_earned()
+        else:
+            await asyncio.sleep(earned_s)
+
+    async def hear_from_all(self) -> None:
+        """Ask until every upstream has answered."""
+        while not all(one.seen for one in self.engines):
+            await asyncio.gather(*(self.ask() for _ in self.engines))
 
     def ask(self) -> asyncio.Task[Answer]:
         self._asked += 1
@@ -73,6 +86,11 @@
         return len(self.engines[number].seen)
 
 
+def _reject_every_other() -> Callable[[str, int], EngineFault]:
+    faults = itertools.cycle((EngineFault.rejects, EngineFault.none))
+    return lambda target, running: next(faults)
+
+
 async def test_silent_upstream_gets_one_request_at_a_time() -> None:
     async with deployment() as made:
         site = _Site(made)
@@ -103,6 +121,7 @@
     async with deployment() as made:
         site = _Site(made)
         await site.open(2)
+        await site.hear_from_all()
         for left in await site.pause(0, 1):
             left.cancel()
         await asyncio.sleep(0.1)
@@ -142,3 +161,57 @@
         await asyncio.gather(*asked)
         answers = await asyncio.gather(*(site.ask() for _ in range(30)))
         assert {answer.status for answer in answers} == {200}
+
+
+async def _asked_until_one_waits(site: _Site, number: int) -> set[str]:
+    """Return what a paused upstream was sent, once that is overdue."""
+    for _ in range(20):
+        for _ in site.engines:
+            site.ask()
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(_OVERDUE_S)
+    waiting = {seen.request_id for seen in site.engines[number].seen}
+    assert waiting
+    return waiting
+
+
+async def test_new_run_leaves_no_send_where_earlier_ones_may_have() -> None:
+    async with deployment() as made:
+        site = _Site(made)
+        await site.open(3, earned_s=0)
+        site.engines[0].goes_on.clear()
+        waiting = await _asked_until_one_waits(site, 0)
+        others = {
+            seen.request_id for one in site.engines[1:] for seen in one.seen
+        }
+        assert not waiting & others
+
+
+async def test_new_run_sends_no_retry_where_it_has_heard_nothing() -> None:
+    async with deployment() as made:
+        site = _Site(made)
+        await site.open(3, earned_s=0)
+        site.engines[0].goes_on.clear()
+        for engine in site.engines[1:]:
+            engine.draw = _reject_every_other()
+        waiting = await _asked_until_one_waits(site, 0)
+        rejected = {
+            seen.request_id
+            for one in site.engines[1:]
+            for seen in one.seen
+            if not seen.ran
+        }
+        assert rejected
+        assert not waiting & rejected
+
+
+async def test_upstream_is_left_sends_once_a_run_is_not_new() -> None:
+    async with deployment() as made:
+        site = _Site(made)
+        await site.open(3, earned_s=_NEW_RUN_S)
+        site.engines[0].goes_on.clear()
+        waiting = await _asked_until_one_waits(site, 0)
+        others = {
+            seen.request_id for one in site.engines[1:] for seen in one.seen
+        }
+        assert waiting & others
--- a/tests/platform/test_unread_sends.py
+++ b/tests/platform/test_unread_sends.py
@@ -24,7 +24,7 @@
         self.silent: list[str] = []
         self.heard: list[float] = []
 
-    def on_silent(self, path: SendPath, unread: int) -> None:
+    def on_silent(self, path: SendPath, unread: int, *, is_heard: bool) -> None:
         self.silent.append(path.incarnation)
 
     def on_heard(self, path: SendPath, silent_s: float, unread: int) -> None:
--- a/tests/processes/test_pauses.py
+++ b/tests/processes/test_pauses.py
@@ -17,6 +17,15 @@
     assert played.served > 1000, str(played)
 
 
+@pytest.mark.parametrize('trouble', ['losses', 'some-read'])
+async def test_retries_left_by_runs_lost_in_series_stay_within_the_budget(
+    trouble: str,
+) -> None:
+    played = await play_pauses(trouble, ROOT, 4)
+    assert not played.broken, str(played)
+    assert 2 * played.served > played.requests, str(played)
+
+
 async def test_requests_read_late_by_a_stopped_upstream_stay_in_its_limit() -> (
     None
 ):
