Planned stop: nothing is begun that would outlast it, nothing is left unanswered

Cause: what gives up a send, or begins one, did not ask whether what comes next can end before the process does.

Change: StopGuard decides what a stopping instance begins. A send, new or a retry, is refused (503, not executed) from when the longest recent run of its route would outlast the process; a send is given up for another only if that one could also take as long as has been waited.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 # Tests wait as well as compute.
 TEST_WORKERS ?= 4
 
-.PHONY: run run-platform proto days soak rollouts limits retries pauses limit-pauses isolation versions parts endless crowds test check fmt faults bench slopes overhead start-cost return-run
+.PHONY: run run-platform proto days soak rollouts limits retries pauses limit-pauses stops isolation versions parts endless crowds test check fmt faults bench slopes overhead start-cost return-run
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -69,6 +69,11 @@
 	$(BIN)/python -m tallyhall_bench.limit_pause_run --seed $(SEED) \
 		--seeds $(SEEDS)
 
+# Planned stops beside requests whose runs take long.
+stops: $(STAMP)
+	$(BIN)/python -m tallyhall_bench.stop_run --seed $(SEED) \
+		--seeds $(SEEDS)
+
 # Instances that lose their way to all upstreams, on real processes.
 isolation: $(STAMP)
 	$(BIN)/python -m tallyhall_bench.isolation_run --seed $(SEED) \
--- a/packages/bench/src/tallyhall_bench/platform_load.py
+++ b/packages/bench/src/tallyhall_bench/platform_load.py
@@ -29,6 +29,7 @@
 # What each request states as its deadline.
 DEADLINE_S = 8
 _CONNECT_S = 1.0
+_MILLI = 1000
 _WAIT_S = 20
 _TOKENS = ((b'X-Tallyhall-Token-Counts', b'400,30'),)
 
@@ -91,8 +92,17 @@
 class Caller:
     """A caller that keeps one connection to each instance."""
 
-    def __init__(self, rng: random.Random, wait_s: float = _WAIT_S) -> None:
-        """Draw from this generator; leave an answer after this long."""
+    def __init__(
+        self,
+        rng: random.Random,
+        wait_s: float = _WAIT_S,
+        deadline_s: float = DEADLINE_S,
+    ) -> None:
+        """Draw from this generator; leave an answer after this long.
+
+        deadline_s: what each request states as its deadline.
+        """
+        self._deadline_s = deadline_s
         self._rng = rng
         self._wait_s = wait_s
         self._conns: dict[Listening, ClientConnection] = {}
@@ -118,6 +128,8 @@
             async with asyncio.timeout(self._wait_s):
                 conn = await self._connected(place)
                 more = (*headers, *(_TOKENS if streams else ()))
+                deadline = b'%d' % round(self._deadline_s * _MILLI)
+                more = ((b'X-Tallyhall-Deadline-Ms', deadline), *more)
                 raw = _request(route, request_id, key, body, more)
                 conn.send(raw, sink, b'')
                 error = await sink.done
@@ -197,7 +209,6 @@
     headers = (
         (b'Host', SITE.encode()),
         (b'X-Tallyhall-Request-Id', request_id.encode()),
-        (b'X-Tallyhall-Deadline-Ms', b'%d' % (DEADLINE_S * 1000)),
         (b'Authorization', f'Bearer {key}'.encode()),
         (b'Content-Length', b'%d' % len(body)),
         *more,
--- a/packages/edge/src/tallyhall_edge/request_context.py
+++ b/packages/edge/src/tallyhall_edge/request_context.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import msgspec
 from tallyhall_dispatch.gate import Admitted
 from tallyhall_dispatch.jobs import SlotGrant
@@ -75,6 +77,10 @@
     outcome: str = ''
     # Whether its wait for a slot was ended to save memory.
     is_shed: bool = False
+    # Ends it at `end_at`; None once it has ended.
+    time_limit: asyncio.Timeout | None = None
+    # Whether it was ended as the process ends.
+    is_stopped: bool = False
     # The answer of the last send.
     relay: Relay | None = None
 
--- a/packages/edge/src/tallyhall_edge/retry_policy.py
+++ b/packages/edge/src/tallyhall_edge/retry_policy.py
@@ -17,6 +17,7 @@
 from .request_context import RequestContext
 from .request_log import RequestLog
 from .scheduling import Scheduler
+from .stopping import StopGuard
 from .unread_sends import UnreadSends
 
 # Maximum sends of one request, including those that upstreams rejected.
@@ -45,12 +46,14 @@
         scheduler: Scheduler,
         log: RequestLog,
         unread: UnreadSends,
+        stopping: StopGuard,
     ) -> None:
         """Charge retries to the budgets of this gate."""
         self._gate = gate
         self._scheduler = scheduler
         self._log = log
         self._unread = unread
+        self._stopping = stopping
         self._loop = asyncio.get_running_loop()
 
     def excluded(self, context: RequestContext) -> frozenset[str]:
@@ -84,12 +87,16 @@
             return False
         return self._reserve(context)
 
-    def may_abandon(self, context: RequestContext) -> bool:
+    def may_abandon(self, context: RequestContext, waited_s: float) -> bool:
         """Return whether an overdue send may be abandoned; reserve a retry.
 
-        If requests have to wait for slots, a missing answer is more likely
-        caused by load than by a fault.
+        waited_s: how long its answer has been waited for. If requests have to
+        wait for slots, a missing answer is more likely caused by load than by a
+        fault.
         """
+        now = self._loop.time()
+        if not self._stopping.may_resend(context, waited_s, now):
+            return False
         route = context.admitted.route
         if not route.repeatable:
             return False
--- a/packages/edge/src/tallyhall_edge/runner.py
+++ b/packages/edge/src/tallyhall_edge/runner.py
@@ -77,17 +77,27 @@
         self._guard = guard
         self._jobs = JobFactory(source)
         self._first_tries = FirstAttempts()
-        # Set once the instance is told to stop.
-        self._stop: StopSchedule | None = None
+        self._stopping = self._sender.stopping
+        # Admitted requests that have not ended, by identity.
+        self._running: dict[int, RequestContext] = {}
         # Requests that wait for an upstream.
         self._pending: dict[asyncio.Timeout, RequestContext] = {}
         self._loop = asyncio.get_running_loop()
 
     def begin_stop(self, stop: StopSchedule) -> None:
         """Refuse requests that could not finish, including waiting ones."""
-        self._stop = stop
+        self._stopping.begin(stop)
         for timeout, context in self._pending.items():
-            timeout.reschedule(self._acquire_deadline(context))
+            timeout.reschedule(self._stopping.send_deadline(context))
+
+    def end_unanswered(self) -> None:
+        """Answer the requests that have no answer, as the process ends now."""
+        for context in self._running.values():
+            limit = context.time_limit
+            if context.exchange.started or limit is None or limit.expired():
+                continue
+            context.is_stopped = True
+            limit.reschedule(self._loop.time())
 
     def shed_waiting(self) -> None:
         """Refuse waiting requests if the memory budget is used up."""
@@ -121,8 +131,10 @@
     # -- steps
 
     async def _process(self, context: RequestContext) -> None:
+        self._running[id(context)] = context
+        context.time_limit = asyncio.timeout_at(context.end_at)
         try:
-            async with asyncio.timeout_at(context.end_at):
+            async with context.time_limit:
                 await self._serve(context)
         except RefusedError as exc:
             self._end_refused(context, exc.refusal, exc)
@@ -212,11 +224,12 @@
 
     async def _serve(self, context: RequestContext) -> None:
         self.shedding.check_body(context)
-        self._check_stop(context)
         await self._versions.find(context)
         while True:
             self._versions.check(context)
             self.shedding.check(context)
+            # The body of a request may be complete long after its head.
+            self._stopping.check(context, self._loop.time())
             context.suspect = await self._guard.admit(context.fingerprint)
             job = self._jobs.create(
                 context,
@@ -243,21 +256,9 @@
                 self._fail(context, ending, relay)
                 return
 
-    def _check_stop(self, context: RequestContext) -> None:
-        """Refuse a request that could still be running when the instance ends.
-
-        The check uses the current time, as the body of a request may be
-        complete long after its head was received.
-        """
-        stop = self._stop
-        if stop is None or not stop.is_refusing(self._loop.time()):
-            return
-        if context.end_at > stop.ends_at:
-            raise stopping_error()
-
     async def _acquire(self, context: RequestContext, job: Job) -> SlotGrant:
         """Return an upstream; refuse a waiting request before a stop ends."""
-        timeout = asyncio.timeout_at(self._acquire_deadline(context))
+        timeout = asyncio.timeout_at(self._stopping.send_deadline(context))
         try:
             async with timeout:
                 self._pending[timeout] = context
@@ -267,15 +268,6 @@
         finally:
             self._pending.pop(timeout, None)
 
-    def _acquire_deadline(self, context: RequestContext) -> float | None:
-        """Return when a stop ends a request's wait, None if it does not."""
-        stop = self._stop
-        if stop is None or context.end_at <= stop.ends_at:
-            return None
-        if context.sends:
-            return stop.retry_deadline
-        return stop.first_send_deadline
-
     # -- outcomes
 
     def _complete(self, context: RequestContext, relay: Relay) -> None:
@@ -326,6 +318,10 @@
             context.outcome = 'timed_out'
             context.exchange.abort()
             return
+        if context.is_stopped:
+            error = stopping_error()
+            self._end_refused(context, error.refusal, error)
+            return
         reason = Reason.deadline_unreachable
         if context.may_have_run:
             reason = Reason.timed_out
@@ -378,6 +374,9 @@
 
     def _finalize(self, context: RequestContext) -> None:
         now = self._loop.time()
+        self._running.pop(id(context))
+        # It refers to the task, whose end refers to the request.
+        context.time_limit = None
         if context.relay is not None:
             context.relay.discard()
         if context.retry is not None:
--- a/packages/edge/src/tallyhall_edge/sending.py
+++ b/packages/edge/src/tallyhall_edge/sending.py
@@ -27,12 +27,14 @@
     NotSentError,
 )
 from .guard import Guard
+from .longest_runs import LongestRuns
 from .messages import encode_head
 from .relay import Relay
 from .request_context import RequestContext
 from .request_log import RequestLog
 from .retry_policy import SAFE_TO_RESEND, RetryPolicy
 from .scheduling import Scheduler
+from .stopping import StopGuard
 from .stream_versions import StreamVersions
 from .unread_sends import SendPath
 from .upstream_status import UpstreamStatusReader
@@ -71,7 +73,11 @@
         self._unread = conns.unread
         self._codec = codec
         self._log = log
-        self.retries = RetryPolicy(gate, scheduler, log, conns.unread)
+        self._runs = LongestRuns()
+        self.stopping = StopGuard(self._runs)
+        self.retries = RetryPolicy(
+            gate, scheduler, log, conns.unread, self.stopping
+        )
         self._status = UpstreamStatusReader(scheduler, conns, log)
         self.backoffs = self._status.backoffs
         self._loop = asyncio.get_running_loop()
@@ -123,6 +129,8 @@
         report: RunReport,
     ) -> None:
         context.pause_s = max(context.pause_s, report.pause_s)
+        if report.ending is AttemptOutcome.answered:
+            self._runs.record(context.admitted, report.total_s)
         self._log.send_ended(context, upstream, report)
         self._update_guard(context, upstream)
         relay.detach()
@@ -322,7 +330,8 @@
         while not self.retries.has_alternative(context, upstream):
             if await _begins(relay, timeout_s):
                 return await relay.done
-        if self.retries.may_abandon(context):
+        waited_s = self._loop.time() - asked_at
+        if self.retries.may_abandon(context, waited_s):
             return AttemptOutcome.unknown
         return await relay.done
 
--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -311,10 +311,7 @@
         self._runner.begin_stop(
             StopSchedule(left_at - _MAX_REQUEST_DELAY_S, ends_at)
         )
-        while self._loop.time() < ends_at:
-            if self._loop.time() >= left_at and not self._is_busy:
-                break
-            await asyncio.sleep(_STOP_POLL_S)
+        await self._finish_requests(left_at, ends_at)
         leaving.cancel()
         self._front.close()
         self._front.close_idle()
@@ -447,6 +444,18 @@
     def _is_busy(self) -> bool:
         return bool(self._front.busy_connections or self._paths.open_tunnels)
 
+    async def _finish_requests(self, left_at: float, ends_at: float) -> None:
+        """Wait until all requests are answered; answer the rest at the end.
+
+        left_at: until then, requests of new callers may come.
+        """
+        while self._loop.time() < ends_at:
+            if self._loop.time() >= left_at and not self._is_busy:
+                return
+            await asyncio.sleep(_STOP_POLL_S)
+        self._runner.end_unanswered()
+        await asyncio.sleep(_STOP_POLL_S)
+
     def _begin_leaving(self) -> None:
         self._stopping = True
         self._paths.begin_leaving()
