Upstream answers: the end of a connection is no proof of a whole answer

An invalid status below 200 was taken for an interim answer, so its caller waited for its time limit; 999 was passed on.

Cause: an end of stream without error counted as the end of the body, whatever of the request was unwritten or unacknowledged; a reset after it was not seen, as nothing is read after the end.

Change: an answer that ends with its connection is whole only if the upstream had received the whole request; after a request that is longer than what is read with a head, the connection is kept for 20 ms after the end of the stream and the answer is lost if a reset came. A status outside 100 to 599 is no answer (RFC 9110, 15): 502, or another upstream for what may be repeated.

--- a/packages/edge/src/tallyhall_edge/client.py
+++ b/packages/edge/src/tallyhall_edge/client.py
@@ -27,11 +27,14 @@
 from .messages import Headers, ResponseHead, find_header, is_framed
 from .sockets import (
     discard_on_close,
+    pending_error,
     set_keepalive,
     unacknowledged_bytes,
 )
 
+_MIN_STATUS = 100
 _MIN_FINAL_STATUS = 200
+_MAX_STATUS = 599
 # Maximum bytes of a response beside its body, with interim responses and
 # trailers.
 _MAX_FRAMING_BYTES = 65_536
@@ -41,6 +44,11 @@
 # one are written as the upstream reads them, since the transport copies what
 # it cannot send.
 _MAX_WRITTEN_BYTES = 65_536
+# An upstream may answer and close before it has read a longer request than
+# this, in bytes. Its machine then resets the connection, up to this time in
+# seconds after the end of the stream.
+_MAX_READ_AT_ONCE_BYTES = 4096
+_MAX_RESET_DELAY_S = 0.02
 
 
 class ResponseSink(Protocol):
@@ -94,6 +102,9 @@
             collections.deque()
         )
         self._may_write = True
+        self._request_bytes = 0
+        # Whether the upstream ended its side with the whole request received.
+        self._is_read = False
         self._sink: ResponseSink | None = None
         self._expected_id = b''
         self._tainted = False
@@ -163,6 +174,7 @@
         self._expected_id = expected_id
         self._framing.reset()
         self._skipped_bytes = 0
+        self._request_bytes = len(raw) + sum(map(len, body))
         self._unwritten.extend(_written_blocks(raw, body))
         self._write_blocks()
 
@@ -217,8 +229,9 @@
         """End the current response.
 
         A response without a stated length is complete when the peer closes
-        the connection; any other one is lost, and so is each one through
-        another instance, whose end closes the connection, too.
+        the connection after it has received the whole request; any other one is
+        lost, and so is each one through another instance, whose end closes the
+        connection, too.
         """
         if self._memory is not None:
             self._memory.release()
@@ -229,8 +242,7 @@
         self._unwritten.clear()
         self.reusable = False
         self.was_lost = not self._tainted
-        closes_body = self._in_body and not self._framed and exc is None
-        if closes_body and not self._skipping and not self.via:
+        if self._is_read and exc is None and self._ends_with_connection:
             self._end(None)
             return
         self._end(ConnectionLostError(f'closed by the peer: {exc!r}'))
@@ -250,8 +262,14 @@
         self._write_blocks()
 
     def eof_received(self) -> bool:
-        """Close this side too."""
-        return False
+        """Close this side too, if need be after a reset would have come."""
+        if not self._ends_with_connection:
+            return False
+        self._is_read = self.is_acknowledged
+        if not self._is_read or self._request_bytes <= _MAX_READ_AT_ONCE_BYTES:
+            return False
+        self._loop.call_later(_MAX_RESET_DELAY_S, self._close_unless_reset)
+        return True
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close if no response is expected."""
@@ -301,6 +319,9 @@
             self.fail(InvalidResponseError(f'over {MAX_HEADERS} headers'))
             return
         status = parser.get_status_code()
+        if not _MIN_STATUS <= status <= _MAX_STATUS:
+            self.fail(InvalidResponseError(f'status {status}'))
+            return
         self._interim = status < _MIN_FINAL_STATUS
         if self._interim:
             return
@@ -344,6 +365,22 @@
 
     # -- internals
 
+    @property
+    def _ends_with_connection(self) -> bool:
+        """Return whether the end of the connection ends the response."""
+        is_body = self._in_body and not self._skipping
+        return is_body and not self._framed and not self.via
+
+    def _close_unless_reset(self) -> None:
+        """End a response; it is lost if the connection was reset after it."""
+        transport = self._transport
+        if transport is None:
+            return
+        if pending_error(transport):
+            self.fail(ConnectionLostError('reset after the end of the stream'))
+            return
+        transport.close()
+
     def _fail_stalled(self) -> None:
         self.fail(
             UpstreamStalledError('the upstream does not read the request')
--- a/packages/edge/src/tallyhall_edge/sockets.py
+++ b/packages/edge/src/tallyhall_edge/sockets.py
@@ -62,6 +62,14 @@
     return _query(transport, termios.FIONREAD)
 
 
+def pending_error(transport: asyncio.Transport) -> int:
+    """Return the error number of a connection, as of a reset; 0 without."""
+    sock = _socket_of(transport)
+    if sock is None or sock.fileno() < 0:
+        return 0
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+
 def _query(transport: asyncio.Transport, request: int) -> int:
     sock = _socket_of(transport)
     if sock is None or sock.fileno() < 0:
