Soak: losses in series during pauses, planned stops beside long runs, early answers to uploads

What the three faults of this incident need and no soak had: all instances lost up to three times while upstreams stand still, instances stopped as planned while callers go on to ask them beside runs of up to 3.5 s, and upstreams that answer uploads before they have read them.

--- a/packages/bench/src/tallyhall_bench/platform_soak.py
+++ b/packages/bench/src/tallyhall_bench/platform_soak.py
@@ -24,6 +24,7 @@
 from .platform_run import STREAMED
 from .soak_checks import check_answers, check_processes, check_recovery
 from .soak_crowds import send_crowds
+from .soak_early import early_upstreams
 from .soak_endless import answer_endlessly
 from .soak_fatal import ask_fatal, frail_upstreams
 from .soak_faults import trouble
@@ -40,6 +41,7 @@
     Troubles,
     soak_state,
 )
+from .soak_stops import stops_beside_long_runs
 from .soak_versions import versioned_upstreams
 from .upstream_links import UpstreamLinks
 
@@ -54,6 +56,9 @@
     'endless',
     'pauses',
     'crowds',
+    'losses',
+    'stops',
+    'early',
 )
 _CALLERS = 12
 # Faults that go on at the same time.
@@ -78,7 +83,7 @@
             share_machines(site, seed)
             work.append(report_wrongly(site, seed))
         async with contextlib.AsyncExitStack() as stack:
-            for services in _own_services(site, seed):
+            for services in _own_services(site, seed, seconds):
                 await stack.enter_async_context(services)
             if troubles.fatal:
                 work.append(ask_fatal(site, seed))
@@ -89,7 +94,7 @@
 
 
 def _own_services(
-    site: Site, seed: int
+    site: Site, seed: int, seconds: float
 ) -> Iterator[contextlib.AbstractAsyncContextManager[None]]:
     """Yield the troubles that have a service of their own."""
     troubles = site.troubles
@@ -101,6 +106,10 @@
         yield pausing_upstreams(site, seed)
     if troubles.fatal:
         yield frail_upstreams(site)
+    if troubles.stops:
+        yield stops_beside_long_runs(site, seed, seconds)
+    if troubles.early:
+        yield early_upstreams(site, seed)
 
 
 async def _disturb(
@@ -236,6 +245,7 @@
             f'by parts {site.ended_by_parts} '
             f'streams {site.streams} taken up {site.taken_up} '
             f'retries {site.retries} late {site.late_retries} '
+            f'in stops {site.late} uploads {site.uploads} '
             f'violations {len(site.violations)}\n',
         )
         for violation in site.violations:
--- a/packages/bench/src/tallyhall_bench/soak_pauses.py
+++ b/packages/bench/src/tallyhall_bench/soak_pauses.py
@@ -13,7 +13,7 @@
 import signal
 from collections.abc import AsyncIterator
 
-from .platform_fleet import RETRY_LIMITS
+from .platform_fleet import RETRY_LIMITS, restart_together
 from .platform_load import Caller, under_load
 from .retry_checks import arrived_retries, fullest_window
 from .soak_site import PAUSING, Site, Violation
@@ -26,6 +26,9 @@
 _PER_S = 15.0
 _CALM_S = (0.2, 2.5)
 _PAUSED_S = (0.3, 5.0)
+# How often all instances are lost in one pause at most.
+_MOST_LOSSES = 3
+_DOWN_S = 0.2
 
 
 @contextlib.asynccontextmanager
@@ -40,7 +43,7 @@
         work_s=_WORK_S,
         rejected=_REJECTED,
     ) as upstreams:
-        pauses = _Pauses(site, upstreams, random.Random(seed))
+        pauses = _Pauses(site, upstreams, seed)
         async with pauses.running():
             yield
         pauses.check()
@@ -50,11 +53,13 @@
     """The upstreams of the service, and what was asked of them."""
 
     def __init__(
-        self, site: Site, upstreams: list[UpstreamProcess], rng: random.Random
+        self, site: Site, upstreams: list[UpstreamProcess], seed: int
     ) -> None:
         self._site = site
         self._upstreams = upstreams
-        self._rng = rng
+        self._rng = random.Random(seed)
+        # Draws of its own, so that the pauses of a seed stay the same.
+        self._losses_rng = random.Random(seed)
         self._requests: list[float] = []
         self._numbers = itertools.count(1)
         self._loop = asyncio.get_running_loop()
@@ -102,4 +107,16 @@
                 f'{self._loop.time():.2f} pause {count} {for_s:.2f}'
             )
             chosen = rng.sample(self._upstreams, count)
-            await asyncio.gather(*(one.pause(for_s) for one in chosen))
+            pauses = [one.pause(for_s) for one in chosen]
+            if self._site.troubles.losses:
+                pauses.append(self._lose_all(for_s))
+            await asyncio.gather(*pauses)
+
+    async def _lose_all(self, within_s: float) -> None:
+        """Kill all instances, again and again within this time at random."""
+        times = self._losses_rng.randrange(_MOST_LOSSES + 1)
+        for _ in range(times):
+            await asyncio.sleep(within_s / (times + 1))
+            self._site.faults.append(f'{self._loop.time():.2f} lose all')
+            entries = self._site.fleet.entries
+            await restart_together(entries, signal.SIGKILL, _DOWN_S)
--- a/packages/bench/src/tallyhall_bench/soak_site.py
+++ b/packages/bench/src/tallyhall_bench/soak_site.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import random
+import types
 
 from tallyhall_dispatch.options import Listening
 
@@ -27,7 +28,12 @@
 VERSIONED = 'versioned'
 # A plain one, with upstream processes that are stopped and continued.
 PAUSING = 'pausing'
+# A plain one whose runs take seconds, while instances are stopped as planned.
+LONG = 'long'
+# A plain one, with upstreams that answer uploads before they have read them.
+EARLY = 'early'
 _TIMEOUT_MS = 2000
+_LONG_LIMITS = types.MappingProxyType({'slo-ms': 4000, 'timeout-ms': 15_000})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,6 +57,9 @@
     endless: answers of upstreams go on without end at times. pauses: upstream
     processes of a service of their own are stopped and continued. crowds:
     clients that do not behave come to a listener of an instance at times.
+    losses: all instances are lost in series while upstreams are stopped; needs
+    `pauses`. stops: instances are stopped as planned beside runs of seconds.
+    early: upstreams answer uploads before they have read them.
     """
 
     all_links: bool = False
@@ -63,6 +72,9 @@
     endless: bool = False
     pauses: bool = False
     crowds: bool = False
+    losses: bool = False
+    stops: bool = False
+    early: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -107,6 +119,10 @@
     retries: int = 0
     # Retries that reached upstreams that are stopped at times.
     late_retries: int = 0
+    # Requests that came to an instance after it was told to stop.
+    late: int = 0
+    # Uploads to a service some of whose upstreams answer early.
+    uploads: int = 0
 
     def put_link_between(self, key: str, content: bytes) -> bytes:
         """Have an instance's entry name the link to it."""
@@ -125,8 +141,11 @@
     state['routes'].append(
         stream_route(VERSIONED, VERSIONED) | {'timeout-ms': _TIMEOUT_MS},
     )
-    state['routes'].append(plain_route(PAUSING, PAUSING))
-    state['services'].append(service(PAUSING))
+    state['routes'].append(plain_route(LONG, LONG) | _LONG_LIMITS)
+    for name in (PAUSING, EARLY):
+        state['routes'].append(plain_route(name, name))
+    for name in (PAUSING, EARLY, LONG):
+        state['services'].append(service(name))
     for name in (FRAIL, PARTS, VERSIONED):
         state['services'].append(service(name, engine={'stride': 3}))
     if with_old:
--- a/tests/processes/test_platform_soak.py
+++ b/tests/processes/test_platform_soak.py
@@ -60,6 +60,31 @@
     assert site.late_retries > 20
 
 
+def test_no_violations_while_all_are_lost_in_series_during_pauses() -> None:
+    site = closing_loop.run(
+        soak(2001, 14, Troubles(all_links=True, pauses=True, losses=True))
+    )
+    assert not site.violations, (site.violations, site.faults)
+    assert any('lose all' in fault for fault in site.faults)
+    assert site.late_retries > 5
+
+
+def test_planned_stops_beside_long_runs_cut_no_late_request() -> None:
+    site = closing_loop.run(
+        soak(2101, 14, Troubles(all_links=True, stops=True))
+    )
+    assert not site.violations, (site.violations, site.faults)
+    assert site.late > 20
+
+
+def test_no_part_of_an_early_answer_to_an_upload_is_whole() -> None:
+    site = closing_loop.run(
+        soak(2201, _SECONDS, Troubles(all_links=True, early=True))
+    )
+    assert not site.violations, (site.violations, site.faults)
+    assert site.uploads > 20
+
+
 def test_no_violations_beside_endless_answers() -> None:
     """In heads and bodies, beside restarts and other faults."""
     site = closing_loop.run(
