--- a/packages/bench/src/tallyhall_bench/platform_soak.py
+++ b/packages/bench/src/tallyhall_bench/platform_soak.py
@@ -103,7 +103,7 @@
     if troubles.parts:
         yield fatal_parts(site, seed)
     if troubles.pauses:
-        yield pausing_upstreams(site, seed)
+        yield pausing_upstreams(site, seed, seconds)
     if troubles.fatal:
         yield frail_upstreams(site)
     if troubles.stops:
--- a/packages/bench/src/tallyhall_bench/soak_pauses.py
+++ b/packages/bench/src/tallyhall_bench/soak_pauses.py
@@ -32,8 +32,13 @@
 
 
 @contextlib.asynccontextmanager
-async def pausing_upstreams(site: Site, seed: int) -> AsyncIterator[None]:
-    """Run upstream processes under load and pauses; check them at the end."""
+async def pausing_upstreams(
+    site: Site, seed: int, seconds: float
+) -> AsyncIterator[None]:
+    """Run upstream processes under load and pauses; check them at the end.
+
+    seconds: how long instances are lost, if they are.
+    """
     async with upstream_processes(
         site.fleet,
         PAUSING,
@@ -43,7 +48,7 @@
         work_s=_WORK_S,
         rejected=_REJECTED,
     ) as upstreams:
-        pauses = _Pauses(site, upstreams, seed)
+        pauses = _Pauses(site, upstreams, seed, seconds)
         async with pauses.running():
             yield
         pauses.check()
@@ -53,7 +58,11 @@
     """The upstreams of the service, and what was asked of them."""
 
     def __init__(
-        self, site: Site, upstreams: list[UpstreamProcess], seed: int
+        self,
+        site: Site,
+        upstreams: list[UpstreamProcess],
+        seed: int,
+        seconds: float,
     ) -> None:
         self._site = site
         self._upstreams = upstreams
@@ -63,6 +72,7 @@
         self._requests: list[float] = []
         self._numbers = itertools.count(1)
         self._loop = asyncio.get_running_loop()
+        self._losses_end_at = self._loop.time() + seconds
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
@@ -117,6 +127,8 @@
         times = self._losses_rng.randrange(_MOST_LOSSES + 1)
         for _ in range(times):
             await asyncio.sleep(within_s / (times + 1))
+            if self._loop.time() > self._losses_end_at:
+                return
             self._site.faults.append(f'{self._loop.time():.2f} lose all')
             entries = self._site.fleet.entries
             await restart_together(entries, signal.SIGKILL, _DOWN_S)
