--- a/packages/edge/src/tallyhall_edge/client.py
+++ b/packages/edge/src/tallyhall_edge/client.py
@@ -9,9 +9,7 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 from collections.abc import Callable, Sequence
-from typing import Protocol
 
 import httptools
 
@@ -25,11 +23,12 @@
 )
 from .framing import MAX_HEADERS, FramingCounter
 from .messages import Headers, ResponseHead, find_header, is_framed
+from .request_writer import RequestWriter
+from .response_sink import ResponseSink
 from .sockets import (
     discard_on_close,
     pending_error,
     set_keepalive,
-    unacknowledged_bytes,
 )
 
 _MIN_STATUS = 100
@@ -40,10 +39,6 @@
 _MAX_FRAMING_BYTES = 65_536
 # Maximum bytes of the bodies of responses to other requests.
 _MAX_SKIPPED_BYTES = 1_048_576
-# Requests up to this size in bytes are written at once. The blocks of a larger
-# one are written as the upstream reads them, since the transport copies what
-# it cannot send.
-_MAX_WRITTEN_BYTES = 65_536
 # An upstream may answer and close before it has read a longer request than
 # this, in bytes. Its machine then resets the connection, up to this time in
 # seconds after the end of the stream.
@@ -51,19 +46,6 @@
 _MAX_RESET_DELAY_S = 0.02
 
 
-class ResponseSink(Protocol):
-    """Receives one response as it arrives."""
-
-    def on_head(self, head: ResponseHead) -> None:
-        """Handle the head."""
-
-    def on_data(self, payload: bytes) -> None:
-        """Handle a part of the body."""
-
-    def on_end(self, exc: ConnectionFailedError | None) -> None:
-        """Handle the end: `exc` is None if the response is complete."""
-
-
 class ClientConnection(asyncio.Protocol):
     """One connection to an upstream."""
 
@@ -97,12 +79,7 @@
         self._parser: httptools.HttpResponseParser | None = (
             httptools.HttpResponseParser(self)
         )
-        # Blocks of the request that are not written yet.
-        self._unwritten: collections.deque[bytes | bytearray] = (
-            collections.deque()
-        )
-        self._may_write = True
-        self._request_bytes = 0
+        self._writer = RequestWriter()
         # Whether the upstream ended its side with the whole request received.
         self._is_read = False
         self._sink: ResponseSink | None = None
@@ -150,10 +127,7 @@
 
         True if this is not known.
         """
-        if self._unwritten:
-            return False
-        transport = self._transport
-        return transport is None or not unacknowledged_bytes(transport)
+        return self._writer.is_acknowledged
 
     def send(
         self,
@@ -174,9 +148,7 @@
         self._expected_id = expected_id
         self._framing.reset()
         self._skipped_bytes = 0
-        self._request_bytes = len(raw) + sum(map(len, body))
-        self._unwritten.extend(_written_blocks(raw, body))
-        self._write_blocks()
+        self._writer.write(raw, body)
 
     def pause(self, workspace: str | None = None) -> None:
         """Pause reading until `resume` is called.
@@ -202,7 +174,7 @@
         self._tainted = True
         if self._transport is not None and not self.is_acknowledged:
             discard_on_close(self._transport)
-        self._unwritten.clear()
+        self._writer.discard()
         if self._transport is not None:
             # A reset tells the upstream at once that nobody reads its response.
             self._transport.abort()
@@ -219,6 +191,7 @@
         """Store the transport and enable the detection of dead peers."""
         assert isinstance(transport, asyncio.Transport)  # noqa: S101
         self._transport = transport
+        self._writer.transport = transport
         if self._monitor is not None:
             self._memory = ConnectionMemory(
                 self._monitor, transport, self._fail_stalled
@@ -237,9 +210,10 @@
             self._memory.release()
             self._memory = None
         self._transport = None
+        self._writer.transport = None
         # It refers to this object.
         self._parser = None
-        self._unwritten.clear()
+        self._writer.discard()
         self.reusable = False
         self.was_lost = not self._tainted
         if self._is_read and exc is None and self._ends_with_connection:
@@ -249,24 +223,26 @@
 
     def pause_writing(self) -> None:
         """Stop writing; count the bytes that the upstream has not read."""
-        self._may_write = False
+        self._writer.pause()
         if self._memory is not None:
-            unwritten = sum(map(len, self._unwritten))
+            unwritten = self._writer.unwritten_bytes
             self._memory.begin_unread(self._loop.time(), unwritten)
 
     def resume_writing(self) -> None:
         """Go on writing, as the upstream has read what was written."""
-        self._may_write = True
         if self._memory is not None:
             self._memory.end_unread()
-        self._write_blocks()
+        self._writer.resume()
 
     def eof_received(self) -> bool:
         """Close this side too, if need be after a reset would have come."""
         if not self._ends_with_connection:
             return False
         self._is_read = self.is_acknowledged
-        if not self._is_read or self._request_bytes <= _MAX_READ_AT_ONCE_BYTES:
+        if (
+            not self._is_read
+            or self._writer.request_bytes <= _MAX_READ_AT_ONCE_BYTES
+        ):
             return False
         self._loop.call_later(_MAX_RESET_DELAY_S, self._close_unless_reset)
         return True
@@ -359,7 +335,9 @@
             parser is not None
             and parser.should_keep_alive()
             and not self._tainted
-            and self._has_written_all()
+            # An upstream may answer before it has read the whole request; no
+            # other one may be written behind the unsent rest.
+            and self._writer.has_sent_all
         )
         self._end(None)
 
@@ -392,19 +370,6 @@
         if exceeds or self._skipped_bytes > _MAX_SKIPPED_BYTES:
             self.fail(InvalidResponseError('too long beside its body'))
 
-    def _has_written_all(self) -> bool:
-        # An upstream may answer before it has read the whole request; no other
-        # request may be written behind the unsent rest.
-        transport = self._transport
-        if transport is None or transport.is_closing() or self._unwritten:
-            return False
-        return not transport.get_write_buffer_size()
-
-    def _write_blocks(self) -> None:
-        transport = self._transport
-        while self._unwritten and self._may_write and transport is not None:
-            transport.write(self._unwritten.popleft())
-
     def _end(self, exc: ConnectionFailedError | None) -> None:
         sink = self._sink
         self._sink = None
@@ -427,13 +392,3 @@
             name, _, text = part.strip().partition(b'=')
             if name.lower() == b'timeout' and text.isdigit():
                 self.keep_alive_s = int(text)
-
-
-def _written_blocks(
-    raw: bytes, body: Sequence[bytes | bytearray]
-) -> Sequence[bytes | bytearray]:
-    """Return the blocks in which a request is written."""
-    blocks = (raw, *body)
-    if sum(map(len, blocks)) > _MAX_WRITTEN_BYTES:
-        return blocks
-    return (b''.join(blocks),)
