--- a/packages/bench/src/tallyhall_bench/pause_run.py
+++ b/packages/bench/src/tallyhall_bench/pause_run.py
@@ -249,6 +249,11 @@
             await _kill(play, _INSTANCES)
 
 
+async def _lose_in_series(play: Play) -> None:
+    """Lose all instances again and again while nothing is paused."""
+    await _pause_and_lose_in_series(play, paused=0)
+
+
 async def _pause_in_turn_and_lose(play: Play) -> None:
     """Pause a third at a time until all go on; lose all after each."""
     step_s = _LONG_PAUSE_S / 3
@@ -293,6 +298,7 @@
         'loss': _pause_and_lose,
         'losses': _pause_and_lose_in_series,
         'two-losses': functools.partial(_pause_and_lose_in_series, times=2),
+        'unpaused': _lose_in_series,
         'staggered': _pause_in_turn_and_lose,
         'some-read': functools.partial(
             _pause_and_lose_in_series, paused=_UPSTREAMS - 2, times=2
