Client library: a plain answer without length or chunks is not complete

The same class as parts of answers that passed as whole: the end of the connection of such an answer cannot be told from a cut, and the client took what had come. Instances always state where an answer ends. The check is that of the gateway, which moves to where both use it.

test_client_takes_no_part_of_an_answer_without_length fails before.

--- a/packages/client/src/tallyhall_client/http.py
+++ b/packages/client/src/tallyhall_client/http.py
@@ -15,6 +15,9 @@
 from urllib3.connection import HTTPConnection
 
 
+_BODILESS_STATUSES = frozenset((204, 304))
+
+
 class IncompleteHeadError(HTTPException):
     """The connection ended inside the head of a response."""
 
@@ -69,3 +72,18 @@
         'http': _Pool,
     }
     return pool
+
+
+def is_delimited(resp: urllib3.BaseHTTPResponse, length: int) -> bool:
+    """Return whether a response states where its body of this length ends.
+
+    Without a length or chunks, an aborted connection looks like the end of the
+    body. If it was aborted within the headers, the length is empty or too
+    small.
+    """
+    if resp.status in _BODILESS_STATUSES:
+        return True
+    headers = resp.headers
+    if 'chunked' in headers.get('transfer-encoding', '').lower():
+        return True
+    return headers.get('content-length', '') == str(length)
--- a/packages/client/src/tallyhall_client/reading.py
+++ b/packages/client/src/tallyhall_client/reading.py
@@ -1,7 +1,8 @@
 """Reads responses and checks that they are complete.
 
 A streamed response is complete only if it has its end marker and if all its
-events are in sequence and carry the id of the request. Anything else raises
+events are in sequence and carry the id of the request; any other one only if it
+states its length or comes in chunks. Anything else raises
 `IncompleteResponseError`.
 """
 
@@ -16,6 +17,7 @@
 import urllib3
 
 from .errors import IncompleteResponseError
+from .http import is_delimited
 from .outcome import CallOutcome, RefusalBody, Verdict
 
 _READ_BYTES = 65_536
@@ -47,6 +49,8 @@
             self._read_stream(resp)
             return
         raw = resp.data
+        if not is_delimited(resp, len(raw)):
+            raise IncompleteResponseError('response has no length')
         refusal = _parse_refusal(raw)
         if refusal is not None:
             self._record_refusal(refusal)
--- a/packages/gateway/src/tallyhall_gateway/upstream.py
+++ b/packages/gateway/src/tallyhall_gateway/upstream.py
@@ -14,7 +14,7 @@
 from http.client import HTTPException
 
 import urllib3
-from tallyhall_client.http import CompleteHeadConnection
+from tallyhall_client.http import CompleteHeadConnection, is_delimited
 
 from .errors import NotSentError, StreamBrokenError
 
@@ -23,7 +23,6 @@
 # Short, since a running upstream accepts connections immediately and the
 # caller is waiting for its response.
 _PROBE_TIMEOUT_S = 0.2
-_BODILESS_STATUSES = frozenset((204, 304))
 MAX_PLAIN_BYTES = 16_000_000
 
 # urllib3 connections used without a pool also raise errors of the standard
@@ -151,18 +150,6 @@
     except RESPONSE_ERRORS as exc:
         raise StreamBrokenError(str(exc)) from exc
     whole = raw + rest
-    if not _is_delimited(resp, len(whole)):
+    if not is_delimited(resp, len(whole)):
         raise StreamBrokenError('response is incomplete or has no length')
     return whole
-
-
-def _is_delimited(resp: urllib3.BaseHTTPResponse, length: int) -> bool:
-    # Without a length or chunks, an aborted connection looks like the end of
-    # the body. If it was aborted within the headers, the length is empty or
-    # too small.
-    if resp.status in _BODILESS_STATUSES:
-        return True
-    headers = resp.headers
-    if 'chunked' in headers.get('transfer-encoding', '').lower():
-        return True
-    return headers.get('content-length', '') == str(length)
--- a/tests/unit/test_cut_heads.py
+++ b/tests/unit/test_cut_heads.py
@@ -74,18 +74,25 @@
                 ask(server.address)
 
 
+def _ask_client(address: str) -> Verdict:
+    entry = Entry(instance='one', http=address, prefix='p')
+    options = CallOptions('foundry', deadline_s=0.003)
+    with mock.patch.object(Locator, 'pick', return_value=entry):
+        return Client(('',)).call('tags', 'GET', '/x', b'', options).verdict
+
+
+def test_client_takes_no_part_of_an_answer_without_length() -> None:
+    with cut_server() as server:
+        server.answer = b'%b%b\r\npart of a body' % (_STATUS, _TYPE)
+        assert _ask_client(server.address) != Verdict.answered
+        server.answer = b'%bContent-Length: 4\r\n\r\nbody' % _STATUS
+        assert _ask_client(server.address) == Verdict.answered
+
+
 @pytest.mark.parametrize('head', _HEADS)
 def test_client_takes_no_answer_that_stops_in_its_head(head: bytes) -> None:
     with cut_server() as server:
-        entry = Entry(instance='one', http=server.address, prefix='p')
-        with mock.patch.object(Locator, 'pick', return_value=entry):
-            for length, _ in enumerate(head):
-                server.answer = head[:length]
-                outcome = Client(('',)).call(
-                    'tags',
-                    'GET',
-                    '/x',
-                    b'',
-                    CallOptions('foundry', deadline_s=0.003),
-                )
-                assert outcome.verdict != Verdict.answered, head[:length]
+        for length, _ in enumerate(head):
+            server.answer = head[:length]
+            verdict = _ask_client(server.address)
+            assert verdict != Verdict.answered, head[:length]
