--- a/packages/bench/src/tallyhall_bench/stop_run.py
+++ b/packages/bench/src/tallyhall_bench/stop_run.py
@@ -18,21 +18,20 @@
 import signal
 import sys
 import types
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from typing import Any
 
 from tallyhall_standins.platform_engine import EngineStandIn
 
 from .platform_fleet import EntryProcess, PlatformFleet, platform_fleet
 from .platform_load import Caller, Tried, under_load
-from .platform_run import usual_state
+from .platform_run import STREAMED, usual_state
 from .plays import add_options, play_chosen
+from .slow_upload import ask_slowly
 from .start_cost import ROOT, start_entry
 
 _INSTANCES = 2
 _UPSTREAMS = 4
-_SERVICE = 'app'
-_ROUTES = ('safe', 'once')
 _WORK_S = (0.02, 3.5)
 _OBJECTIVE_MS = 4000
 _TIMEOUT_MS = 15_000
@@ -40,6 +39,7 @@
 _SLOTS = 20
 _FEW_SLOTS = 2
 _BEFORE_S = 6.0
+_UPLOAD_S = 3.0
 _MILLI = 1000
 
 
@@ -63,7 +63,7 @@
 
     fleet: PlatformFleet
     rng: random.Random
-    keeps_connections: bool
+    form: Form
     stopped_at: float = float('inf')
     asked: int = 0
     # Callers with a connection that carries no request.
@@ -100,13 +100,13 @@
             for status, count in sorted(self.statuses.items())
         )
         return (
-            f'{self.form:6} {self.seed:4} {self.late:5} {len(self.cut):4} '
+            f'{self.form:7} {self.seed:4} {self.late:5} {len(self.cut):4} '
             f'{self.life_s:6.2f} {statuses}'
             f'{" BROKEN" if self.broken else ""} {" ".join(self.cut)}'
         )
 
 
-HEADING = 'form   seed  late  cut life[s] statuses'
+HEADING = 'form    seed  late  cut life[s] statuses'
 
 
 async def play_stop(
@@ -123,14 +123,14 @@
     chosen = _FORMS[form]
     async with platform_fleet(0, _state(), folder=kept) as fleet:
         rng = random.Random(seed)
+        play = Play(fleet, rng, chosen)
         for number in range(_UPSTREAMS):
-            engine = VaryingEngine(f'{_SERVICE}-{number}', rng)
-            await fleet.place_engine(engine, _SERVICE, chosen.slots)
+            engine = VaryingEngine(f'{chosen.service}-{number}', rng)
+            await fleet.place_engine(engine, chosen.service, chosen.slots)
         for _ in range(_INSTANCES):
             await start_entry(fleet.prepare_entry(), root)
         await fleet.until_ready()
-        play = Play(fleet, rng, chosen.keeps_connections)
-        life_s = await _run(play, chosen.ask)
+        life_s = await _run(play)
         sent = {seen.request_id for one in fleet.engines for seen in one.ran}
         cut = tuple(
             f'{tried.route}/{tried.request_id}'
@@ -141,13 +141,16 @@
         return Result(form, seed, len(play.late), cut, statuses, life_s)
 
 
-async def _run(play: Play, ask: Ask) -> float:
+async def _run(play: Play) -> float:
     """Stop a process under load; return how long it lived after the signal."""
     loop = asyncio.get_running_loop()
-    async with under_load(functools.partial(ask, play), play.rng, _PER_S):
+    ask = functools.partial(play.form.ask, play)
+    async with under_load(ask, play.rng, _PER_S):
         await asyncio.sleep(_BEFORE_S)
         play.stopped_at = loop.time()
-        play.stopping.send(signal.SIGTERM)
+        entries = play.fleet.entries
+        for entry in entries if play.form.stops_all else (play.stopping,):
+            entry.send(signal.SIGTERM)
         await play.stopping.wait()
         life_s = loop.time() - play.stopped_at
         await asyncio.sleep(0.2)
@@ -157,9 +160,8 @@
 def _state() -> Mapping[str, Any]:
     state = usual_state()
     for route in state['routes']:
-        if route['name'] in _ROUTES:
-            route['slo-ms'] = _OBJECTIVE_MS
-            route['timeout-ms'] = _TIMEOUT_MS
+        route['slo-ms'] = _OBJECTIVE_MS
+        route['timeout-ms'] = _TIMEOUT_MS
     return state
 
 
@@ -167,21 +169,37 @@
     """Ask the process that is stopped, and keep what came if it was late."""
     began_at = asyncio.get_running_loop().time()
     play.asked += 1
-    route = play.rng.choice(_ROUTES)
+    route = play.rng.choice(play.form.routes)
     caller = play.idle.pop() if play.idle else _new_caller(play)
     tried = await caller.ask(
         play.stopping.name,
         play.stopping.front,
         route,
         f'r{play.asked}',
-        streams=False,
+        streams=route in STREAMED,
     )
-    if play.keeps_connections:
+    if play.form.keeps_connections:
         play.idle.append(caller)
     if began_at > play.stopped_at:
         play.late.append(tried)
 
 
+async def _ask_slowly(play: Play) -> None:
+    """The same with a body that takes up to three seconds."""
+    began_at = asyncio.get_running_loop().time()
+    play.asked += 1
+    tried = await ask_slowly(
+        play.stopping.front,
+        play.rng.choice(play.form.routes),
+        f'r{play.asked}',
+        play.rng,
+        _UPLOAD_S,
+        _TIMEOUT_MS / _MILLI,
+    )
+    if began_at > play.stopped_at:
+        play.late.append(tried)
+
+
 def _new_caller(play: Play) -> Caller:
     return Caller(play.rng, deadline_s=_TIMEOUT_MS / _MILLI)
 
@@ -191,10 +209,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Form:
-    """A way of asking, and how many slots each upstream has."""
+    """A way of asking, what is asked, and how many slots upstreams have."""
 
     slots: int = _SLOTS
     keeps_connections: bool = False
+    stops_all: bool = False
+    service: str = 'app'
+    routes: Sequence[str] = ('safe', 'once')
     ask: Ask = _ask
 
 
@@ -203,6 +224,9 @@
         'new': Form(),
         'kept': Form(keeps_connections=True),
         'queued': Form(slots=_FEW_SLOTS),
+        'bodies': Form(ask=_ask_slowly),
+        'streams': Form(service='engines', routes=sorted(STREAMED)),
+        'all': Form(stops_all=True),
     },
 )
 FORMS = tuple(_FORMS)
