--- a/packages/bench/src/tallyhall_bench/limit_pause_run.py
+++ b/packages/bench/src/tallyhall_bench/limit_pause_run.py
@@ -15,11 +15,16 @@
 import functools
 import pathlib
 import random
+import signal
 import sys
 import types
 from collections.abc import Sequence
 
-from .platform_fleet import PlatformFleet, platform_fleet
+from .platform_fleet import (
+    PlatformFleet,
+    platform_fleet,
+    restart_together,
+)
 from .platform_load import Caller, under_load
 from .platform_run import STREAMED, usual_state
 from .plays import add_options, play_chosen
@@ -39,6 +44,7 @@
 _KNOWN_S = 3.0
 _PAUSE_S = 9.0
 _BETWEEN_S = 5.0
+_DOWN_S = 0.3
 _WORK_S = 0.04
 _OK = 200
 # A route to each service.
@@ -46,6 +52,8 @@
 SERVICES = tuple(_ROUTES)
 # How many of the upstreams are paused.
 PAUSED = (1, _UPSTREAMS)
+# How often all instances are lost in a pause.
+LOSSES = (0, 2)
 
 
 @dataclasses.dataclass(slots=True)
@@ -68,6 +76,7 @@
 
     service: str
     paused: int
+    losses: int
     seed: int
     most: int
     arrived: int
@@ -86,22 +95,23 @@
     def __str__(self) -> str:
         """Return a row of the table."""
         return (
-            f'{self.service:8} {self.paused:6} {self.seed:4} {self.most:5} '
-            f'{self.allowed:7.1f} {self.arrived:7} {self.served:6}'
+            f'{self.service:8} {self.paused:6} {self.losses:6} {self.seed:4} '
+            f'{self.most:5} {self.allowed:7.1f} {self.arrived:7} {self.served:6}'
             f'{" BROKEN" if self.broken else ""}'
         )
 
 
-HEADING = 'service  paused seed  most allowed arrived served'
+HEADING = 'service  paused losses seed  most allowed arrived served'
 
 
 async def play_limit_pauses(
-    service: str, paused: int, root: pathlib.Path, seed: int
+    service: str, paused: int, losses: int, root: pathlib.Path, seed: int
 ) -> Result:
     """Play one case and return what was seen.
 
-    paused: how many of the upstreams are stopped. root: the checkout whose
-    entry processes are played.
+    paused: how many of the upstreams are stopped. losses: how often all
+    instances are lost meanwhile. root: the checkout whose entry processes are
+    played.
     """
     async with (
         platform_fleet(0, usual_state()) as fleet,
@@ -118,20 +128,27 @@
         await asyncio.gather(*(start_entry(one, root) for one in prepared))
         await fleet.until_ready()
         play = Play(fleet, upstreams, random.Random(seed), _ROUTES[service])
-        await _run(play, paused)
-        return _result(play, service, paused, seed)
+        await _run(play, paused, losses)
+        return _result(play, service, paused, losses, seed)
 
 
-async def _run(play: Play, paused: int) -> None:
+async def _run(play: Play, paused: int, losses: int) -> None:
     call = functools.partial(_call, play)
     async with under_load(call, play.rng, _PER_S):
         await asyncio.sleep(_KNOWN_S + _BETWEEN_S)
         for _ in range(2):
             chosen = play.rng.sample(play.upstreams, paused)
-            await asyncio.gather(*(one.pause(_PAUSE_S) for one in chosen))
+            pauses = [one.pause(_PAUSE_S) for one in chosen]
+            await asyncio.gather(*pauses, _lose_all(play, losses))
             await asyncio.sleep(_BETWEEN_S)
 
 
+async def _lose_all(play: Play, times: int) -> None:
+    for _ in range(times):
+        await asyncio.sleep(_PAUSE_S / (times + 1))
+        await restart_together(play.fleet.entries, signal.SIGKILL, _DOWN_S)
+
+
 async def _call(play: Play) -> None:
     play.asked += 1
     entry = play.rng.choice(play.fleet.entries)
@@ -145,13 +162,16 @@
     play.statuses[tried.status] += 1
 
 
-def _result(play: Play, service: str, paused: int, seed: int) -> Result:
+def _result(
+    play: Play, service: str, paused: int, losses: int, seed: int
+) -> Result:
     arrivals = [
         sorted(arrival.at for arrival in one.seen) for one in play.upstreams
     ]
     return Result(
         service,
         paused,
+        losses,
         seed,
         max(map(_most_in_a_window, arrivals)),
         sum(map(len, arrivals)),
@@ -175,6 +195,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--service', action='append', choices=SERVICES)
     parser.add_argument('--paused', action='append', type=int, choices=PAUSED)
+    parser.add_argument('--losses', action='append', type=int, choices=LOSSES)
     parser.add_argument('--old', type=pathlib.Path, help='another checkout')
     add_options(parser, at_once=2)
     args = parser.parse_args()
@@ -184,6 +205,7 @@
         args,
         args.service or SERVICES,
         args.paused or PAUSED,
+        args.losses or LOSSES[:1],
         (args.old or ROOT,),
     )
 
--- a/tests/processes/test_pauses.py
+++ b/tests/processes/test_pauses.py
@@ -26,9 +26,17 @@
     assert 2 * played.served > played.requests, str(played)
 
 
+async def test_limits_hold_where_runs_are_lost_while_upstreams_are_stopped() -> (
+    None
+):
+    played = await play_limit_pauses('app', 4, 2, ROOT, 1)
+    assert not played.broken, str(played)
+    assert played.served > 200, str(played)
+
+
 async def test_requests_read_late_by_a_stopped_upstream_stay_in_its_limit() -> (
     None
 ):
-    played = await play_limit_pauses('app', 4, ROOT, 1)
+    played = await play_limit_pauses('app', 4, 0, ROOT, 1)
     assert not played.broken, str(played)
     assert played.served > 200, str(played)
