--- a/packages/bench/src/tallyhall_bench/limit_pause_run.py
+++ b/packages/bench/src/tallyhall_bench/limit_pause_run.py
@@ -96,7 +96,8 @@
         """Return a row of the table."""
         return (
             f'{self.service:8} {self.paused:6} {self.losses:6} {self.seed:4} '
-            f'{self.most:5} {self.allowed:7.1f} {self.arrived:7} {self.served:6}'
+            f'{self.most:5} {self.allowed:7.1f} {self.arrived:7} '
+            f'{self.served:6}'
             f'{" BROKEN" if self.broken else ""}'
         )
 
@@ -105,7 +106,11 @@
 
 
 async def play_limit_pauses(
-    service: str, paused: int, losses: int, root: pathlib.Path, seed: int
+    service: str,
+    paused: int,
+    losses: int,
+    root: pathlib.Path,
+    seed: int,
 ) -> Result:
     """Play one case and return what was seen.
 
--- a/tests/processes/test_pauses.py
+++ b/tests/processes/test_pauses.py
@@ -26,9 +26,7 @@
     assert 2 * played.served > played.requests, str(played)
 
 
-async def test_limits_hold_where_runs_are_lost_while_upstreams_are_stopped() -> (
-    None
-):
+async def test_limits_hold_where_runs_are_lost_in_a_pause() -> None:
     played = await play_limit_pauses('app', 4, 2, ROOT, 1)
     assert not played.broken, str(played)
     assert played.served > 200, str(played)
