--- a/packages/bench/src/tallyhall_bench/slow_upload.py
+++ b/packages/bench/src/tallyhall_bench/slow_upload.py
@@ -26,7 +26,7 @@
     """Send a request whose body takes up to `upload_s`; return what came."""
     loop = asyncio.get_running_loop()
     began_at = loop.time()
-    status, body, is_whole = 0, b'', False
+    status, head, body, is_whole = 0, b'', b'', False
     try:
         reader, writer = await asyncio.open_connection(place.host, place.port)
         writer.write(_head(route, request_id, deadline_s))
@@ -47,7 +47,7 @@
         str(place),
         status,
         body,
-        b'x-tallyhall-response-signature' in body,
+        b'x-tallyhall-response-signature' in head.lower(),
         is_whole,
         loop.time() - began_at,
     )
