--- a/packages/bench/src/tallyhall_bench/platform_load.py
+++ b/packages/bench/src/tallyhall_bench/platform_load.py
@@ -178,13 +178,23 @@
     rng: random.Random,
     per_s: float,
 ) -> AsyncIterator[None]:
-    """Begin calls at this rate; those under way at the end are cancelled."""
+    """Begin calls at this rate; those under way at the end are cancelled.
+
+    Raise what a call raised, as there was no load after it.
+    """
     load = asyncio.create_task(keep_calling(call, rng, per_s))
     try:
         yield
     finally:
-        load.cancel()
-        await asyncio.wait((load,))
+        await end_task(load)
+
+
+async def end_task(task: asyncio.Task[None]) -> None:
+    """Cancel a task and wait for its end; raise what had ended it before."""
+    task.cancel()
+    await asyncio.wait((task,))
+    if not task.cancelled():
+        task.result()
 
 
 async def keep_calling(
--- a/packages/bench/src/tallyhall_bench/platform_soak.py
+++ b/packages/bench/src/tallyhall_bench/platform_soak.py
@@ -20,7 +20,7 @@
 
 from .datagram_link import DatagramLink
 from .platform_fleet import open_link, platform_fleet
-from .platform_load import DEADLINE_S, KEY, Caller
+from .platform_load import DEADLINE_S, KEY, Caller, end_task
 from .platform_run import STREAMED
 from .soak_checks import check_answers, check_processes, check_recovery
 from .soak_crowds import send_crowds
@@ -41,7 +41,7 @@
     Troubles,
     soak_state,
 )
-from .soak_stops import stops_beside_long_runs
+from .soak_stops import stop_beside_long_runs
 from .soak_versions import versioned_upstreams
 from .upstream_links import UpstreamLinks
 
@@ -87,7 +87,7 @@
                 await stack.enter_async_context(services)
             if troubles.fatal:
                 work.append(ask_fatal(site, seed))
-            await _disturb(site, seconds, work)
+            await _disturb(site, seed, seconds, work)
         for link in site.datagram_links:
             link.close()
     return site
@@ -106,14 +106,13 @@
         yield pausing_upstreams(site, seed, seconds)
     if troubles.fatal:
         yield frail_upstreams(site)
-    if troubles.stops:
-        yield stops_beside_long_runs(site, seed, seconds)
     if troubles.early:
         yield early_upstreams(site, seed)
 
 
 async def _disturb(
     site: Site,
+    seed: int,
     seconds: float,
     work: Iterable[Coroutine[None, None, None]],
 ) -> None:
@@ -127,11 +126,12 @@
         courses.append(answer_endlessly(site, ends_at))
     if site.troubles.crowds:
         courses.append(send_crowds(site, ends_at))
+    if site.troubles.stops:
+        courses.append(stop_beside_long_runs(site, seed, ends_at))
     await asyncio.gather(*courses)
     await asyncio.sleep(_CALM_S)
     for task in tasks:
-        task.cancel()
-    await asyncio.wait(tasks)
+        await end_task(task)
     await _check(site)
 
 
--- a/packages/bench/src/tallyhall_bench/soak_pauses.py
+++ b/packages/bench/src/tallyhall_bench/soak_pauses.py
@@ -14,7 +14,7 @@
 from collections.abc import AsyncIterator
 
 from .platform_fleet import RETRY_LIMITS, restart_together
-from .platform_load import Caller, under_load
+from .platform_load import Caller, end_task, under_load
 from .retry_checks import arrived_retries, fullest_window
 from .soak_site import PAUSING, Site, Violation
 from .upstream_processes import UpstreamProcess, upstream_processes
@@ -77,15 +77,13 @@
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Ask, stop and continue; all go on at the end."""
-        pausing = asyncio.create_task(self._pause())
-        try:
-            async with under_load(self._ask, self._rng, _PER_S):
-                yield
-        finally:
-            pausing.cancel()
-            await asyncio.wait((pausing,))
-            for upstream in self._upstreams:
-                upstream.send(signal.SIGCONT)
+        load = under_load(self._ask, self._rng, _PER_S)
+        async with contextlib.AsyncExitStack() as stack:
+            stack.callback(self._continue_all)
+            pausing = asyncio.create_task(self._pause())
+            stack.push_async_callback(end_task, pausing)
+            await stack.enter_async_context(load)
+            yield
 
     def check(self) -> None:
         """Check that the retries that arrived stayed within the budget."""
@@ -96,6 +94,10 @@
             detail = f'{PAUSING}: {worst}'
             self._site.violations.append(Violation('retry budget', detail))
 
+    def _continue_all(self) -> None:
+        for upstream in self._upstreams:
+            upstream.send(signal.SIGCONT)
+
     async def _ask(self) -> None:
         self._requests.append(self._loop.time())
         number = self._rng.randrange(len(self._site.fronts))
