Versions: no stream that may resume begins at a version that a late view lacks

What callers saw, at operators of a system like ours: during a release one instance was out of step, cut off or standing still, while upstreams of a new version joined; streams that had begun there broke, were taken up at that instance and went on at another version (ORDER).

Cause: a view of up to 3.3 s proves that a service had one version, which is sound only while no stream begins at a version before it was known for 3.6 s. Three exceptions broke that: the target of an order, a new version while all others drain, and all versions that an instance sees at its start.

Change: a version is new for 3.6 s unless no other is registered, or unless it was registered first when the instance started. Plain requests and streams that may not resume reach it from the first on, as before.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 # Tests wait as well as compute.
 TEST_WORKERS ?= 4
 
-.PHONY: run run-platform proto days soak rollouts limits retries pauses limit-pauses stops isolation versions parts endless crowds test check fmt faults bench slopes overhead start-cost return-run
+.PHONY: run run-platform proto days soak rollouts limits retries pauses limit-pauses stops isolation versions releases parts endless crowds test check fmt faults bench slopes overhead start-cost return-run
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -84,6 +84,11 @@
 	$(BIN)/python -m tallyhall_bench.versions_run --seed $(SEED) \
 		--seeds $(SEEDS)
 
+# A version joins while one instance does not hear of it.
+releases: $(STAMP)
+	$(BIN)/python -m tallyhall_bench.release_run --seed $(SEED) \
+		--seeds $(SEEDS)
+
 # The users' bench plays each day of our own: BENCH and SITE are its program
 # and a site file.
 days:
--- a/packages/bench/src/tallyhall_bench/platform_fleet.py
+++ b/packages/bench/src/tallyhall_bench/platform_fleet.py
@@ -203,11 +203,15 @@
 
     async def drain_engine(self, name: str, drain_s: float) -> None:
         """Let an upstream leave: it drains for so many seconds, then ends."""
+        self.let_drain(name)
+        await asyncio.sleep(drain_s)
+        self.end_engine(name)
+
+    def let_drain(self, name: str) -> None:
+        """Have the entry of an upstream say that it drains."""
         named = self._named[name]
         named.fields['state'] = 'draining'
         self.store.put(f'servers/{name}', named.fields)
-        await asyncio.sleep(drain_s)
-        self.end_engine(name)
 
     def lose_engines(self) -> None:
         """End all upstreams at once; their entries stay for now."""
--- a/packages/dispatch/src/tallyhall_dispatch/versions.py
+++ b/packages/dispatch/src/tallyhall_dispatch/versions.py
@@ -124,7 +124,8 @@
         self._update_named(now)
         self._apply_completion(ready, now)
         used = self._used(versions, now)
-        new = self._new_versions(versions, used, now)
+        registered = frozenset(one.version for one in known)
+        new = self._new_versions(versions, registered, now)
         self._changes_at = self._next_change(versions, used, now)
         return tuple(self._mark(one, used, new) for one in known)
 
@@ -149,15 +150,16 @@
         """Record which versions came and went.
 
         Of those that an instance sees first, the one registered first serves;
-        it alone is certain not to wait for an order.
+        it alone is certain not to wait for an order, and not to be new.
         """
         is_first_look = not self._waits_until
-        known_since = -math.inf if is_first_look else now
+        oldest = self._oldest(ready) if is_first_look else None
         self._known_since = {
-            version: self._known_since.get(version, known_since)
+            version: self._known_since.get(
+                version, -math.inf if version == oldest else now
+            )
             for version in versions
         }
-        oldest = self._oldest(ready) if is_first_look else None
         for version in versions - self._waits_until.keys():
             waits = self._has_rollouts and version != oldest
             self._waits_until[version] = now + _ORDER_WAIT_S if waits else now
@@ -231,18 +233,19 @@
         return frozenset(targets)
 
     def _new_versions(
-        self, versions: frozenset[str], used: frozenset[str], now: float
+        self, versions: frozenset[str], registered: frozenset[str], now: float
     ) -> frozenset[str]:
-        """Return the new versions, unless there are no others to use.
+        """Return the new versions, unless no other one is registered.
 
-        The target of an order is judged from its first requests on.
+        registered: the versions of all upstreams, also of those that leave: an
+        instance whose view is late may resume a stream at these.
         """
         new = frozenset(
             version
-            for version in versions & used
+            for version in versions
             if now < self._known_since[version] + NEW_VERSION_S
         )
-        return new if used - new else frozenset()
+        return new if registered - new else frozenset()
 
     def _next_change(
         self, versions: frozenset[str], used: frozenset[str], now: float
--- a/tests/unit/test_rollouts.py
+++ b/tests/unit/test_rollouts.py
@@ -198,6 +198,45 @@
     assert not any(one.leaving or one.is_new for one in marked)
 
 
+def _new_of(
+    versions: ServiceVersions, upstreams: Iterable[Upstream], now: float
+) -> set[str]:
+    marked = versions.classify(upstreams, now)
+    return {one.version for one in marked if one.is_new}
+
+
+def test_target_of_an_order_begins_no_stream_that_a_late_view_misplaces() -> (
+    None
+):
+    versions = _known()
+    versions.order = _ORDER
+    assert _new_of(versions, _both(), 1) == {'v2'}
+    assert _new_of(versions, _both(), 4.5) == {'v2'}
+    assert not _new_of(versions, _both(), 4.7)
+
+
+def test_new_run_begins_no_stream_at_a_version_that_may_be_new() -> None:
+    versions = ServiceVersions(has_rollouts=False)
+    created = {'v1': 7, 'v2': 9}
+    upstreams = [
+        msgspec.structs.replace(one, created=created[one.version])
+        for one in _both()
+    ]
+    assert _new_of(versions, upstreams, 1) == {'v2'}
+    assert not _new_of(versions, upstreams, 4.7)
+
+
+def test_no_stream_begins_at_a_new_version_while_the_old_one_drains() -> None:
+    versions = ServiceVersions(has_rollouts=False)
+    versions.classify(_both()[:3], 0)
+    drained = [
+        msgspec.structs.replace(one, leaving=one.version == 'v1')
+        for one in _both()
+    ]
+    assert _new_of(versions, drained, 10) == {'v2'}
+    assert not _new_of(versions, drained, 13.7)
+
+
 # -- evidence
 
 
