Tests: a stream that goes on within its answer is tried once both versions serve

Before, the first streams came to a sound upstream by chance. It now waits until both versions serve.

--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import pytest
+from tallyhall_dispatch.versions import NEW_VERSION_S
 from tallyhall_standins.platform_engine import EngineFault, EngineStandIn
 
 from .harness import TOKENS, Answer, Deployment, deployment, desired, until
@@ -144,6 +145,7 @@
 async def test_stream_goes_on_at_its_version_within_one_answer() -> None:
     async with deployment(1) as cluster:
         engines = await _add_versions(cluster)
+        await asyncio.sleep(NEW_VERSION_S)
         for engine in engines:
             engine.faults.append(EngineFault.breaks_between)
         engines[0].faults.clear()
