Numbers: token counts, deadlines and durations are bounded where they are read or sent

Cause: the count was not bounded where it is read, and encoding it in 32 bits raised, in the request and then on each tick.

The tests fail before: the request was parsed, the job raised ValueError.

--- a/packages/platform/src/tallyhall_platform/headers.py
+++ b/packages/platform/src/tallyhall_platform/headers.py
@@ -79,6 +79,10 @@
 # the id of one, in characters.
 _MAX_PARTS = 16
 _MAX_PART_CHARS = 40
+# Largest token count of a request; instances exchange it in 32 bits.
+_MAX_TOKENS = 2_147_483_647
+# Deadlines further away are treated as this one, in milliseconds.
+_MAX_DEADLINE_MS = 86_400_000
 _SCHEME = 'bearer '
 _MILLI = 1000
 _HUNDREDTHS = 100
@@ -121,13 +125,14 @@
         tokens = _numbers(headers, _TOKENS)
         if tokens and len(tokens) != 2:
             raise InvalidHeaderError('two token counts are needed')
-        deadline = _numbers(headers, _DEADLINE)
+        if any(count > _MAX_TOKENS for count in tokens):
+            raise InvalidHeaderError(f'a token count is over {_MAX_TOKENS}')
         last_event = _numbers(headers, _LAST_EVENT)
         return RequestInfo(
             request_id=request_id,
             host=_host(headers),
             key=_key(headers),
-            deadline_s=deadline[0] / _MILLI if deadline else None,
+            deadline_s=_deadline_s(headers),
             prompt_tokens=tokens[0] if tokens else 0,
             output_tokens=tokens[1] if tokens else 0,
             last_event=last_event[0] if last_event else None,
@@ -215,6 +220,11 @@
     return ''
 
 
+def _deadline_s(headers: Headers) -> float | None:
+    deadline = _numbers(headers, _DEADLINE)
+    return min(deadline[0], _MAX_DEADLINE_MS) / _MILLI if deadline else None
+
+
 def _resumes(headers: Headers) -> str:
     """Return the id of the attempt that began a stream, empty without one."""
     if not count_headers(headers, _RESUMES):
--- a/packages/transport/src/tallyhall_transport/peer_codec.py
+++ b/packages/transport/src/tallyhall_transport/peer_codec.py
@@ -33,6 +33,8 @@
 _NO_FIRST_EVENT = -1
 # Longer waits are sent as one hour, in milliseconds.
 _MAX_WAIT_MS = 3_600_000
+# Longest duration that the messages hold, in milliseconds.
+_MAX_MS = 2_147_483_647
 
 
 def encode_job(ask: peers_pb2.Ask, job: Job, now: float) -> None:
@@ -43,11 +45,11 @@
     ask.urgency = job.urgency
     ask.prompt_tokens = job.prompt_tokens
     ask.output_tokens = job.output_tokens
-    ask.due_in_ms = int((job.due_at - now) * _MILLI)
-    ask.give_up_in_ms = int((job.reject_at - now) * _MILLI)
+    ask.due_in_ms = _millis(job.due_at - now)
+    ask.give_up_in_ms = _millis(job.reject_at - now)
     ask.excluded.extend(job.excluded)
     ask.spare = job.over_quota
-    ask.pause_ms = int(job.pause_s * _MILLI)
+    ask.pause_ms = _millis(job.pause_s)
     ask.suspect = job.suspect_digest
     ask.route = job.route
     ask.once = job.non_idempotent
@@ -88,9 +90,9 @@
 def encode_give_up(give_up: peers_pb2.GiveUp, given_up: RejectDecision) -> None:
     """Encode the decision that a job cannot be answered in time."""
     give_up.key = given_up.key
-    give_up.retry_after_ms = int(given_up.retry_after_s * _MILLI)
+    give_up.retry_after_ms = _millis(given_up.retry_after_s)
     forecast = given_up.forecast
-    give_up.wait_ms = min(_MAX_WAIT_MS, int(forecast.wait_s * _MILLI))
+    give_up.wait_ms = min(_MAX_WAIT_MS, _millis(forecast.wait_s))
     give_up.ahead = forecast.ahead
     give_up.rate = forecast.rate
     give_up.free = forecast.free
@@ -133,13 +135,13 @@
     done.service = service
     done.upstream = upstream
     done.ending = report.ending.value
-    done.total_ms = int(report.total_s * _MILLI)
+    done.total_ms = _millis(report.total_s)
     done.first_ms = _NO_FIRST_EVENT
     if report.first_s is not None:
-        done.first_ms = int(report.first_s * _MILLI)
+        done.first_ms = _millis(report.first_s)
     done.events = report.events
-    done.stream_ms = int(report.stream_s * _MILLI)
-    done.pause_ms = int(report.pause_s * _MILLI)
+    done.stream_ms = _millis(report.stream_s)
+    done.pause_ms = _millis(report.pause_s)
 
 
 def decode_done(done: peers_pb2.Done) -> RunReport:
@@ -166,7 +168,7 @@
     load.waiting = report.waiting
     load.slots = report.slots
     load.slowdown_percent = encode_slowdown(report.slowdown or 0)
-    load.age_ms = max(0, int(age_s * _MILLI))
+    load.age_ms = max(0, _millis(age_s))
 
 
 def decode_load(load: peers_pb2.Load) -> tuple[LoadReport, float] | None:
@@ -192,3 +194,8 @@
 def decode_slowdown(percent: int) -> float:
     """Return a slowdown from percent, 1 if it is unknown."""
     return percent / _PERCENT if percent else 1
+
+
+def _millis(duration_s: float) -> int:
+    """Return whole milliseconds, within what the messages hold."""
+    return int(max(-_MAX_MS, min(_MAX_MS, duration_s * _MILLI)))
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from tallyhall_edge.dialect import UpstreamRequestInfo
+from tallyhall_edge.dialect import InvalidHeaderError, UpstreamRequestInfo
 from tallyhall_edge.messages import Headers, RequestHead
 from tallyhall_platform.headers import PlatformHeaderCodec
 
@@ -32,6 +32,11 @@
     'X-Tallyhall-Length-Hint',
     'Accept',
 )
+# What each request has.
+_MINIMUM: Headers = (
+    (b'Host', b'shop.example'),
+    (b'X-Tallyhall-Request-Id', b'r1'),
+)
 _FORGED = b'as the caller sent it'
 _INFO = UpstreamRequestInfo(1.5, 'i-1', 'shop', None)
 
@@ -150,3 +155,18 @@
     )
     head = RequestHead(b'POST', b'/x/', headers)
     return PlatformHeaderCodec().parse_request(head).parts
+
+
+@pytest.mark.parametrize('counts', [b'4294967296,1', b'1,4294967296'])
+def test_token_counts_that_instances_cannot_exchange_are_refused(
+    counts: bytes,
+) -> None:
+    headers = ((b'X-Tallyhall-Token-Counts', counts), *_MINIMUM)
+    with pytest.raises(InvalidHeaderError, match='token count'):
+        PlatformHeaderCodec().parse_request(RequestHead(b'POST', b'/', headers))
+
+
+def test_distant_deadline_is_bounded() -> None:
+    headers = ((b'X-Tallyhall-Deadline-Ms', b'9' * 30), *_MINIMUM)
+    head = RequestHead(b'POST', b'/', headers)
+    assert PlatformHeaderCodec().parse_request(head).deadline_s == 86_400
--- a/tests/platform/test_suspect_jobs.py
+++ b/tests/platform/test_suspect_jobs.py
@@ -5,6 +5,7 @@
 
 import random
 
+import msgspec
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.jobs import AttemptOutcome, Job, RunReport
 from tallyhall_dispatch.pool import GrantDecision, ServicePool
@@ -97,3 +98,14 @@
     ask = peers_pb2.Ask()
     encode_job(ask, _job('first', 'x'), 0)
     assert decode_job(ask, 0).suspect_digest == 'x'
+
+
+def test_job_that_waits_for_months_can_be_sent_to_the_owner() -> None:
+    ask = peers_pb2.Ask()
+    months_s = 1e7
+    job = msgspec.structs.replace(
+        _job('first'), due_at=months_s, reject_at=float('inf')
+    )
+    encode_job(ask, job, 0)
+    assert decode_job(ask, 0).due_at == 2_147_483.647
+    assert decode_job(ask, 0).reject_at == 2_147_483.647
