--- a/packages/entry/src/tallyhall_entry/instance.py
+++ b/packages/entry/src/tallyhall_entry/instance.py
@@ -9,8 +9,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import msgspec
 from tallyhall_core.events import Event
@@ -53,6 +52,7 @@
 from .shared import SharedScheduler
 from .store_changes import StoreChangeExchange
 from .stored_use import StoredUseSource
+from .supervision import TaskSupervisor
 from .telemetry import RequestTelemetry
 from .use_refresh import UseRefresher
 
@@ -253,7 +253,7 @@
             self._update_peer_knowledge,
         )
         self._runner.refresh_quota_use = self._usage_exchange.refresh
-        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._tasks = TaskSupervisor(self.log.failure)
         self._stopping = False
 
     # -- lifecycle
@@ -280,12 +280,12 @@
                 )
             ),
         )
-        self._spawn('follower', self._follower.run())
-        self._spawn('registration', self._registration.run())
-        self._spawn('guard', self._guard.run())
-        self._spawn('chores', self._run_maintenance())
-        self._spawn('paths', self._paths.run())
-        self._spawn('tick', self._tick())
+        self._tasks.start('follower', self._follower.run)
+        self._tasks.start('registration', self._registration.run)
+        self._tasks.start('guard', self._guard.run)
+        self._tasks.start('chores', self._run_maintenance)
+        self._tasks.start('paths', self._paths.run)
+        self._tasks.start('tick', self._tick)
         self.log.event(
             Event.started,
             front=str(options.front),
@@ -350,8 +350,7 @@
 
     async def close(self) -> None:
         """Close everything at once, as if the process had been killed."""
-        for task in self._tasks.values():
-            task.cancel()
+        self._tasks.cancel_all()
         self._orders.close()
         for server in self._servers.values():
             server.close()
@@ -362,7 +361,7 @@
 
     def stop_following_store(self) -> None:
         """Stop following the store, so that peers are the only source."""
-        self._tasks['follower'].cancel()
+        self._tasks.cancel('follower')
 
     # -- inspection
 
@@ -464,19 +463,7 @@
         self._endpoints.leaving = True
         self.log.event(Event.stopping, busy=self._front.busy_connections)
         self._front.disable_keep_alive()
-        self._tasks['registration'].cancel()
-
-    def _spawn(self, name: str, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work, name=name)
-        task.add_done_callback(self._task_ended)
-        self._tasks[name] = task
-
-    def _task_ended(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled():
-            return
-        exc = task.exception()
-        if exc is not None:
-            self.log.failure(task.get_name(), exc)
+        self._tasks.cancel('registration')
 
     def _call_server(
         self, respond: RequestHandler, max_connections: int
@@ -494,22 +481,37 @@
         self.log.failure('request', exc)
 
     async def _tick(self) -> None:
+        steps = (
+            ('scheduler', self._scheduler.tick),
+            ('memory', self._poll_memory),
+            ('store changes', self._poll_store_changes),
+            ('quota use', self._poll_usage),
+            ('membership', self._cluster_state.look),
+            ('versions', self._dispatcher.check_versions),
+            ('stream origins', self._origins.poll),
+            ('fleet', self._update_fleet),
+            ('fleet log', self._log_fleet),
+            ('rollouts', self._orders.poll),
+        )
         while True:
             await asyncio.sleep(_TICK_S)
-            self._scheduler.tick()
-            self.memory.poll(self._loop.time())
-            hubs = self._scheduler.hubs
-            self._store_changes.poll(hubs)
-            for hub in self._usage_exchange.poll(hubs):
-                self._peer_streams.next_batch(hub, urgent=True)
-            self._cluster_state.look()
-            self._dispatcher.check_versions()
-            self._origins.poll()
-            self._update_fleet()
-            self._reports.log_fleet(
-                self._cluster_state.count, self._peer_streams.heard_count
-            )
-            self._orders.poll()
+            for name, step in steps:
+                self._tasks.attempt(name, step)
+
+    def _poll_memory(self) -> None:
+        self.memory.poll(self._loop.time())
+
+    def _poll_store_changes(self) -> None:
+        self._store_changes.poll(self._scheduler.hubs)
+
+    def _poll_usage(self) -> None:
+        for hub in self._usage_exchange.poll(self._scheduler.hubs):
+            self._peer_streams.next_batch(hub, urgent=True)
+
+    def _log_fleet(self) -> None:
+        self._reports.log_fleet(
+            self._cluster_state.count, self._peer_streams.heard_count
+        )
 
     def _owns(self, service: str) -> bool:
         return self.owner(service) == self.options.instance
--- a/packages/transport/src/tallyhall_transport/streams.py
+++ b/packages/transport/src/tallyhall_transport/streams.py
@@ -37,14 +37,6 @@
 _FETCH_TIMEOUT_S = 0.5
 # Time in which handlers that have ended can send their status to the peers.
 _SHUTDOWN_GRACE_S = 0.1
-# Writing to a stream that has ended since the last write raises
-# InvalidStateError in the library, whatever ended it.
-_STREAM_ERRORS = (
-    RpcError,
-    TransportError,
-    TimeoutError,
-    asyncio.InvalidStateError,
-)
 _CHANNEL_OPTIONS = (
     ('grpc.initial_reconnect_backoff_ms', 100),
     ('grpc.max_reconnect_backoff_ms', 500),
@@ -188,7 +180,8 @@
         while True:
             try:
                 await self._run_stream()
-            except _STREAM_ERRORS as exc:
+            except Exception as exc:  # noqa: BLE001
+                # Also one batch that cannot be encoded must not end the task.
                 self._owner.on_lost(self.peer, exc)
             self.pending = peers_pb2.Batch()
             await asyncio.sleep(_RECONNECT_PAUSE_S)
