Tunnels: an upstream that ends its side in order is told from a tunnel that ends

Cause: a tunnel through another instance passed on bytes alone, so that its own end looked like the upstream's, and each such answer counted as lost.

Change: what comes from the upstream through a tunnel is framed. A last frame says that the upstream ended its side in order, and how many bytes of the request its machine had received; the answer is whole if these were all. As on a direct connection, a reset within 50 ms after requests of over 4 KB makes it a part. Both sides must ask for frames, so that instances of an earlier version go on as before.

--- a/packages/edge/src/tallyhall_edge/client.py
+++ b/packages/edge/src/tallyhall_edge/client.py
@@ -26,6 +26,8 @@
 from .request_writer import RequestWriter
 from .response_sink import ResponseSink
 from .sockets import (
+    MAX_READ_AT_ONCE_BYTES,
+    MAX_RESET_DELAY_S,
     discard_on_close,
     pending_error,
     set_keepalive,
@@ -39,11 +41,6 @@
 _MAX_FRAMING_BYTES = 65_536
 # Maximum bytes of the bodies of responses to other requests.
 _MAX_SKIPPED_BYTES = 1_048_576
-# An upstream may answer and close before it has read a longer request than
-# this, in bytes. Its machine then resets the connection, up to this time in
-# seconds after the end of the stream.
-_MAX_READ_AT_ONCE_BYTES = 4096
-_MAX_RESET_DELAY_S = 0.05
 
 
 class ClientConnection(asyncio.Protocol):
@@ -185,6 +182,17 @@
         self._end(exc)
         self.close()
 
+    def end_through_peer(self, received: int) -> None:
+        """End a response as the peer in between tells of the upstream.
+
+        received: the bytes that the upstream's machine had received when it
+        ended its side in order. A response without a stated length is complete
+        if these were all.
+        """
+        is_whole = received == self._writer.total_bytes
+        if is_whole and self._is_unframed_body:
+            self._end(None)
+
     # -- transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -203,8 +211,8 @@
 
         A response without a stated length is complete when the peer closes
         the connection after it has received the whole request; any other one is
-        lost, and so is each one through another instance, whose end closes the
-        connection, too.
+        lost. Through another instance, whose own end closes the connection,
+        too, it was complete before (`end_through_peer`).
         """
         if self._memory is not None:
             self._memory.release()
@@ -244,10 +252,10 @@
         self._is_read = self.is_acknowledged and not is_reset
         if (
             not self._is_read
-            or self._writer.request_bytes <= _MAX_READ_AT_ONCE_BYTES
+            or self._writer.request_bytes <= MAX_READ_AT_ONCE_BYTES
         ):
             return False
-        self._loop.call_later(_MAX_RESET_DELAY_S, self._close_unless_reset)
+        self._loop.call_later(MAX_RESET_DELAY_S, self._close_unless_reset)
         return True
 
     def data_received(self, data: bytes) -> None:
@@ -346,11 +354,15 @@
 
     # -- internals
 
+    @property
+    def _is_unframed_body(self) -> bool:
+        """Return whether the body of a response states no length."""
+        return self._in_body and not self._skipping and not self._framed
+
     @property
     def _ends_with_connection(self) -> bool:
         """Return whether the end of the connection ends the response."""
-        is_body = self._in_body and not self._skipping
-        return is_body and not self._framed and not self.via
+        return self._is_unframed_body and not self.via
 
     def _close_unless_reset(self) -> None:
         """End a response; it is lost if the connection was reset after it."""
--- a/packages/edge/src/tallyhall_edge/request_writer.py
+++ b/packages/edge/src/tallyhall_edge/request_writer.py
@@ -22,6 +22,8 @@
         self.transport: asyncio.Transport | None = None
         # Size in bytes of the last request.
         self.request_bytes = 0
+        # Size in bytes of all requests.
+        self.total_bytes = 0
         # Blocks of the request that are not written yet.
         self._unwritten: collections.deque[bytes | bytearray] = (
             collections.deque()
@@ -58,6 +60,7 @@
         body: blocks that follow `raw`; they are dropped once they are written.
         """
         self.request_bytes = len(raw) + sum(map(len, body))
+        self.total_bytes += self.request_bytes
         if self.request_bytes > _MAX_WRITTEN_BYTES:
             self._unwritten.extend((raw, *body))
         else:
--- a/packages/edge/src/tallyhall_edge/sockets.py
+++ b/packages/edge/src/tallyhall_edge/sockets.py
@@ -21,6 +21,11 @@
     (socket.TCP_KEEPCNT, 3),
 )
 
+# An upstream may answer and close before it has read a longer request than
+# this, in bytes. Its machine then resets the connection, up to this time in
+# seconds after the end of the stream.
+MAX_READ_AT_ONCE_BYTES = 4096
+MAX_RESET_DELAY_S = 0.05
 # The value of SO_LINGER with which a socket is reset when it is closed.
 _NO_LINGER = struct.pack('ii', 1, 0)
 
--- a/packages/edge/src/tallyhall_edge/tunnel_client.py
+++ b/packages/edge/src/tallyhall_edge/tunnel_client.py
@@ -8,10 +8,12 @@
 
 from .client import ClientConnection
 from .errors import InvalidTunnelMessageError
+from .tunnel_frames import FrameDecoder
 from .tunnel_messages import (
     LineBuffer,
     TunnelOutcome,
     TunnelRefusedError,
+    TunnelReply,
     TunnelRequest,
     decode_reply,
     encode_line,
@@ -74,17 +76,50 @@
             line = self._line.feed(data)
             if line is None:
                 return
-            outcome = decode_reply(line).outcome
+            reply = decode_reply(line)
         except InvalidTunnelMessageError:
-            outcome = TunnelOutcome.lost
+            reply = TunnelReply(TunnelOutcome.lost)
         if self.replied.done() or self._transport is None:
             return
-        if outcome is TunnelOutcome.connected:
+        if reply.outcome is TunnelOutcome.connected:
             # At once, so that an end of the tunnel is not missed.
-            self._transport.set_protocol(self._conn)
-            self._conn.connection_made(self._transport)
-        self.replied.set_result(outcome)
+            self._hand_over(self._transport, is_framed=reply.framed)
+        self.replied.set_result(reply.outcome)
 
     def connection_lost(self, exc: Exception | None) -> None:
         if not self.replied.done():
             self.replied.set_result(TunnelOutcome.lost)
+
+    def _hand_over(
+        self, transport: asyncio.Transport, *, is_framed: bool
+    ) -> None:
+        conn = self._conn
+        transport.set_protocol(_FramedTunnel(conn) if is_framed else conn)
+        conn.connection_made(transport)
+
+
+class _FramedTunnel(asyncio.Protocol):
+    """Passes what comes in frames on to a connection."""
+
+    def __init__(self, conn: ClientConnection) -> None:
+        self._conn = conn
+        self._frames = FrameDecoder()
+
+    def data_received(self, data: bytes) -> None:
+        for payload in self._frames.feed(data):
+            self._conn.data_received(payload)
+        received = self._frames.received_at_end
+        if received is not None:
+            self._conn.end_through_peer(received)
+
+    def eof_received(self) -> bool:
+        return self._conn.eof_received()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._conn.connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        self._conn.pause_writing()
+
+    def resume_writing(self) -> None:
+        self._conn.resume_writing()
--- a/packages/edge/src/tallyhall_edge/tunnel_messages.py
+++ b/packages/edge/src/tallyhall_edge/tunnel_messages.py
@@ -2,7 +2,8 @@
 
 The instance that opens it sends one line of JSON, a `TunnelRequest`, and gets
 one line back, a `TunnelReply`. If that says that the upstream is connected, all
-further bytes in both directions are those of the connection to the upstream.
+further bytes in both directions are those of the connection to the upstream;
+those from the upstream come in frames (`tunnel_frames`) if both ask for them.
 """
 
 from __future__ import annotations
@@ -57,17 +58,20 @@
 
     upstream: incarnation of the upstream. instance: name of the instance that
     asks. tunnel: id of the tunnel, unique among those of this instance.
+    framed: whether it reads frames, which an earlier version does not.
     """
 
     upstream: str
     instance: str
     tunnel: str
+    framed: bool = False
 
 
 class TunnelReply(msgspec.Struct, frozen=True):
-    """The reply to a request for a tunnel."""
+    """The reply to a request for a tunnel; framed: whether frames follow."""
 
     outcome: TunnelOutcome
+    framed: bool = False
 
 
 class TunnelRefusedError(NotSentError):
--- a/packages/edge/src/tallyhall_edge/tunnel_server.py
+++ b/packages/edge/src/tallyhall_edge/tunnel_server.py
@@ -1,8 +1,8 @@
 """Takes tunnels of other instances to upstreams that they do not reach.
 
-A tunnel is a pair of connections whose bytes are passed on unchanged. The other
-instance keeps the request with its quota, retries and deadline; this one never
-passes a tunnel on to a third instance.
+A tunnel is a pair of connections whose bytes are passed on unchanged, those of
+the upstream in frames. The other instance keeps the request with its quota,
+retries and deadline; this one never passes a tunnel on to a third instance.
 """
 
 from __future__ import annotations
@@ -17,7 +17,14 @@
 from .connection_memory import ConnectionMemory, MemoryMonitor
 from .errors import InvalidTunnelMessageError
 from .listening import listen
-from .sockets import set_keepalive
+from .sockets import (
+    MAX_READ_AT_ONCE_BYTES,
+    MAX_RESET_DELAY_S,
+    pending_error,
+    set_keepalive,
+    unacknowledged_bytes,
+)
+from .tunnel_frames import encode_end, encode_frame
 from .tunnel_messages import (
     LineBuffer,
     TunnelOutcome,
@@ -254,6 +261,7 @@
     def __init__(self, side: _PeerSide, memory: MemoryMonitor | None) -> None:
         super().__init__(memory)
         self.other = side
+        self._peer_side = side
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -264,6 +272,38 @@
             return
         peer_side.other = self
 
+    def data_received(self, data: bytes) -> None:
+        self.received += len(data)
+        if self.other is not None:
+            self._peer_side.pass_on(data)
+
+    def eof_received(self) -> bool:
+        """Tell of an end in order, if need be once no reset can follow."""
+        if not self._has_received_all():
+            return False
+        if self._peer_side.received <= MAX_READ_AT_ONCE_BYTES:
+            self._tell_end()
+            return False
+        self._loop.call_later(MAX_RESET_DELAY_S, self._end_unless_reset)
+        return True
+
+    def _has_received_all(self) -> bool:
+        """Return whether the upstream got all that came for it so far."""
+        transport = self.transport
+        if transport is None or pending_error(transport):
+            return False
+        return not unacknowledged_bytes(transport)
+
+    def _end_unless_reset(self) -> None:
+        if self._has_received_all():
+            self._tell_end()
+        if self.transport is not None:
+            self.transport.close()
+
+    def _tell_end(self) -> None:
+        if self.other is not None:
+            self._peer_side.pass_on_end()
+
 
 class _PeerSide(_Side):
     """The connection of the other instance, which asks for the tunnel."""
@@ -323,6 +363,16 @@
             )
         )
 
+    def pass_on(self, payload: bytes) -> None:
+        """Write bytes of the upstream."""
+        is_framed = self._request is not None and self._request.framed
+        self.write(encode_frame(payload) if is_framed else payload)
+
+    def pass_on_end(self) -> None:
+        """Write that the upstream ended its side in order."""
+        if self._request is not None and self._request.framed:
+            self.write(encode_end(self.received))
+
     async def _open(self, request: TunnelRequest) -> None:
         outcome = TunnelOutcome.busy
         if self._is_accepted:
@@ -330,7 +380,7 @@
         if self.transport is None:
             return
         self._server.listener.on_tunnel_replied(request, outcome)
-        self.write(encode_line(TunnelReply(outcome)))
+        self.write(encode_line(TunnelReply(outcome, request.framed)))
         if outcome is TunnelOutcome.connected:
             self._opened_at = self._loop.time()
             self._pass_on_end()
--- a/packages/edge/src/tallyhall_edge/upstream_paths.py
+++ b/packages/edge/src/tallyhall_edge/upstream_paths.py
@@ -271,7 +271,7 @@
         conn.via = peer.name
         conn.tunnel = f'{self._instance}/{next(self._tunnel_numbers)}'
         request = TunnelRequest(
-            upstream.incarnation, self._instance, conn.tunnel
+            upstream.incarnation, self._instance, conn.tunnel, framed=True
         )
         try:
             await open_tunnel(peer, request, conn, _TUNNEL_TIMEOUT_S)
