Grants: what was lost with a stream between instances is told again when it opens

Cause: a grant that is lost with the owner's stream stays counted at the owner. The asker's withdrawal removes only what waits, and nobody ever says that it ended. Beside it, found while reading: an owner drops all jobs of an asker whose stream opens anew, and the asker repeated those that run, but not those that wait.

Change: an owner that opens a stream names the jobs that it counts for the receiver; this one releases those that do not run there, and asks again for those that still wait. An asker that opens a stream repeats what waits at that owner. Both are computed when a stream opens, so any number of losses in either direction is made good.

--- a/packages/dispatch/src/tallyhall_dispatch/pool.py
+++ b/packages/dispatch/src/tallyhall_dispatch/pool.py
@@ -213,6 +213,14 @@
             self._granted[job.key] = view
             self.class_priority.record_start(job.urgency)
 
+    def granted_jobs(self, prefix: str) -> dict[str, str]:
+        """Return the upstream of each granted job whose key has this prefix."""
+        return {
+            key: view.incarnation
+            for key, view in self._granted.items()
+            if key.startswith(prefix)
+        }
+
     def remove_jobs(self, prefix: str) -> None:
         """Remove all jobs whose key has this prefix."""
         self._waiting.remove_prefix(prefix)
--- a/packages/entry/src/tallyhall_entry/job_messages.py
+++ b/packages/entry/src/tallyhall_entry/job_messages.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 
 from tallyhall_dispatch.desired import Upstream
 from tallyhall_dispatch.jobs import Job, RunReport
-from tallyhall_dispatch.pool import GrantDecision
+from tallyhall_dispatch.pool import GrantDecision, ServicePool
 from tallyhall_dispatch.rejection import RejectDecision
 from tallyhall_transport.peer_codec import (
     encode_done,
@@ -111,6 +112,15 @@
         encode_job(running.job, job, self._loop.time())
         return True
 
+    def held(self, peer: str, pools: Iterable[ServicePool]) -> None:
+        """Tell a peer which of its jobs these pools count as running."""
+        batch = self._peer_streams.next_batch(peer, urgent=False)
+        if batch is None:
+            return
+        for pool in pools:
+            for key, incarnation in pool.granted_jobs(f'{peer}/').items():
+                batch.held.add(key=key, upstream=incarnation)
+
     def begun(self, peer: str, key: str) -> None:
         """Tell a peer that the response to a job has begun."""
         batch = self._peer_streams.next_batch(peer, urgent=False)
--- a/packages/entry/src/tallyhall_entry/shared.py
+++ b/packages/entry/src/tallyhall_entry/shared.py
@@ -184,9 +184,11 @@
     # -- peer callbacks
 
     def on_opened(self, peer: Peer) -> None:
-        """Reset what a peer was told when a new stream to it opens."""
+        """Tell a peer again what the last stream to it may have lost."""
         for ticket in self._tickets.values():
             ticket.informed.discard(peer.name)
+            self._ask_again(ticket, peer.name)
+        self._messages.held(peer.name, self._dispatcher.pools.values())
         self.upstream_listener.on_opened(peer)
 
     def on_batch(self, peer: Peer, batch: peers_pb2.Batch) -> None:
@@ -254,7 +256,12 @@
         """Update the live peers, and move jobs to the current owners."""
         self._drop_lost()
         self.poll()
-        self._update_limit_shares()
+        self._dispatcher.apply_limit_shares(
+            {
+                service: self._owners.limit_share(service)
+                for service in self._dispatcher.limited_services
+            },
+        )
         for ticket in tuple(self._tickets.values()):
             self._reassign(ticket)
 
@@ -286,14 +293,6 @@
 
     # -- implementation
 
-    def _update_limit_shares(self) -> None:
-        self._dispatcher.apply_limit_shares(
-            {
-                service: self._owners.limit_share(service)
-                for service in self._dispatcher.limited_services
-            },
-        )
-
     def _drop_lost(self) -> None:
         """Drop the jobs of peers that are no longer heard from."""
         now = self._loop.time()
@@ -324,6 +323,32 @@
             ticket = self._tickets.get(give_up.key)
             if ticket is not None and ticket.owner == peer:
                 self.on_rejected(decode_give_up(give_up))
+        # After the grants, as one of them may be among these.
+        for held in batch.held:
+            self._compare_held(peer, held.key, held.upstream)
+
+    def _compare_held(self, peer: str, key: str, incarnation: str) -> None:
+        """Release a slot that a peer counts for a job which does not run there.
+
+        Its grant was lost with a stream. A job that still waits asks again.
+        """
+        ticket = self._tickets.get(key)
+        if ticket is not None and ticket.upstream is not None:
+            if ticket.upstream.incarnation == incarnation:
+                ticket.informed.add(peer)
+                return
+            ticket.informed.discard(peer)
+        self._refuse_grant(peer, key, incarnation)
+        if ticket is not None:
+            self._ask_again(ticket, peer)
+
+    def _ask_again(self, ticket: _Ticket, owner: str) -> None:
+        """Repeat the ask of a job that waits for this owner."""
+        if ticket.owner != owner or ticket.fut.done():
+            return
+        _stop_timer(ticket)
+        self._send_withdrawal(ticket)
+        self._ask(ticket, owner)
 
     def _handle_grant(self, peer: str, grant: peers_pb2.Grant) -> None:
         key = grant.key
@@ -334,7 +359,9 @@
         if ticket is None or not waits or ticket.fut.done():
             self._refuse_grant(peer, key, incarnation)
             return
-        if upstream is None or not self._accepts(ticket.job, upstream):
+        if upstream is None or not (
+            _has_version(ticket.job, upstream) and self.is_usable(upstream)
+        ):
             self._refuse_grant(peer, key, incarnation)
             self._decide_locally(ticket)
             return
@@ -346,12 +373,6 @@
         # The owner decided with its own reports; replaces the local value.
         ticket.slowdown = decode_slowdown(grant.slowdown_percent)
 
-    def _accepts(self, job: Job, upstream: Upstream) -> bool:
-        """Return whether a job may be sent to an upstream, as known here."""
-        if job.version not in {None, upstream.version}:
-            return False
-        return self.is_usable(upstream)
-
     def _refuse_grant(self, peer: str, key: str, incarnation: str) -> None:
         service = self._dispatcher.service_of(incarnation)
         report = RunReport(AttemptOutcome.left, 0)
@@ -472,6 +493,11 @@
             self._messages.withdrawn(ticket.owner, ticket.job.key)
 
 
+def _has_version(job: Job, upstream: Upstream) -> bool:
+    """Return whether an upstream has the version that a job may need."""
+    return job.version in {None, upstream.version}
+
+
 def _stop_timer(ticket: _Ticket) -> None:
     if ticket.timer is not None:
         ticket.timer.cancel()
