--- a/packages/bench/src/tallyhall_bench/platform_soak.py
+++ b/packages/bench/src/tallyhall_bench/platform_soak.py
@@ -31,6 +31,7 @@
 from .soak_parts import fatal_parts
 from .soak_pauses import pausing_upstreams
 from .soak_loads import check_sharing, report_wrongly, share_machines
+from .soak_resets import reset_peers
 from .soak_retries import check_retries, reject_and_lose
 from .soak_site import (
     EVENTS,
@@ -59,6 +60,7 @@
     'losses',
     'stops',
     'early',
+    'resets',
 )
 _CALLERS = 12
 # Faults that go on at the same time.
@@ -128,6 +130,8 @@
         courses.append(send_crowds(site, ends_at))
     if site.troubles.stops:
         courses.append(stop_beside_long_runs(site, seed, ends_at))
+    if site.troubles.resets:
+        courses.append(reset_peers(site, seed, ends_at))
     await asyncio.gather(*courses)
     await asyncio.sleep(_CALM_S)
     for task in tasks:
@@ -246,6 +250,7 @@
             f'streams {site.streams} taken up {site.taken_up} '
             f'retries {site.retries} late {site.late_retries} '
             f'in stops {site.late} uploads {site.uploads} '
+            f'resets {site.resets} '
             f'violations {len(site.violations)}\n',
         )
         for violation in site.violations:
--- a/packages/bench/src/tallyhall_bench/soak_parts.py
+++ b/packages/bench/src/tallyhall_bench/soak_parts.py
@@ -15,7 +15,7 @@
 from tallyhall_standins.fatal_requests import prompt_parts
 
 from .mortal import Mortality, MortalUpstreams
-from .platform_load import Caller, Tried, keep_calling
+from .platform_load import Caller, Tried, end_task, keep_calling
 from .soak_fatal import HIDING
 from .soak_site import EVENTS, INSTANCES, PARTS, Site, Violation
 
@@ -147,8 +147,7 @@
     try:
         yield
         for task in tasks:
-            task.cancel()
-        await asyncio.wait(tasks)
+            await end_task(task)
         await asyncio.sleep(_SETTLED_S)
         site.ended_by_parts = upstreams.ended
         _check_late(site, callers.late(upstreams))
--- a/packages/bench/src/tallyhall_bench/soak_site.py
+++ b/packages/bench/src/tallyhall_bench/soak_site.py
@@ -59,7 +59,9 @@
     clients that do not behave come to a listener of an instance at times.
     losses: all instances are lost in series while upstreams are stopped; needs
     `pauses`. stops: instances are stopped as planned beside runs of seconds.
-    early: upstreams answer uploads before they have read them.
+    early: upstreams answer uploads before they have read them. resets: the
+    connections to an instance from others are reset in numbers; needs
+    `all_links`.
     """
 
     all_links: bool = False
@@ -75,6 +77,7 @@
     losses: bool = False
     stops: bool = False
     early: bool = False
+    resets: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -123,6 +126,8 @@
     late: int = 0
     # Uploads to a service some of whose upstreams answer early.
     uploads: int = 0
+    # How often connections between instances were reset.
+    resets: int = 0
 
     def put_link_between(self, key: str, content: bytes) -> bytes:
         """Have an instance's entry name the link to it."""
--- a/tests/processes/test_platform_soak.py
+++ b/tests/processes/test_platform_soak.py
@@ -85,6 +85,15 @@
     assert site.uploads > 20
 
 
+def test_no_slot_is_lost_beside_resets_between_instances() -> None:
+    site = closing_loop.run(
+        soak(2401, _SECONDS, Troubles(all_links=True, resets=True))
+    )
+    assert not site.violations, (site.violations, site.faults)
+    assert site.resets > 10
+    assert sum(tried.status == 200 for tried in site.tries) > 100
+
+
 def test_no_violations_beside_endless_answers() -> None:
     """In heads and bodies, beside restarts and other faults."""
     site = closing_loop.run(
