--- a/packages/bench/src/tallyhall_bench/ports.py
+++ b/packages/bench/src/tallyhall_bench/ports.py
@@ -34,10 +34,17 @@
 
     def draw(self) -> int:
         """Return a port at which nobody listens; raise NoPortError."""
-        for port in self._ports:
-            if _is_free(port):
-                return port
-        raise NoPortError(f'no port is left below {_AFTER}')
+        port = self._next_free()
+        if port is None:
+            # Other processes may have ended since the last look.
+            self._ports = self._all()
+            port = self._next_free()
+        if port is None:
+            raise NoPortError(f'no port is left below {_AFTER}')
+        return port
+
+    def _next_free(self) -> int | None:
+        return next(filter(_is_free, self._ports), None)
 
     def _all(self) -> Iterator[int]:
         for first in range(_FIRST, _AFTER, _BLOCK):
--- a/tests/unit/test_ports.py
+++ b/tests/unit/test_ports.py
@@ -8,17 +8,20 @@
 """
 
 import json
+import os
 import pathlib
 import subprocess
 import sys
 
-from tallyhall_bench.ports import free_ports
+import pytest
+from tallyhall_bench.ports import NoPortError, Ports, free_ports
 
 _RANGE = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
 _DRAWN = 600
 _OTHER_RUN = f"""
 import json, sys
-from tallyhall_bench.ports import free_ports
+import pytest
+from tallyhall_bench.ports import NoPortError, Ports, free_ports
 print(json.dumps(free_ports({_DRAWN})), flush=True)
 sys.stdin.read()
 """
@@ -47,3 +50,20 @@
 def test_a_port_is_drawn_once_in_a_process() -> None:
     drawn = free_ports(_DRAWN) + free_ports(_DRAWN)
     assert len(set(drawn)) == 2 * _DRAWN
+
+
+def test_ports_that_others_have_given_back_are_drawn(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Above the kernel's range, where no run draws.
+    first = 61_000 + os.getpid() % 8 * 500
+    monkeypatch.setattr('tallyhall_bench.ports._FIRST', first)
+    monkeypatch.setattr('tallyhall_bench.ports._AFTER', first + 500)
+    other, own = Ports(), Ports()
+    with pytest.raises(NoPortError):
+        [other.draw() for _ in range(501)]
+    with pytest.raises(NoPortError):
+        own.draw()
+    for marker in other._markers:
+        marker.close()
+    assert first <= own.draw() < first + 500
