Tunnels: framing lies with the upstream's side; one rule for late resets

_UpstreamSide held the other side twice and called back into it to frame its own bytes. It now encodes them itself, told at its start whether frames are read. How long a peer may still reset a stream that it ended was decided in client.py and tunnel_server.py from two constants; `reset_delay_s` serves both. No change of behaviour.

--- a/packages/edge/src/tallyhall_edge/client.py
+++ b/packages/edge/src/tallyhall_edge/client.py
@@ -26,10 +26,9 @@
 from .request_writer import RequestWriter
 from .response_sink import ResponseSink
 from .sockets import (
-    MAX_READ_AT_ONCE_BYTES,
-    MAX_RESET_DELAY_S,
     discard_on_close,
     pending_error,
+    reset_delay_s,
     set_keepalive,
 )
 
@@ -250,12 +249,10 @@
         # A reset that came with the end discards what was not acknowledged.
         is_reset = bool(pending_error(transport))
         self._is_read = self.is_acknowledged and not is_reset
-        if (
-            not self._is_read
-            or self._writer.request_bytes <= MAX_READ_AT_ONCE_BYTES
-        ):
+        delay_s = reset_delay_s(self._writer.request_bytes)
+        if not self._is_read or not delay_s:
             return False
-        self._loop.call_later(MAX_RESET_DELAY_S, self._close_unless_reset)
+        self._loop.call_later(delay_s, self._close_unless_reset)
         return True
 
     def data_received(self, data: bytes) -> None:
--- a/packages/edge/src/tallyhall_edge/sockets.py
+++ b/packages/edge/src/tallyhall_edge/sockets.py
@@ -24,8 +24,8 @@
 # An upstream may answer and close before it has read a longer request than
 # this, in bytes. Its machine then resets the connection, up to this time in
 # seconds after the end of the stream.
-MAX_READ_AT_ONCE_BYTES = 4096
-MAX_RESET_DELAY_S = 0.05
+_MAX_READ_AT_ONCE_BYTES = 4096
+_MAX_RESET_DELAY_S = 0.05
 # The value of SO_LINGER with which a socket is reset when it is closed.
 _NO_LINGER = struct.pack('ii', 1, 0)
 
@@ -75,6 +75,14 @@
     return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
 
 
+def reset_delay_s(sent_bytes: int) -> float:
+    """Return how long after the end of its stream a peer may still reset it.
+
+    sent_bytes: what it was sent before.
+    """
+    return _MAX_RESET_DELAY_S if sent_bytes > _MAX_READ_AT_ONCE_BYTES else 0
+
+
 def _query(transport: asyncio.Transport, request: int) -> int:
     sock = _socket_of(transport)
     if sock is None or sock.fileno() < 0:
--- a/packages/edge/src/tallyhall_edge/tunnel_server.py
+++ b/packages/edge/src/tallyhall_edge/tunnel_server.py
@@ -18,9 +18,8 @@
 from .errors import InvalidTunnelMessageError
 from .listening import listen
 from .sockets import (
-    MAX_READ_AT_ONCE_BYTES,
-    MAX_RESET_DELAY_S,
     pending_error,
+    reset_delay_s,
     set_keepalive,
     unacknowledged_bytes,
 )
@@ -154,7 +153,10 @@
             return TunnelOutcome.unknown_upstream
         if self.access.is_isolated:
             return TunnelOutcome.isolated
-        outcome = await _connect(upstream, side, self.memory)
+        upstream_side = _UpstreamSide(
+            side, self.memory, is_framed=request.framed
+        )
+        outcome = await _connect(upstream, upstream_side)
         if outcome is not TunnelOutcome.connected:
             failure = LinkFailure.timed_out
             if outcome is TunnelOutcome.refused:
@@ -163,16 +165,12 @@
         return outcome
 
 
-async def _connect(
-    upstream: Upstream, side: _PeerSide, memory: MemoryMonitor | None
-) -> TunnelOutcome:
+async def _connect(upstream: Upstream, side: _UpstreamSide) -> TunnelOutcome:
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             await loop.create_connection(
-                lambda: _UpstreamSide(side, memory),
-                upstream.host,
-                upstream.port,
+                lambda: side, upstream.host, upstream.port
             )
     except ConnectionRefusedError:
         return TunnelOutcome.refused
@@ -205,7 +203,11 @@
     def data_received(self, data: bytes) -> None:
         self.received += len(data)
         if self.other is not None:
-            self.other.write(data)
+            self.other.write(self.encode(data))
+
+    def encode(self, payload: bytes) -> bytes:
+        """Return received bytes as they are passed on."""
+        return payload
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the other side: after its unsent bytes, unless it was reset."""
@@ -256,12 +258,14 @@
 
 
 class _UpstreamSide(_Side):
-    """The connection to the upstream."""
+    """The connection to the upstream; `is_framed` if the peer reads frames."""
 
-    def __init__(self, side: _PeerSide, memory: MemoryMonitor | None) -> None:
+    def __init__(
+        self, side: _PeerSide, memory: MemoryMonitor | None, *, is_framed: bool
+    ) -> None:
         super().__init__(memory)
         self.other = side
-        self._peer_side = side
+        self._is_framed = is_framed
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -272,20 +276,19 @@
             return
         peer_side.other = self
 
-    def data_received(self, data: bytes) -> None:
-        self.received += len(data)
-        if self.other is not None:
-            self._peer_side.pass_on(data)
+    def encode(self, payload: bytes) -> bytes:
+        return encode_frame(payload) if self._is_framed else payload
 
     def eof_received(self) -> bool:
         """Tell of an end in order, if need be once no reset can follow."""
-        if not self._has_received_all():
-            return False
-        if self._peer_side.received <= MAX_READ_AT_ONCE_BYTES:
-            self._tell_end()
+        if self.other is None or not self._has_received_all():
             return False
-        self._loop.call_later(MAX_RESET_DELAY_S, self._end_unless_reset)
-        return True
+        delay_s = reset_delay_s(self.other.received)
+        if delay_s:
+            self._loop.call_later(delay_s, self._end_unless_reset)
+            return True
+        self._tell_end()
+        return False
 
     def _has_received_all(self) -> bool:
         """Return whether the upstream got all that came for it so far."""
@@ -301,8 +304,8 @@
             self.transport.close()
 
     def _tell_end(self) -> None:
-        if self.other is not None:
-            self._peer_side.pass_on_end()
+        if self.other is not None and self._is_framed:
+            self.other.write(encode_end(self.other.received))
 
 
 class _PeerSide(_Side):
@@ -363,16 +366,6 @@
             )
         )
 
-    def pass_on(self, payload: bytes) -> None:
-        """Write bytes of the upstream."""
-        is_framed = self._request is not None and self._request.framed
-        self.write(encode_frame(payload) if is_framed else payload)
-
-    def pass_on_end(self) -> None:
-        """Write that the upstream ended its side in order."""
-        if self._request is not None and self._request.framed:
-            self.write(encode_end(self.received))
-
     async def _open(self, request: TunnelRequest) -> None:
         outcome = TunnelOutcome.busy
         if self._is_accepted:
