--- a/packages/dispatch/src/tallyhall_dispatch/versions.py
+++ b/packages/dispatch/src/tallyhall_dispatch/versions.py
@@ -125,7 +125,7 @@
         self._apply_completion(ready, now)
         used = self._used(versions, now)
         registered = frozenset(one.version for one in known)
-        new = self._new_versions(versions, registered, now)
+        new = self._new_versions(registered, now)
         self._changes_at = self._next_change(versions, used, now)
         return tuple(self._mark(one, used, new) for one in known)
 
@@ -233,7 +233,7 @@
         return frozenset(targets)
 
     def _new_versions(
-        self, versions: frozenset[str], registered: frozenset[str], now: float
+        self, registered: frozenset[str], now: float
     ) -> frozenset[str]:
         """Return the new versions, unless no other one is registered.
 
@@ -242,8 +242,8 @@
         """
         new = frozenset(
             version
-            for version in versions
-            if now < self._known_since[version] + NEW_VERSION_S
+            for version, since in self._known_since.items()
+            if now < since + NEW_VERSION_S
         )
         return new if registered - new else frozenset()
 
