--- a/packages/entry/src/tallyhall_entry/job_messages.py
+++ b/packages/entry/src/tallyhall_entry/job_messages.py
@@ -14,13 +14,12 @@
     encode_give_up,
     encode_job,
     encode_slowdown,
+    whole_millis,
 )
 from tallyhall_transport.peer_streams import PeerStreams
 
 from .load_sharing import LoadSharing
 
-_MILLI = 1000
-
 
 class PeerOrigin:
     """Forwards scheduling decisions to the peer that asked; a `JobListener`."""
@@ -42,7 +41,7 @@
         grant = batch.grants.add(
             key=granted.key,
             upstream=incarnation,
-            forecast_ms=int(granted.forecast_s * _MILLI),
+            forecast_ms=whole_millis(granted.forecast_s),
         )
         slowdown = self._loads.slowdown(incarnation)
         if slowdown > 1:
--- a/packages/transport/src/tallyhall_transport/peer_codec.py
+++ b/packages/transport/src/tallyhall_transport/peer_codec.py
@@ -45,11 +45,11 @@
     ask.urgency = job.urgency
     ask.prompt_tokens = job.prompt_tokens
     ask.output_tokens = job.output_tokens
-    ask.due_in_ms = _millis(job.due_at - now)
-    ask.give_up_in_ms = _millis(job.reject_at - now)
+    ask.due_in_ms = whole_millis(job.due_at - now)
+    ask.give_up_in_ms = whole_millis(job.reject_at - now)
     ask.excluded.extend(job.excluded)
     ask.spare = job.over_quota
-    ask.pause_ms = _millis(job.pause_s)
+    ask.pause_ms = whole_millis(job.pause_s)
     ask.suspect = job.suspect_digest
     ask.route = job.route
     ask.once = job.non_idempotent
@@ -90,9 +90,9 @@
 def encode_give_up(give_up: peers_pb2.GiveUp, given_up: RejectDecision) -> None:
     """Encode the decision that a job cannot be answered in time."""
     give_up.key = given_up.key
-    give_up.retry_after_ms = _millis(given_up.retry_after_s)
+    give_up.retry_after_ms = whole_millis(given_up.retry_after_s)
     forecast = given_up.forecast
-    give_up.wait_ms = min(_MAX_WAIT_MS, _millis(forecast.wait_s))
+    give_up.wait_ms = min(_MAX_WAIT_MS, whole_millis(forecast.wait_s))
     give_up.ahead = forecast.ahead
     give_up.rate = forecast.rate
     give_up.free = forecast.free
@@ -135,13 +135,13 @@
     done.service = service
     done.upstream = upstream
     done.ending = report.ending.value
-    done.total_ms = _millis(report.total_s)
+    done.total_ms = whole_millis(report.total_s)
     done.first_ms = _NO_FIRST_EVENT
     if report.first_s is not None:
-        done.first_ms = _millis(report.first_s)
+        done.first_ms = whole_millis(report.first_s)
     done.events = report.events
-    done.stream_ms = _millis(report.stream_s)
-    done.pause_ms = _millis(report.pause_s)
+    done.stream_ms = whole_millis(report.stream_s)
+    done.pause_ms = whole_millis(report.pause_s)
 
 
 def decode_done(done: peers_pb2.Done) -> RunReport:
@@ -168,7 +168,7 @@
     load.waiting = report.waiting
     load.slots = report.slots
     load.slowdown_percent = encode_slowdown(report.slowdown or 0)
-    load.age_ms = max(0, _millis(age_s))
+    load.age_ms = max(0, whole_millis(age_s))
 
 
 def decode_load(load: peers_pb2.Load) -> tuple[LoadReport, float] | None:
@@ -196,6 +196,6 @@
     return percent / _PERCENT if percent else 1
 
 
-def _millis(duration_s: float) -> int:
+def whole_millis(duration_s: float) -> int:
     """Return whole milliseconds, within what the messages hold."""
     return int(max(-_MAX_MS, min(_MAX_MS, duration_s * _MILLI)))
