Bench: several tasks are ended together

Three soaks ended their tasks one by one: the others ran on while one was waited for, and stayed if it raised. end_tasks cancels all, waits for all, then raises.

--- a/packages/bench/src/tallyhall_bench/platform_load.py
+++ b/packages/bench/src/tallyhall_bench/platform_load.py
@@ -186,15 +186,17 @@
     try:
         yield
     finally:
-        await end_task(load)
+        await end_tasks(load)
 
 
-async def end_task(task: asyncio.Task[None]) -> None:
-    """Cancel a task and wait for its end; raise what had ended it before."""
-    task.cancel()
-    await asyncio.wait((task,))
-    if not task.cancelled():
-        task.result()
+async def end_tasks(*tasks: asyncio.Task[None]) -> None:
+    """Cancel tasks and wait for their ends; raise what had ended one before."""
+    for running in tasks:
+        running.cancel()
+    await asyncio.wait(tasks)
+    for ended in tasks:
+        if not ended.cancelled():
+            ended.result()
 
 
 async def keep_calling(
--- a/packages/bench/src/tallyhall_bench/platform_soak.py
+++ b/packages/bench/src/tallyhall_bench/platform_soak.py
@@ -20,7 +20,7 @@
 
 from .datagram_link import DatagramLink
 from .platform_fleet import open_link, platform_fleet
-from .platform_load import DEADLINE_S, KEY, Caller, end_task
+from .platform_load import DEADLINE_S, KEY, Caller, end_tasks
 from .platform_run import STREAMED
 from .soak_checks import check_answers, check_processes, check_recovery
 from .soak_crowds import send_crowds
@@ -134,8 +134,7 @@
         courses.append(reset_peers(site, seed, ends_at))
     await asyncio.gather(*courses)
     await asyncio.sleep(_CALM_S)
-    for task in tasks:
-        await end_task(task)
+    await end_tasks(*tasks)
     await _check(site)
 
 
--- a/packages/bench/src/tallyhall_bench/soak_parts.py
+++ b/packages/bench/src/tallyhall_bench/soak_parts.py
@@ -15,7 +15,7 @@
 from tallyhall_standins.fatal_requests import prompt_parts
 
 from .mortal import Mortality, MortalUpstreams
-from .platform_load import Caller, Tried, end_task, keep_calling
+from .platform_load import Caller, Tried, end_tasks, keep_calling
 from .soak_fatal import HIDING
 from .soak_site import EVENTS, INSTANCES, PARTS, Site, Violation
 
@@ -146,8 +146,7 @@
     tasks = [asyncio.create_task(one) for one in work]
     try:
         yield
-        for task in tasks:
-            await end_task(task)
+        await end_tasks(*tasks)
         await asyncio.sleep(_SETTLED_S)
         site.ended_by_parts = upstreams.ended
         _check_late(site, callers.late(upstreams))
--- a/packages/bench/src/tallyhall_bench/soak_pauses.py
+++ b/packages/bench/src/tallyhall_bench/soak_pauses.py
@@ -14,7 +14,7 @@
 from collections.abc import AsyncIterator
 
 from .platform_fleet import RETRY_LIMITS, restart_together
-from .platform_load import Caller, end_task, under_load
+from .platform_load import Caller, end_tasks, under_load
 from .retry_checks import arrived_retries, fullest_window
 from .soak_site import PAUSING, Site, Violation
 from .upstream_processes import UpstreamProcess, upstream_processes
@@ -81,7 +81,7 @@
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self._continue_all)
             pausing = asyncio.create_task(self._pause())
-            stack.push_async_callback(end_task, pausing)
+            stack.push_async_callback(end_tasks, pausing)
             await stack.enter_async_context(load)
             yield
 
--- a/packages/bench/src/tallyhall_bench/soak_versions.py
+++ b/packages/bench/src/tallyhall_bench/soak_versions.py
@@ -14,7 +14,7 @@
 
 from tallyhall_standins.platform_engine import EngineFault
 
-from .platform_load import Caller, Resume, end_task, keep_calling
+from .platform_load import Caller, Resume, end_tasks, keep_calling
 from .soak_site import VERSIONED, Site, Violation
 from .stream_callers import StreamCallers
 
@@ -119,8 +119,7 @@
     )
     tasks = [asyncio.create_task(one) for one in work]
     yield
-    for task in tasks:
-        await end_task(task)
+    await end_tasks(*tasks)
     versions.check()
     streams = versions.callers.streams
     site.streams = sum(stream.began for stream in streams)
--- a/tests/processes/test_bench_load.py
+++ b/tests/processes/test_bench_load.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tallyhall_bench.platform_load import end_task, under_load
+from tallyhall_bench.platform_load import end_tasks, under_load
 
 
 async def _fail() -> None:
@@ -22,7 +22,7 @@
 async def _end_one_that_waits() -> None:
     task = asyncio.create_task(asyncio.sleep(60))
     await asyncio.sleep(0)
-    await end_task(task)
+    await end_tasks(task)
     assert task.cancelled()
 
 
