Tests: a busy slot and an answer after an upload are written once

AskNetwork.occupy and vacate replace the same job in four tests of test_asks.py and two of test_lost_grants.py; the server that answers once an upload was read stood in two test files. Assertions unchanged.

--- a/packages/standins/src/tallyhall_standins/early.py
+++ b/packages/standins/src/tallyhall_standins/early.py
@@ -12,6 +12,8 @@
 SIGNATURE = b'X-Tallyhall-Response-Signature: s\r\n'
 # The part of a body after which it breaks off.
 PART = b'part of a body'
+# The body of an answer after the whole request.
+WHOLE = b'the whole body'
 OK_HEAD = b'HTTP/1.1 200 OK\r\n'
 # What is read of a request, in bytes.
 _READ_BYTES = 2000
@@ -85,6 +87,17 @@
             )
 
 
+async def answer_after_upload(
+    size: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer without a length, but once a body of this size was read."""
+    with contextlib.suppress(asyncio.IncompleteReadError):
+        await reader.readuntil(b'\r\n\r\n')
+        await reader.readexactly(size)
+        writer.write(b'%b%b\r\n%b' % (OK_HEAD, SIGNATURE, WHOLE))
+    writer.close()
+
+
 def _request_id(received: bytes) -> str:
     for line in received.split(b'\r\n'):
         name, _, text = line.partition(b':')
--- a/tests/platform/ask_network.py
+++ b/tests/platform/ask_network.py
@@ -98,6 +98,18 @@
     def owners(self) -> tuple[str, ...]:
         return self.schedulers['a'].ownership.owners(MODEL)
 
+    def occupy(self, *names: str) -> None:
+        """Have these instances count the only slot as taken."""
+        taken = Job('x/1', MODEL, 'a', 0, 10, 10, 0, 1e9, 1e9)
+        for name in names:
+            self.dispatchers[name].add_running(taken, 'u')
+
+    def vacate(self, *names: str) -> None:
+        """Have these instances count the slot as free again."""
+        report = RunReport(AttemptOutcome.answered, 1)
+        for name in names:
+            self.dispatchers[name].finish('x/1', MODEL, 'u', report)
+
     def holds(self, name: str, key: str) -> bool:
         return self.dispatchers[name].is_waiting(key)
 
--- a/tests/platform/test_asks.py
+++ b/tests/platform/test_asks.py
@@ -21,11 +21,10 @@
 import asyncio
 
 import pytest
-from tallyhall_dispatch.jobs import AttemptOutcome, Job, RunReport
 from tallyhall_entry import shared
 
 from tests.platform.ask_network import OWNERS, AskNetwork
-from tests.platform.harness import MODEL, deployment, patient
+from tests.platform.harness import deployment, patient
 
 
 async def test_a_job_that_is_asked_for_again_is_not_lost(
@@ -33,9 +32,7 @@
 ) -> None:
     network = AskNetwork(monkeypatch, ('a', *OWNERS))
     first, second = network.owners()[:2]
-    taken = Job('x/1', MODEL, 'a', 0, 10, 10, 0, 1e9, 1e9)
-    for owner in (first, second):
-        network.dispatchers[owner].add_running(taken, 'u')
+    network.occupy(first, second)
     network.late_s[first] = 0.1
     asked = network.ask('a/1', due_s=5)
     await network.run(0.15)
@@ -43,9 +40,7 @@
     # The first owner is asked again before the next heartbeat.
     await network.run(0.6)
     assert any(network.holds(name, 'a/1') for name in OWNERS)
-    for owner in (first, second):
-        report = RunReport(AttemptOutcome.answered, 1)
-        network.dispatchers[owner].finish('x/1', MODEL, 'u', report)
+    network.vacate(first, second)
     await network.run(0.2)
     assert asked.done()
     await asked
@@ -57,8 +52,7 @@
     """An ask that is withdrawn before it is sent queues nothing."""
     network = AskNetwork(monkeypatch, ('a', *OWNERS))
     first = network.owners()[0]
-    taken = Job('x/1', MODEL, 'a', 0, 10, 10, 0, 1e9, 1e9)
-    network.dispatchers[first].add_running(taken, 'u')
+    network.occupy(first)
     asked = network.ask('a/1', due_s=5)
     asyncio.get_running_loop().call_soon(asked.cancel)
     await network.run(0.2)
@@ -93,8 +87,7 @@
 ) -> None:
     network = AskNetwork(monkeypatch, ('a', *OWNERS))
     network.lost.update(OWNERS)
-    taken = Job('x/1', MODEL, 'a', 0, 10, 10, 0, 1e9, 1e9)
-    network.dispatchers['a'].add_running(taken, 'u')
+    network.occupy('a')
     asked = network.ask('a/1', due_s=5)
     await network.run(0.25)
     assert network.asks() == list(network.owners())
@@ -119,8 +112,7 @@
 ) -> None:
     network = AskNetwork(monkeypatch, ('a', *OWNERS))
     network.lost.update(OWNERS)
-    taken = Job('x/1', MODEL, 'a', 0, 10, 10, 0, 1e9, 1e9)
-    network.dispatchers['a'].add_running(taken, 'u')
+    network.occupy('a')
     asked = network.ask('a/1', due_s=due_s)
     await network.run(0.25)
     assert len(network.asks()) == expected
--- a/tests/platform/test_early_answers.py
+++ b/tests/platform/test_early_answers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import contextlib
 import functools
 from typing import Any
 
@@ -12,8 +11,8 @@
     OK_HEAD,
     PART,
     RESETS_AFTER_S,
-    SIGNATURE,
     EarlyUpstream,
+    answer_after_upload,
 )
 
 from tests.platform.harness import HOST, PLAIN, Answer, deployment, desired
@@ -70,17 +69,6 @@
     assert all(PART not in answer.body for answer in answers)
 
 
-async def _answer_after_upload(
-    size: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    with contextlib.suppress(asyncio.IncompleteReadError):
-        await reader.readuntil(b'\r\n\r\n')
-        await reader.readexactly(size)
-        writer.write(b'HTTP/1.1 200 OK\r\n%b\r\n' % SIGNATURE)
-        writer.write(b'the whole body')
-    writer.close()
-
-
 async def _send_status_000(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
@@ -105,7 +93,7 @@
     size: int,
 ) -> None:
     port = free_ports(1)[0]
-    serve = functools.partial(_answer_after_upload, size)
+    serve = functools.partial(answer_after_upload, size)
     server = await asyncio.start_server(serve, HOST, port)
     async with deployment() as made, server:
         made.register('late', f'{HOST}:{port}', PLAIN)
--- a/tests/platform/test_lost_grants.py
+++ b/tests/platform/test_lost_grants.py
@@ -1,12 +1,8 @@
 """Slots and asks whose messages were lost with a stream come back."""
 
 import pytest
-from tallyhall_dispatch.jobs import AttemptOutcome, Job, RunReport
 
 from tests.platform.ask_network import OWNERS, AskNetwork
-from tests.platform.harness import MODEL
-
-_ANSWERED = RunReport(AttemptOutcome.answered, 1)
 
 
 @pytest.mark.parametrize('times', [1, 5])
@@ -32,13 +28,12 @@
 ) -> None:
     network = AskNetwork(monkeypatch, ('a', *OWNERS))
     owner = network.owners()[0]
-    taken = Job('x/1', MODEL, 'a', 0, 10, 10, 0, 1e9, 1e9)
-    network.dispatchers[owner].add_running(taken, 'u')
+    network.occupy(owner)
     asked = network.ask('a/1', due_s=5)
     await network.run(0.1)
     assert network.holds(owner, 'a/1')
     network.broken.add((owner, 'a'))
-    network.dispatchers[owner].finish('x/1', MODEL, 'u', _ANSWERED)
+    network.vacate(owner)
     await network.run(0.1)
     assert not asked.done()
     network.reopen(owner, 'a')
@@ -52,14 +47,13 @@
 ) -> None:
     network = AskNetwork(monkeypatch, ('a', *OWNERS))
     owner = network.owners()[0]
-    taken = Job('x/1', MODEL, 'a', 0, 10, 10, 0, 1e9, 1e9)
-    network.dispatchers[owner].add_running(taken, 'u')
+    network.occupy(owner)
     asked = network.ask('a/1', due_s=5)
     await network.run(0.1)
     network.reopen('a', owner)
     await network.run(0.1)
     assert network.holds(owner, 'a/1')
-    network.dispatchers[owner].finish('x/1', MODEL, 'u', _ANSWERED)
+    network.vacate(owner)
     await network.run(0.1)
     assert asked.done()
 
--- a/tests/platform/test_tunnels.py
+++ b/tests/platform/test_tunnels.py
@@ -17,7 +17,11 @@
 from tallyhall_edge.tunnel_client import open_tunnel
 from tallyhall_edge.tunnel_messages import TunnelOutcome, TunnelRequest
 from tallyhall_edge.tunnel_server import TunnelEnd, TunnelServer
-from tallyhall_standins.early import RESETS_AFTER_S, EarlyUpstream
+from tallyhall_standins.early import (
+    RESETS_AFTER_S,
+    EarlyUpstream,
+    answer_after_upload,
+)
 
 from tests.platform.harness import HOST
 
@@ -102,20 +106,10 @@
     return is_whole, sink.body
 
 
-async def _answer_after_upload(
-    size: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    with contextlib.suppress(asyncio.IncompleteReadError):
-        await reader.readuntil(b'\r\n\r\n')
-        await reader.readexactly(size)
-        writer.write(b'HTTP/1.1 200 OK\r\n\r\n%b' % _BODY)
-    writer.close()
-
-
 @pytest.mark.parametrize('size', _UPLOADS)
 async def test_answer_to_an_upload_that_was_read_is_whole(size: int) -> None:
     port = free_ports(1)[0]
-    serve = functools.partial(_answer_after_upload, size)
+    serve = functools.partial(answer_after_upload, size)
     server = await asyncio.start_server(serve, HOST, port)
     async with server, _tunnels(port) as peer:
         assert await _upload(peer, size) == (True, _BODY)
@@ -136,7 +130,7 @@
 
 async def test_an_instance_that_reads_no_frames_gets_the_bytes_alone() -> None:
     port = free_ports(1)[0]
-    serve = functools.partial(_answer_after_upload, 5)
+    serve = functools.partial(answer_after_upload, 5)
     server = await asyncio.start_server(serve, HOST, port)
     async with server, _tunnels(port) as peer:
         assert await _upload(peer, 5, framed=False) == (False, _BODY)
